Carry model and service calls from callers to endpoints

Cause: the path comes first; decisions and agreement attach to it. ogen's raw-response mode hands the ResponseWriter to the handler, so that each event can be flushed alone; its default encoder copies without flushing. Ruled out: ogen for plain services, since any-method wildcard paths cannot be described there; a net/http handler beside it serves them. net/http sends a request with an Idempotency-Key again by itself when a kept connection breaks, so bodies are wrapped to be sent at most once. Before: no path.

--- /dev/null
+++ b/internal/adapter/callerhttp/service.go
@@ -0,0 +1,126 @@
+package callerhttp
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+// servicesPrefix is the path below which plain services are reached.
+const servicesPrefix = "/services/"
+
+// The headers that callers of plain services may send.
+const (
+	headerClass    = "X-Wigeonsail-Class"
+	headerDeadline = "X-Wigeonsail-Deadline-Ms"
+	headerKey      = "Idempotency-Key"
+)
+
+// The bounds of those headers. They equal those in api/caller.yaml.
+const (
+	maxKeyBytes   = 256
+	maxClassBytes = 64
+	maxDeadline   = 24 * time.Hour
+)
+
+// serviceHandler routes any method below /services/ to plain services.
+type serviceHandler struct {
+	router  port.Router
+	maxBody int64
+}
+
+// ServeHTTP serves one call.
+func (h *serviceHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ctx := r.Context()
+	req, err := h.request(r)
+	if err != nil {
+		writeProblem(ctx, w, asRequestError(err))
+		return
+	}
+	answer := newAnswerWriter(ctx, w, false)
+	err = h.router.Serve(ctx, req, answer)
+	switch {
+	case err == nil:
+	case answer.started:
+		answer.abort(asRequestError(err))
+	default:
+		writeProblem(ctx, w, asRequestError(err))
+	}
+}
+
+func (h *serviceHandler) request(r *http.Request) (port.CallerRequest, error) {
+	key, ok := bearerKey(r.Header)
+	if !ok {
+		return port.CallerRequest{}, unauthorized()
+	}
+	account, err := h.router.Authenticate(key)
+	if err != nil {
+		return port.CallerRequest{}, err
+	}
+	req := port.CallerRequest{
+		ID:         requestID(r.Context()),
+		Account:    account,
+		Class:      model.ClassName(r.Header.Get(headerClass)),
+		Key:        r.Header.Get(headerKey),
+		Method:     r.Method,
+		Path:       r.URL.RequestURI(),
+		Header:     r.Header,
+		BodyReader: r.Body,
+		BodyLength: r.ContentLength,
+	}
+	if err := checkHeaders(&req, r.Header); err != nil {
+		return port.CallerRequest{}, err
+	}
+	if r.ContentLength > h.maxBody {
+		return port.CallerRequest{}, &http.MaxBytesError{Limit: h.maxBody}
+	}
+	if req.Key != "" {
+		return readWhole(req)
+	}
+	return req, nil
+}
+
+// readWhole reads the body of a call with a key, since a retry is compared
+// with it and another host may have to run it.
+func readWhole(req port.CallerRequest) (port.CallerRequest, error) {
+	body, err := io.ReadAll(req.BodyReader)
+	if err != nil {
+		return port.CallerRequest{}, err
+	}
+	req.Body = body
+	req.BodyReader = nil
+	return req, nil
+}
+
+func checkHeaders(req *port.CallerRequest, header http.Header) error {
+	if len(req.Key) > maxKeyBytes {
+		return wrongHeader(headerKey, "at most "+strconv.Itoa(maxKeyBytes)+" bytes")
+	}
+	if len(req.Class) > maxClassBytes {
+		return wrongHeader(headerClass, "at most "+strconv.Itoa(maxClassBytes)+" bytes")
+	}
+	text := header.Get(headerDeadline)
+	if text == "" {
+		return nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 1 || ms > maxDeadline.Milliseconds() {
+		return wrongHeader(headerDeadline, "1 to "+strconv.FormatInt(maxDeadline.Milliseconds(), 10)+" milliseconds")
+	}
+	req.Budget = time.Duration(ms) * time.Millisecond
+	return nil
+}
+
+func wrongHeader(name, allowed string) error {
+	return &port.RequestError{
+		Code:    port.CodeBadRequest,
+		Status:  http.StatusBadRequest,
+		Message: name + ": allowed are " + allowed,
+		Outcome: model.OutcomeNotRun,
+		Field:   name,
+	}
+}
--- /dev/null
+++ b/internal/host/attempts.go
@@ -0,0 +1,142 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/dispatch"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+// maxAttempts bounds the tries of one request, whatever its deadline.
+const maxAttempts = 4
+
+// errPreempted ends an attempt that gave way to a protected request.
+var errPreempted = errors.New("attempt was preempted")
+
+// attemptEnd is how an attempt ended.
+type attemptEnd struct {
+	// err is nil when the caller has the whole answer.
+	err    error
+	result dispatch.Result
+}
+
+// runner carries out one attempt at the endpoint of a grant. It returns when
+// the attempt has ended or when preempt is closed.
+type runner func(ctx context.Context, req *request, grant dispatch.Action, preempt <-chan struct{}) attemptEnd
+
+// serve tries the request until it has an answer, its deadline passes or it
+// must not be tried again.
+func (h *Host) serve(ctx context.Context, req *request, w port.AnswerWriter, run runner) error {
+	ctx, cancel := context.WithDeadline(ctx, req.model.Deadline)
+	defer cancel()
+	defer h.loop.post(forgetEvent{id: req.model.ID})
+	// known is what is known of the effect of all attempts so far.
+	known := model.OutcomeNotRun
+	var last error
+	for {
+		preempt := make(chan struct{})
+		decision, err := h.decide(ctx, req, preempt)
+		if err != nil {
+			return giveUp(err, known, last)
+		}
+		if decision.Kind == dispatch.ActionSpill {
+			return h.spill(ctx, req, decision, w)
+		}
+		end := run(ctx, req, decision, preempt)
+		h.loop.post(finishEvent{id: req.model.ID, attempt: req.model.Attempt, result: end.result})
+		if end.err == nil {
+			return nil
+		}
+		last = end.err
+		if end.result.Outcome != model.OutcomeNotRun {
+			known = model.OutcomeUnknown
+		}
+		if ctx.Err() != nil {
+			return ended(ctx, known)
+		}
+		if !req.tryAgain(end) {
+			return failed(end.err, known)
+		}
+		req.nextAttempt(decision.Endpoint, end)
+	}
+}
+
+// giveUp merges a refusal to try again with what earlier attempts left behind.
+func giveUp(refusal *port.RequestError, known model.Outcome, last error) error {
+	if known != model.OutcomeNotRun {
+		refusal.Outcome = known
+	}
+	if refusal.Cause == nil {
+		refusal.Cause = last
+	}
+	return refusal
+}
+
+// decide asks the control loop where the attempt goes.
+func (h *Host) decide(ctx context.Context, req *request, preempt chan struct{}) (dispatch.Action, *port.RequestError) {
+	if !h.loop.offer(submitEvent{req: req.model, waiter: req.waiter, preempt: preempt}) {
+		return dispatch.Action{}, overloaded()
+	}
+	select {
+	case <-ctx.Done():
+		return dispatch.Action{}, ended(ctx, model.OutcomeNotRun)
+	case <-h.loop.stopped:
+		return dispatch.Action{}, leaving()
+	case action := <-req.waiter.decisions:
+		if action.Kind == dispatch.ActionRefuse {
+			return dispatch.Action{}, refused(action)
+		}
+		return action, nil
+	}
+}
+
+// tryAgain says whether another attempt is allowed after this end. A stream
+// that has begun goes on only where the engine resumes it.
+func (r *request) tryAgain(end attemptEnd) bool {
+	if errors.Is(end.err, errPreempted) {
+		return true
+	}
+	var endpoint *port.EndpointError
+	if errors.As(end.err, &endpoint) && isCallersFault(endpoint.Status) {
+		return false
+	}
+	var caller *callerError
+	if errors.As(end.err, &caller) {
+		return false
+	}
+	if r.started && (!r.call.Stream || errors.Is(end.err, port.ErrNoResume)) {
+		return false
+	}
+	return int(r.model.Attempt) < maxAttempts && r.retryable(end.result.Outcome)
+}
+
+func (r *request) nextAttempt(failedAt model.EndpointName, end attemptEnd) {
+	r.model.Attempt++
+	if !errors.Is(end.err, errPreempted) {
+		r.model.Avoid = append(r.model.Avoid, failedAt)
+	}
+}
+
+// callerError is a failed write to the caller.
+type callerError struct{ cause error }
+
+func (e *callerError) Error() string { return "caller: " + e.cause.Error() }
+func (e *callerError) Unwrap() error { return e.cause }
+
+// endOf builds the end of an attempt that failed.
+func endOf(ctx context.Context, err error, started time.Time) attemptEnd {
+	var caller *callerError
+	gone := errors.As(err, &caller) || ctx.Err() != nil
+	return attemptEnd{
+		err: err,
+		result: dispatch.Result{
+			Outcome:  outcomeOf(err),
+			Failed:   !gone && !errors.Is(err, errPreempted),
+			Canceled: gone,
+			Elapsed:  time.Since(started),
+		},
+	}
+}
--- /dev/null
+++ b/internal/host/control.go
@@ -0,0 +1,142 @@
+package host
+
+import (
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/catalog"
+	"github.com/wigeonsail/wigeonsail/internal/core/dispatch"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+)
+
+// control is the state that only the control loop touches.
+type control struct {
+	host     *Host
+	dispatch *dispatch.Dispatcher
+	waiters  map[model.RequestID]*waiter
+}
+
+// waiter is a request's link from the control loop to its traffic goroutine.
+type waiter struct {
+	// decisions takes grants, refusals and spills. Each submit leads to at
+	// most one, so that sending never waits.
+	decisions chan dispatch.Action
+	// preempt is closed by the control loop when the running attempt is to
+	// give way. The traffic goroutine makes a new one for each attempt.
+	preempt chan struct{}
+}
+
+func newWaiter() *waiter {
+	return &waiter{decisions: make(chan dispatch.Action, 1)}
+}
+
+func newControl(h *Host, opts dispatch.Options) *control {
+	return &control{
+		host:     h,
+		dispatch: dispatch.New(opts),
+		waiters:  make(map[model.RequestID]*waiter),
+	}
+}
+
+func (c *control) tick(now time.Time) {
+	c.carryOut(c.dispatch.Tick(now))
+}
+
+// carryOut passes actions on to the requests they are about.
+func (c *control) carryOut(actions []dispatch.Action) {
+	for _, action := range actions {
+		w, ok := c.waiters[action.Request]
+		if !ok {
+			continue
+		}
+		if action.Kind == dispatch.ActionPreempt {
+			w.giveWay()
+			continue
+		}
+		select {
+		case w.decisions <- action:
+		default:
+		}
+	}
+}
+
+// giveWay asks the running attempt to end. Repeated calls do nothing.
+func (w *waiter) giveWay() {
+	select {
+	case <-w.preempt:
+	default:
+		close(w.preempt)
+	}
+}
+
+// submitEvent asks for a decision on one attempt.
+type submitEvent struct {
+	req     model.Request
+	waiter  *waiter
+	preempt chan struct{}
+}
+
+func (e submitEvent) apply(now time.Time, c *control) {
+	e.waiter.preempt = e.preempt
+	c.waiters[e.req.ID] = e.waiter
+	c.carryOut(c.dispatch.Submit(now, e.req))
+}
+
+// finishEvent ends an attempt that was granted.
+type finishEvent struct {
+	id      model.RequestID
+	attempt model.Attempt
+	result  dispatch.Result
+}
+
+func (e finishEvent) apply(now time.Time, c *control) {
+	c.carryOut(c.dispatch.Finish(now, e.id, e.attempt, e.result))
+}
+
+// progressEvent tells of relayed tokens.
+type progressEvent struct {
+	id     model.RequestID
+	tokens int
+}
+
+func (e progressEvent) apply(now time.Time, c *control) {
+	c.dispatch.Progress(now, e.id, e.tokens)
+}
+
+// forgetEvent ends a request for good.
+type forgetEvent struct {
+	id model.RequestID
+}
+
+func (e forgetEvent) apply(now time.Time, c *control) {
+	delete(c.waiters, e.id)
+	c.carryOut(c.dispatch.Cancel(now, e.id))
+}
+
+// loadEvent is an endpoint's load report.
+type loadEvent struct {
+	report dispatch.LoadReport
+}
+
+func (e loadEvent) apply(now time.Time, c *control) {
+	c.carryOut(c.dispatch.ReportLoad(now, e.report))
+}
+
+// leavingEvent tells that an endpoint is leaving, or back.
+type leavingEvent struct {
+	endpoint model.EndpointName
+	leaving  bool
+}
+
+func (e leavingEvent) apply(now time.Time, c *control) {
+	c.carryOut(c.dispatch.SetLeaving(now, e.endpoint, e.leaving))
+}
+
+// configEvent puts a configuration in force.
+type configEvent struct {
+	catalog *catalog.Catalog
+}
+
+func (e configEvent) apply(now time.Time, c *control) {
+	c.host.catalog.Store(e.catalog)
+	c.carryOut(c.dispatch.SetConfig(now, e.catalog.Config()))
+}
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,130 @@
+// Package host is the shell of an entry host: the control loop that owns all
+// control state, the goroutines that carry traffic, start and graceful
+// shutdown.
+package host
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/catalog"
+	"github.com/wigeonsail/wigeonsail/internal/core/dispatch"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+// Options configures a Host.
+type Options struct {
+	// ID names the host.
+	ID model.HostID
+	// Domain is the host's failure domain.
+	Domain model.DomainName
+	// Incarnation tells this process from its predecessors.
+	Incarnation model.Incarnation
+	// Seed starts the random choices.
+	Seed uint64
+	// Engines and Services reach the endpoints.
+	Engines  port.Engines
+	Services port.Services
+	// Log takes the host's log lines.
+	Log log.Interface
+}
+
+// Host is an entry host.
+type Host struct {
+	opts    Options
+	loop    *loop
+	control *control
+	catalog atomic.Pointer[catalog.Catalog]
+	leaving atomic.Bool
+	traffic traffic
+	stop    context.CancelFunc
+	workers sync.WaitGroup
+}
+
+// New builds a host. It serves nothing until Start.
+func New(opts Options) *Host {
+	h := &Host{opts: opts, loop: newLoop()}
+	h.traffic.idle = make(chan struct{}, 1)
+	h.control = newControl(h, dispatch.Options{
+		Host:   opts.ID,
+		Domain: opts.Domain,
+		Seed:   opts.Seed,
+	})
+	return h
+}
+
+// Start runs the control loop and the pollers until Close.
+func (h *Host) Start() {
+	ctx, stop := context.WithCancel(context.Background())
+	h.stop = stop
+	h.workers.Go(func() { h.loop.run(ctx, h.control) })
+	h.workers.Go(func() { h.pollEndpoints(ctx) })
+}
+
+// Close ends the control loop and the pollers. Requests in progress fail, so
+// Drain comes first in a graceful shutdown.
+func (h *Host) Close() {
+	h.stop()
+	h.workers.Wait()
+}
+
+// SetConfig puts a checked configuration in force. An older version than the
+// one in force is ignored.
+func (h *Host) SetConfig(version model.Version, cfg *catalog.Catalog) {
+	if current := h.catalog.Load(); current != nil && current.Version() >= version {
+		return
+	}
+	h.loop.post(configEvent{catalog: cfg})
+}
+
+// Ready says whether the host takes requests.
+func (h *Host) Ready() bool {
+	return h.catalog.Load() != nil && !h.leaving.Load()
+}
+
+// Drain refuses new requests and waits until those in progress have ended,
+// however long that takes, or until ctx ends.
+func (h *Host) Drain(ctx context.Context) error {
+	h.leaving.Store(true)
+	return h.traffic.wait(ctx)
+}
+
+// traffic counts the requests in progress.
+type traffic struct {
+	running atomic.Int64
+	idle    chan struct{}
+}
+
+func (t *traffic) begin() { t.running.Add(1) }
+
+func (t *traffic) end() {
+	if t.running.Add(-1) > 0 {
+		return
+	}
+	select {
+	case t.idle <- struct{}{}:
+	default:
+	}
+}
+
+// drainCheckEvery bounds how late wait sees that the last request has ended.
+const drainCheckEvery = 50 * time.Millisecond
+
+func (t *traffic) wait(ctx context.Context) error {
+	ticker := time.NewTicker(drainCheckEvery)
+	defer ticker.Stop()
+	for t.running.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.idle:
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -121,6 +122,9 @@
 	Last bool
 }
 
+// ErrNoResume is the cause when an engine did not resume a stream.
+var ErrNoResume = errors.New("engine did not resume the stream")
+
 // EngineStream is an engine's answer in progress.
 type EngineStream interface {
 	// Next returns the next event, or an *EndpointError. The event's Data is
@@ -170,7 +174,10 @@
 	// Path is the path and query below the service's root.
 	Path   string
 	Header http.Header
-	Body   io.Reader
+	// Body is sent at most once; nil for none.
+	Body io.Reader
+	// Length is the length of Body in bytes; -1 when it is not known.
+	Length int64
 	// Key is the idempotency key that the service sees; empty for none.
 	Key     string
 	Request model.RequestID
