--- /dev/null
+++ b/opconfig/validate_classes.go
@@ -0,0 +1,35 @@
+package opconfig
+
+import "fmt"
+
+func (v *validation) classes() {
+	v.classNames = make(map[string]bool)
+	v.check(len(v.cfg.Classes) > 0, "class", "missing", "at least one class")
+	var floors, headroom float64
+	for i := range v.cfg.Classes {
+		c := &v.cfg.Classes[i]
+		where := v.unique("class", i, string(c.Name), v.classNames)
+		v.classTimes(where, c)
+		v.classNumbers(where, c)
+		floors += c.Floor
+		headroom += c.Headroom
+	}
+	v.check(floors <= 1, "class: sum of all floor", floors, "at most 1")
+	v.check(headroom < 1, "class: sum of all headroom", headroom, "less than 1")
+}
+
+func (v *validation) classTimes(where string, c *Class) {
+	v.check(c.FirstToken > 0, where+": first_token", c.FirstToken.Std(), `a time span above 0, for example "1.9s"`)
+	v.check(c.BetweenTokens >= 0, where+": between_tokens", c.BetweenTokens.Std(), `0 or a time span, for example "33ms"`)
+	v.check(c.Deadline >= c.FirstToken, where+": deadline", c.Deadline.Std(), "at least first_token")
+}
+
+func (v *validation) classNumbers(where string, c *Class) {
+	v.check(c.Tier >= 0 && c.Tier <= maxTier, where+": tier", c.Tier, fmt.Sprintf("0 to %d", maxTier))
+	v.share(where, "floor", c.Floor)
+	v.check(c.Objective > 0 && c.Objective < 1, where+": objective", c.Objective, "above 0 and below 1, for example 0.95")
+	v.share(where, "headroom", c.Headroom)
+	v.check(c.MaxQueued >= 1, where+": max_queued", c.MaxQueued, "at least 1")
+	v.check(c.RetryBudget >= 0 && c.RetryBudget <= maxRetryBudget, where+": retry_budget", c.RetryBudget, "0 to 1")
+	v.check(!c.Protected || !c.Preemptible, where+": preemptible", c.Preemptible, "false where protected is true")
+}
