Add the platform stand-in and its HTTP adapter

The log, the host list and the weight store come behind the ports, with a stand-in whose faults are switched over POST /admin/faults: outage, slow, answers lost after the append took effect, retention now, hosts cut off, lag of the host list. GET /admin/stats counts the appends by stream.

An append is tried once. It is not_run only when no connection was obtained or the platform's answer says that it was not applied; everything else is unknown. Reads retry with jittered backoff inside the call's time. Health tells up, slow or down; two failures in a row make it down.

Offsets start at 0: with 1, a reader that starts from 0 would take the first offset for a sign of records lost to retention.

--- a/cmd/wigeonsail/cli.go
+++ b/cmd/wigeonsail/cli.go
@@ -20,6 +20,7 @@
 // cli is the command line. Each command lives in a file of its own.
 type cli struct {
 	Version versionCmd `cmd:"" help:"Print the version."`
+	Standin standinCmd `cmd:"" help:"Run a stand-in for what surrounds the hosts; for trials only."`
 }
 
 // usageError marks errors that the user mends by other arguments or settings.
--- /dev/null
+++ b/cmd/wigeonsail/standin.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+)
+
+// standinCmd groups the stand-ins for what surrounds the hosts. They are for
+// trying out and for scenarios, not for production.
+type standinCmd struct {
+	Platform standinPlatformCmd `cmd:"" help:"Run a stand-in for the platform's log, host list and weight store."`
+}
+
+// standinShutdownTimeout bounds the wait for calls in progress at the end.
+const standinShutdownTimeout = 2 * time.Second
+
+// serveStandin serves handler on address until SIGINT or SIGTERM. It prints
+// the address that it listens on.
+func serveStandin(name, address string, handler http.Handler) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return &usageError{fmt.Errorf("--listen: %w", err)}
+	}
+	log.Infof("standin: %s listens on %s", name, listener.Addr())
+	fmt.Println(listener.Addr())
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: standinShutdownTimeout,
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+	}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	select {
+	case err := <-served:
+		return err
+	case <-ctx.Done():
+	}
+	closing, cancel := context.WithTimeout(context.Background(), standinShutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(closing); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/adapter/platformhttp/platform_test.go
@@ -0,0 +1,186 @@
+package platformhttp
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+	"github.com/wigeonsail/wigeonsail/internal/standin/platform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const testTimeout = 2 * time.Second
+
+// start runs a stand-in and returns an adapter for host h1.
+func start(t *testing.T, opts platform.Options) (*Platform, string) {
+	t.Helper()
+	server := httptest.NewServer(platform.New(opts))
+	p := New(Options{URL: server.URL, Host: "h1", Timeout: testTimeout})
+	t.Cleanup(func() {
+		p.Close()
+		server.Close()
+	})
+	return p, server.URL
+}
+
+func switchFault(t *testing.T, url, change string) {
+	t.Helper()
+	res, err := http.Post(url+platform.FaultsPath, "application/json", strings.NewReader(change))
+	must.NoError(t, err)
+	must.NoError(t, res.Body.Close())
+	must.Eq(t, http.StatusOK, res.StatusCode)
+	http.DefaultClient.CloseIdleConnections()
+}
+
+func outcomeOf(t *testing.T, err error) model.Outcome {
+	t.Helper()
+	var platformErr *port.PlatformError
+	must.True(t, errors.As(err, &platformErr))
+	return platformErr.Outcome
+}
+
+func TestAppendAndRead(t *testing.T) {
+	p, _ := start(t, platform.Options{})
+	ctx := t.Context()
+	for want, data := range []string{"a", "b", "\x00\xff"} {
+		offset, err := p.Append(ctx, "claims/7", []byte(data))
+		must.NoError(t, err)
+		must.Eq(t, model.Offset(want), offset)
+	}
+	got, err := p.Read(ctx, "claims/7", 1, 10, 0)
+	must.NoError(t, err)
+	must.Eq(t, port.Batch{
+		Records: []port.Record{{Offset: 1, Data: []byte("b")}, {Offset: 2, Data: []byte("\x00\xff")}},
+		Next:    3,
+	}, got)
+	must.Eq(t, StateUp, p.Health().State)
+}
+
+func TestLostAnswerIsUnknownAndReadable(t *testing.T) {
+	p, url := start(t, platform.Options{})
+	switchFault(t, url, `{"lose_append_answers":1}`)
+	_, err := p.Append(t.Context(), "s", []byte("x"))
+	must.Eq(t, model.OutcomeUnknown, outcomeOf(t, err))
+	got, err := p.Read(t.Context(), "s", 0, 10, 0)
+	must.NoError(t, err)
+	must.Len(t, 1, got.Records)
+}
+
+func TestOutageIsNotRunAndSeen(t *testing.T) {
+	p, url := start(t, platform.Options{})
+	switchFault(t, url, `{"outage":true}`)
+	for range failuresUntilDown {
+		_, err := p.Append(t.Context(), "s", []byte("x"))
+		must.Eq(t, model.OutcomeNotRun, outcomeOf(t, err))
+	}
+	must.Eq(t, StateDown, p.Health().State)
+	switchFault(t, url, `{"outage":false}`)
+	got, err := p.Read(t.Context(), "s", 0, 10, 0)
+	must.NoError(t, err)
+	must.SliceEmpty(t, got.Records)
+	must.Eq(t, StateUp, p.Health().State)
+}
+
+func TestPartitionedHostIsCutWithoutEffect(t *testing.T) {
+	p, url := start(t, platform.Options{})
+	switchFault(t, url, `{"partitioned":["h1"]}`)
+	_, err := p.Append(t.Context(), "s", []byte("x"))
+	must.Eq(t, model.OutcomeUnknown, outcomeOf(t, err))
+	_, err = p.Hosts(t.Context())
+	must.Error(t, err)
+	switchFault(t, url, `{"partitioned":["h2"]}`)
+	got, err := p.Read(t.Context(), "s", 0, 10, 0)
+	must.NoError(t, err)
+	must.SliceEmpty(t, got.Records)
+}
+
+func TestUnreachablePlatformIsNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, listener.Close())
+	p := New(Options{URL: "http://" + listener.Addr().String(), Host: "h1", Timeout: testTimeout})
+	_, err = p.Append(t.Context(), "s", []byte("x"))
+	must.Eq(t, model.OutcomeNotRun, outcomeOf(t, err))
+}
+
+func TestTimeoutIsUnknownAndCanceledCallIsNoFailure(t *testing.T) {
+	p, url := start(t, platform.Options{})
+	p.timeout = 50 * time.Millisecond
+	switchFault(t, url, `{"slow":"300ms"}`)
+	for range failuresUntilDown {
+		_, err := p.Append(t.Context(), "s", []byte("x"))
+		must.Eq(t, model.OutcomeUnknown, outcomeOf(t, err))
+	}
+	must.Eq(t, StateDown, p.Health().State)
+	switchFault(t, url, `{"slow":"0s"}`)
+	p.timeout = testTimeout
+	_, err := p.Append(t.Context(), "s", []byte("x"))
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range failuresUntilDown {
+		_, err = p.Append(ctx, "s", []byte("x"))
+		must.Error(t, err)
+	}
+	must.Eq(t, StateUp, p.Health().State)
+}
+
+func TestSlowPlatformIsSeen(t *testing.T) {
+	p, _ := start(t, platform.Options{})
+	p.health.slowAfter = 0
+	must.NoError(t, p.Announce(t.Context(), port.ListedHost{Name: "h1", Domain: "d1"}))
+	must.Eq(t, StateSlow, p.Health().State)
+}
+
+func TestRateLimitTellsWhenToComeBack(t *testing.T) {
+	p, _ := start(t, platform.Options{AppendsPerSecond: 0.5, AppendBurst: 1})
+	_, err := p.Append(t.Context(), "s", []byte("x"))
+	must.NoError(t, err)
+	_, err = p.Append(t.Context(), "s", []byte("x"))
+	must.Eq(t, model.OutcomeNotRun, outcomeOf(t, err))
+	var platformErr *port.PlatformError
+	must.True(t, errors.As(err, &platformErr))
+	must.Between(t, time.Second, platformErr.RetryAfter, 2*time.Second)
+	must.Eq(t, StateUp, p.Health().State)
+}
+
+func TestHostListAndWeights(t *testing.T) {
+	p, _ := start(t, platform.Options{Weights: map[string]int64{"org/m": 9}})
+	host := port.ListedHost{Name: "h1", Domain: "d1", PeerAddress: "127.0.0.1:1", Leaving: true}
+	must.NoError(t, p.Announce(t.Context(), host))
+	hosts, err := p.Hosts(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, []port.ListedHost{host}, hosts)
+	size, err := p.Stat(t.Context(), "org/m")
+	must.NoError(t, err)
+	must.Eq(t, 9, size)
+}
+
+func TestRetentionMovesEarliest(t *testing.T) {
+	p, url := start(t, platform.Options{})
+	_, err := p.Append(t.Context(), "s", []byte("x"))
+	must.NoError(t, err)
+	switchFault(t, url, `{"drop_records":true}`)
+	got, err := p.Read(t.Context(), "s", 0, 10, 0)
+	must.NoError(t, err)
+	must.Eq(t, port.Batch{Earliest: 1, Next: 1}, got)
+}
+
+func TestLongPollOutlivesTheTimeout(t *testing.T) {
+	p, _ := start(t, platform.Options{})
+	p.timeout = 150 * time.Millisecond
+	got, err := p.Read(t.Context(), "s", 0, 1, 300*time.Millisecond)
+	must.NoError(t, err)
+	must.SliceEmpty(t, got.Records)
+}
--- /dev/null
+++ b/internal/standin/platform/admin.go
@@ -0,0 +1,29 @@
+package platform
+
+import "net/http"
+
+// Stats is the body of the answer to /admin/stats.
+type Stats struct {
+	// Appends counts the appends that took effect, by stream.
+	Appends map[string]uint64 `json:"appends"`
+}
+
+func (s *Server) showFaults(w http.ResponseWriter, _ *http.Request) {
+	state, _ := s.faults.snapshot()
+	answer(w, state)
+}
+
+func (s *Server) changeFaults(w http.ResponseWriter, r *http.Request) {
+	var change FaultChange
+	if !decode(w, r, &change) {
+		return
+	}
+	if change.DropRecords {
+		s.streams.dropAll()
+	}
+	answer(w, s.faults.apply(change))
+}
+
+func (s *Server) showStats(w http.ResponseWriter, _ *http.Request) {
+	answer(w, Stats{Appends: s.streams.appends()})
+}
--- /dev/null
+++ b/internal/standin/platform/server.go
@@ -0,0 +1,109 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/wigeonsail/wigeonsail/internal/adapter/platformhttp/wire"
+)
+
+// The paths of the stand-in's own switches.
+const (
+	// FaultsPath shows and, by POST, changes the faults.
+	FaultsPath = "/admin/faults"
+	// StatsPath shows the counts of the platform's work.
+	StatsPath = "/admin/stats"
+)
+
+// Server serves the platform's services.
+type Server struct {
+	opts    Options
+	streams *streams
+	hosts   *hosts
+	faults  *faults
+	appends *rate.Limiter
+	stats   *rate.Limiter
+	mux     *http.ServeMux
+}
+
+// New returns a Server with an empty log and host list.
+func New(opts Options) *Server {
+	opts = opts.withDefaults()
+	s := &Server{
+		opts:    opts,
+		streams: newStreams(opts),
+		hosts:   newHosts(opts.ListExpiry),
+		faults:  newFaults(opts.ListLag),
+		appends: rate.NewLimiter(rate.Limit(opts.AppendsPerSecond), opts.AppendBurst),
+		stats:   rate.NewLimiter(rate.Limit(opts.StatsPerSecond), opts.StatBurst),
+		mux:     http.NewServeMux(),
+	}
+	s.route()
+	return s
+}
+
+func (s *Server) route() {
+	s.service("POST "+wire.StreamsPath+"{stream}"+wire.RecordsSuffix, s.appendRecord)
+	s.service("GET "+wire.StreamsPath+"{stream}"+wire.RecordsSuffix, s.readRecords)
+	s.service("GET "+wire.HostsPath, s.listHosts)
+	s.service("PUT "+wire.HostsPath+"/{name}", s.announceHost)
+	s.service("GET "+wire.WeightsPath+"{name...}", s.statWeights)
+	s.mux.HandleFunc("GET "+FaultsPath, s.showFaults)
+	s.mux.HandleFunc("POST "+FaultsPath, s.changeFaults)
+	s.mux.HandleFunc("GET "+StatsPath, s.showStats)
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// service serves a call under the faults that are switched on.
+func (s *Server) service(pattern string, handle http.HandlerFunc) {
+	s.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		if s.passFaults(w, r) {
+			handle(w, r)
+		}
+	})
+}
+
+// passFaults delays or refuses the call, and reports whether it goes on.
+func (s *Server) passFaults(w http.ResponseWriter, r *http.Request) bool {
+	state, _ := s.faults.snapshot()
+	if delay := state.Slow.Std(); delay > 0 && !pause(r.Context(), delay) {
+		return false
+	}
+	return s.isServed(w, r)
+}
+
+// isServed cuts or refuses the call, or reports that it goes on.
+func (s *Server) isServed(w http.ResponseWriter, r *http.Request) bool {
+	state, _ := s.faults.snapshot()
+	if state.cuts(r.Header.Get(wire.HostHeader)) {
+		closeConnection()
+	}
+	if !state.Outage {
+		return true
+	}
+	refuse(w, http.StatusServiceUnavailable, wire.ErrorResponse{
+		Code: wire.CodeUnavailable, Message: "the platform is out of order", NotApplied: true,
+	})
+	return false
+}
+
+// pause waits and reports whether the caller is still there.
+func pause(ctx context.Context, delay time.Duration) bool {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// closeConnection ends the handler and closes the connection without an
+// answer.
+func closeConnection() { panic(http.ErrAbortHandler) }
