--- a/cmd/wigeonsail/cli.go
+++ b/cmd/wigeonsail/cli.go
@@ -21,6 +21,7 @@
 type cli struct {
 	Check   checkCmd   `cmd:"" help:"Check the settings of a host without starting it."`
 	Version versionCmd `cmd:"" help:"Print the version."`
+	Standin standinCmd `cmd:"" help:"Run a stand-in for what surrounds the hosts; for trials only."`
 }
 
 // usageError marks errors that the user mends by other arguments or settings.
