Compare policies on a virtual clock; share endpoints by parts

Cause: hosts that count what their peers' digests leave overshoot when digests are older than the requests they tell of.

Parts are chosen, and apportioned so that they add up to the room; borrowing is taken out.

--- a/cmd/wigeonsail/cli.go
+++ b/cmd/wigeonsail/cli.go
@@ -20,6 +20,7 @@
 // cli is the command line. Each command lives in a file of its own.
 type cli struct {
 	Check   checkCmd   `cmd:"" help:"Check the settings of a host without starting it."`
+	Load    loadCmd    `cmd:"" help:"Drive traffic and report what became of it."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 	Standin standinCmd `cmd:"" help:"Run a stand-in for what surrounds the hosts; for trials only."`
 }
--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -61,7 +61,8 @@
 	endpoint *placement.Endpoint
 	granted  time.Time
 	// tokens were relayed in the running attempt.
-	tokens int
+	tokens      int
+	preemptions int
 	// place is the position among the pool's preemptible requests.
 	place int
 }
--- a/internal/core/dispatch/finish.go
+++ b/internal/core/dispatch/finish.go
@@ -69,7 +69,7 @@
 
 func (d *Dispatcher) firstToken(now time.Time, r *request, took time.Duration) {
 	r.state.firstToken.Add(took)
-	r.endpoint.FirstToken(now, took, r.class.FirstToken.Std())
+	r.endpoint.FirstToken(now, r.class.index, took, r.class.FirstToken.Std())
 }
 
 // Progress tells that tokens of a granted attempt were relayed.
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// silentAfter is the age of a peer's digest from which its host counts as
-	// cut off.
-	silentAfter = 2 * time.Second
 	// spillDigestAge is the oldest digest of another domain that requests are
 	// spilled on.
 	spillDigestAge = 5 * time.Second
@@ -52,30 +49,21 @@
 	}
 }
 
-// refresh works out how much of each endpoint's room this host may use.
+// refresh works out how much of each endpoint's room this host may use. A host
+// that has no part of any endpoint, because there are more hosts than room, may
+// still send one request at a time.
 func (d *Dispatcher) refresh(now time.Time, p *pool) {
 	part := d.roomPart(now, p)
-	waiting, silent := d.peersNeed(now, p)
+	sum := 0
 	for _, e := range p.endpoints {
 		e.Peers.Part = part
-		e.Peers.Waiting = waiting
-		e.Peers.Silent = silent
 		e.Peers.Owner = d.owns(e.Name)
 		e.Refresh(d.opts.Sharing)
+		sum += e.Limit
 	}
-}
-
-// peersNeed says whether a peer has requests waiting for the pool, and whether
-// a peer is silent.
-func (d *Dispatcher) peersNeed(now time.Time, p *pool) (waiting, silent bool) {
-	for _, h := range d.peers.Hosts {
-		if h.Host == d.opts.Host {
-			continue
-		}
-		waiting = waiting || d.waits(p, h)
-		silent = silent || now.Sub(h.At) > silentAfter
+	if sum == 0 && len(p.endpoints) > 0 && d.opts.Sharing == placement.SharingParts {
+		p.endpoints[0].Limit = 1
 	}
-	return waiting, silent
 }
 
 func (d *Dispatcher) owns(name model.EndpointName) bool {
@@ -91,37 +79,37 @@
 	return placement.Owner(name, hosts) == d.opts.Host
 }
 
-// waits says that a peer has requests waiting in a class that uses the pool.
-func (d *Dispatcher) waits(p *pool, h PeerHost) bool {
-	for _, e := range h.Demand {
-		if e.Queued > 0 && d.uses(p, e.Class) {
-			return true
-		}
-	}
-	return false
-}
-
 func (d *Dispatcher) uses(p *pool, name model.ClassName) bool {
 	c := d.rules.byName[name]
 	return c != nil && p.states[c.index].seen
 }
 
-// roomPart returns this host's part of the domain's demand on a pool.
-func (d *Dispatcher) roomPart(now time.Time, p *pool) float64 {
+// roomPart returns this host's part of the domain's demand on a pool. The hosts
+// stand in the order of their names, so that all see the same parts.
+func (d *Dispatcher) roomPart(now time.Time, p *pool) placement.Part {
 	own := baseRate + p.demand.Rate(now)
-	sum := own
+	before, sum := 0.0, own
 	for _, h := range d.peers.Hosts {
 		if h.Host == d.opts.Host {
 			continue
 		}
-		sum += baseRate
-		for _, e := range h.Demand {
-			if d.uses(p, e.Class) {
-				sum += e.Rate
-			}
+		rate := baseRate + d.rateOf(p, h)
+		sum += rate
+		if h.Host < d.opts.Host {
+			before += rate
+		}
+	}
+	return placement.Part{From: before / sum, To: (before + own) / sum}
+}
+
+func (d *Dispatcher) rateOf(p *pool, h PeerHost) float64 {
+	sum := 0.0
+	for _, e := range h.Demand {
+		if d.uses(p, e.Class) {
+			sum += e.Rate
 		}
 	}
-	return own / sum
+	return sum
 }
 
 // spill returns the forward to another domain that has room. A request is
--- a/internal/core/dispatch/run.go
+++ b/internal/core/dispatch/run.go
@@ -1,12 +1,17 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/placement"
 )
 
+// maxPreemptions bounds how often a request gives way to classes that are not
+// protected.
+const maxPreemptions = 3
+
 // run grants waiting requests of a pool while there is room for them.
 func (d *Dispatcher) run(now time.Time, p *pool, out []Action) []Action {
 	for p.tiers.Len() > 0 {
@@ -16,7 +21,7 @@
 			if free > p.reserved(d.rules, c, limit) {
 				return true
 			}
-			return c.Protected && d.victim(p) != nil
+			return d.victim(p, c, limit) != nil
 		})
 		if it == nil {
 			return out
@@ -25,7 +30,7 @@
 		e := d.choose(now, r)
 		if e == nil {
 			var act Action
-			if act, e = d.preemptFor(now, r); e == nil {
+			if act, e = d.preemptFor(now, r, limit); e == nil {
 				return out
 			}
 			out = append(out, act)
@@ -80,13 +85,13 @@
 	}
 }
 
-// victim returns the running request that gives way at the least cost: of the
-// lowest class, the one with the fewest tokens to compute again. Only endpoints
-// that can resume are considered.
-func (d *Dispatcher) victim(p *pool) *request {
+// victim returns the running request that gives way to one of class c at the
+// least cost: of the lowest class, the one with the fewest tokens to compute
+// again. Only endpoints that can resume are considered.
+func (d *Dispatcher) victim(p *pool, c *class, limit int) *request {
 	var best *request
 	for _, r := range p.preemptible {
-		if !r.endpoint.CanResume || r.endpoint.Leaving() || r.endpoint.Health.Ejected() {
+		if !r.givesWayTo(c, limit) {
 			continue
 		}
 		if best == nil || r.givesWayBefore(best) {
@@ -96,6 +101,23 @@
 	return best
 }
 
+// givesWayTo says whether a running request may be preempted for class c. For
+// classes that are not protected its class keeps the floor, and no request is
+// preempted without end.
+func (r *request) givesWayTo(c *class, limit int) bool {
+	if r.class.Tier <= c.Tier || !r.endpoint.CanResume {
+		return false
+	}
+	if r.endpoint.Leaving() || r.endpoint.Health.Ejected() {
+		return false
+	}
+	if c.Protected {
+		return true
+	}
+	kept := int(math.Ceil(r.class.Floor * float64(limit)))
+	return r.state.inFlight > kept && r.preemptions < maxPreemptions
+}
+
 func (r *request) givesWayBefore(other *request) bool {
 	if r.class.index != other.class.index {
 		return r.class.index > other.class.index
@@ -103,13 +125,10 @@
 	return r.granted.After(other.granted)
 }
 
-// preemptFor cancels a running request for a protected one and returns the
+// preemptFor cancels a running request for one of a higher tier and returns the
 // endpoint that it left. The canceled request waits again for its next attempt.
-func (d *Dispatcher) preemptFor(now time.Time, protected *request) (Action, *placement.Endpoint) {
-	if !protected.class.Protected {
-		return Action{}, nil
-	}
-	r := d.victim(protected.pool)
+func (d *Dispatcher) preemptFor(now time.Time, higher *request, limit int) (Action, *placement.Endpoint) {
+	r := d.victim(higher.pool, higher.class, limit)
 	if r == nil {
 		return Action{}, nil
 	}
@@ -117,6 +136,7 @@
 	act := Action{Kind: ActionPreempt, Request: r.ID, Attempt: r.attempt, Endpoint: e.Name, Address: e.Address}
 	d.release(r)
 	r.attempt++
+	r.preemptions++
 	d.enqueue(now, r)
 	return act, e
 }
--- a/internal/core/placement/endpoint.go
+++ b/internal/core/placement/endpoint.go
@@ -34,6 +34,8 @@
 	leaving    [leavingSources]bool
 	hash       uint64
 	firstToken movingMean
+	// latency is learned by class, since prompts differ between classes.
+	latency []latency
 }
 
 // LeavingSource is where a leave was learned from.
@@ -58,6 +60,7 @@
 		Configured: room,
 		Room:       NewRoom(room),
 		Limit:      max(room, 1),
+		Peers:      PeersView{Part: Whole},
 		hash:       xxhash.Sum64String(string(name)),
 	}
 }
@@ -88,12 +91,19 @@
 }
 
 // Refresh works out the limit after the room or the peers' work changed.
-func (e *Endpoint) Refresh(s Sharing) { e.Limit = s.Limit(e.Room.Value(), e.Peers) }
+func (e *Endpoint) Refresh(s Sharing) {
+	offset := float64(e.hash>>40) / (1 << 24)
+	e.Limit = s.limit(e.Room.Value(), e.Peers, offset)
+}
 
-// FirstToken takes the time to a first token with the class's target.
-func (e *Endpoint) FirstToken(now time.Time, took, target time.Duration) {
+// FirstToken takes the time to a first token, or to a plain service's whole
+// answer, of the class at index with its latency target.
+func (e *Endpoint) FirstToken(now time.Time, index int, took, target time.Duration) {
 	e.firstToken.add(took)
-	if target > 0 && took > target {
+	for len(e.latency) <= index {
+		e.latency = append(e.latency, latency{})
+	}
+	if e.latency[index].add(now, took, target) {
 		e.Room.Congested(now)
 		return
 	}
--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -9,12 +9,12 @@
 	// roomIncrease is what the room grows by over one round of good answers.
 	roomIncrease = 0.2
 	// roomDecrease is the factor on the room after a sign of congestion.
-	roomDecrease = 0.9
+	roomDecrease = 0.85
 	// roomRaise bounds the learned room by the configured one.
 	roomRaise = 4
 	// decreaseEvery is the least time between two decreases, since signs of
 	// the same congestion arrive one after another.
-	decreaseEvery = 2 * time.Second
+	decreaseEvery = time.Second
 )
 
 // Room learns how many requests an endpoint serves at once: additive increase
--- a/internal/core/placement/sharing.go
+++ b/internal/core/placement/sharing.go
@@ -14,13 +14,10 @@
 
 // The ways of sharing.
 const (
-	// SharingBorrow uses what the peers' digests leave, but no more than this
-	// host's part while a peer has requests waiting or is silent.
-	SharingBorrow Sharing = iota
+	// SharingParts gives each host a part of each endpoint by its demand.
+	SharingParts Sharing = iota
 	// SharingDigests uses what the peers' last digests leave.
 	SharingDigests
-	// SharingParts gives each host a part of each endpoint by its demand.
-	SharingParts
 	// SharingOwner lets one host, by rendezvous hashing, use an endpoint.
 	SharingOwner
 )
@@ -29,35 +26,40 @@
 type PeersView struct {
 	// InFlight is the peers' work at the endpoint by their last digests.
 	InFlight int
-	// Part is this host's part of the room by demand, from 0 to 1.
-	Part float64
-	// Waiting says that a peer has requests waiting.
-	Waiting bool
-	// Silent says that a peer's digest is old.
-	Silent bool
+	// Part is this host's part of the room by demand.
+	Part Part
 	// Owner says that rendezvous hashing gives the endpoint to this host.
 	Owner bool
 }
 
-// Limit returns how many requests this host may have at an endpoint.
-func (s Sharing) Limit(room int, v PeersView) int {
-	left := max(room-v.InFlight, 0)
-	part := max(int(math.Round(float64(room)*v.Part)), 1)
+// Part is a host's piece of the line from 0 to 1 on which the hosts of a domain
+// stand one after another, each as long as its part of the demand.
+type Part struct{ From, To float64 }
+
+// Whole is the part of a host without peers.
+var Whole = Part{From: 0, To: 1}
+
+// of returns the part of a room. For hosts with the same view the parts add up
+// to the room. The offset, from 0 to 1, varies by endpoint, so that rounding
+// does not favor the same host everywhere.
+func (p Part) of(room int, offset float64) int {
+	from := math.Floor(float64(room)*p.From + offset)
+	to := math.Floor(float64(room)*p.To + offset)
+	return int(to - from)
+}
+
+// limit returns how many requests this host may have at an endpoint.
+func (s Sharing) limit(room int, v PeersView, offset float64) int {
 	switch s {
 	case SharingDigests:
-		return left
-	case SharingParts:
-		return part
+		return max(room-v.InFlight, 0)
 	case SharingOwner:
 		if v.Owner {
 			return room
 		}
 		return 0
 	default:
-		if v.Waiting || v.Silent {
-			return min(left, part)
-		}
-		return left
+		return v.Part.of(room, offset)
 	}
 }
 
--- /dev/null
+++ b/internal/virtual/sharing_bench_test.go
@@ -0,0 +1,58 @@
+package virtual_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/placement"
+	"github.com/wigeonsail/wigeonsail/internal/virtual"
+)
+
+// BenchmarkSharing measures what goes wrong between hosts that share endpoints,
+// by way of sharing and age of digests. Run it with -benchtime 1x.
+func BenchmarkSharing(b *testing.B) {
+	ways := []struct {
+		name string
+		way  placement.Sharing
+	}{
+		{"digests", placement.SharingDigests},
+		{"parts", placement.SharingParts},
+		{"owner", placement.SharingOwner},
+	}
+	delays := []time.Duration{0, 200 * time.Millisecond, time.Second, 5 * time.Second}
+	for _, w := range ways {
+		for _, delay := range delays {
+			for _, cut := range []bool{false, true} {
+				b.Run(fmt.Sprintf("%s/delay=%s/cut=%t", w.name, delay, cut), func(b *testing.B) {
+					benchSharing(b, virtual.Options{
+						Seed: 1, Overload: 1.5, Duration: time.Minute,
+						DigestDelay: delay, Sharing: w.way, CutOff: cut,
+					})
+				})
+			}
+		}
+	}
+}
+
+func benchSharing(b *testing.B, opts virtual.Options) {
+	for range b.N {
+		r := virtual.Run(opts)
+		b.ReportMetric(100*r.Sharing.Overshoot, "%overshoot")
+		b.ReportMetric(100*r.Sharing.Inversions, "%inverted")
+		b.ReportMetric(r.Goodput, "tokens/s")
+		protected, questions, n := 0.0, 0.0, 0.0
+		for name, c := range r.Classes {
+			switch {
+			case c.Tier == 0:
+				protected += c.Attained / 4
+			case name == "office_question" || name == "brittany_question":
+				questions += c.Attained / 2
+			default:
+				n++
+			}
+		}
+		b.ReportMetric(100*protected, "%protected")
+		b.ReportMetric(100*questions, "%questions")
+	}
+}
