Floors count room, not grants; preempt for questions; learn room faster

Now a floor is a part of the room, preempted requests go first in their class and are not counted as drain, drafts give way to any higher tier down to their floor (latest deadline first), and an endpoint's own report of queued work sets its room.

--- a/internal/core/admission/fair.go
+++ b/internal/core/admission/fair.go
@@ -31,6 +31,8 @@
 	shares   int
 	order    uint64
 	arrivals arrivalList
+	// resumed holds requests that have run before.
+	resumed accountQueue
 }
 
 // NewClassQueue returns an empty queue.
@@ -57,28 +59,37 @@
 	if own == 0 {
 		shares += share
 	}
-	byShare := (own + 1) * shares / max(share, 1)
+	byShare := (own+1)*shares/max(share, 1) + len(q.resumed.items)
 	return min(q.length, byShare)
 }
 
 // Push adds an item of an account with the given share.
 func (q *ClassQueue) Push(it *Item, share int) {
-	a := q.accounts[it.Account]
+	a := &q.resumed
+	if !it.Resumed {
+		a = q.activate(it.Account, share)
+	}
+	q.order++
+	it.order = q.order
+	it.account = a
+	heap.Push(&a.items, it)
+	q.length++
+	q.arrivals.add(it)
+}
+
+// activate returns the account's queue in the round.
+func (q *ClassQueue) activate(name model.AccountName, share int) *accountQueue {
+	a := q.accounts[name]
 	if a == nil {
 		a = &accountQueue{}
-		q.accounts[it.Account] = a
+		q.accounts[name] = a
 	}
 	if len(a.items) == 0 {
 		a.share = max(share, 1)
 		q.active = append(q.active, a)
 		q.shares += a.share
 	}
-	q.order++
-	it.order = q.order
-	it.account = a
-	heap.Push(&a.items, it)
-	q.length++
-	q.arrivals.add(it)
+	return a
 }
 
 // Next returns the item that round robin serves next, or nil.
@@ -86,6 +97,9 @@
 	if q.length == 0 {
 		return nil
 	}
+	if len(q.resumed.items) > 0 {
+		return q.resumed.items[0]
+	}
 	for {
 		a := q.active[q.cursor]
 		if !a.turn {
@@ -127,7 +141,7 @@
 	heap.Remove(&a.items, it.position)
 	it.account = nil
 	q.length--
-	if len(a.items) == 0 {
+	if len(a.items) == 0 && a != &q.resumed {
 		q.deactivate(a)
 	}
 }
--- a/internal/core/admission/item.go
+++ b/internal/core/admission/item.go
@@ -22,6 +22,10 @@
 	// Enqueued is when the request began to wait.
 	Enqueued time.Time
 
+	// Resumed says that the request has run before. It is served before the
+	// others of its class, so that what was generated is not wasted.
+	Resumed bool
+
 	account  *accountQueue
 	order    uint64
 	position int
--- a/internal/core/admission/tiers.go
+++ b/internal/core/admission/tiers.go
@@ -1,18 +1,16 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
 
 const (
-	// creditLimit bounds the grants that a floor saves up while it cannot be
-	// used.
-	creditLimit = 2
 	// agedFactor raises the floor of a class whose oldest request has waited
 	// past AgeAfter.
-	agedFactor = 4
+	agedFactor = 2
 	// maxAgedFloor bounds the raised floor.
 	maxAgedFloor = 0.5
 )
@@ -23,23 +21,31 @@
 	Tier model.Tier
 	// Protected classes come before all floors.
 	Protected bool
-	// Floor is the share of grants, from 0 to 1, that the class gets even
-	// while higher tiers have work.
+	// Floor is the part of the room, from 0 to 1, that the class may fill even
+	// while higher tiers have work. It counts room and not grants, since the
+	// requests of one class may run many times as long as those of another.
 	Floor float64
 	// AgeAfter is the waiting time that raises the floor; 0 for never.
 	AgeAfter time.Duration
 }
 
+// Room is what a pool has for a class.
+type Room struct {
+	// Fits says that a request of the class can be served now.
+	Fits bool
+	// InFlight is the class's work and Limit the room for all classes.
+	InFlight, Limit int
+}
+
 // Tiers chooses the class that is served next among the queues of a pool.
 type Tiers struct {
 	rules  []ClassRule
 	queues []*ClassQueue
-	credit []float64
 }
 
 // NewTiers returns the order for classes that are sorted by tier.
 func NewTiers(rules []ClassRule) *Tiers {
-	t := &Tiers{rules: rules, credit: make([]float64, len(rules))}
+	t := &Tiers{rules: rules}
 	for range rules {
 		t.queues = append(t.queues, NewClassQueue())
 	}
@@ -59,61 +65,51 @@
 }
 
 // Next returns the index of the class to serve and its item; nil when no class
-// with work may be served. The function fits says which class has room.
-func (t *Tiers) Next(now time.Time, fits func(index int) bool) (int, *Item) {
-	chosen, byFloor := t.nextClass(fits)
-	if chosen < 0 {
+// with work can be served. The function room tells what the pool has for a
+// class.
+func (t *Tiers) Next(now time.Time, room func(index int) Room) (int, *Item) {
+	index := t.nextClass(now, room)
+	if index < 0 {
 		return -1, nil
 	}
-	q := t.queues[chosen]
-	if byFloor && t.aged(now, chosen) {
-		return chosen, q.Oldest()
+	q := t.queues[index]
+	if t.aged(now, index) {
+		return index, q.Oldest()
 	}
-	return chosen, q.Next()
+	return index, q.Next()
 }
 
-func (t *Tiers) nextClass(fits func(int) bool) (index int, byFloor bool) {
+func (t *Tiers) nextClass(now time.Time, room func(int) Room) int {
 	first := -1
 	for i, q := range t.queues {
-		if q.Len() == 0 || !fits(i) {
+		if q.Len() == 0 {
+			continue
+		}
+		r := room(i)
+		if !r.Fits {
 			continue
 		}
 		if t.rules[i].Protected {
-			return i, false
+			return i
 		}
 		if first < 0 {
 			first = i
 			continue
 		}
-		if t.credit[i] >= itemCost {
-			return i, true
-		}
-	}
-	return first, first >= 0
-}
-
-// Take removes the served item and gives the classes that still wait their
-// floor's part of the grant.
-func (t *Tiers) Take(now time.Time, index int, it *Item) {
-	t.queues[index].Take(it)
-	if t.rules[index].Protected {
-		return
-	}
-	for i, q := range t.queues {
-		if q.Len() == 0 {
-			continue
+		if r.InFlight < t.Floor(now, i, r.Limit) {
+			return i
 		}
-		t.credit[i] = min(t.credit[i]+t.floor(now, i), creditLimit)
 	}
-	t.credit[index] = max(t.credit[index]-itemCost, 0)
+	return first
 }
 
-func (t *Tiers) floor(now time.Time, index int) float64 {
+// Floor returns how much work the class may have while higher tiers wait.
+func (t *Tiers) Floor(now time.Time, index, limit int) int {
 	floor := t.rules[index].Floor
-	if !t.aged(now, index) {
-		return floor
+	if t.aged(now, index) {
+		floor = max(floor, min(floor*agedFactor, maxAgedFloor))
 	}
-	return max(floor, min(floor*agedFactor, maxAgedFloor))
+	return int(math.Ceil(floor * float64(limit)))
 }
 
 func (t *Tiers) aged(now time.Time, index int) bool {
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -175,7 +175,7 @@
 	ref.CanResume = rep.CanResume
 	ref.Models = rep.Models
 	if rep.Age <= reportMaxAge && rep.Queued > 0 {
-		ref.Room.Congested(now)
+		ref.Room.Queued(rep.Running)
 	}
 	ref.Refresh(d.opts.Sharing)
 	return d.run(now, ref.pool, nil)
--- a/internal/core/dispatch/rules.go
+++ b/internal/core/dispatch/rules.go
@@ -38,7 +38,7 @@
 func (c *class) share(name model.AccountName) int { return max(c.shares[name], 1) }
 
 // ageAfter is the waiting time that raises the class's floor.
-func (c *class) ageAfter() time.Duration { return c.FirstToken.Std() / 2 }
+func (c *class) ageAfter() time.Duration { return c.FirstToken.Std() }
 
 // newRules sorts the classes by tier. Budgets and buckets of the rules that
 // were in force go on.
--- a/internal/core/dispatch/run.go
+++ b/internal/core/dispatch/run.go
@@ -1,27 +1,19 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
+	"github.com/wigeonsail/wigeonsail/internal/core/admission"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/placement"
 )
 
-// maxPreemptions bounds how often a request gives way to classes that are not
-// protected.
-const maxPreemptions = 3
-
 // run grants waiting requests of a pool while there is room for them.
 func (d *Dispatcher) run(now time.Time, p *pool, out []Action) []Action {
 	for p.tiers.Len() > 0 {
 		free, limit := p.free(now)
-		index, it := p.tiers.Next(now, func(i int) bool {
-			c := d.rules.classes[i]
-			if free > p.reserved(d.rules, c, limit) {
-				return true
-			}
-			return d.victim(p, c, limit) != nil
+		index, it := p.tiers.Next(now, func(i int) admission.Room {
+			return d.roomOf(now, p, d.rules.classes[i], free, limit)
 		})
 		if it == nil {
 			return out
@@ -35,12 +27,19 @@
 			}
 			out = append(out, act)
 		}
-		p.tiers.Take(now, index, it)
+		p.tiers.Queue(index).Take(it)
 		out = append(out, d.grant(now, r, e))
 	}
 	return out
 }
 
+// roomOf returns what a pool has for a class, with what it could preempt.
+func (d *Dispatcher) roomOf(now time.Time, p *pool, c *class, free, limit int) admission.Room {
+	room := admission.Room{InFlight: p.states[c.index].inFlight, Limit: limit}
+	room.Fits = free > p.reserved(d.rules, c, limit) || d.victim(now, p, c, limit) != nil
+	return room
+}
+
 func (d *Dispatcher) choose(now time.Time, r *request) *placement.Endpoint {
 	return placement.Choose(now, d.rng, r.pool.endpoints, placement.Wish{
 		Prefix: r.req.Prefix,
@@ -52,7 +51,9 @@
 func (d *Dispatcher) grant(now time.Time, r *request, e *placement.Endpoint) Action {
 	d.expiry.Remove(&r.Item)
 	s := r.state
-	s.drain.Granted(now, r.pool.tiers.Queue(r.class.index).Len() > 0)
+	if r.preemptions == 0 {
+		s.drain.Granted(now, r.pool.tiers.Queue(r.class.index).Len() > 0)
+	}
 	s.inFlight++
 	if e.Health.Ejected() {
 		e.Health.StartTrial()
@@ -85,13 +86,13 @@
 	}
 }
 
-// victim returns the running request that gives way to one of class c at the
-// least cost: of the lowest class, the one with the fewest tokens to compute
-// again. Only endpoints that can resume are considered.
-func (d *Dispatcher) victim(p *pool, c *class, limit int) *request {
+// victim returns the running request that gives way to one of class c: of the
+// lowest class, the one with the latest deadline, so that the oldest requests
+// go on and end. Only endpoints that can resume are considered.
+func (d *Dispatcher) victim(now time.Time, p *pool, c *class, limit int) *request {
 	var best *request
 	for _, r := range p.preemptible {
-		if !r.givesWayTo(c, limit) {
+		if !r.givesWayTo(now, c, limit) {
 			continue
 		}
 		if best == nil || r.givesWayBefore(best) {
@@ -102,9 +103,8 @@
 }
 
 // givesWayTo says whether a running request may be preempted for class c. For
-// classes that are not protected its class keeps the floor, and no request is
-// preempted without end.
-func (r *request) givesWayTo(c *class, limit int) bool {
+// classes that are not protected its class keeps the floor.
+func (r *request) givesWayTo(now time.Time, c *class, limit int) bool {
 	if r.class.Tier <= c.Tier || !r.endpoint.CanResume {
 		return false
 	}
@@ -114,21 +114,21 @@
 	if c.Protected {
 		return true
 	}
-	kept := int(math.Ceil(r.class.Floor * float64(limit)))
-	return r.state.inFlight > kept && r.preemptions < maxPreemptions
+	kept := r.pool.tiers.Floor(now, r.class.index, limit)
+	return r.state.inFlight > kept
 }
 
 func (r *request) givesWayBefore(other *request) bool {
 	if r.class.index != other.class.index {
 		return r.class.index > other.class.index
 	}
-	return r.granted.After(other.granted)
+	return r.Deadline.After(other.Deadline)
 }
 
 // preemptFor cancels a running request for one of a higher tier and returns the
 // endpoint that it left. The canceled request waits again for its next attempt.
 func (d *Dispatcher) preemptFor(now time.Time, higher *request, limit int) (Action, *placement.Endpoint) {
-	r := d.victim(higher.pool, higher.class, limit)
+	r := d.victim(now, higher.pool, higher.class, limit)
 	if r == nil {
 		return Action{}, nil
 	}
@@ -137,6 +137,7 @@
 	d.release(r)
 	r.attempt++
 	r.preemptions++
+	r.Resumed = true
 	d.enqueue(now, r)
 	return act, e
 }
--- a/internal/core/placement/latency.go
+++ b/internal/core/placement/latency.go
@@ -12,7 +12,7 @@
 	latencySamples = 20
 	// targetPart is the part of a class's latency target that the mean may take
 	// at an endpoint; the rest is for waiting and for slow answers.
-	targetPart = 1.0 / 3
+	targetPart = 0.4
 	// congestedFactor is the mean latency against its base from which an
 	// endpoint counts as congested: work waits there.
 	congestedFactor = 2.5
--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -7,7 +7,7 @@
 
 const (
 	// roomIncrease is what the room grows by over one round of good answers.
-	roomIncrease = 0.2
+	roomIncrease = 1
 	// roomDecrease is the factor on the room after a sign of congestion.
 	roomDecrease = 0.85
 	// roomRaise bounds the learned room by the configured one.
@@ -43,7 +43,13 @@
 	r.value = min(r.value+roomIncrease/r.value, r.start*roomRaise)
 }
 
-// Congested tells of a late answer or of requests that queue at the endpoint.
+// Queued tells that requests wait at an endpoint while running others do not:
+// the endpoint itself shows how many it serves at once.
+func (r *Room) Queued(running int) {
+	r.value = min(r.value, float64(max(running, 1)))
+}
+
+// Congested tells of late answers.
 func (r *Room) Congested(now time.Time) {
 	if !r.decreased.IsZero() && now.Sub(r.decreased) < decreaseEvery {
 		return
--- a/internal/virtual/workload.go
+++ b/internal/virtual/workload.go
@@ -95,7 +95,7 @@
 func mix(user string, n names) []classLoad {
 	name := func(s string) model.ClassName { return model.ClassName(user + "_" + s) }
 	second := opconfig.Duration(time.Second)
-	serviceWork := size{median: 6, sigma: 0.5, cap: 40}
+	serviceWork := size{median: 4, sigma: 0.3, cap: 15}
 	one := size{median: 1, cap: 1}
 	return []classLoad{
 		{
