Let protected classes use the room that peers leave

Now a protected class may use room minus the peers' work, a host whose peer has protected requests waiting grants others only to their floor, and a protected request spills to a domain with protected room once its class alone fills this domain's part. A mean latency above 0.3 of the class's target counts as congestion (0.4 before).

--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -54,6 +54,7 @@
 // still send one request at a time.
 func (d *Dispatcher) refresh(now time.Time, p *pool) {
 	part := d.roomPart(now, p)
+	p.yields = d.peersWait(p)
 	sum := 0
 	for _, e := range p.endpoints {
 		e.Peers.Part = part
@@ -66,6 +67,19 @@
 	}
 }
 
+// peersWait says that a peer has protected requests waiting for the pool.
+func (d *Dispatcher) peersWait(p *pool) bool {
+	for _, h := range d.peers.Hosts {
+		for _, e := range h.Demand {
+			c := d.rules.byName[e.Class]
+			if h.Host != d.opts.Host && e.Queued > 0 && c != nil && c.Protected && p.states[c.index].seen {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (d *Dispatcher) owns(name model.EndpointName) bool {
 	if d.opts.Sharing != placement.SharingOwner {
 		return false
@@ -114,11 +128,11 @@
 
 // spill returns the forward to another domain that has room. A request is
 // forwarded once at most.
-func (d *Dispatcher) spill(now time.Time, req model.Request, p *pool) (Action, bool) {
+func (d *Dispatcher) spill(now time.Time, req model.Request, c *class, p *pool) (Action, bool) {
 	if req.Forwarded {
 		return Action{}, false
 	}
-	var best *PoolRoom
+	var best *int
 	var domain model.DomainName
 	seen := 0
 	for i := range d.peers.Domains {
@@ -126,27 +140,32 @@
 		if now.Sub(dom.At) > spillDigestAge {
 			continue
 		}
-		room := dom.room(p.Name)
-		if room == nil || room.Room <= 0 {
+		room := dom.room(p.Name, c.Protected)
+		if room == nil || *room <= 0 {
 			continue
 		}
 		// Drawing by room keeps all hosts from choosing the same domain.
-		seen += room.Room
-		if d.rng.IntN(seen) < room.Room {
+		seen += *room
+		if d.rng.IntN(seen) < *room {
 			best, domain = room, dom.Domain
 		}
 	}
 	if best == nil {
 		return Action{}, false
 	}
-	best.Room--
+	*best--
 	return Action{Kind: ActionSpill, Request: req.ID, Attempt: req.Attempt, Domain: domain}, true
 }
 
-func (dom *PeerDomain) room(name model.PoolName) *PoolRoom {
+func (dom *PeerDomain) room(name model.PoolName, protected bool) *int {
 	for i := range dom.FreeRoom {
-		if dom.FreeRoom[i].Pool == name {
-			return &dom.FreeRoom[i]
+		r := &dom.FreeRoom[i]
+		switch {
+		case r.Pool != name:
+		case protected:
+			return &r.Protected
+		default:
+			return &r.Room
 		}
 	}
 	return nil
@@ -157,9 +176,15 @@
 func (d *Dispatcher) FreeRoom(now time.Time) []PoolRoom {
 	var out []PoolRoom
 	for _, p := range d.poolList {
-		free, limit := p.free(now)
+		room := p.room(now)
+		free, limit := room.free, room.limit
 		free -= p.reserved(d.rules, nil, limit) + p.tiers.Len()
-		out = append(out, PoolRoom{Pool: p.Name, Room: max(free, 0)})
+		for i, c := range d.rules.classes {
+			if c.Protected {
+				limit -= p.states[i].inFlight + p.tiers.Queue(i).Len()
+			}
+		}
+		out = append(out, PoolRoom{Pool: p.Name, Room: max(free, 0), Protected: max(limit, 0)})
 	}
 	return out
 }
@@ -174,6 +199,7 @@
 	ref.SetLeaving(placement.LeavingReport, rep.Leaving)
 	ref.CanResume = rep.CanResume
 	ref.Models = rep.Models
+	ref.Reports = rep.Age <= reportMaxAge
 	if rep.Age <= reportMaxAge && rep.Queued > 0 {
 		ref.Room.Queued(rep.Running)
 	}
--- a/internal/core/dispatch/peerview.go
+++ b/internal/core/dispatch/peerview.go
@@ -53,5 +53,9 @@
 // PoolRoom is the room left in a pool.
 type PoolRoom struct {
 	Pool model.PoolName
+	// Room is open to all classes.
 	Room int
+	// Protected is open to protected classes: it counts the headroom and what
+	// others will free.
+	Protected int
 }
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -21,6 +21,8 @@
 	demand admission.Demand
 	// preemptible are the running requests that give way.
 	preemptible []*request
+	// yields says that a peer has protected requests waiting for the pool.
+	yields bool
 }
 
 // classState is what is known of a class in a pool.
@@ -48,16 +50,25 @@
 	}
 }
 
-// free returns the room that this host may still use, and the room that it may
-// use in all.
-func (p *pool) free(now time.Time) (free, limit int) {
+// poolRoom is what this host may use of a pool.
+type poolRoom struct {
+	// free is left for all classes, protected for protected ones.
+	free, protected int
+	// limit is the room with this host's work.
+	limit int
+}
+
+// room returns what this host may use now.
+func (p *pool) room(now time.Time) poolRoom {
+	var r poolRoom
 	for _, e := range p.endpoints {
-		free += e.Free(now)
+		r.free += e.Free(now, false)
+		r.protected += e.Free(now, true)
 		if e.Usable(now) {
-			limit += e.Limit
+			r.limit += e.Limit
 		}
 	}
-	return free, limit
+	return r
 }
 
 // usable says that an endpoint may get new work.
--- a/internal/core/dispatch/run.go
+++ b/internal/core/dispatch/run.go
@@ -11,9 +11,9 @@
 // run grants waiting requests of a pool while there is room for them.
 func (d *Dispatcher) run(now time.Time, p *pool, out []Action) []Action {
 	for p.tiers.Len() > 0 {
-		free, limit := p.free(now)
+		room := p.room(now)
 		index, it := p.tiers.Next(now, func(i int) admission.Room {
-			return d.roomOf(now, p, d.rules.classes[i], free, limit)
+			return d.roomOf(now, p, d.rules.classes[i], room)
 		})
 		if it == nil {
 			return out
@@ -22,7 +22,7 @@
 		e := d.choose(now, r)
 		if e == nil {
 			var act Action
-			if act, e = d.preemptFor(now, r, limit); e == nil {
+			if act, e = d.preemptFor(now, r, room.limit); e == nil {
 				return out
 			}
 			out = append(out, act)
@@ -33,18 +33,26 @@
 	return out
 }
 
-// roomOf returns what a pool has for a class, with what it could preempt.
-func (d *Dispatcher) roomOf(now time.Time, p *pool, c *class, free, limit int) admission.Room {
-	room := admission.Room{InFlight: p.states[c.index].inFlight, Limit: limit}
-	room.Fits = free > p.reserved(d.rules, c, limit) || d.victim(now, p, c, limit) != nil
-	return room
+// roomOf returns what a pool has for a class, with what it could preempt. While
+// a peer has protected requests waiting, other classes keep to their floor.
+func (d *Dispatcher) roomOf(now time.Time, p *pool, c *class, room poolRoom) admission.Room {
+	out := admission.Room{InFlight: p.states[c.index].inFlight, Limit: room.limit}
+	free := room.free
+	if c.Protected {
+		free = room.protected
+	} else if p.yields && out.InFlight >= p.tiers.Floor(now, c.index, room.limit) {
+		return out
+	}
+	out.Fits = free > p.reserved(d.rules, c, room.limit) || d.victim(now, p, c, room.limit) != nil
+	return out
 }
 
 func (d *Dispatcher) choose(now time.Time, r *request) *placement.Endpoint {
 	return placement.Choose(now, d.rng, r.pool.endpoints, placement.Wish{
-		Prefix: r.req.Prefix,
-		Model:  r.req.Model,
-		Avoid:  r.req.Avoid,
+		Prefix:    r.req.Prefix,
+		Model:     r.req.Model,
+		Avoid:     r.req.Avoid,
+		Protected: r.class.Protected,
 	})
 }
 
--- a/internal/core/dispatch/submit.go
+++ b/internal/core/dispatch/submit.go
@@ -15,6 +15,9 @@
 	// elapsedQuantile is the share of answers that a request's deadline must
 	// leave time for when it has to wait.
 	elapsedQuantile = 0.95
+	// firstTokenQuantile is the share of first tokens that its latency target
+	// must leave time for.
+	firstTokenQuantile = 0.75
 	// startQuantile is the same for a request that has begun to wait.
 	startQuantile = 0.5
 )
@@ -68,15 +71,15 @@
 // admit grants, queues, spills or refuses a request that passed the checks.
 func (d *Dispatcher) admit(now time.Time, req model.Request, c *class, p *pool) []Action {
 	if !p.usable(now) {
-		if act, ok := d.spill(now, req, p); ok {
+		if act, ok := d.spill(now, req, c, p); ok {
 			return []Action{act}
 		}
 		return []Action{refusal(req, req.Attempt, ReasonNoEndpoint, minRetryAfter)}
 	}
 	if !d.startsNow(now, c, p) {
 		over := d.overdue(now, req, c, p)
-		if over > 0 || c.Protected {
-			if act, ok := d.spill(now, req, p); ok {
+		if over > 0 || d.outgrown(now, c, p) {
+			if act, ok := d.spill(now, req, c, p); ok {
 				return []Action{act}
 			}
 		}
@@ -91,13 +94,22 @@
 	return d.run(now, p, nil)
 }
 
-// startsNow says that the pool has room for the class and nobody waits in it.
+// startsNow says that the pool has room for the class, by preemption where
+// that is allowed, and nobody waits in it.
 func (d *Dispatcher) startsNow(now time.Time, c *class, p *pool) bool {
 	if p.tiers.Queue(c.index).Len() > 0 {
 		return false
 	}
-	free, limit := p.free(now)
-	return free > p.reserved(d.rules, c, limit)
+	return d.roomOf(now, p, c, p.room(now)).Fits
+}
+
+// outgrown says that a protected class needs more than this domain's room: its
+// requests wait although all others give way.
+func (d *Dispatcher) outgrown(now time.Time, c *class, p *pool) bool {
+	if !c.Protected {
+		return false
+	}
+	return p.states[c.index].inFlight+p.tiers.Queue(c.index).Len() >= p.room(now).limit
 }
 
 // overdue returns by how much the expected wait of a request exceeds what its
@@ -107,7 +119,8 @@
 	wait := s.wait(now, p, c, req.Account, c.share(req.Account))
 	slack := req.Deadline.Sub(now) - s.elapsed.Quantile(elapsedQuantile)
 	if target := c.FirstToken.Std(); target > 0 {
-		slack = min(slack, target-now.Sub(req.Arrived)-s.firstToken.Quantile(startQuantile))
+		usual := min(s.firstToken.Quantile(firstTokenQuantile), target/2)
+		slack = min(slack, target-now.Sub(req.Arrived)-usual)
 	}
 	return max(wait-max(slack, 0), 0)
 }
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -18,6 +18,8 @@
 	Prefix uint64
 	// Model is the wanted model; empty for plain services.
 	Model model.ModelName
+	// Protected says that the request's class is protected.
+	Protected bool
 	// Avoid lists endpoints that failed an earlier try. They are used only
 	// when no other has room.
 	Avoid []model.EndpointName
@@ -89,7 +91,7 @@
 			best, bestScore = e, score
 		}
 	}
-	if best == nil || best.Free(now) == 0 || !w.accepts(best) {
+	if best == nil || best.Free(now, w.Protected) == 0 || !w.accepts(best) {
 		return nil
 	}
 	mean := float64(used+1) / float64(room)
@@ -107,7 +109,7 @@
 	var first, second *Endpoint
 	seen := 0
 	for _, e := range pool {
-		if e.Free(now) == 0 || !w.accepts(e) {
+		if e.Free(now, w.Protected) == 0 || !w.accepts(e) {
 			continue
 		}
 		seen++
--- a/internal/core/placement/endpoint.go
+++ b/internal/core/placement/endpoint.go
@@ -19,12 +19,17 @@
 	Own int
 	// Limit is how much work this host may have at the endpoint.
 	Limit int
+	// ProtectedLimit is the same for protected classes, which may use what the
+	// peers leave.
+	ProtectedLimit int
 	// Peers is what is known of the other hosts before the endpoint.
 	Peers PeersView
 	// Configured is the room of the configuration.
 	Configured int
 	Room       Room
-	Health     Health
+	// Reports says that the endpoint tells its own load.
+	Reports bool
+	Health  Health
 	// CanResume says that the engine resumes a stream at a token number.
 	CanResume bool
 	// Models are the models and adapters that the endpoint reported as
@@ -60,8 +65,10 @@
 		Configured: room,
 		Room:       NewRoom(room),
 		Limit:      max(room, 1),
-		Peers:      PeersView{Part: Whole},
-		hash:       xxhash.Sum64String(string(name)),
+
+		ProtectedLimit: max(room, 1),
+		Peers:          PeersView{Part: Whole},
+		hash:           xxhash.Sum64String(string(name)),
 	}
 }
 
@@ -80,13 +87,16 @@
 }
 
 // Free returns how many more requests this host may send now.
-func (e *Endpoint) Free(now time.Time) int {
+func (e *Endpoint) Free(now time.Time, protected bool) int {
 	if !e.Usable(now) {
 		return 0
 	}
 	if e.Health.Ejected() {
 		return 1
 	}
+	if protected {
+		return max(e.ProtectedLimit-e.Own, 0)
+	}
 	return max(e.Limit-e.Own, 0)
 }
 
@@ -94,6 +104,10 @@
 func (e *Endpoint) Refresh(s Sharing) {
 	offset := float64(e.hash>>40) / (1 << 24)
 	e.Limit = s.limit(e.Room.Value(), e.Peers, offset)
+	e.ProtectedLimit = e.Limit
+	if s == SharingParts {
+		e.ProtectedLimit = max(e.Limit, e.Room.Value()-e.Peers.InFlight)
+	}
 }
 
 // FirstToken takes the time to a first token, or to a plain service's whole
@@ -103,7 +117,7 @@
 	for len(e.latency) <= index {
 		e.latency = append(e.latency, latency{})
 	}
-	if e.latency[index].add(now, took, target) {
+	if e.latency[index].add(now, took, target, e.Reports) {
 		e.Room.Congested(now)
 		return
 	}
--- a/internal/core/placement/latency.go
+++ b/internal/core/placement/latency.go
@@ -12,10 +12,10 @@
 	latencySamples = 20
 	// targetPart is the part of a class's latency target that the mean may take
 	// at an endpoint; the rest is for waiting and for slow answers.
-	targetPart = 0.4
+	targetPart = 0.3
 	// congestedFactor is the mean latency against its base from which an
 	// endpoint counts as congested: work waits there.
-	congestedFactor = 2.5
+	congestedFactor = 2
 	// baseDrift raises the base, as a share a second, so that an endpoint
 	// that has become slower for good is not held back for ever.
 	baseDrift = 0.002
@@ -31,8 +31,9 @@
 }
 
 // add takes a sample and says whether the endpoint is congested. After it has
-// said so, the mean starts anew with the smaller room.
-func (l *latency) add(now time.Time, took, target time.Duration) bool {
+// said so, the mean starts anew with the smaller room. An endpoint that reports
+// its own queue is not judged by its base.
+func (l *latency) add(now time.Time, took, target time.Duration, reports bool) bool {
 	l.samples++
 	weight := max(latencyWeight, 1/float64(l.samples))
 	l.mean += weight * (took.Seconds() - l.mean)
@@ -47,7 +48,8 @@
 	}
 	l.last = now
 	late := target > 0 && l.mean > targetPart*target.Seconds()
-	if late || l.mean > congestedFactor*l.base {
+	slow := !reports && l.mean > congestedFactor*l.base
+	if late || slow {
 		l.samples = 0
 		return true
 	}
--- a/internal/virtual/workload.go
+++ b/internal/virtual/workload.go
@@ -115,7 +115,7 @@
 		},
 		{
 			Class: opconfig.Class{Name: name(n.question), Tier: 1, Idempotent: true,
-				FirstToken: 1900 * second / 1000, Deadline: 30 * second, RetryBudget: 0.1, MaxQueued: 500},
+				FirstToken: 1900 * second / 1000, Deadline: 30 * second, RetryBudget: 0.1, Preemptible: true, MaxQueued: 500},
 			pool: enginePool, share: 0.25, prompt: size{median: 300, sigma: 0.5, cap: 1500}, answer: size{median: 90, sigma: 0.8, cap: 500},
 		},
 		{
