Count decisions with tally and log with a fixed prefix a part

Cause: decisions that refuse, spill, retry, eject, preempt or drain left no trace.

Each host has a registry of its own, since several hosts can live in one process. A label takes at most 64 values; further ones are counted under "other".

internal/logging sets up apex/log from the settings. Ruled out for text: the library's text handler. It writes colours into files and pipes, gives the time since the start only, and lets a line end in a field start a new line.

--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,78 @@
+// Package logging sets up the log of the process and gives each part of the
+// program a logger with a fixed prefix.
+package logging
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+
+	"github.com/wigeonsail/wigeonsail/internal/settings"
+)
+
+// Error is a log setting that cannot be used.
+type Error struct {
+	// Setting is "level" or "format".
+	Setting string
+	Value   string
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("unknown log %s %q", e.Setting, e.Value) }
+
+// Setup sends the log of the process to w, which is standard error for all
+// commands. It fails with an *Error.
+func Setup(w io.Writer, s settings.Log) error {
+	level, err := log.ParseLevel(s.Level)
+	if err != nil {
+		return &Error{Setting: "level", Value: s.Level}
+	}
+	switch s.Format {
+	case "text":
+		log.SetHandler(newTextHandler(w))
+	case "json":
+		log.SetHandler(json.New(w))
+	default:
+		return &Error{Setting: "format", Value: s.Format}
+	}
+	log.SetLevel(level)
+	return nil
+}
+
+// Logger logs for one part of the program. Each message starts with the
+// part's prefix.
+type Logger struct {
+	prefix string
+	entry  *log.Entry
+}
+
+// For returns the logger of a part, for example "peers". Its messages start
+// with "peers: ".
+func For(part string) *Logger {
+	return &Logger{prefix: part + ": ", entry: log.NewEntry(log.Log.(*log.Logger))}
+}
+
+// With returns a logger that adds a field to each message. Values are never
+// secrets.
+func (l *Logger) With(name string, value any) *Logger {
+	return &Logger{prefix: l.prefix, entry: l.entry.WithField(name, value)}
+}
+
+// WithError returns a logger that adds the error's text to each message.
+func (l *Logger) WithError(err error) *Logger {
+	return &Logger{prefix: l.prefix, entry: l.entry.WithError(err)}
+}
+
+// Debug logs a message that helps to follow single requests.
+func (l *Logger) Debug(msg string) { l.entry.Debug(l.prefix + msg) }
+
+// Info logs a message on the normal course of things.
+func (l *Logger) Info(msg string) { l.entry.Info(l.prefix + msg) }
+
+// Warn logs a message on something that the host can cope with.
+func (l *Logger) Warn(msg string) { l.entry.Warn(l.prefix + msg) }
+
+// Error logs a message on something that somebody has to look after.
+func (l *Logger) Error(msg string) { l.entry.Error(l.prefix + msg) }
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,126 @@
+// Package metrics counts what a host decides and serves the counts to
+// Prometheus. Label values are bounded: above the bound they are counted under
+// "other".
+package metrics
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+const (
+	// reportEvery is the time after which a count can be scraped.
+	reportEvery = time.Second
+	// defaultMaxValues bounds the values of a label.
+	defaultMaxValues = 64
+	// Other is the label value of everything above the bound.
+	Other = "other"
+)
+
+// firstTokenBuckets are the upper bounds of the first-token latency.
+var firstTokenBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
+
+// betweenTokensBuckets are the upper bounds of the time between tokens.
+var betweenTokensBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 1.5, 16)
+
+// Options configures Metrics.
+type Options struct {
+	// MaxValues bounds the values of one label; 0 for the default.
+	MaxValues int
+}
+
+// Metrics holds all counters and histograms of a host. All methods may be
+// called from any goroutine.
+type Metrics struct {
+	scope   tally.Scope
+	closer  io.Closer
+	handler http.Handler
+
+	requests  *vec[tally.Counter]
+	refusals  *vec[tally.Counter]
+	spills    *vec[tally.Counter]
+	retries   *vec[tally.Counter]
+	ejections *vec[tally.Counter]
+	preempts  *vec[tally.Counter]
+	drains    *vec[tally.Counter]
+	wasted    *vec[tally.Counter]
+	peerErrs  *vec[tally.Counter]
+	platErrs  *vec[tally.Counter]
+
+	firstToken    *vec[tally.Histogram]
+	betweenTokens *vec[tally.Histogram]
+}
+
+// Error is a metric that could not be set up.
+type Error struct{ Cause error }
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("set up metrics: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// New starts the metrics of one host. Several can live in one process. It
+// fails with an *Error.
+func New(opts Options) (*Metrics, error) {
+	if opts.MaxValues == 0 {
+		opts.MaxValues = defaultMaxValues
+	}
+	if opts.MaxValues < 0 {
+		return nil, &Error{Cause: fmt.Errorf("MaxValues is %d, allowed is 0 or more", opts.MaxValues)}
+	}
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "wigeonsail",
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportEvery)
+	m := &Metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler()}
+	m.addCounters(opts.MaxValues)
+	m.addHistograms(opts.MaxValues)
+	return m, nil
+}
+
+func (m *Metrics) addCounters(maxValues int) {
+	counter := func(name string, labels ...string) *vec[tally.Counter] {
+		return newVec(maxValues, labels, func(tags map[string]string) tally.Counter {
+			return m.scope.Tagged(tags).Counter(name)
+		})
+	}
+	m.requests = counter("requests_total", "class", "outcome")
+	m.refusals = counter("refusals_total", "class", "reason")
+	m.spills = counter("spills_total", "class", "domain")
+	m.retries = counter("retries_total", "class", "reason")
+	m.ejections = counter("ejections_total", "pool", "reason")
+	m.preempts = counter("preemptions_total", "class")
+	m.drains = counter("drains_total", "pool", "source")
+	m.wasted = counter("wasted_tokens_total", "class", "cause")
+	m.peerErrs = counter("peer_errors_total", "op")
+	m.platErrs = counter("platform_errors_total", "op", "outcome")
+}
+
+func (m *Metrics) addHistograms(maxValues int) {
+	histogram := func(name string, buckets tally.Buckets) *vec[tally.Histogram] {
+		return newVec(maxValues, []string{"class"}, func(tags map[string]string) tally.Histogram {
+			return m.scope.Tagged(tags).Histogram(name, buckets)
+		})
+	}
+	m.firstToken = histogram("first_token_seconds", firstTokenBuckets)
+	m.betweenTokens = histogram("between_tokens_seconds", betweenTokensBuckets)
+}
+
+// Handler serves the metrics in the text format of Prometheus. They are at
+// most a second old.
+func (m *Metrics) Handler() http.Handler { return m.handler }
+
+// Close reports the last counts and ends the reporting goroutine.
+func (m *Metrics) Close() error { return m.closer.Close() }
