Serve as a process, with stand-ins for engines and services

Cause: the thin path needs separate processes; serve assembles adapters and the host from settings and follows the platform's log for its configuration. Scenarios get commands to send requests, wait, and signal their own processes. Not run yet: a request through the processes.

--- a/cmd/wigeonsail/scenario_test.go
+++ b/cmd/wigeonsail/scenario_test.go
@@ -15,7 +15,8 @@
 
 func TestScenarios(t *testing.T) {
 	testscript.Run(t, testscript.Params{
-		Dir: "../../scenarios",
+		Dir:  "../../scenarios",
+		Cmds: scenarioCommands,
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("HOME", os.TempDir())
 			return nil
--- a/cmd/wigeonsail/standin.go
+++ b/cmd/wigeonsail/standin.go
@@ -17,6 +17,8 @@
 // standinCmd groups the stand-ins for what surrounds the hosts. They are for
 // trying out and for scenarios, not for production.
 type standinCmd struct {
+	Engine   standinEngineCmd   `cmd:"" help:"Run a stand-in for a model engine."`
+	Service  standinServiceCmd  `cmd:"" help:"Run a stand-in for a plain service."`
 	Platform standinPlatformCmd `cmd:"" help:"Run a stand-in for the platform's log, host list and weight store."`
 }
 
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/wigeonsail/wigeonsail/internal/core/catalog"
+	"github.com/wigeonsail/wigeonsail/internal/core/configstate"
 	"github.com/wigeonsail/wigeonsail/internal/core/dispatch"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
@@ -12,6 +12,7 @@
 type control struct {
 	host     *Host
 	dispatch *dispatch.Dispatcher
+	config   configstate.State
 	waiters  map[model.RequestID]*waiter
 }
 
@@ -130,13 +131,3 @@
 func (e leavingEvent) apply(now time.Time, c *control) {
 	c.carryOut(c.dispatch.SetLeaving(now, e.endpoint, e.leaving))
 }
-
-// configEvent puts a configuration in force.
-type configEvent struct {
-	catalog *catalog.Catalog
-}
-
-func (e configEvent) apply(now time.Time, c *control) {
-	c.host.catalog.Store(e.catalog)
-	c.carryOut(c.dispatch.SetConfig(now, e.catalog.Config()))
-}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -27,6 +27,8 @@
 	Incarnation model.Incarnation
 	// Seed starts the random choices.
 	Seed uint64
+	// PlatformLog is the platform's log.
+	PlatformLog port.Log
 	// Engines and Services reach the endpoints.
 	Engines  port.Engines
 	Services port.Services
@@ -63,6 +65,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	h.stop = stop
 	h.workers.Go(func() { h.loop.run(ctx, h.control) })
+	h.workers.Go(func() { h.followConfig(ctx) })
 	h.workers.Go(func() { h.pollEndpoints(ctx) })
 }
 
@@ -73,15 +76,6 @@
 	h.workers.Wait()
 }
 
-// SetConfig puts a checked configuration in force. An older version than the
-// one in force is ignored.
-func (h *Host) SetConfig(version model.Version, cfg *catalog.Catalog) {
-	if current := h.catalog.Load(); current != nil && current.Version() >= version {
-		return
-	}
-	h.loop.post(configEvent{catalog: cfg})
-}
-
 // Ready says whether the host takes requests.
 func (h *Host) Ready() bool {
 	return h.catalog.Load() != nil && !h.leaving.Load()
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,126 @@
+// Package server assembles an entry host from its settings: adapters,
+// listeners and the host between them. New provisions, Start serves, Shutdown
+// ends gracefully.
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/apex/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/wigeonsail/wigeonsail/internal/adapter/callerhttp"
+	"github.com/wigeonsail/wigeonsail/internal/adapter/enginehttp"
+	"github.com/wigeonsail/wigeonsail/internal/adapter/platformhttp"
+	"github.com/wigeonsail/wigeonsail/internal/adapter/servicehttp"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/host"
+	"github.com/wigeonsail/wigeonsail/internal/settings"
+)
+
+// ListenError says which listener could not be opened.
+type ListenError struct {
+	// Key is the listener's key in the settings.
+	Key string
+	// Cause is the underlying error.
+	Cause error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string { return "listen." + e.Key + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+// Server is an entry host with its listeners.
+type Server struct {
+	settings *settings.Settings
+	log      log.Interface
+	host     *host.Host
+	callers  *callerhttp.Server
+	listener net.Listener
+	engines  *enginehttp.Client
+	services *servicehttp.Client
+	platform *platformhttp.Platform
+	serving  errgroup.Group
+}
+
+// New builds the parts and opens the listeners. It serves nothing yet.
+func New(s *settings.Settings, logger log.Interface) (*Server, error) {
+	now := time.Now()
+	srv := &Server{
+		settings: s,
+		log:      logger,
+		engines:  enginehttp.New(),
+		services: servicehttp.New(),
+		platform: platformhttp.New(platformhttp.Options{
+			URL:     s.Platform.URL,
+			Host:    model.HostID(s.Host),
+			Timeout: s.Platform.Timeout.Std(),
+		}),
+	}
+	srv.host = host.New(host.Options{
+		ID:          model.HostID(s.Host),
+		Domain:      model.DomainName(s.Domain),
+		Incarnation: model.Incarnation(now.UnixNano()),
+		Seed:        uint64(now.UnixNano()),
+		PlatformLog: srv.platform,
+		Engines:     srv.engines,
+		Services:    srv.services,
+		Log:         logger,
+	})
+	if err := srv.listen(); err != nil {
+		return nil, err
+	}
+	return srv, nil
+}
+
+func (s *Server) listen() error {
+	callers, err := callerhttp.New(callerhttp.Options{
+		Router:        s.host,
+		MaxBody:       s.settings.Limits.MaxBody,
+		MaxHeader:     s.settings.Limits.MaxHeader,
+		HeaderTimeout: s.settings.Limits.HeaderTimeout.Std(),
+		IdleTimeout:   s.settings.Limits.IdleTimeout.Std(),
+	})
+	if err != nil {
+		return err
+	}
+	s.callers = callers
+	s.listener, err = net.Listen("tcp", s.settings.Listen.Callers)
+	if err != nil {
+		return &ListenError{Key: "callers", Cause: err}
+	}
+	return nil
+}
+
+// CallerAddress is where the host serves callers, as host:port.
+func (s *Server) CallerAddress() string { return s.listener.Addr().String() }
+
+// Ready says whether the host takes requests.
+func (s *Server) Ready() bool { return s.host.Ready() }
+
+// Start serves until Shutdown.
+func (s *Server) Start() {
+	s.host.Start()
+	s.serving.Go(func() error { return s.callers.Serve(s.listener) })
+	s.log.Infof("host: %s in failure domain %s serves callers on %s", s.settings.Host, s.settings.Domain, s.CallerAddress())
+}
+
+// Shutdown refuses new requests, waits until those in progress have ended and
+// stops. It cuts requests only when ctx ends first.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.log.Info("host: leaving, requests in progress go on")
+	drained := s.host.Drain(ctx)
+	closed := s.callers.Shutdown(ctx)
+	s.host.Close()
+	s.engines.Close()
+	s.services.Close()
+	s.platform.Close()
+	served := s.serving.Wait()
+	s.log.Info("host: left")
+	return errors.Join(drained, closed, served)
+}
