--- a/internal/core/burn/counts.go
+++ b/internal/core/burn/counts.go
@@ -2,7 +2,11 @@
 // attainment, error budget and burn rates from the counts.
 package burn
 
-import "github.com/wigeonsail/wigeonsail/internal/core/model"
+import (
+	"iter"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+)
 
 // Result is how a request ended, as its service level counts it.
 type Result uint8
@@ -66,6 +70,17 @@
 	}
 }
 
+// WasteCauses returns all causes in their order.
+func WasteCauses() iter.Seq[WasteCause] {
+	return func(yield func(WasteCause) bool) {
+		for c := range WasteCause(wasteCauses) {
+			if !yield(c) {
+				return
+			}
+		}
+	}
+}
+
 // Counts are sums over a time span.
 type Counts struct {
 	// Total counts the requests that the objective judges, Good those of them
--- a/internal/core/burn/summary.go
+++ b/internal/core/burn/summary.go
@@ -75,29 +75,26 @@
 // their own windows.
 func Summarize(s Snapshot, now time.Time, window time.Duration) []Summary {
 	var out []Summary
-	for start := 0; start < len(s.Rows); {
-		end := start
-		for end < len(s.Rows) && s.Rows[end].Class == s.Rows[start].Class {
-			end++
+	for _, sum := range SumDomains(s) {
+		out = append(out, summarize(sum, now, window))
+		for _, row := range s.Rows {
+			if row.Class == sum.Class {
+				out = append(out, summarize(row, now, window))
+			}
 		}
-		rows := s.Rows[start:end]
-		out = append(out, summarize(sumDomains(rows), now, window))
-		for _, row := range rows {
-			out = append(out, summarize(row, now, window))
-		}
-		start = end
 	}
 	return out
 }
 
-func sumDomains(rows []Row) Row {
-	sum := Row{Class: rows[0].Class}
-	for _, row := range rows {
-		sum.Objective = max(sum.Objective, row.Objective)
-		sum.Buckets = append(sum.Buckets, row.Buckets...)
+// SumDomains adds up the failure domains: one row a class, ordered by class,
+// with an empty domain.
+func SumDomains(s Snapshot) []Row {
+	var sums Snapshot
+	for _, row := range s.Rows {
+		row.Domain = ""
+		sums.Rows = append(sums.Rows, row)
 	}
-	sum.Buckets = addEqualMinutes(sum.Buckets)
-	return sum
+	return Merge(sums).Rows
 }
 
 func summarize(row Row, now time.Time, window time.Duration) Summary {
@@ -109,7 +106,7 @@
 		Objective:           row.Objective,
 		Counts:              counts,
 		Attainment:          1 - errorShare(&counts),
-		BudgetLeft:          1 - burnRate(&counts, row.Objective),
+		BudgetLeft:          1 - Rate(&counts, row.Objective),
 		GoodPerSecond:       float64(counts.Good) / seconds,
 		GoodTokensPerSecond: float64(counts.GoodTokens) / seconds,
 	}
@@ -130,8 +127,8 @@
 		Short:     pair.Short,
 		Long:      pair.Long,
 		Rate:      pair.Rate,
-		ShortBurn: burnRate(&short, row.Objective),
-		LongBurn:  burnRate(&long, row.Objective),
+		ShortBurn: Rate(&short, row.Objective),
+		LongBurn:  Rate(&long, row.Objective),
 	}
 	a.Firing = a.ShortBurn >= pair.Rate && a.LongBurn >= pair.Rate
 	return a
@@ -149,8 +146,9 @@
 	return sum
 }
 
-// burnRate is the error share as a multiple of what the objective allows.
-func burnRate(c *Counts, objective float64) float64 {
+// Rate is the burn rate: the error share as a multiple of what the objective
+// allows.
+func Rate(c *Counts, objective float64) float64 {
 	return errorShare(c) / max(1-objective, minErrorShare)
 }
 
