--- /dev/null
+++ b/cmd/wigeonsail/scenario_publish_test.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/wigeonsail/wigeonsail/internal/adapter/platformhttp"
+	"github.com/wigeonsail/wigeonsail/internal/core/configstate"
+	"github.com/wigeonsail/wigeonsail/opconfig"
+)
+
+func init() { scenarioCommands["publish"] = cmdPublish }
+
+// cmdPublish appends a first configuration to the platform's log before any
+// host runs: publish PLATFORM-URL FILE
+func cmdPublish(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: publish PLATFORM-URL FILE")
+	}
+	cfg, err := opconfig.Parse([]byte(ts.ReadFile(args[1])))
+	ts.Check(err)
+	ts.Check(cfg.Validate())
+	body, err := opconfig.Marshal(cfg)
+	ts.Check(err)
+	record := configstate.Record{
+		Schema:    configstate.RecordSchema,
+		PublishID: "scenario",
+		Version:   1,
+		Author:    "scenario",
+		At:        time.Now(),
+		Body:      body,
+	}
+	data, err := record.Encode()
+	ts.Check(err)
+	client := platformhttp.New(platformhttp.Options{URL: args[0], Host: "operator"})
+	defer client.Close()
+	ok := poll(func() bool {
+		_, err := client.Append(context.Background(), configstate.Stream, data)
+		return err == nil
+	})
+	if !ok {
+		ts.Fatalf("the log took no record within %s", scenarioTimeout)
+	}
+}
--- /dev/null
+++ b/internal/demo/once.go
@@ -0,0 +1,107 @@
+package demo
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+)
+
+// Sample is the result of one request of a class.
+type Sample struct {
+	Class   model.ClassName `json:"class"`
+	Outcome string          `json:"outcome"`
+	// Endpoint is the replica that answered.
+	Endpoint     string  `json:"endpoint"`
+	FirstTokenMS float64 `json:"first_token_ms"`
+	TotalMS      float64 `json:"total_ms"`
+	// Error tells what went wrong; empty for none.
+	Error string `json:"error,omitempty"`
+}
+
+// onceTimeout bounds one sample.
+const onceTimeout = 30 * time.Second
+
+// Once sends one request of each class, each to another host.
+func (d *Demo) Once(ctx context.Context) []Sample {
+	base := func(n int) string { return "http://" + d.names[n%len(d.names)].Callers }
+	return []Sample{
+		sample(ctx, Confirmations, base(0)+AppointmentsPath+"fixtures/12", `{"referee":"R. Santos","fixture":12}`),
+		sample(ctx, Orders, base(1)+OrdersPath+"place", `{"farm":"Kergoat","tonnes":12}`),
+		sample(ctx, Questions, base(2)+"/v1/chat/completions", chatBody("who referees fixture 12?", true)),
+		sample(ctx, Drafts, base(3)+"/v1/chat/completions", chatBody("draft the season roster", false)),
+	}
+}
+
+func chatBody(text string, stream bool) string {
+	content, _ := json.Marshal(text)
+	return fmt.Sprintf(`{"model":%q,"stream":%t,"messages":[{"role":"user","content":%s}]}`, Model, stream, content)
+}
+
+func sample(ctx context.Context, class model.ClassName, url, body string) Sample {
+	s := Sample{Class: class, Outcome: model.OutcomeUnknown.String()}
+	if err := s.run(ctx, url, body); err != nil {
+		s.Error = err.Error()
+	}
+	return s
+}
+
+func (s *Sample) run(ctx context.Context, url, body string) error {
+	ctx, cancel := context.WithTimeout(ctx, onceTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+Key)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("X-Wigeonsail-Class", string(s.Class))
+	started := time.Now()
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	reader := bufio.NewReader(res.Body)
+	if _, err := reader.Peek(1); err != nil {
+		return err
+	}
+	s.FirstTokenMS = milliseconds(time.Since(started))
+	data, err := io.ReadAll(reader)
+	s.TotalMS = milliseconds(time.Since(started))
+	if err != nil {
+		return err
+	}
+	return s.read(res, data)
+}
+
+// read takes outcome and endpoint from an answer.
+func (s *Sample) read(res *http.Response, data []byte) error {
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d: %s", res.StatusCode, bytes.TrimSpace(data))
+	}
+	streamed := strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream")
+	if streamed && !bytes.HasSuffix(data, []byte("data: [DONE]\n\n")) {
+		return fmt.Errorf("the stream has no end mark")
+	}
+	first, _, _ := bytes.Cut(bytes.TrimPrefix(data, []byte("data: ")), []byte("\n"))
+	var answer struct {
+		ID      string `json:"id"`
+		Service string `json:"service"`
+	}
+	if err := json.Unmarshal(first, &answer); err != nil {
+		return fmt.Errorf("answer: %w", err)
+	}
+	s.Endpoint = answer.ID + answer.Service
+	s.Outcome = model.OutcomeRan.String()
+	return nil
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
