--- a/internal/adapter/servicehttp/client.go
+++ b/internal/adapter/servicehttp/client.go
@@ -60,8 +60,12 @@
 	if err != nil {
 		return nil, &port.EndpointError{Outcome: trace.Outcome(), Cause: err}
 	}
+	return newAnswer(res), nil
+}
+
+func newAnswer(res *http.Response) *port.ServiceAnswer {
 	dropHopHeaders(res.Header)
-	return &port.ServiceAnswer{Status: res.StatusCode, Header: res.Header, Body: res.Body}, nil
+	return &port.ServiceAnswer{Status: res.StatusCode, Header: res.Header, Body: res.Body}
 }
 
 func newRequest(ctx context.Context, call port.ServiceCall) (*http.Request, error) {
--- a/internal/host/loop.go
+++ b/internal/host/loop.go
@@ -47,13 +47,11 @@
 }
 
 // post hands over an event that must not be lost. It waits while the queue is
-// full and returns false when the loop has ended.
-func (l *loop) post(ev event) bool {
+// full. After the end of the loop it does nothing.
+func (l *loop) post(ev event) {
 	select {
 	case l.events <- ev:
-		return true
 	case <-l.stopped:
-		return false
 	}
 }
 
