Count each request of a host in metrics and service levels

Cause: the running host counted nothing, so that neither the scrape nor the burn report had figures.

The traffic goroutine measures tokens and translates the end of a request into a result; the control loop owns the burn recorder and answers Host.Burn. The platform's log is wrapped so that each of its errors is counted. A forwarded request counts for the service level at the host that its caller reached, so that no request counts twice.

A request that is not idempotent, may have run and whose caller has gone is "lost"; the same end of a draft is "canceled" and not held against the objective.

Not wired yet: ejections and drains (the dispatcher tells neither), peer errors (no peers yet).

--- a/internal/host/attempts.go
+++ b/internal/host/attempts.go
@@ -27,9 +27,16 @@
 // the attempt has ended or when preempt is closed.
 type runner func(ctx context.Context, req *request, grant dispatch.Action, preempt <-chan struct{}) attemptEnd
 
-// serve tries the request until it has an answer, its deadline passes or it
-// must not be tried again.
+// serve answers the request and counts how it ended.
 func (h *Host) serve(ctx context.Context, req *request, w port.AnswerWriter, run runner) error {
+	err := h.tryAll(ctx, req, w, run)
+	h.observeEnd(req, err)
+	return err
+}
+
+// tryAll tries the request until it has an answer, its deadline passes or it
+// must not be tried again.
+func (h *Host) tryAll(ctx context.Context, req *request, w port.AnswerWriter, run runner) error {
 	ctx, cancel := context.WithDeadline(ctx, req.model.Deadline)
 	defer cancel()
 	defer h.loop.post(forgetEvent{id: req.model.ID})
@@ -60,6 +67,7 @@
 		if !req.tryAgain(end) {
 			return failed(end.err, known)
 		}
+		h.observeRetry(req, end)
 		req.nextAttempt(decision.Endpoint, end)
 	}
 }
@@ -78,6 +86,7 @@
 // decide asks the control loop where the attempt goes.
 func (h *Host) decide(ctx context.Context, req *request, preempt chan struct{}) (dispatch.Action, *port.RequestError) {
 	if !h.loop.offer(submitEvent{req: req.model, waiter: req.waiter, preempt: preempt}) {
+		h.metrics.Refused(req.class.Name, refusedOverload)
 		return dispatch.Action{}, overloaded()
 	}
 	select {
@@ -86,6 +95,7 @@
 	case <-h.loop.stopped:
 		return dispatch.Action{}, leaving()
 	case action := <-req.waiter.decisions:
+		h.observeDecision(req, action)
 		if action.Kind == dispatch.ActionRefuse {
 			return dispatch.Action{}, refused(action)
 		}
--- a/internal/host/config.go
+++ b/internal/host/config.go
@@ -82,6 +82,7 @@
 		return
 	}
 	c.host.catalog.Store(catalog.New(rec.Version, cfg))
+	c.burn.SetClasses(cfg.Classes)
 	c.carryOut(c.dispatch.SetConfig(now, cfg))
 	c.host.opts.Log.Infof("config: version %d of %s is in force", rec.Version, rec.Author)
 }
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wigeonsail/wigeonsail/internal/core/burn"
 	"github.com/wigeonsail/wigeonsail/internal/core/configstate"
 	"github.com/wigeonsail/wigeonsail/internal/core/dispatch"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
@@ -13,6 +14,7 @@
 	host     *Host
 	dispatch *dispatch.Dispatcher
 	config   configstate.State
+	burn     *burn.Recorder
 	waiters  map[model.RequestID]*waiter
 }
 
@@ -34,6 +36,7 @@
 	return &control{
 		host:     h,
 		dispatch: dispatch.New(opts),
+		burn:     burn.NewRecorder(opts.Domain),
 		waiters:  make(map[model.RequestID]*waiter),
 	}
 }
--- a/internal/host/engine.go
+++ b/internal/host/engine.go
@@ -22,7 +22,7 @@
 	defer h.traffic.end()
 	req, err := h.admitModelCall(call, time.Now())
 	if err != nil {
-		return err
+		return h.observeRejected(err)
 	}
 	return h.serve(ctx, req, w, func(ctx context.Context, req *request, grant dispatch.Action, preempt <-chan struct{}) attemptEnd {
 		run := engineRun{host: h, req: req, w: w, started: time.Now()}
@@ -127,6 +127,7 @@
 }
 
 func (r *engineRun) count(tokens int) {
+	r.host.observeTokens(r.req, tokens)
 	r.tokens += tokens
 	r.req.relayed += tokens
 	if r.tokens-r.reported < progressEvery {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -14,6 +14,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/catalog"
 	"github.com/wigeonsail/wigeonsail/internal/core/dispatch"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/metrics"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -34,11 +35,14 @@
 	Services port.Services
 	// Log takes the host's log lines.
 	Log log.Interface
+	// Metrics counts what the host decides; nil for no counting.
+	Metrics *metrics.Metrics
 }
 
 // Host is an entry host.
 type Host struct {
 	opts    Options
+	metrics *metrics.Metrics
 	loop    *loop
 	control *control
 	catalog atomic.Pointer[catalog.Catalog]
@@ -50,7 +54,11 @@
 
 // New builds a host. It serves nothing until Start.
 func New(opts Options) *Host {
-	h := &Host{opts: opts, loop: newLoop()}
+	if opts.Metrics == nil {
+		opts.Metrics = metrics.Discard()
+	}
+	opts.PlatformLog = meteredLog{Log: opts.PlatformLog, metrics: opts.Metrics}
+	h := &Host{opts: opts, metrics: opts.Metrics, loop: newLoop()}
 	h.traffic.idle = make(chan struct{}, 1)
 	h.control = newControl(h, dispatch.Options{
 		Host:   opts.ID,
--- a/internal/host/request.go
+++ b/internal/host/request.go
@@ -25,6 +25,8 @@
 	waiter *waiter
 	// relayed counts the tokens that the caller has.
 	relayed int
+	// meter measures the answer's tokens.
+	meter meter
 	// started says that the answer's header was sent.
 	started bool
 }
--- a/internal/host/service.go
+++ b/internal/host/service.go
@@ -28,7 +28,7 @@
 	defer h.traffic.end()
 	req, err := h.admitServiceCall(call, time.Now())
 	if err != nil {
-		return err
+		return h.observeRejected(err)
 	}
 	return h.serve(ctx, req, w, func(ctx context.Context, req *request, grant dispatch.Action, _ <-chan struct{}) attemptEnd {
 		run := serviceRun{host: h, req: req, w: w, started: time.Now()}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -124,3 +124,11 @@
 
 // Close reports the last counts and ends the reporting goroutine.
 func (m *Metrics) Close() error { return m.closer.Close() }
+
+// Discard returns Metrics that count nothing.
+func Discard() *Metrics {
+	m := &Metrics{scope: tally.NoopScope, closer: io.NopCloser(nil), handler: http.NotFoundHandler()}
+	m.addCounters(defaultMaxValues)
+	m.addHistograms(defaultMaxValues)
+	return m
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -18,6 +18,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/adapter/servicehttp"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/host"
+	"github.com/wigeonsail/wigeonsail/internal/metrics"
 	"github.com/wigeonsail/wigeonsail/internal/settings"
 )
 
@@ -39,6 +40,7 @@
 type Server struct {
 	settings *settings.Settings
 	log      log.Interface
+	metrics  *metrics.Metrics
 	host     *host.Host
 	callers  *callerhttp.Server
 	listener net.Listener
@@ -51,7 +53,12 @@
 // New builds the parts and opens the listeners. It serves nothing yet.
 func New(s *settings.Settings, logger log.Interface) (*Server, error) {
 	now := time.Now()
+	counts, err := metrics.New(metrics.Options{})
+	if err != nil {
+		return nil, err
+	}
 	srv := &Server{
+		metrics:  counts,
 		settings: s,
 		log:      logger,
 		engines:  enginehttp.New(),
@@ -71,9 +78,10 @@
 		Engines:     srv.engines,
 		Services:    srv.services,
 		Log:         logger,
+		Metrics:     counts,
 	})
 	if err := srv.listen(); err != nil {
-		return nil, err
+		return nil, errors.Join(err, counts.Close())
 	}
 	return srv, nil
 }
@@ -81,6 +89,7 @@
 func (s *Server) listen() error {
 	callers, err := callerhttp.New(callerhttp.Options{
 		Router:        s.host,
+		Metrics:       s.metrics.Handler(),
 		MaxBody:       s.settings.Limits.MaxBody,
 		MaxHeader:     s.settings.Limits.MaxHeader,
 		HeaderTimeout: s.settings.Limits.HeaderTimeout.Std(),
@@ -122,5 +131,5 @@
 	s.platform.Close()
 	served := s.serving.Wait()
 	s.log.Info("host: left")
-	return errors.Join(drained, closed, served)
+	return errors.Join(drained, closed, served, s.metrics.Close())
 }
