Give back grants that nobody took, and name the attempt that gives way

Cause: a grant can cross the end of its caller; the dispatcher frees room only by Finish, so such a grant would have held its room for ever. A preemption closed a channel that the next attempt might already own. Ruled out: freeing room in Cancel, since a running attempt ends by Finish.

--- a/internal/host/attempts.go
+++ b/internal/host/attempts.go
@@ -23,29 +23,27 @@
 	result dispatch.Result
 }
 
-// runner carries out one attempt at the endpoint of a grant. It returns when
-// the attempt has ended or when preempt is closed.
-type runner func(ctx context.Context, req *request, grant dispatch.Action, preempt <-chan struct{}) attemptEnd
+// runner carries out one attempt at the endpoint of a grant.
+type runner func(ctx context.Context, req *request, grant dispatch.Action) attemptEnd
 
 // serve tries the request until it has an answer, its deadline passes or it
 // must not be tried again.
 func (h *Host) serve(ctx context.Context, req *request, w port.AnswerWriter, run runner) error {
 	ctx, cancel := context.WithDeadline(ctx, req.model.Deadline)
 	defer cancel()
-	defer h.loop.post(forgetEvent{id: req.model.ID})
+	defer h.loop.post(forgetEvent{id: req.model.ID, waiter: req.waiter})
 	// known is what is known of the effect of all attempts so far.
 	known := model.OutcomeNotRun
 	var last error
 	for {
-		preempt := make(chan struct{})
-		decision, err := h.decide(ctx, req, preempt)
+		decision, err := h.decide(ctx, req)
 		if err != nil {
 			return giveUp(err, known, last)
 		}
 		if decision.Kind == dispatch.ActionSpill {
 			return h.spill(ctx, req, decision, w)
 		}
-		end := run(ctx, req, decision, preempt)
+		end := run(ctx, req, decision)
 		h.loop.post(finishEvent{id: req.model.ID, attempt: req.model.Attempt, result: end.result})
 		if end.err == nil {
 			return nil
@@ -76,8 +74,8 @@
 }
 
 // decide asks the control loop where the attempt goes.
-func (h *Host) decide(ctx context.Context, req *request, preempt chan struct{}) (dispatch.Action, *port.RequestError) {
-	if !h.loop.offer(submitEvent{req: req.model, waiter: req.waiter, preempt: preempt}) {
+func (h *Host) decide(ctx context.Context, req *request) (dispatch.Action, *port.RequestError) {
+	if !h.loop.offer(submitEvent{req: req.model, waiter: req.waiter}) {
 		return dispatch.Action{}, overloaded()
 	}
 	select {
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -21,13 +21,28 @@
 	// decisions takes grants, refusals and spills. Each submit leads to at
 	// most one, so that sending never waits.
 	decisions chan dispatch.Action
-	// preempt is closed by the control loop when the running attempt is to
-	// give way. The traffic goroutine makes a new one for each attempt.
-	preempt chan struct{}
+	// preempt takes the number of the attempt that is to give way.
+	preempt chan model.Attempt
 }
 
 func newWaiter() *waiter {
-	return &waiter{decisions: make(chan dispatch.Action, 1)}
+	return &waiter{
+		decisions: make(chan dispatch.Action, 1),
+		preempt:   make(chan model.Attempt, 1),
+	}
+}
+
+// giveWay asks an attempt to end. It replaces a request to an earlier attempt
+// that nobody took.
+func (w *waiter) giveWay(attempt model.Attempt) {
+	select {
+	case <-w.preempt:
+	default:
+	}
+	select {
+	case w.preempt <- attempt:
+	default:
+	}
 }
 
 func newControl(h *Host, opts dispatch.Options) *control {
@@ -50,7 +65,7 @@
 			continue
 		}
 		if action.Kind == dispatch.ActionPreempt {
-			w.giveWay()
+			w.giveWay(action.Attempt)
 			continue
 		}
 		select {
@@ -60,24 +75,13 @@
 	}
 }
 
-// giveWay asks the running attempt to end. Repeated calls do nothing.
-func (w *waiter) giveWay() {
-	select {
-	case <-w.preempt:
-	default:
-		close(w.preempt)
-	}
-}
-
 // submitEvent asks for a decision on one attempt.
 type submitEvent struct {
-	req     model.Request
-	waiter  *waiter
-	preempt chan struct{}
+	req    model.Request
+	waiter *waiter
 }
 
 func (e submitEvent) apply(now time.Time, c *control) {
-	e.waiter.preempt = e.preempt
 	c.waiters[e.req.ID] = e.waiter
 	c.carryOut(c.dispatch.Submit(now, e.req))
 }
@@ -103,16 +107,31 @@
 	c.dispatch.Progress(now, e.id, e.tokens)
 }
 
-// forgetEvent ends a request for good.
+// forgetEvent ends a request for good. Its traffic goroutine reads no more
+// decisions, so a grant that it did not take is given back.
 type forgetEvent struct {
-	id model.RequestID
+	id     model.RequestID
+	waiter *waiter
 }
 
 func (e forgetEvent) apply(now time.Time, c *control) {
 	delete(c.waiters, e.id)
+	select {
+	case action := <-e.waiter.decisions:
+		c.giveBack(now, action)
+	default:
+	}
 	c.carryOut(c.dispatch.Cancel(now, e.id))
 }
 
+func (c *control) giveBack(now time.Time, action dispatch.Action) {
+	if action.Kind != dispatch.ActionGrant {
+		return
+	}
+	unused := dispatch.Result{Outcome: model.OutcomeNotRun, Canceled: true}
+	c.carryOut(c.dispatch.Finish(now, action.Request, action.Attempt, unused))
+}
+
 // loadEvent is an endpoint's load report.
 type loadEvent struct {
 	report dispatch.LoadReport
--- a/internal/host/engine.go
+++ b/internal/host/engine.go
@@ -24,9 +24,9 @@
 	if err != nil {
 		return err
 	}
-	return h.serve(ctx, req, w, func(ctx context.Context, req *request, grant dispatch.Action, preempt <-chan struct{}) attemptEnd {
+	return h.serve(ctx, req, w, func(ctx context.Context, req *request, grant dispatch.Action) attemptEnd {
 		run := engineRun{host: h, req: req, w: w, started: time.Now()}
-		return run.attempt(ctx, grant, preempt)
+		return run.attempt(ctx, grant)
 	})
 }
 
@@ -41,20 +41,20 @@
 	reported   int
 }
 
-func (r *engineRun) attempt(ctx context.Context, grant dispatch.Action, preempt <-chan struct{}) attemptEnd {
+func (r *engineRun) attempt(ctx context.Context, grant dispatch.Action) attemptEnd {
 	attemptCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+	watched := make(chan struct{})
+	attempt := r.req.model.Attempt
 	go func() {
-		select {
-		case <-preempt:
-			cancel(errPreempted)
-		case <-attemptCtx.Done():
-		}
+		defer close(watched)
+		r.watchPreempt(attemptCtx, attempt, cancel)
 	}()
 	err := r.relay(attemptCtx, grant)
 	if err != nil && errors.Is(context.Cause(attemptCtx), errPreempted) {
 		err = errPreempted
 	}
+	cancel(nil)
+	<-watched
 	end := attemptEnd{result: dispatch.Result{Outcome: model.OutcomeRan, Elapsed: time.Since(r.started)}}
 	if err != nil {
 		end = endOf(ctx, err, r.started)
@@ -64,6 +64,20 @@
 	return end
 }
 
+// watchPreempt cancels the attempt when the control loop asks for it.
+func (r *engineRun) watchPreempt(ctx context.Context, attempt model.Attempt, cancel context.CancelCauseFunc) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case n := <-r.req.waiter.preempt:
+			if n == attempt {
+				cancel(errPreempted)
+			}
+		}
+	}
+}
+
 // relay passes the engine's answer on until its end.
 func (r *engineRun) relay(ctx context.Context, grant dispatch.Action) error {
 	stream, err := r.host.opts.Engines.Open(ctx, port.EngineCall{
--- a/internal/host/service.go
+++ b/internal/host/service.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return err
 	}
-	return h.serve(ctx, req, w, func(ctx context.Context, req *request, grant dispatch.Action, _ <-chan struct{}) attemptEnd {
+	return h.serve(ctx, req, w, func(ctx context.Context, req *request, grant dispatch.Action) attemptEnd {
 		run := serviceRun{host: h, req: req, w: w, started: time.Now()}
 		return run.attempt(ctx, grant)
 	})
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -1,6 +1,7 @@
 package metrics
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
@@ -22,7 +23,7 @@
 	t.Helper()
 	must.NoError(t, m.Close())
 	rec := httptest.NewRecorder()
-	m.Handler().ServeHTTP(rec, httptest.NewRequest("GET", "/metrics", nil))
+	m.Handler().ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	must.Eq(t, 200, rec.Code)
 	return rec.Body.String()
 }
