--- a/cmd/wigeonsail/demo.go
+++ b/cmd/wigeonsail/demo.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 
 	"github.com/wigeonsail/wigeonsail/internal/demo"
+	"github.com/wigeonsail/wigeonsail/internal/logging"
 	"github.com/wigeonsail/wigeonsail/internal/settings"
 )
 
@@ -25,7 +26,9 @@
 
 // Run runs the demo until SIGINT or SIGTERM, or for one request of each class.
 func (c demoCmd) Run() error {
-	setUpLog(settings.Log{Level: c.LogLevel, Format: "text"})
+	if err := logging.Setup(os.Stderr, settings.Log{Level: c.LogLevel, Format: "text"}); err != nil {
+		return &usageError{cause: err}
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	d, err := demo.Start(ctx, log.Log)
--- a/cmd/wigeonsail/serve.go
+++ b/cmd/wigeonsail/serve.go
@@ -7,9 +7,8 @@
 	"syscall"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/json"
-	"github.com/apex/log/handlers/text"
 
+	"github.com/wigeonsail/wigeonsail/internal/logging"
 	"github.com/wigeonsail/wigeonsail/internal/server"
 	"github.com/wigeonsail/wigeonsail/internal/settings"
 )
@@ -25,7 +24,9 @@
 	if err != nil {
 		return &usageError{cause: err}
 	}
-	setUpLog(s.Log)
+	if err := logging.Setup(os.Stderr, s.Log); err != nil {
+		return &usageError{cause: err}
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	srv, err := server.New(s, log.Log)
@@ -36,13 +37,3 @@
 	<-ctx.Done()
 	return srv.Shutdown(context.Background())
 }
-
-// setUpLog sends log lines to stderr, since stdout is for data.
-func setUpLog(s settings.Log) {
-	log.SetLevelFromString(s.Level)
-	if s.Format == "json" {
-		log.SetHandler(json.New(os.Stderr))
-		return
-	}
-	log.SetHandler(text.New(os.Stderr))
-}
--- a/internal/host/attempts.go
+++ b/internal/host/attempts.go
@@ -84,6 +84,7 @@
 // decide asks the control loop where the attempt goes.
 func (h *Host) decide(ctx context.Context, req *request) (dispatch.Action, *port.RequestError) {
 	if !h.loop.offer(submitEvent{req: req.model, waiter: req.waiter}) {
+		h.metrics.Refused(req.class.Name, refusedOverload)
 		return dispatch.Action{}, overloaded()
 	}
 	select {
