--- /dev/null
+++ b/internal/core/membership/membership_test.go
@@ -0,0 +1,139 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/dispatch"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+)
+
+const every = 200 * time.Millisecond
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func table(name, domain string, seeds ...string) *Table {
+	return New(Options{
+		Host: model.HostID(name), Incarnation: 1, Domain: model.DomainName(domain),
+		Address: name + ":1", Seeds: seeds, Every: every,
+	})
+}
+
+func beat(incarnation model.Incarnation, sequence uint64, state State) Beat {
+	return Beat{
+		Host: "b", Incarnation: incarnation, Domain: "east", Address: "b:1",
+		State: state, Sequence: sequence, Version: 3,
+	}
+}
+
+func TestHearKeepsTheNewestIncarnation(t *testing.T) {
+	cases := []struct {
+		name  string
+		beats []Beat
+		want  State
+	}{
+		{"first", []Beat{beat(1, 1, Ready)}, Ready},
+		{"older incarnation", []Beat{beat(2, 1, Ready), beat(1, 9, Starting)}, Ready},
+		{"newer incarnation", []Beat{beat(1, 9, Leaving), beat(2, 1, Starting)}, Starting},
+		{"out of order", []Beat{beat(1, 5, Ready), beat(1, 4, Starting)}, Ready},
+		{"leaving is final", []Beat{beat(1, 5, Leaving), beat(1, 6, Ready)}, Leaving},
+	}
+	for _, c := range cases {
+		tab := table("a", "east")
+		for _, b := range c.beats {
+			tab.Hear(start, b)
+		}
+		must.Eq(t, c.want, tab.Members(start)[1].State, must.Sprint(c.name))
+	}
+}
+
+func TestSilentHostBecomesSuspectThenGone(t *testing.T) {
+	tab := table("a", "east")
+	tab.Hear(start, beat(1, 1, Ready))
+	for _, c := range []struct {
+		after time.Duration
+		want  Health
+		views int
+	}{{900 * time.Millisecond, Live, 2}, {1100 * time.Millisecond, Suspect, 2}, {5 * time.Second, Gone, 1}} {
+		now := start.Add(c.after)
+		must.Eq(t, c.want, tab.Members(now)[1].Health)
+		must.Len(t, c.views, tab.View(now).Hosts)
+	}
+}
+
+func TestListConfirmsButMakesNobodyLive(t *testing.T) {
+	tab := table("a", "east")
+	tab.List(start, []Listed{{Host: "b", Domain: "east", Address: "b:1"}, {Host: "a", Domain: "east", Address: "a:1", Leaving: true}})
+	must.Len(t, 1, tab.Members(start))
+	must.True(t, tab.ToldToLeave())
+	targets, _ := tab.Round(start, nil)
+	must.Eq(t, []string{"b:1"}, targets)
+	tab.Hear(start, beat(1, 1, Ready))
+	tab.List(start, nil)
+	must.Eq(t, Live, tab.Members(start)[1].Health)
+}
+
+func TestDigestsFollowTheirSequence(t *testing.T) {
+	tab := table("a", "east")
+	carry := func(sequence uint64, version model.Version) {
+		b := beat(1, sequence, Ready)
+		b.Domains = []Digest{{Domain: "west", Sequence: sequence, Version: version, Gateways: []string{"w:1"}}}
+		tab.Hear(start, b)
+	}
+	carry(7, 5)
+	carry(6, 4)
+	version, address := tab.NewestVersion(start)
+	must.Eq(t, 5, version)
+	must.Eq(t, "w:1", address)
+	must.Eq(t, "w:1", tab.Gateway(start, "west"))
+	must.Eq(t, "", tab.Gateway(start.Add(digestTTL), "west"))
+}
+
+// fleet is a set of tables that exchange heartbeats in memory.
+type fleet struct {
+	tables map[string]*Table
+	calls  int
+}
+
+func newFleet(domains, hosts int) *fleet {
+	f := &fleet{tables: make(map[string]*Table)}
+	for d := range domains {
+		for h := range hosts {
+			name := fmt.Sprintf("h-%d-%d", d, h)
+			t := table(name, fmt.Sprint("d", d), "h-0-0:1", fmt.Sprintf("h-%d-0:1", d))
+			t.Update(Ready, 1, dispatch.PeerHost{}, nil)
+			f.tables[name+":1"] = t
+		}
+	}
+	return f
+}
+
+func (f *fleet) round(now time.Time) {
+	for _, t := range f.tables {
+		targets, b := t.Round(now, nil)
+		f.calls += len(targets)
+		for _, address := range targets {
+			f.tables[address].Hear(now, b)
+			t.Hear(now, f.tables[address].Beat(now, nil))
+		}
+	}
+}
+
+func TestHostsFindEachOtherFromOneSeed(t *testing.T) {
+	f := newFleet(4, 8)
+	now := start
+	for range 100 {
+		now = now.Add(every)
+		f.round(now)
+	}
+	for _, tab := range f.tables {
+		must.Len(t, 8, tab.Members(now))
+		must.Len(t, 3, tab.Domains(now))
+		must.Len(t, 8, tab.View(now).Hosts)
+		must.Len(t, 3, tab.View(now).Domains)
+	}
+	must.LessEq(t, 100*4*8*(ownPerRound+1), f.calls)
+}
--- /dev/null
+++ b/internal/core/membership/view.go
@@ -0,0 +1,124 @@
+package membership
+
+import (
+	"sort"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/dispatch"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+)
+
+// View returns what the dispatcher is to know of the other hosts. Suspect
+// hosts stay in it, since their work may still run.
+func (t *Table) View(now time.Time) dispatch.PeerView {
+	self := t.self.Work
+	self.Host, self.At = t.opts.Host, now
+	view := dispatch.PeerView{Hosts: []dispatch.PeerHost{self}}
+	for _, m := range t.members {
+		if t.health(now, m) == Gone {
+			continue
+		}
+		work := m.beat.Work
+		work.Host, work.At = m.beat.Host, m.heard
+		view.Hosts = append(view.Hosts, work)
+	}
+	for domain, d := range t.domains {
+		if now.Sub(d.at) < digestTTL && len(d.digest.Gateways) > 0 {
+			view.Domains = append(view.Domains, dispatch.PeerDomain{Domain: domain, FreeRoom: d.digest.FreeRoom, At: d.at})
+		}
+	}
+	sort.Slice(view.Hosts, func(i, j int) bool { return view.Hosts[i].Host < view.Hosts[j].Host })
+	sort.Slice(view.Domains, func(i, j int) bool { return view.Domains[i].Domain < view.Domains[j].Domain })
+	return view
+}
+
+// Gateway returns the address of a host of another domain that takes
+// forwarded requests, or "".
+func (t *Table) Gateway(now time.Time, domain model.DomainName) string {
+	d := t.domains[domain]
+	if d == nil || now.Sub(d.at) >= digestTTL {
+		return ""
+	}
+	answering := make([]string, 0, len(d.digest.Gateways))
+	for _, address := range d.digest.Gateways {
+		if c := t.contacts[address]; c == nil || c.refused == 0 {
+			answering = append(answering, address)
+		}
+	}
+	picked := t.pick(answering, 1)
+	if len(picked) == 0 {
+		return ""
+	}
+	return picked[0]
+}
+
+// AddressOf returns the peer address of a host of the own domain that is
+// live with this incarnation, or "".
+func (t *Table) AddressOf(now time.Time, host model.HostID, incarnation model.Incarnation) string {
+	m := t.members[host]
+	if m == nil || m.beat.Incarnation != incarnation || t.health(now, m) == Gone {
+		return ""
+	}
+	return m.beat.Address
+}
+
+// Leaving returns the endpoints that any host of the own domain knows to be
+// leaving.
+func (t *Table) Leaving(now time.Time) []model.EndpointName {
+	seen := make(map[model.EndpointName]bool)
+	for _, m := range t.members {
+		if t.health(now, m) == Gone {
+			continue
+		}
+		for _, name := range m.beat.Leaving {
+			seen[name] = true
+		}
+	}
+	out := make([]model.EndpointName, 0, len(seen))
+	for name := range seen {
+		out = append(out, name)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+// NewestVersion returns the highest version that a reachable host tells, and
+// its address.
+func (t *Table) NewestVersion(now time.Time) (model.Version, string) {
+	version, address := t.self.Version, ""
+	for _, m := range t.members {
+		if m.beat.Version > version && t.health(now, m) == Live {
+			version, address = m.beat.Version, m.beat.Address
+		}
+	}
+	for _, d := range t.domains {
+		if d.digest.Version > version && now.Sub(d.at) < digestTTL && len(d.digest.Gateways) > 0 {
+			version, address = d.digest.Version, d.digest.Gateways[0]
+		}
+	}
+	return version, address
+}
+
+// Domain is another failure domain as this host knows it.
+type Domain struct {
+	Name     model.DomainName
+	Version  model.Version
+	Gateways []string
+	// Heard is when the last digest of the domain came.
+	Heard time.Time
+	// Fresh says that the digest still counts.
+	Fresh bool
+}
+
+// Domains returns the other failure domains by name.
+func (t *Table) Domains(now time.Time) []Domain {
+	out := make([]Domain, 0, len(t.domains))
+	for name, d := range t.domains {
+		out = append(out, Domain{
+			Name: name, Version: d.digest.Version, Gateways: d.digest.Gateways,
+			Heard: d.at, Fresh: now.Sub(d.at) < digestTTL,
+		})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
