Serve operators over HTTP with tokens

Cause: operators need to read, publish and drain on a listener of their own, with every change attributed to a name. Time spans under 1 ms are refused, since a bare number in TOML would be read as nanoseconds.

--- a/api/generate.go
+++ b/api/generate.go
@@ -4,3 +4,4 @@
 package api
 
 //go:generate go tool -modfile=../tools/gen/go.mod ogen --target callerapi --package callerapi --clean caller.yaml
+//go:generate go tool -modfile=../tools/gen/go.mod ogen --config ogen-operator.yml --target operatorapi --package operatorapi --clean operator.yaml
--- /dev/null
+++ b/internal/adapter/operatorhttp/server.go
@@ -0,0 +1,80 @@
+// Package operatorhttp serves operators over HTTP, on a listener of its own.
+// It knows operators by their tokens and attributes every change to a name.
+package operatorhttp
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/wigeonsail/wigeonsail/api/operatorapi"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+	"github.com/wigeonsail/wigeonsail/internal/settings"
+)
+
+// maxBodyBytes bounds a call's body; a configuration is the largest.
+const maxBodyBytes = 16 << 20
+
+// Options configures a Server.
+type Options struct {
+	// Operators does the work.
+	Operators port.Operators
+	// Tokens are the operators' tokens.
+	Tokens []settings.Token
+	// Extra are further handlers by pattern, behind the same tokens.
+	Extra map[string]http.Handler
+	// HeaderTimeout bounds reading a request's header.
+	HeaderTimeout time.Duration
+	// IdleTimeout bounds an idle connection.
+	IdleTimeout time.Duration
+	Log         log.Interface
+}
+
+// Server is the operator side of a host.
+type Server struct {
+	http *http.Server
+}
+
+// New builds the operator side.
+func New(opts Options) (*Server, error) {
+	auth, err := newAuthenticator(opts.Tokens, opts.Log)
+	if err != nil {
+		return nil, err
+	}
+	api, err := operatorapi.NewServer(&handler{operators: opts.Operators, log: opts.Log}, auth,
+		operatorapi.WithErrorHandler(func(_ context.Context, w http.ResponseWriter, _ *http.Request, err error) {
+			writeProblem(w, problemOf(err))
+		}))
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/", api)
+	for pattern, extra := range opts.Extra {
+		mux.Handle(pattern, auth.protect(extra))
+	}
+	return &Server{http: &http.Server{
+		Handler:           http.MaxBytesHandler(mux, maxBodyBytes),
+		ReadHeaderTimeout: opts.HeaderTimeout,
+		IdleTimeout:       opts.IdleTimeout,
+	}}, nil
+}
+
+// Handler returns the handler that the server serves.
+func (s *Server) Handler() http.Handler { return s.http.Handler }
+
+// Serve takes connections until Shutdown.
+func (s *Server) Serve(ln net.Listener) error {
+	err := s.http.Serve(ln)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Shutdown stops taking connections and waits until all calls have ended.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
--- a/opconfig/validate.go
+++ b/opconfig/validate.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"regexp"
+	"time"
 )
 
 // The bounds of numbers in a configuration.
@@ -13,6 +14,10 @@
 	maxRetryBudget = 1.0
 )
 
+// minSpan is the shortest time span. It refuses numbers without a unit, which
+// TOML reads as nanoseconds.
+const minSpan = Duration(time.Millisecond)
+
 // Names become metric labels and file names, so they are short and plain.
 var (
 	namePattern  = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
--- a/opconfig/validate_classes.go
+++ b/opconfig/validate_classes.go
@@ -19,8 +19,8 @@
 }
 
 func (v *validation) classTimes(where string, c *Class) {
-	v.check(c.FirstToken > 0, where+": first_token", c.FirstToken.Std(), `a time span above 0, for example "1.9s"`)
-	v.check(c.BetweenTokens >= 0, where+": between_tokens", c.BetweenTokens.Std(), `0 or a time span, for example "33ms"`)
+	v.check(c.FirstToken >= minSpan, where+": first_token", c.FirstToken.Std(), `a time span with its unit, at least "1ms"`)
+	v.check(c.BetweenTokens == 0 || c.BetweenTokens >= minSpan, where+": between_tokens", c.BetweenTokens.Std(), `0 or a time span with its unit, at least "1ms"`)
 	v.check(c.Deadline >= c.FirstToken, where+": deadline", c.Deadline.Std(), "at least first_token")
 }
 
