--- a/internal/host/attempts.go
+++ b/internal/host/attempts.go
@@ -26,9 +26,16 @@
 // runner carries out one attempt at the endpoint of a grant.
 type runner func(ctx context.Context, req *request, grant dispatch.Action) attemptEnd
 
-// serve tries the request until it has an answer, its deadline passes or it
-// must not be tried again.
+// serve answers the request and counts how it ended.
 func (h *Host) serve(ctx context.Context, req *request, w port.AnswerWriter, run runner) error {
+	err := h.tryAll(ctx, req, w, run)
+	h.observeEnd(req, err)
+	return err
+}
+
+// tryAll tries the request until it has an answer, its deadline passes or it
+// must not be tried again.
+func (h *Host) tryAll(ctx context.Context, req *request, w port.AnswerWriter, run runner) error {
 	ctx, cancel := context.WithDeadline(ctx, req.model.Deadline)
 	defer cancel()
 	defer h.loop.post(forgetEvent{id: req.model.ID, waiter: req.waiter})
@@ -58,6 +65,7 @@
 		if !req.tryAgain(end) {
 			return failed(end.err, known)
 		}
+		h.observeRetry(req, end)
 		req.nextAttempt(decision.Endpoint, end)
 	}
 }
@@ -84,6 +92,7 @@
 	case <-h.loop.stopped:
 		return dispatch.Action{}, leaving()
 	case action := <-req.waiter.decisions:
+		h.observeDecision(req, action)
 		if action.Kind == dispatch.ActionRefuse {
 			return dispatch.Action{}, refused(action)
 		}
