--- a/cmd/wigeonsail/cli.go
+++ b/cmd/wigeonsail/cli.go
@@ -20,6 +20,7 @@
 // cli is the command line. Each command lives in a file of its own.
 type cli struct {
 	Serve   serveCmd   `cmd:"" help:"Run an entry host."`
+	Load    loadCmd    `cmd:"" help:"Drive traffic and report what became of it."`
 	Demo    demoCmd    `cmd:"" help:"Run a small fleet in one process on embedded stand-ins."`
 	Check   checkCmd   `cmd:"" help:"Check the settings of a host without starting it."`
 	Version versionCmd `cmd:"" help:"Print the version."`
--- /dev/null
+++ b/cmd/wigeonsail/load_real.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/demo"
+	"github.com/wigeonsail/wigeonsail/internal/load"
+	"github.com/wigeonsail/wigeonsail/internal/settings"
+)
+
+// realFlags are the flags of `load` against real hosts.
+type realFlags struct {
+	Target        []string `placeholder:"URL" help:"Hosts to drive; without any, a demo is started and driven."`
+	Key           string   `default:"demo-key" env:"WIGEONSAIL_KEY" help:"Key of the client account."`
+	Model         string   `default:"draft" help:"Model of chat calls."`
+	Rate          float64  `default:"50" help:"Requests a second."`
+	Tokens        int      `default:"40" help:"Mean length of answers."`
+	Burst         float64  `default:"1" help:"Factor of the rate during bursts."`
+	CompareDirect string   `placeholder:"URL" help:"Send the same work straight to this engine as well and print the added time. With 'demo', to one of the demo's engines."`
+	Rounds        int      `default:"3" help:"Rounds of a comparison."`
+	HostPID       int      `name:"host-pid" help:"Process of the compared host, to measure its processor time a token."`
+}
+
+// The bursts of a load, where asked for.
+const (
+	burstEvery  = 10 * time.Second
+	burstLength = 2 * time.Second
+)
+
+const chatPath = "/v1/chat/completions"
+
+// runReal drives hosts, those of a demo where no target is given.
+func (f *realFlags) runReal(seed uint64, duration time.Duration, asJSON bool) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if len(f.Target) > 0 {
+		return f.drive(ctx, f.plan(seed, duration, f.chatMix()), asJSON)
+	}
+	setUpLog(settings.Log{Level: "warn", Format: "text"})
+	d, err := demo.Start(ctx, log.Log)
+	if err != nil {
+		return err
+	}
+	for _, h := range d.Hosts() {
+		f.Target = append(f.Target, "http://"+h.Callers)
+	}
+	if f.CompareDirect == "demo" {
+		f.Target, f.CompareDirect = f.Target[:1], "http://"+d.Engine()
+	}
+	err = f.drive(ctx, f.plan(seed, duration, f.demoMix()), asJSON)
+	return errors.Join(err, d.Close(context.Background()))
+}
+
+func (f *realFlags) plan(seed uint64, duration time.Duration, mix []load.Mix) load.Plan {
+	if f.CompareDirect != "" {
+		mix = f.chatMix()
+	}
+	return load.Plan{
+		Seed:        seed,
+		Rate:        f.Rate,
+		Duration:    duration,
+		BurstFactor: f.Burst,
+		BurstEvery:  burstEvery,
+		BurstLength: burstLength,
+		Mix:         mix,
+	}
+}
+
+func (f *realFlags) chatMix() []load.Mix {
+	return []load.Mix{{Kind: load.KindStream, Path: chatPath, Model: model.ModelName(f.Model), Weight: 1, Tokens: f.Tokens}}
+}
+
+// demoMix weighs the demo's classes.
+func (f *realFlags) demoMix() []load.Mix {
+	name := model.ModelName(f.Model)
+	return []load.Mix{
+		{Class: demo.Questions, Kind: load.KindStream, Path: chatPath, Model: name, Weight: 6, Tokens: f.Tokens / 2},
+		{Class: demo.Drafts, Kind: load.KindWhole, Path: chatPath, Model: name, Weight: 2, Tokens: 4 * f.Tokens},
+		{Class: demo.Confirmations, Kind: load.KindService, Path: demo.AppointmentsPath + "fixtures", Weight: 1},
+		{Class: demo.Orders, Kind: load.KindService, Path: demo.OrdersPath + "place", Weight: 1},
+	}
+}
+
+func (f *realFlags) drive(ctx context.Context, plan load.Plan, asJSON bool) error {
+	if f.CompareDirect != "" {
+		return f.compare(ctx, plan, asJSON)
+	}
+	targets := make([]load.Target, 0, len(f.Target))
+	for _, url := range f.Target {
+		targets = append(targets, load.Target{URL: url, Key: f.Key})
+	}
+	figures := load.Run(ctx, plan, targets)
+	if asJSON {
+		return json.NewEncoder(os.Stdout).Encode(figures)
+	}
+	return printFigures(figureRow{name: "hosts", figures: figures})
+}
+
+func (f *realFlags) compare(ctx context.Context, plan load.Plan, asJSON bool) error {
+	result, err := load.Compare(ctx, load.CompareOptions{
+		Plan:    plan,
+		Direct:  load.Target{URL: f.CompareDirect, Key: f.Key},
+		Host:    load.Target{URL: f.Target[0], Key: f.Key},
+		Rounds:  f.Rounds,
+		HostPID: f.HostPID,
+	})
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		return json.NewEncoder(os.Stdout).Encode(result)
+	}
+	if err := printFigures(figureRow{"direct", result.Direct}, figureRow{"host", result.Host}); err != nil {
+		return err
+	}
+	fmt.Printf("added to first token: p50 %.3f ms, p99 %.3f ms\n", result.AddedFirstTokenP50, result.AddedFirstTokenP99)
+	fmt.Printf("added between tokens: p50 %.3f ms, p99 %.3f ms\n", result.AddedBetweenP50, result.AddedBetweenP99)
+	if f.HostPID > 0 {
+		fmt.Printf("processor time a token: %.1f us\n", result.Host.CPUMicrosPerToken)
+	}
+	return nil
+}
+
+type figureRow struct {
+	name    string
+	figures load.Figures
+}
+
+func printFigures(rows ...figureRow) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "TARGET\tREQUESTS\tREFUSED\tFAILED\tTOKENS\tPEAK OPEN\tFIRST P50\tFIRST P99\tBETWEEN P50\tBETWEEN P99")
+	for _, r := range rows {
+		f := r.figures
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%.2f ms\t%.2f ms\t%.2f ms\t%.2f ms\n", r.name, f.Requests, f.Refused, f.Failed,
+			f.Tokens, f.PeakOpen, f.FirstTokenP50, f.FirstTokenP99, f.BetweenP50, f.BetweenP99)
+	}
+	return w.Flush()
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -52,6 +52,7 @@
 	standins    []*http.Server
 	hosts       []*server.Server
 	names       []Host
+	engine      string
 }
 
 // Host tells where a host of the demo serves.
@@ -85,6 +86,7 @@
 	if err := d.publish(ctx, configuration(domains)); err != nil {
 		return err
 	}
+	d.engine = domains[0].engines[0]
 	for _, domain := range domains {
 		if err := d.startHosts(domain.domain); err != nil {
 			return err
@@ -202,6 +204,9 @@
 	return nil
 }
 
+// Engine is the address of one of the engines, to be driven without a host.
+func (d *Demo) Engine() string { return d.engine }
+
 // Hosts lists where the hosts serve.
 func (d *Demo) Hosts() []Host { return d.names }
 
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,50 @@
+package load
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Run sends the plan's requests to the targets in turn, each at its time
+// whether or not earlier ones have ended, and waits for all answers.
+func Run(ctx context.Context, plan Plan, targets []Target) Figures {
+	m := newMeasure()
+	drive(ctx, plan, targets, m)
+	return m.result()
+}
+
+func drive(ctx context.Context, plan Plan, targets []Target, m *measure) {
+	c := newClient()
+	defer c.close()
+	var running sync.WaitGroup
+	defer running.Wait()
+	started := time.Now()
+	for _, a := range plan.arrivals() {
+		if !waitUntil(ctx, started.Add(a.at)) {
+			return
+		}
+		target := targets[a.number%len(targets)]
+		m.begin()
+		running.Go(func() {
+			n := &notes{}
+			m.end(n, c.send(ctx, target, a, n))
+		})
+	}
+}
+
+// waitUntil returns false when ctx ends first.
+func waitUntil(ctx context.Context, at time.Time) bool {
+	wait := time.Until(at)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
