--- a/internal/server/fixture_test.go
+++ b/internal/server/fixture_test.go
@@ -37,7 +37,7 @@
 
 // fixture is a host before stand-ins.
 type fixture struct {
-	t        *testing.T
+	t        testing.TB
 	server   *Server
 	url      string
 	client   *http.Client
@@ -53,7 +53,7 @@
 	maxBody  int64
 }
 
-func newFixture(t *testing.T, opts fixtureOptions) *fixture {
+func newFixture(t testing.TB, opts fixtureOptions) *fixture {
 	t.Helper()
 	f := &fixture{t: t, store: service.NewStore(), client: &http.Client{Transport: &http.Transport{}}}
 	for i, o := range opts.engines {
@@ -70,6 +70,15 @@
 	return f
 }
 
+// newBenchFixture is a host before one engine that the benchmark brings.
+func newBenchFixture(b *testing.B, engine http.Handler) *fixture {
+	b.Helper()
+	f := &fixture{t: b, store: service.NewStore(), client: &http.Client{Transport: &http.Transport{}}}
+	f.engines = append(f.engines, f.standin(engine))
+	f.start(fixtureOptions{})
+	return f
+}
+
 func (f *fixture) standin(handler http.Handler) *httptest.Server {
 	srv := httptest.NewServer(handler)
 	f.t.Cleanup(srv.Close)
