--- a/cmd/wigeonsail/load_real.go
+++ b/cmd/wigeonsail/load_real.go
@@ -16,6 +16,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/demo"
 	"github.com/wigeonsail/wigeonsail/internal/load"
+	"github.com/wigeonsail/wigeonsail/internal/logging"
 	"github.com/wigeonsail/wigeonsail/internal/settings"
 )
 
@@ -47,7 +48,9 @@
 	if len(f.Target) > 0 {
 		return f.drive(ctx, f.plan(seed, duration, f.chatMix()), asJSON)
 	}
-	setUpLog(settings.Log{Level: "warn", Format: "text"})
+	if err := logging.Setup(os.Stderr, settings.Log{Level: "warn", Format: "text"}); err != nil {
+		return &usageError{cause: err}
+	}
 	d, err := demo.Start(ctx, log.Log)
 	if err != nil {
 		return err
