Publish and follow configurations through a host; list and drain

Cause: operators had no way to publish but the log itself, and the hosts did not tell each other anything.

A publication is checked, appended and then read back until its publish id shows up; a lost answer leads to a second append under the same id, which the fold passes over. Settling by the append's answer alone was ruled out, since an answer can be lost after the effect. A host that starts puts only the newest version in force, not those on the way. Settings: platform.retention is new; the test of the keys' list names it.

Not run yet: heartbeats between processes, since the peers' adapter is not wired.

--- /dev/null
+++ b/cmd/wigeonsail/operator.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/api/operatorapi"
+)
+
+// operatorTimeout bounds one call to a host. Publications take the longest.
+const operatorTimeout = 30 * time.Second
+
+// operatorFlags say which hosts to ask, and as whom.
+type operatorFlags struct {
+	Host  []string `required:"" placeholder:"URL" env:"WIGEONSAIL_HOST" help:"Operator address of a host, for example http://127.0.0.1:18801. Repeat it to ask several."`
+	Token string   `required:"" env:"WIGEONSAIL_TOKEN" help:"Operator token."`
+}
+
+// token implements operatorapi.SecuritySource.
+type token string
+
+// OperatorToken implements operatorapi.SecuritySource.
+func (t token) OperatorToken(context.Context, operatorapi.OperationName) (operatorapi.OperatorToken, error) {
+	return operatorapi.OperatorToken{Token: string(t)}, nil
+}
+
+func (f operatorFlags) client(url string) (*operatorapi.Client, error) {
+	if !strings.Contains(url, "://") {
+		url = "http://" + url
+	}
+	client, err := operatorapi.NewClient(url, token(f.Token),
+		operatorapi.WithClient(&http.Client{Timeout: operatorTimeout}))
+	if err != nil {
+		return nil, &usageError{cause: err}
+	}
+	return client, nil
+}
+
+// first returns a client for the first host.
+func (f operatorFlags) first() (*operatorapi.Client, error) { return f.client(f.Host[0]) }
+
+// hostAnswer is what one host answered.
+type hostAnswer struct {
+	url   string
+	hosts *operatorapi.Hosts
+	err   error
+}
+
+// askHosts asks all hosts for their view.
+func (f operatorFlags) askHosts(ctx context.Context) []hostAnswer {
+	answers := make([]hostAnswer, len(f.Host))
+	for i, url := range f.Host {
+		answers[i].url = url
+		client, err := f.client(url)
+		if err == nil {
+			answers[i].hosts, err = client.GetHosts(ctx)
+		}
+		answers[i].err = explain(err)
+	}
+	return answers
+}
+
+// noAnswer joins the errors of the hosts that did not answer.
+func noAnswer(answers []hostAnswer) error {
+	var errs []error
+	for _, a := range answers {
+		if a.err != nil {
+			errs = append(errs, fmt.Errorf("no answer from %s: %w", a.url, a.err))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// explain turns a host's problem into lines for the operator.
+func explain(err error) error {
+	var problem *operatorapi.ProblemStatusCodeWithHeaders
+	if !errors.As(err, &problem) {
+		return err
+	}
+	return &hostError{problem: problem.Response}
+}
+
+// hostError is a problem that a host told.
+type hostError struct{ problem operatorapi.Problem }
+
+// Error implements error.
+func (e *hostError) Error() string {
+	text := fmt.Sprintf("%s (%s, %s)", e.problem.Message, e.problem.Code, e.problem.Outcome)
+	if seconds, ok := e.problem.RetryAfter.Get(); ok {
+		text += fmt.Sprintf("; come back in %d s", seconds)
+	}
+	for _, f := range e.problem.Fields {
+		text += fmt.Sprintf("\n  %s is %s; allowed: %s", f.Field, f.Got, f.Allowed)
+	}
+	return text
+}
+
+// newPublishID returns an id that no other publication has.
+func newPublishID() string { return strings.ToLower(rand.Text()) }
+
+// printJSON prints a value on stdout.
+func printJSON(value any) error {
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(value)
+}
+
+// printTable prints rows on stdout; the first is the heading.
+func printTable(rows [][]string) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	return w.Flush()
+}
+
+// spanText prints seconds as a time span.
+func spanText(seconds float64) string {
+	return (time.Duration(seconds * float64(time.Second))).Round(100 * time.Millisecond).String()
+}
--- a/cmd/wigeonsail/serve.go
+++ b/cmd/wigeonsail/serve.go
@@ -18,8 +18,8 @@
 	Config string `short:"c" required:"" placeholder:"FILE" help:"Settings of the host (host.toml)."`
 }
 
-// Run serves until SIGINT or SIGTERM, then leaves gracefully. A second signal
-// does not cut requests in progress.
+// Run serves until SIGINT, SIGTERM or an order to leave, then leaves
+// gracefully. A second signal does not cut requests in progress.
 func (c serveCmd) Run() error {
 	s, err := settings.Load(c.Config)
 	if err != nil {
@@ -33,7 +33,10 @@
 		return &usageError{cause: err}
 	}
 	srv.Start()
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-srv.LeaveAsked():
+	}
 	return srv.Shutdown(context.Background())
 }
 
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -6,6 +6,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/burn"
 	"github.com/wigeonsail/wigeonsail/internal/core/configstate"
 	"github.com/wigeonsail/wigeonsail/internal/core/dispatch"
+	"github.com/wigeonsail/wigeonsail/internal/core/membership"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
 
@@ -13,9 +14,17 @@
 type control struct {
 	host     *Host
 	dispatch *dispatch.Dispatcher
-	config   configstate.State
 	burn     *burn.Recorder
 	waiters  map[model.RequestID]*waiter
+	config   configControl
+	members  *membership.Table
+	leaving  leavingEndpoints
+	// beating are the addresses with a heartbeat under way.
+	beating map[string]bool
+	// rounds counts the rounds of heartbeats.
+	rounds int
+	// models are those that endpoints report.
+	models map[model.EndpointName][]model.ModelName
 }
 
 // waiter is a request's link from the control loop to its traffic goroutine.
@@ -53,6 +62,18 @@
 		dispatch: dispatch.New(opts),
 		burn:     burn.NewRecorder(opts.Domain),
 		waiters:  make(map[model.RequestID]*waiter),
+		config:   configControl{published: make(map[string]chan<- configstate.Change)},
+		members: membership.New(membership.Options{
+			Host:        h.opts.ID,
+			Incarnation: h.opts.Incarnation,
+			Domain:      h.opts.Domain,
+			Address:     h.opts.PeerAddress,
+			Seeds:       h.opts.Seeds,
+			Every:       h.opts.HeartbeatEvery,
+		}),
+		leaving: newLeavingEndpoints(),
+		beating: make(map[string]bool),
+		models:  make(map[model.EndpointName][]model.ModelName),
 	}
 }
 
@@ -141,6 +162,8 @@
 }
 
 func (e loadEvent) apply(now time.Time, c *control) {
+	c.models[e.report.Endpoint] = e.report.Models
+	c.leaving.report(now, c, e.report.Endpoint, e.report.Leaving)
 	c.carryOut(c.dispatch.ReportLoad(now, e.report))
 }
 
@@ -151,5 +174,5 @@
 }
 
 func (e leavingEvent) apply(now time.Time, c *control) {
-	c.carryOut(c.dispatch.SetLeaving(now, e.endpoint, e.leaving))
+	c.leaving.report(now, c, e.endpoint, e.leaving)
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -33,6 +33,20 @@
 	// Engines and Services reach the endpoints.
 	Engines  port.Engines
 	Services port.Services
+	// HostList is the platform's list of hosts.
+	HostList port.HostList
+	// Peers reaches the other hosts.
+	Peers port.Peers
+	// PeerAddress is where this host serves its peers.
+	PeerAddress string
+	// Seeds are peer addresses to try while the list is out of reach.
+	Seeds []string
+	// HeartbeatEvery is the time between rounds of heartbeats.
+	HeartbeatEvery time.Duration
+	// ListEvery is the time between reads of the host list.
+	ListEvery time.Duration
+	// Retention is how long the platform's log keeps a record.
+	Retention time.Duration
 	// Log takes the host's log lines.
 	Log log.Interface
 	// Metrics counts what the host decides; nil for no counting.
@@ -46,10 +60,16 @@
 	loop    *loop
 	control *control
 	catalog atomic.Pointer[catalog.Catalog]
-	leaving atomic.Bool
-	traffic traffic
-	stop    context.CancelFunc
-	workers sync.WaitGroup
+	// accepted is the record of the configuration in force.
+	accepted atomic.Pointer[port.ConfigRecord]
+	leaving  atomic.Bool
+	// leaveAsked is closed when the host is told to leave.
+	leaveAsked chan struct{}
+	leaveOnce  sync.Once
+	traffic    traffic
+	ctx        context.Context
+	stop       context.CancelFunc
+	workers    sync.WaitGroup
 }
 
 // New builds a host. It serves nothing until Start.
@@ -58,7 +78,7 @@
 		opts.Metrics = metrics.Discard()
 	}
 	opts.PlatformLog = meteredLog{Log: opts.PlatformLog, metrics: opts.Metrics}
-	h := &Host{opts: opts, metrics: opts.Metrics, loop: newLoop()}
+	h := &Host{opts: opts, metrics: opts.Metrics, loop: newLoop(), leaveAsked: make(chan struct{})}
 	h.traffic.idle = make(chan struct{}, 1)
 	h.control = newControl(h, dispatch.Options{
 		Host:   opts.ID,
@@ -71,10 +91,17 @@
 // Start runs the control loop and the pollers until Close.
 func (h *Host) Start() {
 	ctx, stop := context.WithCancel(context.Background())
+	h.ctx = ctx
 	h.stop = stop
 	h.workers.Go(func() { h.loop.run(ctx, h.control) })
 	h.workers.Go(func() { h.followConfig(ctx) })
 	h.workers.Go(func() { h.pollEndpoints(ctx) })
+	if h.opts.Peers != nil {
+		h.workers.Go(func() { h.beat(ctx) })
+	}
+	if h.opts.HostList != nil {
+		h.workers.Go(func() { h.followList(ctx) })
+	}
 }
 
 // Close ends the control loop and the pollers. Requests in progress fail, so
@@ -93,6 +120,10 @@
 // however long that takes, or until ctx ends.
 func (h *Host) Drain(ctx context.Context) error {
 	h.leaving.Store(true)
+	h.announceLeaving()
+	if h.opts.HostList != nil {
+		h.background(func(ctx context.Context) { _ = h.announce(ctx) })
+	}
 	return h.traffic.wait(ctx)
 }
 
--- /dev/null
+++ b/internal/host/hostlist.go
@@ -0,0 +1,80 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/membership"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+// announceEvery is the time between renewals of this host's entry in the
+// platform's list.
+const announceEvery = 3 * time.Second
+
+// followList reads the platform's host list and renews this host's entry
+// until ctx ends. Without the list the peers' heartbeats go on.
+func (h *Host) followList(ctx context.Context) {
+	ticker := time.NewTicker(h.opts.ListEvery)
+	defer ticker.Stop()
+	var announced time.Time
+	for {
+		if now := time.Now(); now.Sub(announced) >= announceEvery && h.announce(ctx) == nil {
+			announced = now
+		}
+		if hosts, err := h.opts.HostList.Hosts(ctx); err == nil {
+			h.loop.post(listEvent{hosts: hosts})
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// announce adds or renews this host's entry in the platform's list.
+func (h *Host) announce(ctx context.Context) error {
+	return h.opts.HostList.Announce(ctx, port.ListedHost{
+		Name:        string(h.opts.ID),
+		Domain:      h.opts.Domain,
+		PeerAddress: h.opts.PeerAddress,
+		Leaving:     h.leaving.Load(),
+	})
+}
+
+// listEvent is the platform's host list.
+type listEvent struct {
+	hosts []port.ListedHost
+}
+
+func (e listEvent) apply(now time.Time, c *control) {
+	listed := make([]membership.Listed, 0, len(e.hosts))
+	for _, h := range e.hosts {
+		if h.PeerAddress == "" {
+			c.leaving.listed[model.EndpointName(h.Name)] = h.Leaving
+			continue
+		}
+		listed = append(listed, membership.Listed{
+			Host: model.HostID(h.Name), Domain: h.Domain, Address: h.PeerAddress, Leaving: h.Leaving,
+		})
+	}
+	c.members.List(now, listed)
+	c.leaving.restore(now, c)
+	if c.members.ToldToLeave() && !c.host.leaving.Load() {
+		c.host.askToLeave("the platform's list")
+	}
+}
+
+// askToLeave closes LeaveAsked.
+func (h *Host) askToLeave(by string) {
+	h.leaveOnce.Do(func() {
+		h.opts.Log.Infof("host: told to leave by %s", by)
+		close(h.leaveAsked)
+	})
+}
+
+// LeaveAsked is closed when an operator or the platform's list tells this
+// host to leave.
+func (h *Host) LeaveAsked() <-chan struct{} { return h.leaveAsked }
--- /dev/null
+++ b/internal/host/membership.go
@@ -0,0 +1,145 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/dispatch"
+	"github.com/wigeonsail/wigeonsail/internal/core/membership"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+// heartbeatTimeout bounds one heartbeat and its answer.
+const heartbeatTimeout = time.Second
+
+// beat sends heartbeats in rounds until ctx ends.
+func (h *Host) beat(ctx context.Context) {
+	ticker := time.NewTicker(h.opts.HeartbeatEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			h.loop.post(roundEvent{})
+		}
+	}
+}
+
+// roundEvent starts a round of heartbeats.
+type roundEvent struct{}
+
+func (roundEvent) apply(now time.Time, c *control) {
+	c.rounds++
+	c.members.Tick(now)
+	c.leaving.restore(now, c)
+	c.updateSelf(now)
+	targets, beat := c.members.Round(now, c.freeRoom(now))
+	for _, address := range targets {
+		c.sendBeat(address, beat)
+	}
+	c.carryOut(c.dispatch.SetPeers(now, c.members.View(now)))
+	c.relayConfig(now)
+	c.carryConfig(now)
+}
+
+// updateSelf refreshes what this host tells of itself.
+func (c *control) updateSelf(now time.Time) {
+	state := membership.Ready
+	switch {
+	case c.host.leaving.Load():
+		state = membership.Leaving
+	case c.host.version() == 0:
+		state = membership.Starting
+	}
+	c.members.Update(state, c.host.version(), c.dispatch.Digest(now), c.leaving.firstHand())
+}
+
+// sendBeat sends one heartbeat, unless the last one to the address is still
+// under way.
+func (c *control) sendBeat(address string, beat membership.Beat) {
+	if c.beating[address] {
+		return
+	}
+	c.beating[address] = true
+	c.host.background(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+		defer cancel()
+		answer, err := c.host.opts.Peers.Exchange(ctx, address, heartbeatOf(beat))
+		c.host.loop.post(beatAnswerEvent{address: address, beat: answer, err: err})
+	})
+}
+
+// beatAnswerEvent is the end of a heartbeat.
+type beatAnswerEvent struct {
+	address string
+	beat    port.Heartbeat
+	err     error
+}
+
+func (e beatAnswerEvent) apply(now time.Time, c *control) {
+	delete(c.beating, e.address)
+	if e.err != nil {
+		c.members.Refused(e.address)
+		return
+	}
+	c.members.Hear(now, beatOf(e.beat))
+}
+
+// HandleExchange takes a peer's heartbeat and answers with this host's.
+func (h *Host) HandleExchange(ctx context.Context, beat port.Heartbeat) (port.Heartbeat, error) {
+	return ask(ctx, h, func(now time.Time, c *control) port.Heartbeat {
+		c.members.Hear(now, beatOf(beat))
+		c.updateSelf(now)
+		return heartbeatOf(c.members.Beat(now, c.freeRoom(now)))
+	})
+}
+
+// freeRoom sums up the room left in the own domain by pool.
+func (c *control) freeRoom(now time.Time) []dispatch.PoolRoom {
+	cat := c.host.catalog.Load()
+	if cat == nil {
+		return nil
+	}
+	busy := make(map[model.EndpointName]int)
+	for _, peer := range c.members.View(now).Hosts {
+		for _, count := range peer.InFlight {
+			busy[count.Endpoint] += count.Count
+		}
+	}
+	cfg := cat.Config()
+	free := make(map[model.PoolName]int, len(cfg.Pools))
+	for i := range cfg.Endpoints {
+		ep := &cfg.Endpoints[i]
+		if ep.Domain == c.host.opts.Domain && !ep.Leaving && !c.leaving.is(ep.Name) {
+			free[ep.Pool] += max(ep.Room-busy[ep.Name], 0)
+		}
+	}
+	out := make([]dispatch.PoolRoom, 0, len(free))
+	for i := range cfg.Pools {
+		if room, ok := free[cfg.Pools[i].Name]; ok {
+			out = append(out, dispatch.PoolRoom{Pool: cfg.Pools[i].Name, Room: room})
+		}
+	}
+	return out
+}
+
+// announceLeaving tells the other hosts at once.
+func (h *Host) announceLeaving() {
+	h.loop.post(announceEvent{})
+}
+
+// announceEvent tells the own domain, and a host of each other one, what this
+// host is doing now.
+type announceEvent struct{}
+
+func (announceEvent) apply(now time.Time, c *control) {
+	c.updateSelf(now)
+	beat := c.members.Beat(now, nil)
+	for _, address := range c.members.Announce() {
+		delete(c.beating, address)
+		c.sendBeat(address, beat)
+	}
+	c.carryOut(c.dispatch.SetDraining(now))
+}
--- /dev/null
+++ b/internal/server/operators.go
@@ -0,0 +1,30 @@
+package server
+
+import (
+	"net"
+
+	"github.com/wigeonsail/wigeonsail/internal/adapter/operatorhttp"
+)
+
+// listenOperators builds the operator side and opens its listener.
+func (s *Server) listenOperators() error {
+	operators, err := operatorhttp.New(operatorhttp.Options{
+		Operators:     s.host,
+		Tokens:        s.settings.Operators,
+		HeaderTimeout: s.settings.Limits.HeaderTimeout.Std(),
+		IdleTimeout:   s.settings.Limits.IdleTimeout.Std(),
+		Log:           s.log,
+	})
+	if err != nil {
+		return err
+	}
+	s.operators = operators
+	s.operatorListener, err = net.Listen("tcp", s.settings.Listen.Operators)
+	if err != nil {
+		return &ListenError{Key: "operators", Cause: err}
+	}
+	return nil
+}
+
+// OperatorAddress is where the host serves operators, as host:port.
+func (s *Server) OperatorAddress() string { return s.operatorListener.Addr().String() }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/wigeonsail/wigeonsail/internal/adapter/callerhttp"
 	"github.com/wigeonsail/wigeonsail/internal/adapter/enginehttp"
+	"github.com/wigeonsail/wigeonsail/internal/adapter/operatorhttp"
 	"github.com/wigeonsail/wigeonsail/internal/adapter/platformhttp"
 	"github.com/wigeonsail/wigeonsail/internal/adapter/servicehttp"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
@@ -47,7 +48,10 @@
 	engines  *enginehttp.Client
 	services *servicehttp.Client
 	platform *platformhttp.Platform
-	serving  errgroup.Group
+	// operators serves the operator side on operatorListener.
+	operators        *operatorhttp.Server
+	operatorListener net.Listener
+	serving          errgroup.Group
 }
 
 // New builds the parts and opens the listeners. It serves nothing yet.
@@ -70,15 +74,21 @@
 		}),
 	}
 	srv.host = host.New(host.Options{
-		ID:          model.HostID(s.Host),
-		Domain:      model.DomainName(s.Domain),
-		Incarnation: model.Incarnation(now.UnixNano()),
-		Seed:        uint64(now.UnixNano()),
-		PlatformLog: srv.platform,
-		Engines:     srv.engines,
-		Services:    srv.services,
-		Log:         logger,
-		Metrics:     counts,
+		ID:             model.HostID(s.Host),
+		Domain:         model.DomainName(s.Domain),
+		Incarnation:    model.Incarnation(now.UnixNano()),
+		Seed:           uint64(now.UnixNano()),
+		PlatformLog:    srv.platform,
+		Engines:        srv.engines,
+		Services:       srv.services,
+		HostList:       srv.platform,
+		PeerAddress:    s.Listen.Peers,
+		Seeds:          s.Peers.Seeds,
+		HeartbeatEvery: s.Peers.HeartbeatEvery.Std(),
+		ListEvery:      s.Platform.ListEvery.Std(),
+		Retention:      s.Platform.Retention.Std(),
+		Log:            logger,
+		Metrics:        counts,
 	})
 	if err := srv.listen(); err != nil {
 		return nil, errors.Join(err, counts.Close())
@@ -103,12 +113,15 @@
 	if err != nil {
 		return &ListenError{Key: "callers", Cause: err}
 	}
-	return nil
+	return s.listenOperators()
 }
 
 // CallerAddress is where the host serves callers, as host:port.
 func (s *Server) CallerAddress() string { return s.listener.Addr().String() }
 
+// LeaveAsked is closed when the host is told to leave.
+func (s *Server) LeaveAsked() <-chan struct{} { return s.host.LeaveAsked() }
+
 // Ready says whether the host takes requests.
 func (s *Server) Ready() bool { return s.host.Ready() }
 
@@ -116,6 +129,7 @@
 func (s *Server) Start() {
 	s.host.Start()
 	s.serving.Go(func() error { return s.callers.Serve(s.listener) })
+	s.serving.Go(func() error { return s.operators.Serve(s.operatorListener) })
 	s.log.Infof("host: %s in failure domain %s serves callers on %s", s.settings.Host, s.settings.Domain, s.CallerAddress())
 }
 
@@ -124,7 +138,7 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.log.Info("host: leaving, requests in progress go on")
 	drained := s.host.Drain(ctx)
-	closed := s.callers.Shutdown(ctx)
+	closed := errors.Join(s.callers.Shutdown(ctx), s.operators.Shutdown(ctx))
 	s.host.Close()
 	s.engines.Close()
 	s.services.Close()
--- a/internal/settings/default.go
+++ b/internal/settings/default.go
@@ -9,6 +9,7 @@
 // The defaults of settings that a file leaves out.
 const (
 	defaultPlatformTimeout = 2 * time.Second
+	defaultRetention       = time.Hour
 	defaultListEvery       = time.Second
 	defaultHeartbeatEvery  = 200 * time.Millisecond
 	defaultMaxBodyBytes    = 4 << 20
@@ -23,6 +24,7 @@
 	return Settings{
 		Platform: Platform{
 			Timeout:   opconfig.Duration(defaultPlatformTimeout),
+			Retention: opconfig.Duration(defaultRetention),
 			ListEvery: opconfig.Duration(defaultListEvery),
 		},
 		Peers: Peers{HeartbeatEvery: opconfig.Duration(defaultHeartbeatEvery)},
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -23,7 +23,7 @@
 		name, old, new string
 		want           string
 	}{
-		{"unknown key", `list_every =`, `list_evry =`, `:14: platform.list_evry: unknown key; allowed: url, timeout, list_every`},
+		{"unknown key", `list_every =`, `list_evry =`, `:14: platform.list_evry: unknown key; allowed: url, timeout, retention, list_every`},
 		{"unknown table", `[log]`, `[logs]`, `: logs: unknown key; allowed: host, domain, listen`},
 		{"wrong unit", `timeout = "2s"`, `timeout = "2 sec"`, `:13: platform.timeout: unknown unit " sec" in duration "2 sec"; allowed: a time span`},
 		{"missing unit", `timeout = "2s"`, `timeout = 2`, `:13: platform.timeout: number without a unit; allowed: a time span`},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,9 @@
 	URL string `toml:"url" allowed:"an http or https URL"`
 	// Timeout bounds one call.
 	Timeout opconfig.Duration `toml:"timeout" allowed:"a time span over 0 with its unit, such as \"200ms\" or \"2s\""`
+	// Retention is how long the log keeps a record. Hosts carry the
+	// configuration in force forward well before.
+	Retention opconfig.Duration `toml:"retention" allowed:"a time span over 0 with its unit, such as \"200ms\" or \"2s\""`
 	// ListEvery is the time between reads of the host list.
 	ListEvery opconfig.Duration `toml:"list_every" allowed:"a time span over 0 with its unit, such as \"200ms\" or \"2s\""`
 }
