--- a/cmd/wigeonsail/serve.go
+++ b/cmd/wigeonsail/serve.go
@@ -17,8 +17,8 @@
 	Config string `short:"c" required:"" placeholder:"FILE" help:"Settings of the host (host.toml)."`
 }
 
-// Run serves until SIGINT or SIGTERM, then leaves gracefully. A second signal
-// does not cut requests in progress.
+// Run serves until SIGINT, SIGTERM or an order to leave, then leaves
+// gracefully. A second signal does not cut requests in progress.
 func (c serveCmd) Run() error {
 	s, err := settings.Load(c.Config)
 	if err != nil {
@@ -34,6 +34,9 @@
 		return &usageError{cause: err}
 	}
 	srv.Start()
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-srv.LeaveAsked():
+	}
 	return srv.Shutdown(context.Background())
 }
