Gather service-level counts over all hosts that can be reached

Cause: each host counted for itself only. A host now asks the hosts of its own domain directly and one host of each other domain for that domain's counts, so that no host needs to know all others. Whoever does not answer is named: hosts that went silent, and failure domains that only the configuration knows of.

Ruled out: asking every host from one place; a host knows only its own domain in full.

Not run yet: between processes, since the peers' adapter is not wired.

--- a/internal/core/burn/burn_test.go
+++ b/internal/core/burn/burn_test.go
@@ -51,15 +51,16 @@
 	record(south, recent, 2, Event{Result: ResultUnknown})
 	record(south, recent, 1, Event{Result: ResultLost})
 
-	var parts []Snapshot
+	var gathered Gathered
 	for _, r := range []*Recorder{south, north} {
-		data, err := r.Snapshot(now, 6*time.Hour).Encode()
+		data, err := Gathered{Snapshot: r.Snapshot(now, 6*time.Hour), Answered: []model.HostID{"h"}}.Encode()
 		must.NoError(t, err)
 		part, err := Decode(data)
 		must.NoError(t, err)
-		parts = append(parts, part)
+		gathered.Add(part)
 	}
-	got := Summarize(Merge(parts...), now, time.Hour)
+	must.SliceLen(t, 2, gathered.Answered)
+	got := Summarize(gathered.Snapshot, now, time.Hour)
 	must.SliceLen(t, 3, got)
 	all, n, s := got[0], got[1], got[2]
 
@@ -148,7 +149,7 @@
 }
 
 func TestDecodeRefuses(t *testing.T) {
-	for _, data := range []string{"", "{", `{"rows":[{"objective":2}]}`} {
+	for _, data := range []string{"", "{", `{"snapshot":{"rows":[{"objective":2}]}}`} {
 		_, err := Decode([]byte(data))
 		var decode *DecodeError
 		must.True(t, errors.As(err, &decode))
--- a/internal/core/burn/snapshot.go
+++ b/internal/core/burn/snapshot.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"time"
@@ -79,23 +78,6 @@
 	return bucketNumber(now) - int64((window+bucketWidth-1)/bucketWidth) + 1
 }
 
-// Encode returns the snapshot as bytes for other hosts.
-func (s Snapshot) Encode() ([]byte, error) { return json.Marshal(s) }
-
-// Decode reads what Encode wrote. It fails with a *DecodeError.
-func Decode(data []byte) (Snapshot, error) {
-	var s Snapshot
-	if err := json.Unmarshal(data, &s); err != nil {
-		return Snapshot{}, &DecodeError{Cause: err}
-	}
-	for _, row := range s.Rows {
-		if row.Objective < 0 || row.Objective > 1 {
-			return Snapshot{}, &DecodeError{Cause: fmt.Errorf("objective %v of class %s is not from 0 to 1", row.Objective, row.Class)}
-		}
-	}
-	return s, nil
-}
-
 // Merge adds up snapshots of different hosts. Where the hosts have different
 // objectives for a class, the strictest counts.
 func Merge(snapshots ...Snapshot) Snapshot {
--- a/internal/host/burn.go
+++ b/internal/host/burn.go
@@ -6,6 +6,7 @@
 
 	"github.com/wigeonsail/wigeonsail/internal/core/burn"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
 // burnEvent counts the end of a request.
@@ -22,27 +23,24 @@
 
 func (e wasteEvent) apply(now time.Time, c *control) { c.burn.Waste(now, e.class, e.cause, e.tokens) }
 
-// burnQueryEvent asks for the counts of a window.
-type burnQueryEvent struct {
-	window time.Duration
-	reply  chan burn.Snapshot
+// Burn returns this host's service-level counts over the window that ends now.
+func (h *Host) Burn(ctx context.Context, window time.Duration) (burn.Gathered, error) {
+	snapshot, err := ask(ctx, h, func(now time.Time, c *control) burn.Snapshot { return c.burn.Snapshot(now, window) })
+	if err != nil {
+		return burn.Gathered{}, err
+	}
+	return burn.Gathered{Snapshot: snapshot, Answered: []model.HostID{h.opts.ID}}, nil
 }
 
-func (e burnQueryEvent) apply(now time.Time, c *control) { e.reply <- c.burn.Snapshot(now, e.window) }
-
-// Burn returns this host's service-level counts over the window that ends now.
-// It fails when the control loop is overloaded or has ended, or with ctx.
-func (h *Host) Burn(ctx context.Context, window time.Duration) (burn.Snapshot, error) {
-	query := burnQueryEvent{window: window, reply: make(chan burn.Snapshot, 1)}
-	if !h.loop.offer(query) {
-		return burn.Snapshot{}, overloaded()
+// HandleBurn returns the encoded counts of this host or of its domain.
+func (h *Host) HandleBurn(ctx context.Context, query port.BurnQuery) ([]byte, error) {
+	get := h.Burn
+	if query.WholeDomain {
+		get = h.gatherDomain
 	}
-	select {
-	case s := <-query.reply:
-		return s, nil
-	case <-h.loop.stopped:
-		return burn.Snapshot{}, leaving()
-	case <-ctx.Done():
-		return burn.Snapshot{}, ctx.Err()
+	counts, err := get(ctx, query.Window)
+	if err != nil {
+		return nil, err
 	}
+	return counts.Encode()
 }
--- /dev/null
+++ b/internal/host/burn_gather_test.go
@@ -0,0 +1,78 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/burn"
+	"github.com/wigeonsail/wigeonsail/internal/core/catalog"
+	"github.com/wigeonsail/wigeonsail/internal/core/dispatch"
+	"github.com/wigeonsail/wigeonsail/internal/core/membership"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+	"github.com/wigeonsail/wigeonsail/opconfig"
+)
+
+// burnPeers answers burn queries by address; other addresses fail.
+type burnPeers struct {
+	port.Peers
+	answers map[string]burn.Gathered
+	mu      sync.Mutex
+	whole   map[string]bool
+}
+
+func (p *burnPeers) Burn(_ context.Context, address string, query port.BurnQuery) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.whole[address] = query.WholeDomain
+	answer, ok := p.answers[address]
+	if !ok {
+		return nil, &port.PeerError{Op: "burn", Address: address, Cause: errors.New("refused")}
+	}
+	return answer.Encode()
+}
+
+func gathered(host model.HostID, domain model.DomainName) burn.Gathered {
+	r := burn.NewRecorder(domain)
+	r.Record(time.Now(), burn.Event{Class: "draft", Result: burn.ResultServed})
+	return burn.Gathered{Snapshot: r.Snapshot(time.Now(), time.Hour), Answered: []model.HostID{host}}
+}
+
+// TestGatherBurn has a live and a dead host in the own domain, a domain whose
+// first gateway is dead, and a domain that is known by the configuration only.
+func TestGatherBurn(t *testing.T) {
+	peers := &burnPeers{whole: map[string]bool{}, answers: map[string]burn.Gathered{
+		"n2:1": gathered("n2", "north"),
+		"s2:1": gathered("s2", "south"),
+	}}
+	h := New(Options{ID: "n1", Domain: "north", PlatformLog: failingLog{}, Peers: peers, HeartbeatEvery: time.Hour})
+	h.catalog.Store(catalog.New(1, &opconfig.Config{Endpoints: []opconfig.Endpoint{{Name: "e", Domain: "east"}, {Name: "n", Domain: "north"}}}))
+	now := time.Now()
+	for _, name := range []model.HostID{"n2", "n3"} {
+		h.control.members.Hear(now, membership.Beat{Host: name, Domain: "north", Address: string(name) + ":1", State: membership.Ready, Incarnation: 1, Sequence: 1})
+	}
+	h.control.members.Hear(now, membership.Beat{Host: "n2", Domain: "north", Address: "n2:1", State: membership.Ready, Incarnation: 1, Sequence: 2,
+		Domains: []membership.Digest{{Domain: "south", Sequence: 1, Gateways: []string{"s1:1", "s2:1"}, FreeRoom: []dispatch.PoolRoom{}}}})
+	ctx, stop := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() {
+		h.loop.run(ctx, h.control)
+		close(stopped)
+	}()
+	got, err := h.GatherBurn(ctx, time.Hour)
+	stop()
+	<-stopped
+	must.NoError(t, err)
+	must.SliceContainsAll(t, []model.HostID{"n1", "n2", "s2"}, got.Answered)
+	must.SliceLen(t, 2, got.Missing)
+	must.Eq(t, "host n3", got.Missing[0].Name())
+	must.StrContains(t, got.Missing[0].Reason, "refused")
+	must.Eq(t, burn.Missing{Domain: "east", Reason: "no host of it is known"}, got.Missing[1])
+	must.SliceLen(t, 2, got.Snapshot.Rows)
+	must.Eq(t, map[string]bool{"n2:1": false, "n3:1": false, "s1:1": true, "s2:1": true}, peers.whole)
+}
--- a/internal/port/peer.go
+++ b/internal/port/peer.go
@@ -137,6 +137,9 @@
 type BurnQuery struct {
 	// Window is how far back to count.
 	Window time.Duration
+	// WholeDomain asks for the counts of all hosts of the peer's failure
+	// domain, not just its own.
+	WholeDomain bool
 }
 
 // Peers calls other hosts. Every call fails with a *PeerError.
--- a/internal/report/burn.go
+++ b/internal/report/burn.go
@@ -25,19 +25,10 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
-// MissingHost is a host whose counts are not in a report.
-type MissingHost struct {
-	Host model.HostID `json:"host"`
-	// Reason says why, for example "no answer for 2s".
-	Reason string `json:"reason"`
-}
-
 // BurnInput is what a burn report is made of.
 type BurnInput struct {
-	// Snapshot holds the merged counts of all hosts that answered.
-	Snapshot burn.Snapshot
-	Answered []model.HostID
-	Missing  []MissingHost
+	// Gathered holds the counts of all hosts that answered.
+	Gathered burn.Gathered
 	// At is the end of the window.
 	At     time.Time
 	Window time.Duration
@@ -50,7 +41,7 @@
 	Answered []model.HostID `json:"answered"`
 	// Missing lists the hosts that did not answer. While there are any, all
 	// counts are too low.
-	Missing []MissingHost  `json:"missing"`
+	Missing []burn.Missing `json:"missing"`
 	Classes []burn.Summary `json:"classes"`
 
 	snapshot burn.Snapshot
@@ -61,10 +52,10 @@
 	return &Burn{
 		At:       in.At.UTC(),
 		Window:   in.Window,
-		Answered: append([]model.HostID{}, in.Answered...),
-		Missing:  append([]MissingHost{}, in.Missing...),
-		Classes:  burn.Summarize(in.Snapshot, in.At, in.Window),
-		snapshot: in.Snapshot,
+		Answered: append([]model.HostID{}, in.Gathered.Answered...),
+		Missing:  append([]burn.Missing{}, in.Gathered.Missing...),
+		Classes:  burn.Summarize(in.Gathered.Snapshot, in.At, in.Window),
+		snapshot: in.Gathered.Snapshot,
 	}
 }
 
--- a/internal/report/burn_test.go
+++ b/internal/report/burn_test.go
@@ -30,11 +30,13 @@
 	}
 	r.Waste(recent, "confirm <b>", burn.WastePreempted, 4)
 	return BurnInput{
-		Snapshot: r.Snapshot(at, time.Hour),
-		Answered: []model.HostID{"h1"},
-		Missing:  []MissingHost{{Host: "h2", Reason: "no answer for 2s"}},
-		At:       at,
-		Window:   time.Hour,
+		Gathered: burn.Gathered{
+			Snapshot: r.Snapshot(at, time.Hour),
+			Answered: []model.HostID{"h1"},
+			Missing:  []burn.Missing{{Host: "h2", Reason: "no answer for 2s"}},
+		},
+		At:     at,
+		Window: time.Hour,
 	}
 }
 
@@ -72,7 +74,7 @@
 	var got Burn
 	must.NoError(t, json.Unmarshal(out.Bytes(), &got))
 	must.Eq(t, 0.98, got.Classes[0].Attainment)
-	must.Eq(t, []MissingHost{{Host: "h2", Reason: "no answer for 2s"}}, got.Missing)
+	must.Eq(t, []burn.Missing{{Host: "h2", Reason: "no answer for 2s"}}, got.Missing)
 }
 
 // TestBurnHTML checks that the page is whole, escapes names and loads nothing.
--- a/internal/report/text.go
+++ b/internal/report/text.go
@@ -35,9 +35,9 @@
 	return nil
 }
 
-func writeMissing(w io.Writer, missing []MissingHost) {
+func writeMissing(w io.Writer, missing []burn.Missing) {
 	for _, m := range missing {
-		fmt.Fprintf(w, "No answer from host %s: %s. All counts are too low.\n", m.Host, m.Reason)
+		fmt.Fprintf(w, "No answer from %s: %s. All counts are too low.\n", m.Name(), m.Reason)
 	}
 }
 
