--- /dev/null
+++ b/internal/host/control.go
@@ -0,0 +1,155 @@
+package host
+
+import (
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/burn"
+	"github.com/wigeonsail/wigeonsail/internal/core/configstate"
+	"github.com/wigeonsail/wigeonsail/internal/core/dispatch"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+)
+
+// control is the state that only the control loop touches.
+type control struct {
+	host     *Host
+	dispatch *dispatch.Dispatcher
+	config   configstate.State
+	burn     *burn.Recorder
+	waiters  map[model.RequestID]*waiter
+}
+
+// waiter is a request's link from the control loop to its traffic goroutine.
+type waiter struct {
+	// decisions takes grants, refusals and spills. Each submit leads to at
+	// most one, so that sending never waits.
+	decisions chan dispatch.Action
+	// preempt takes the number of the attempt that is to give way.
+	preempt chan model.Attempt
+}
+
+func newWaiter() *waiter {
+	return &waiter{
+		decisions: make(chan dispatch.Action, 1),
+		preempt:   make(chan model.Attempt, 1),
+	}
+}
+
+// giveWay asks an attempt to end. It replaces a request to an earlier attempt
+// that nobody took.
+func (w *waiter) giveWay(attempt model.Attempt) {
+	select {
+	case <-w.preempt:
+	default:
+	}
+	select {
+	case w.preempt <- attempt:
+	default:
+	}
+}
+
+func newControl(h *Host, opts dispatch.Options) *control {
+	return &control{
+		host:     h,
+		dispatch: dispatch.New(opts),
+		burn:     burn.NewRecorder(opts.Domain),
+		waiters:  make(map[model.RequestID]*waiter),
+	}
+}
+
+func (c *control) tick(now time.Time) {
+	c.carryOut(c.dispatch.Tick(now))
+}
+
+// carryOut passes actions on to the requests they are about.
+func (c *control) carryOut(actions []dispatch.Action) {
+	for _, action := range actions {
+		w, ok := c.waiters[action.Request]
+		if !ok {
+			continue
+		}
+		if action.Kind == dispatch.ActionPreempt {
+			w.giveWay(action.Attempt)
+			continue
+		}
+		select {
+		case w.decisions <- action:
+		default:
+		}
+	}
+}
+
+// submitEvent asks for a decision on one attempt.
+type submitEvent struct {
+	req    model.Request
+	waiter *waiter
+}
+
+func (e submitEvent) apply(now time.Time, c *control) {
+	c.waiters[e.req.ID] = e.waiter
+	c.carryOut(c.dispatch.Submit(now, e.req))
+}
+
+// finishEvent ends an attempt that was granted.
+type finishEvent struct {
+	id      model.RequestID
+	attempt model.Attempt
+	result  dispatch.Result
+}
+
+func (e finishEvent) apply(now time.Time, c *control) {
+	c.carryOut(c.dispatch.Finish(now, e.id, e.attempt, e.result))
+}
+
+// progressEvent tells of relayed tokens.
+type progressEvent struct {
+	id     model.RequestID
+	tokens int
+}
+
+func (e progressEvent) apply(now time.Time, c *control) {
+	c.dispatch.Progress(now, e.id, e.tokens)
+}
+
+// forgetEvent ends a request for good. Its traffic goroutine reads no more
+// decisions, so a grant that it did not take is given back.
+type forgetEvent struct {
+	id     model.RequestID
+	waiter *waiter
+}
+
+func (e forgetEvent) apply(now time.Time, c *control) {
+	delete(c.waiters, e.id)
+	select {
+	case action := <-e.waiter.decisions:
+		c.giveBack(now, action)
+	default:
+	}
+	c.carryOut(c.dispatch.Cancel(now, e.id))
+}
+
+func (c *control) giveBack(now time.Time, action dispatch.Action) {
+	if action.Kind != dispatch.ActionGrant {
+		return
+	}
+	unused := dispatch.Result{Outcome: model.OutcomeNotRun, Canceled: true}
+	c.carryOut(c.dispatch.Finish(now, action.Request, action.Attempt, unused))
+}
+
+// loadEvent is an endpoint's load report.
+type loadEvent struct {
+	report dispatch.LoadReport
+}
+
+func (e loadEvent) apply(now time.Time, c *control) {
+	c.carryOut(c.dispatch.ReportLoad(now, e.report))
+}
+
+// leavingEvent tells that an endpoint is leaving, or back.
+type leavingEvent struct {
+	endpoint model.EndpointName
+	leaving  bool
+}
+
+func (e leavingEvent) apply(now time.Time, c *control) {
+	c.carryOut(c.dispatch.SetLeaving(now, e.endpoint, e.leaving))
+}
