Let the control loop end an attempt that gives way

Cause: a goroutine a request only waited for a preemption, with its stack for every open stream. The loop now cancels the attempt's context by its number. Connection buffers to endpoints are 4 KiB: events are smaller.

--- a/internal/adapter/endpointhttp/transport.go
+++ b/internal/adapter/endpointhttp/transport.go
@@ -25,11 +25,11 @@
 )
 
 const (
-	dialTimeout         = 2 * time.Second
-	idleTimeout         = 60 * time.Second
-	maxIdlePerEndpoint  = 256
-	maxHeaderBytes      = 64 << 10
-	connectionReadBytes = 8 << 10
+	dialTimeout           = 2 * time.Second
+	idleTimeout           = 60 * time.Second
+	maxIdlePerEndpoint    = 256
+	maxHeaderBytes        = 64 << 10
+	connectionBufferBytes = 4 << 10
 )
 
 // NewTransport returns a transport that keeps connections to endpoints. It
@@ -41,8 +41,8 @@
 		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-		ReadBufferSize:         connectionReadBytes,
-		WriteBufferSize:        connectionReadBytes,
+		ReadBufferSize:         connectionBufferBytes,
+		WriteBufferSize:        connectionBufferBytes,
 		DisableCompression:     true,
 	}
 }
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -1,6 +1,8 @@
 package host
 
 import (
+	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/burn"
@@ -32,27 +34,25 @@
 	// decisions takes grants, refusals and spills. Each submit leads to at
 	// most one, so that sending never waits.
 	decisions chan dispatch.Action
-	// preempt takes the number of the attempt that is to give way.
-	preempt chan model.Attempt
+	// running is the attempt in progress, if it can give way.
+	running atomic.Pointer[runningAttempt]
+}
+
+// runningAttempt lets the control loop end an attempt.
+type runningAttempt struct {
+	number model.Attempt
+	cancel context.CancelCauseFunc
 }
 
 func newWaiter() *waiter {
-	return &waiter{
-		decisions: make(chan dispatch.Action, 1),
-		preempt:   make(chan model.Attempt, 1),
-	}
+	return &waiter{decisions: make(chan dispatch.Action, 1)}
 }
 
-// giveWay asks an attempt to end. It replaces a request to an earlier attempt
-// that nobody took.
-func (w *waiter) giveWay(attempt model.Attempt) {
-	select {
-	case <-w.preempt:
-	default:
-	}
-	select {
-	case w.preempt <- attempt:
-	default:
+// giveWay ends an attempt unless it has ended by itself.
+func (w *waiter) giveWay(number model.Attempt) {
+	running := w.running.Load()
+	if running != nil && running.number == number {
+		running.cancel(errPreempted)
 	}
 }
 
--- a/internal/host/engine.go
+++ b/internal/host/engine.go
@@ -43,18 +43,13 @@
 
 func (r *engineRun) attempt(ctx context.Context, grant dispatch.Action) attemptEnd {
 	attemptCtx, cancel := context.WithCancelCause(ctx)
-	watched := make(chan struct{})
-	attempt := r.req.model.Attempt
-	go func() {
-		defer close(watched)
-		r.watchPreempt(attemptCtx, attempt, cancel)
-	}()
+	defer cancel(nil)
+	r.req.waiter.running.Store(&runningAttempt{number: r.req.model.Attempt, cancel: cancel})
+	defer r.req.waiter.running.Store(nil)
 	err := r.relay(attemptCtx, grant)
 	if err != nil && errors.Is(context.Cause(attemptCtx), errPreempted) {
 		err = errPreempted
 	}
-	cancel(nil)
-	<-watched
 	end := attemptEnd{result: dispatch.Result{Outcome: model.OutcomeRan, Elapsed: time.Since(r.started)}}
 	if err != nil {
 		end = endOf(ctx, err, r.started)
@@ -64,20 +59,6 @@
 	return end
 }
 
-// watchPreempt cancels the attempt when the control loop asks for it.
-func (r *engineRun) watchPreempt(ctx context.Context, attempt model.Attempt, cancel context.CancelCauseFunc) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case n := <-r.req.waiter.preempt:
-			if n == attempt {
-				cancel(errPreempted)
-			}
-		}
-	}
-}
-
 // relay passes the engine's answer on until its end.
 func (r *engineRun) relay(ctx context.Context, grant dispatch.Action) error {
 	stream, err := r.host.opts.Engines.Open(ctx, port.EngineCall{
