Guard effects on a host: follow the log, append in batches

Cause: the decisions about claims need a shell that reads the partitions, appends claims and outcomes, and settles appends whose answer was lost.

One goroutine owns the state machine. A partition's entries are appended by one host of the failure domain, found by rendezvous hashing; the others hand theirs over and append themselves when it does not answer. A failed append is repeated until the record is read back or nobody wants it any more.

Ruled out: bounding the appends by host. The bound is by partition now, so that all appends grow with the failure domains and not with the hosts.

Each was taken out once and a test failed: settling by reading, repeating, handing over, not handing on, falling back, noticing the outage, withdrawing a try, the set of live hosts.

--- a/internal/core/effect/action.go
+++ b/internal/core/effect/action.go
@@ -55,9 +55,11 @@
 	Result    Result
 	Partition int
 	Place     Place
-	Host      model.HostID
-	Refusal   *Refusal
-	Record    Record
+	// Host and Address name the issuer of a forwarded ticket.
+	Host    model.HostID
+	Address string
+	Refusal *Refusal
+	Record  Record
 }
 
 // Right is the permission to send one request once.
@@ -120,6 +122,16 @@
 	return Action{Kind: ActionRefuse, Try: try, Refusal: refusal}
 }
 
+// Unreachable is the refusal of a try whose ticket's issuer does not answer.
+// Sent says that the issuer may have got the try.
+func Unreachable(try Try, sent bool) *Refusal {
+	outcome := unproved(try)
+	if sent {
+		outcome = model.OutcomeUnknown
+	}
+	return &Refusal{Outcome: outcome, Code: CodeHostGone, RetryAfter: progressRetryAfter}
+}
+
 // unproved is the outcome of a try that this host does not send, while other
 // hosts may have sent the same key before.
 func unproved(try Try) model.Outcome {
--- a/internal/core/effect/apply.go
+++ b/internal/core/effect/apply.go
@@ -92,3 +92,23 @@
 		}
 	}
 }
+
+// Wanted tells whether a record whose append has no answer still has to be
+// appended: it was not read back and its end matters to somebody.
+func (m *Machine) Wanted(rec Record) bool {
+	e := m.partitionOf(rec.Key).fold.entries[rec.Key]
+	switch rec.Kind {
+	case KindClaim:
+		f := m.flights[rec.Key]
+		return f != nil && f.phase == phaseClaiming && f.owner == rec.owner()
+	case KindOutcome:
+		if rec.Ticket && e == nil {
+			return true
+		}
+		return e != nil && e.state == stateClaimed && e.owner == rec.owner()
+	case KindRelease:
+		return e != nil && e.state == stateClaimed && e.owner == rec.owner()
+	default:
+		return false
+	}
+}
--- a/internal/core/effect/beginticket.go
+++ b/internal/core/effect/beginticket.go
@@ -12,6 +12,8 @@
 	t := Ticket{
 		Issuer:           m.opts.Self,
 		Serial:           m.nextNonce,
+		Domain:           m.opts.Domain,
+		Address:          m.opts.Address,
 		ExpiresUnixMilli: now.Add(ttl).UnixMilli(),
 	}
 	return EncodeTicket(m.opts.Secret, account, t)
@@ -31,11 +33,12 @@
 		m.beginOwnTicket(now, key, t, try)
 		return
 	}
-	if try.Forwarded || !m.live[t.Issuer] {
+	gone := t.Domain == m.opts.Domain && !m.live[t.Issuer]
+	if try.Forwarded || gone {
 		m.emit(refuse(try.ID, unproved(try), CodeHostGone, progressRetryAfter))
 		return
 	}
-	m.emit(Action{Kind: ActionForward, Try: try.ID, Host: t.Issuer.Host})
+	m.emit(Action{Kind: ActionForward, Try: try.ID, Host: t.Issuer.Host, Address: t.Address})
 }
 
 func (m *Machine) beginOwnTicket(now time.Time, key Key, t Ticket, try Try) {
--- a/internal/core/effect/finish.go
+++ b/internal/core/effect/finish.go
@@ -39,13 +39,13 @@
 		m.tickets.finish(f.owner.Nonce, result.Outcome)
 	}
 	for _, try := range f.waiting {
-		m.emit(replay(try.ID, result))
+		m.emit(Replay(try.ID, result))
 	}
 	m.end(f)
 }
 
-// replay answers a try with a result that is at hand.
-func replay(try TryID, result Result) Action {
+// Replay answers a try with a result that is at hand.
+func Replay(try TryID, result Result) Action {
 	if result.Truncated {
 		return refuse(try, result.Outcome, CodeAnswerUnavailable, 0)
 	}
@@ -60,7 +60,7 @@
 func (m *Machine) answerKnown(now time.Time, key Key, try Try) bool {
 	if known, ok := m.answers.get(key); ok {
 		if known.digest == try.Digest {
-			m.emit(replay(try.ID, known.result))
+			m.emit(Replay(try.ID, known.result))
 		} else {
 			m.emit(refuse(try.ID, model.OutcomeNotRun, CodeKeyReused, 0))
 		}
@@ -81,7 +81,7 @@
 		return
 	}
 	if known, ok := m.answers.get(key); ok && known.digest == try.Digest {
-		m.emit(replay(try.ID, known.result))
+		m.emit(Replay(try.ID, known.result))
 		return
 	}
 	m.emit(Action{
--- a/internal/core/effect/machine.go
+++ b/internal/core/effect/machine.go
@@ -13,6 +13,10 @@
 type Options struct {
 	// Self is this incarnation of this host.
 	Self HostRef
+	// Domain is this host's failure domain.
+	Domain model.DomainName
+	// Address is where this host serves its peers, as host:port.
+	Address string
 	// Secret authenticates tickets among the hosts.
 	Secret []byte
 	// Partitions is the number of partitions, equal on all hosts.
@@ -133,7 +137,8 @@
 	return m.take()
 }
 
-// SetLive replaces the set of the other hosts that are alive.
+// SetLive replaces the set of the other hosts that are known to be alive. All
+// live hosts of the own failure domain are in it.
 func (m *Machine) SetLive(now time.Time, hosts []HostRef) []Action {
 	m.live = make(map[HostRef]bool, len(hosts))
 	for _, host := range hosts {
--- a/internal/core/effect/random_test.go
+++ b/internal/core/effect/random_test.go
@@ -165,6 +165,10 @@
 		w.t.Skip("nothing to append")
 	}
 	i := rapid.IntRange(0, len(h.appends)-1).Draw(w.t, "append")
+	if !h.frozen && !h.m.Wanted(h.appends[i]) && rapid.Bool().Draw(w.t, "settled") {
+		h.appends = append(h.appends[:i:i], h.appends[i+1:]...)
+		return
+	}
 	entry, err := EncodeRecord(h.appends[i])
 	must.NoError(w.t, err)
 	data, err := EncodeBatch([][]byte{entry})
--- a/internal/core/effect/ticket.go
+++ b/internal/core/effect/ticket.go
@@ -20,6 +20,9 @@
 type Ticket struct {
 	Issuer HostRef `json:"i"`
 	Serial uint64  `json:"s"`
+	// Domain and Address say where the issuer serves its peers.
+	Domain  model.DomainName `json:"d"`
+	Address string           `json:"a"`
 	// ExpiresUnixMilli is when the ticket can no longer be used.
 	ExpiresUnixMilli int64 `json:"e"`
 }
--- /dev/null
+++ b/internal/effects/follow.go
@@ -0,0 +1,53 @@
+package effects
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+// How partitions are followed.
+const (
+	readWait       = 5 * time.Second
+	readMax        = 256
+	readRetryAfter = 200 * time.Millisecond
+)
+
+// streamOf names the stream of a partition.
+func streamOf(partition int) port.StreamName {
+	return port.StreamName("effects-" + strconv.Itoa(partition))
+}
+
+// follow reads a partition's stream until ctx ends.
+func (g *Guard) follow(ctx context.Context, partition int) {
+	var next model.Offset
+	wait := time.Duration(0)
+	for ctx.Err() == nil {
+		batch, err := g.opts.Log.Read(ctx, streamOf(partition), next, readMax, wait)
+		if err != nil {
+			g.post(logDownEvent{})
+			pause(ctx, readRetryAfter)
+			wait = 0
+			continue
+		}
+		wait = readWait
+		reply := make(chan model.Offset, 1)
+		g.post(batchEvent{partition: partition, batch: batch, next: reply})
+		select {
+		case next = <-reply:
+		case <-g.stopped:
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/effects/guard_test.go
@@ -0,0 +1,153 @@
+package effects
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/effect"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+)
+
+var answer = effect.Result{Outcome: model.OutcomeRan, Status: 201, Body: []byte("booked")}
+
+func begin(t *testing.T, g *Guard, try effect.Try) Decision {
+	t.Helper()
+	d, err := g.Begin(t.Context(), try)
+	must.NoError(t, err)
+	return d
+}
+
+func refusal(ctx context.Context, t *testing.T, g *Guard, try effect.Try) *effect.Refusal {
+	t.Helper()
+	_, err := g.Begin(ctx, try)
+	var refused *effect.Refusal
+	must.True(t, errors.As(err, &refused))
+	return refused
+}
+
+// settled lets the guards read what the log has.
+func settled() {
+	<-time.After(time.Second)
+	synctest.Wait()
+}
+
+func TestRetryThroughAnotherHostGetsTheSameAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newFakeLog()
+		a := startGuard(t, l, "a", nil, member("b"))
+		b := startGuard(t, l, "b", nil, member("a"))
+		settled()
+		d := begin(t, a, confirmation("k"))
+		must.Eq(t, effect.ActionSend, d.Kind)
+
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		must.Eq(t, effect.CodeInProgress, refusal(ctx, t, b, confirmation("k")).Code)
+
+		waiting := make(chan Decision, 1)
+		go func() {
+			d, _ := b.Begin(context.Background(), confirmation("k"))
+			waiting <- d
+		}()
+		settled()
+		a.Finish(d.Right, answer)
+		must.Eq(t, answer, (<-waiting).Result)
+		must.Eq(t, answer, begin(t, a, confirmation("k")).Result)
+	})
+}
+
+func TestLostAppendAnswersAreSettledByReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newFakeLog()
+		g := startGuard(t, l, "a", nil)
+		settled()
+		before := l.set(func() { l.loseAnswers = 1 })
+		d := begin(t, g, confirmation("k"))
+		must.Eq(t, effect.ActionSend, d.Kind)
+		settled()
+		must.Eq(t, before+1, l.set(func() { l.loseAnswers = 3 }))
+		g.Finish(d.Right, answer)
+		settled()
+		must.Eq(t, before+2, l.set(func() {}))
+	})
+}
+
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newFakeLog()
+		a := startGuard(t, l, "a", nil)
+		b := startGuard(t, l, "b", nil)
+		settled()
+		l.set(func() { l.outage, l.delay = true, time.Second })
+		settled()
+		began := time.Now()
+		first := confirmation("k")
+		first.First = true
+		refused := refusal(t.Context(), t, a, first)
+		must.Eq(t, model.OutcomeNotRun, refused.Outcome)
+		must.True(t, refused.TakeTicket)
+		must.Eq(t, time.Duration(0), time.Since(began))
+
+		text, _, err := a.IssueTicket(t.Context(), "office")
+		must.NoError(t, err)
+		d := begin(t, a, confirmation(text))
+		must.Eq(t, effect.ActionSend, d.Kind)
+		a.Finish(d.Right, answer)
+		settled()
+		must.Eq(t, effect.ActionReplay, begin(t, a, confirmation(text)).Kind)
+		must.Eq(t, model.OutcomeUnknown, refusal(t.Context(), t, b, confirmation(text)).Outcome)
+
+		l.set(func() { l.outage, l.delay = false, 0 })
+		settled()
+		settled()
+		must.Eq(t, answer, begin(t, b, confirmation(text)).Result)
+		must.Eq(t, effect.ActionSend, begin(t, a, confirmation("k")).Kind)
+	})
+}
+
+func TestEntriesGoThroughTheBatchingHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newFakeLog()
+		peers := &fakePeers{}
+		a := startGuard(t, l, "a", peers, member("b"))
+		b := startGuard(t, l, "b", peers, member("a"))
+		settled()
+		before := peers.lead(b)
+		for _, key := range []string{"1", "2", "3", "4", "5", "6", "7", "8"} {
+			must.Eq(t, effect.ActionSend, begin(t, a, confirmation(key)).Kind)
+		}
+		must.Between(t, 1, peers.lead(nil)-before, 7)
+		for _, key := range []string{"9", "10", "11", "12", "13", "14", "15"} {
+			must.Eq(t, effect.ActionSend, begin(t, a, confirmation(key)).Kind)
+		}
+
+		// Entries that were handed over are not handed on.
+		peers.lead(a)
+		for _, key := range []string{"16", "17", "18", "19"} {
+			must.Eq(t, effect.ActionSend, begin(t, a, confirmation(key)).Kind)
+		}
+		settled()
+		before = peers.lead(a)
+		settled()
+		settled()
+		must.Eq(t, before, peers.lead(a))
+	})
+}
+
+func TestCallerThatLeavesFreesTheKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newFakeLog()
+		g := startGuard(t, l, "a", nil)
+		settled()
+		l.set(func() { l.delay = 100 * time.Millisecond })
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		must.Eq(t, model.OutcomeUnknown, refusal(ctx, t, g, confirmation("k")).Outcome)
+		must.Eq(t, effect.ActionSend, begin(t, g, confirmation("k")).Kind)
+	})
+}
