--- a/internal/server/engine_test.go
+++ b/internal/server/engine_test.go
@@ -29,7 +29,7 @@
 				got = text(r.body)
 			}
 			if r.err != nil || r.status != http.StatusOK || !strings.Contains(got, whole(tag, 10+i%7)) || strings.Count(got, "caller-") != 10+i%7 {
-				return fmt.Errorf("%s: status %d, error %v, body %q", tag, r.status, r.err, r.body)
+				return fmt.Errorf("%s: status %d, error %w, body %q", tag, r.status, r.err, r.body)
 			}
 			return nil
 		})
