Show that a shutdown cuts no stream; run scenarios one at a time

Two test runs on one machine met on the scenarios' fixed addresses; a lock file now lets one run at a time.

--- a/cmd/wigeonsail/load_real.go
+++ b/cmd/wigeonsail/load_real.go
@@ -142,11 +142,11 @@
 
 func printFigures(rows ...figureRow) error {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "TARGET\tREQUESTS\tREFUSED\tFAILED\tTOKENS\tPEAK OPEN\tFIRST P50\tFIRST P99\tBETWEEN P50\tBETWEEN P99")
+	fmt.Fprintln(w, "TARGET\tREQUESTS\tREFUSED\tFAILED\tTRUNCATED\tTOKENS\tPEAK OPEN\tFIRST P50\tFIRST P99\tBETWEEN P50\tBETWEEN P99")
 	for _, r := range rows {
 		f := r.figures
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%.2f ms\t%.2f ms\t%.2f ms\t%.2f ms\n", r.name, f.Requests, f.Refused, f.Failed,
-			f.Tokens, f.PeakOpen, f.FirstTokenP50, f.FirstTokenP99, f.BetweenP50, f.BetweenP99)
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f ms\t%.2f ms\t%.2f ms\t%.2f ms\n", r.name, f.Requests, f.Refused, f.Failed,
+			f.Truncated, f.Tokens, f.PeakOpen, f.FirstTokenP50, f.FirstTokenP99, f.BetweenP50, f.BetweenP99)
 	}
 	return w.Flush()
 }
--- a/cmd/wigeonsail/scenario_commands_test.go
+++ b/cmd/wigeonsail/scenario_commands_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"os"
+	"regexp"
 	"strconv"
 	"strings"
 	"syscall"
@@ -88,12 +89,13 @@
 	}
 }
 
-// cmdEventually repeats a request until its body contains a text:
-// eventually TEXT http-arguments...
+// cmdEventually repeats a request until its body matches a pattern:
+// eventually PATTERN http-arguments...
 func cmdEventually(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 3 {
-		ts.Fatalf("usage: eventually TEXT [-H 'Name: value']... METHOD URL [BODY]")
+		ts.Fatalf("usage: eventually PATTERN [-H 'Name: value']... METHOD URL [BODY]")
 	}
+	pattern := regexp.MustCompile(args[0])
 	header := make(http.Header)
 	rest := args[1:]
 	for len(rest) > 1 && rest[0] == "-H" {
@@ -104,7 +106,7 @@
 	last := ""
 	ok := poll(func() bool {
 		last = fetch(header, rest)
-		return strings.Contains(last, args[0])
+		return pattern.MatchString(last)
 	})
 	if !ok {
 		ts.Fatalf("no %q within %s, last answer: %s", args[0], scenarioTimeout, last)
--- a/cmd/wigeonsail/scenario_test.go
+++ b/cmd/wigeonsail/scenario_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"os"
+	"path/filepath"
 	"testing"
 
+	"github.com/rogpeppe/go-internal/lockedfile"
 	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/shoenig/test/must"
 )
 
 func TestMain(m *testing.M) {
@@ -13,7 +16,13 @@
 	})
 }
 
+// TestScenarios runs one at a time on a machine, since scenarios listen on
+// fixed addresses.
 func TestScenarios(t *testing.T) {
+	lock := lockedfile.MutexAt(filepath.Join(os.TempDir(), "wigeonsail-scenarios.lock"))
+	unlock, err := lock.Lock()
+	must.NoError(t, err)
+	t.Cleanup(unlock)
 	testscript.Run(t, testscript.Params{
 		Dir:  "../../scenarios",
 		Cmds: scenarioCommands,
--- a/internal/load/measure.go
+++ b/internal/load/measure.go
@@ -22,7 +22,9 @@
 	// come back.
 	Failed  int `json:"failed"`
 	Refused int `json:"refused"`
-	Tokens  int `json:"tokens"`
+	// Truncated answers began and did not reach their end. They are failed.
+	Truncated int `json:"truncated"`
+	Tokens    int `json:"tokens"`
 	// Times in milliseconds.
 	FirstTokenP50 float64 `json:"first_token_p50_ms"`
 	FirstTokenP99 float64 `json:"first_token_p99_ms"`
@@ -77,6 +79,9 @@
 	if n.firstToken == 0 {
 		return
 	}
+	if err != nil {
+		m.figures.Truncated++
+	}
 	record(m.firsts, n.firstToken)
 	m.figures.Tokens += 1 + len(n.gaps)
 	for _, gap := range n.gaps {
