--- a/cmd/wigeonsail/load.go
+++ b/cmd/wigeonsail/load.go
@@ -1,19 +1,22 @@
 package main
 
-import "errors"
+import "time"
 
 // loadCmd drives traffic and reports what became of it.
 type loadCmd struct {
-	Virtual bool `help:"Compare policies on a virtual clock, without processes."`
-	JSON    bool `help:"Print JSON on stdout." name:"json"`
+	Virtual  bool          `help:"Compare policies on a virtual clock, without processes."`
+	JSON     bool          `help:"Print JSON on stdout." name:"json"`
+	Seed     uint64        `default:"1" help:"Seed of arrivals, sizes and endpoints."`
+	Duration time.Duration `default:"10s" help:"Time during which requests arrive."`
 
 	virtualFlags
+	realFlags
 }
 
 // Run chooses the way of driving.
 func (c *loadCmd) Run() error {
 	if c.Virtual {
-		return c.runVirtual(c.JSON)
+		return c.runVirtual(c.Seed, c.Duration, c.JSON)
 	}
-	return &usageError{cause: errors.New("load: give --virtual")}
+	return c.runReal(c.Seed, c.Duration, c.JSON)
 }
--- a/cmd/wigeonsail/load_virtual.go
+++ b/cmd/wigeonsail/load_virtual.go
@@ -16,21 +16,19 @@
 
 // virtualFlags are the flags of `load --virtual`.
 type virtualFlags struct {
-	Seed        uint64        `default:"1" help:"Seed of arrivals, sizes and endpoints."`
 	Overload    float64       `default:"1" help:"Offered load against the capacity."`
 	DigestDelay time.Duration `default:"200ms" help:"Age of the hosts' digests of each other."`
-	Duration    time.Duration `default:"120s" help:"Time during which requests arrive."`
 }
 
-func (f *virtualFlags) runVirtual(asJSON bool) error {
-	if f.Overload <= 0 || f.Duration <= 0 || f.DigestDelay < 0 {
+func (f *virtualFlags) runVirtual(seed uint64, duration time.Duration, asJSON bool) error {
+	if f.Overload <= 0 || duration <= 0 || f.DigestDelay < 0 {
 		return &usageError{cause: errors.New("load: --overload and --duration must be above 0, --digest-delay at least 0")}
 	}
 	report := virtual.Compare(virtual.Options{
-		Seed:        f.Seed,
+		Seed:        seed,
 		Overload:    f.Overload,
 		DigestDelay: f.DigestDelay,
-		Duration:    f.Duration,
+		Duration:    duration,
 	})
 	if asJSON {
 		return json.NewEncoder(os.Stdout).Encode(report)
--- /dev/null
+++ b/internal/host/burn.go
@@ -0,0 +1,46 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/burn"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+// burnEvent counts the end of a request.
+type burnEvent struct{ burn.Event }
+
+func (e burnEvent) apply(now time.Time, c *control) { c.burn.Record(now, e.Event) }
+
+// wasteEvent counts tokens that were generated and not used.
+type wasteEvent struct {
+	class  model.ClassName
+	cause  burn.WasteCause
+	tokens int
+}
+
+func (e wasteEvent) apply(now time.Time, c *control) { c.burn.Waste(now, e.class, e.cause, e.tokens) }
+
+// Burn returns this host's service-level counts over the window that ends now.
+func (h *Host) Burn(ctx context.Context, window time.Duration) (burn.Gathered, error) {
+	snapshot, err := ask(ctx, h, func(now time.Time, c *control) burn.Snapshot { return c.burn.Snapshot(now, window) })
+	if err != nil {
+		return burn.Gathered{}, err
+	}
+	return burn.Gathered{Snapshot: snapshot, Answered: []model.HostID{h.opts.ID}}, nil
+}
+
+// HandleBurn returns the encoded counts of this host or of its domain.
+func (h *Host) HandleBurn(ctx context.Context, query port.BurnQuery) ([]byte, error) {
+	get := h.Burn
+	if query.WholeDomain {
+		get = h.gatherDomain
+	}
+	counts, err := get(ctx, query.Window)
+	if err != nil {
+		return nil, err
+	}
+	return counts.Encode()
+}
