Grow the room slowly above what an endpoint has shown

Cause: the readbacks that missed their target were granted to engines whose learned room was one or two above their slots, and waited there for seconds.

--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -10,6 +10,9 @@
 	roomIncrease = 1
 	// roomDecrease is the factor on the room after a sign of congestion.
 	roomDecrease = 0.85
+	// probeFactor slows the increase above what the endpoint itself has shown
+	// to serve at once.
+	probeFactor = 0.05
 	// roomRaise bounds the learned room by the configured one.
 	roomRaise = 4
 	// decreaseEvery is the least time between two decreases, since signs of
@@ -24,6 +27,9 @@
 	value     float64
 	start     float64
 	decreased time.Time
+	// ceiling is what the endpoint served at once when it last queued work; 0
+	// while unknown.
+	ceiling float64
 }
 
 // NewRoom starts from the configured room.
@@ -40,13 +46,18 @@
 	if used+1 < int(r.value) {
 		return
 	}
-	r.value = min(r.value+roomIncrease/r.value, r.start*roomRaise)
+	step := roomIncrease / r.value
+	if r.ceiling > 0 && r.value+step > r.ceiling {
+		step *= probeFactor
+	}
+	r.value = min(r.value+step, r.start*roomRaise)
 }
 
 // Queued tells that requests wait at an endpoint while running others do not:
 // the endpoint itself shows how many it serves at once.
 func (r *Room) Queued(running int) {
-	r.value = min(r.value, float64(max(running, 1)))
+	r.ceiling = float64(max(running, 1))
+	r.value = min(r.value, r.ceiling)
 }
 
 // Congested tells of late answers.
