Leave a margin for errors of an expected wait

Cause: questions were accepted on an expected wait that only just met their target and then missed it; what they used was taken from those in time.

Now half of what is left, at most 2 s, is kept as a margin.

--- a/internal/core/dispatch/submit.go
+++ b/internal/core/dispatch/submit.go
@@ -12,6 +12,9 @@
 	// refusal states.
 	minRetryAfter = time.Second
 	maxRetryAfter = 2 * time.Minute
+	// maxMargin bounds the margin for errors of an expected wait, which is half
+	// of what is left.
+	maxMargin = 2 * time.Second
 	// elapsedQuantile is the share of answers that a request's deadline must
 	// leave time for when it has to wait.
 	elapsedQuantile = 0.95
@@ -126,7 +129,8 @@
 		usual := min(s.firstToken.Quantile(firstTokenQuantile), target/2)
 		slack = min(slack, target-now.Sub(req.Arrived)-usual)
 	}
-	return max(wait-max(slack, 0), 0)
+	slack = max(slack, 0)
+	return max(wait-slack+min(slack/2, maxMargin), 0)
 }
 
 func (d *Dispatcher) enqueue(now time.Time, r *request) {
