--- a/internal/core/admission/fair.go
+++ b/internal/core/admission/fair.go
@@ -59,7 +59,7 @@
 	if own == 0 {
 		shares += share
 	}
-	byShare := (own+1)*shares/max(share, 1) + len(q.resumed.items)
+	byShare := (own+1)*shares/max(share, 1) - 1 + len(q.resumed.items)
 	return min(q.length, byShare)
 }
 
--- a/internal/core/dispatch/config.go
+++ b/internal/core/dispatch/config.go
@@ -75,6 +75,7 @@
 		}
 		e := keepEndpoint(before[c.Name], c)
 		e.SetLeaving(placement.LeavingConfig, c.Leaving)
+		e.Index = len(p.endpoints)
 		p.endpoints = append(p.endpoints, e)
 		d.endpoints[c.Name] = &endpointRef{Endpoint: e, pool: p}
 	}
--- a/internal/core/dispatch/run.go
+++ b/internal/core/dispatch/run.go
@@ -8,6 +8,10 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/placement"
 )
 
+// protectedSpare is the room that an endpoint must have beside a protected
+// request to be chosen without preemption.
+const protectedSpare = 1
+
 // run grants waiting requests of a pool while there is room for them.
 func (d *Dispatcher) run(now time.Time, p *pool, out []Action) []Action {
 	for p.tiers.Len() > 0 {
@@ -19,20 +23,34 @@
 			return out
 		}
 		r := d.requests[it.ID]
-		e := d.choose(now, r)
+		e, acts := d.makeRoom(now, r, room.limit)
 		if e == nil {
-			var act Action
-			if act, e = d.preemptFor(now, r, room.limit); e == nil {
-				return out
-			}
-			out = append(out, act)
+			return out
 		}
 		p.tiers.Queue(index).Take(it)
+		out = append(out, acts...)
 		out = append(out, d.grant(now, r, e))
 	}
 	return out
 }
 
+// makeRoom returns the endpoint for a request, by preemption where no endpoint
+// has room. A protected request rather preempts than goes to an endpoint that
+// is all but full, since what is known of the peers' work there is late.
+func (d *Dispatcher) makeRoom(now time.Time, r *request, limit int) (*placement.Endpoint, []Action) {
+	spare := 0
+	if r.class.Protected {
+		spare = protectedSpare
+	}
+	if e := d.choose(now, r, spare); e != nil {
+		return e, nil
+	}
+	if act, e := d.preemptFor(now, r, limit); e != nil {
+		return e, []Action{act}
+	}
+	return d.choose(now, r, 0), nil
+}
+
 // roomOf returns what a pool has for a class, with what it could preempt. While
 // a peer has protected requests waiting, other classes keep to their floor.
 func (d *Dispatcher) roomOf(now time.Time, p *pool, c *class, room poolRoom) admission.Room {
@@ -47,12 +65,13 @@
 	return out
 }
 
-func (d *Dispatcher) choose(now time.Time, r *request) *placement.Endpoint {
+func (d *Dispatcher) choose(now time.Time, r *request, spare int) *placement.Endpoint {
 	return placement.Choose(now, d.rng, r.pool.endpoints, placement.Wish{
 		Prefix:    r.req.Prefix,
 		Model:     r.req.Model,
 		Avoid:     r.req.Avoid,
 		Protected: r.class.Protected,
+		Spare:     spare,
 	})
 }
 
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -12,6 +12,10 @@
 // prefix affinity to hold.
 const affinityBound = 1.25
 
+// coolLoad is the load up to which prefix affinity holds whatever the others
+// do.
+const coolLoad = 0.5
+
 // Wish is what a request asks of its endpoint.
 type Wish struct {
 	// Prefix is a hash of the prompt's start; 0 for none.
@@ -20,6 +24,8 @@
 	Model model.ModelName
 	// Protected says that the request's class is protected.
 	Protected bool
+	// Spare is the room that must be left beside the request.
+	Spare int
 	// Avoid lists endpoints that failed an earlier try. They are used only
 	// when no other has room.
 	Avoid []model.EndpointName
@@ -58,9 +64,9 @@
 }
 
 // dueTrial returns an ejected endpoint whose trial is due. A request that has
-// failed before is not risked.
+// failed before or is protected is not risked.
 func dueTrial(now time.Time, pool []*Endpoint, w Wish) *Endpoint {
-	if len(w.Avoid) > 0 {
+	if len(w.Avoid) > 0 || w.Protected {
 		return nil
 	}
 	for _, e := range pool {
@@ -91,12 +97,12 @@
 			best, bestScore = e, score
 		}
 	}
-	if best == nil || best.Free(now, w.Protected) == 0 || !w.accepts(best) {
+	if best == nil || best.Free(now, w.Protected) <= w.Spare || !w.accepts(best) {
 		return nil
 	}
 	mean := float64(used+1) / float64(room)
 	load := float64(best.Own+best.Peers.InFlight+1) / float64(best.Room.Value())
-	if load > affinityBound*mean {
+	if load > max(affinityBound*mean, coolLoad) {
 		return nil
 	}
 	return best
@@ -109,7 +115,7 @@
 	var first, second *Endpoint
 	seen := 0
 	for _, e := range pool {
-		if e.Free(now, w.Protected) == 0 || !w.accepts(e) {
+		if e.Free(now, w.Protected) <= w.Spare || !w.accepts(e) {
 			continue
 		}
 		seen++
--- a/internal/core/placement/endpoint.go
+++ b/internal/core/placement/endpoint.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -8,6 +9,9 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
 
+// goldenRatio spreads the rounding of parts evenly over the endpoints of a pool.
+const goldenRatio = 0.6180339887
+
 // meanWeight is the weight of the newest sample in a learned mean.
 const meanWeight = 0.1
 
@@ -15,6 +19,8 @@
 type Endpoint struct {
 	Name    model.EndpointName
 	Address string
+	// Index is the position in the pool, the same at all hosts.
+	Index int
 	// Own is this host's work at the endpoint.
 	Own int
 	// Limit is how much work this host may have at the endpoint.
@@ -102,7 +108,7 @@
 
 // Refresh works out the limit after the room or the peers' work changed.
 func (e *Endpoint) Refresh(s Sharing) {
-	offset := float64(e.hash>>40) / (1 << 24)
+	_, offset := math.Modf(float64(e.Index) * goldenRatio)
 	e.Limit = s.limit(e.Room.Value(), e.Peers, offset)
 	e.ProtectedLimit = e.Limit
 	if s == SharingParts {
--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -10,6 +10,8 @@
 	roomIncrease = 1
 	// roomDecrease is the factor on the room after a sign of congestion.
 	roomDecrease = 0.85
+	// maxStep bounds what one answer adds, for endpoints with little room.
+	maxStep = 0.25
 	// probeFactor slows the increase above what the endpoint itself has shown
 	// to serve at once.
 	probeFactor = 0.05
@@ -46,7 +48,7 @@
 	if used+1 < int(r.value) {
 		return
 	}
-	step := roomIncrease / r.value
+	step := min(roomIncrease/r.value, maxStep)
 	if r.ceiling > 0 && r.value+step > r.ceiling {
 		step *= probeFactor
 	}
--- a/internal/virtual/clock.go
+++ b/internal/virtual/clock.go
@@ -29,12 +29,12 @@
 	heap.Push(&c.events, event{at: c.now.Add(max(d, 0)), order: c.order, run: run})
 }
 
-// every runs an event again and again until the given time.
-func (c *clock) every(first, period time.Duration, until time.Time, run func()) {
+// every runs an event again and again until stop says so.
+func (c *clock) every(first, period time.Duration, stop func() bool, run func()) {
 	c.after(first, func() {
 		run()
-		if c.now.Before(until) {
-			c.every(period, period, until, run)
+		if !stop() {
+			c.every(period, period, stop, run)
 		}
 	})
 }
--- a/internal/virtual/cluster.go
+++ b/internal/virtual/cluster.go
@@ -49,9 +49,11 @@
 	engines []*engine
 	byName  map[model.EndpointName]*engine
 	jobs    []*job
-	byID    map[model.RequestID]*job
-	rng     *rand.Rand
-	stats   sharingStats
+	// open are the jobs that may not have ended.
+	open  []*job
+	byID  map[model.RequestID]*job
+	rng   *rand.Rand
+	stats sharingStats
 }
 
 func newCluster(opts Options, w *workload) *cluster {
@@ -139,6 +141,7 @@
 		c.byID[j.id] = j
 		c.clock.after(a.at, func() { c.arrive(j) })
 	}
+	c.open = c.jobs
 	slow := c.engines[0]
 	speed := slow.speed
 	part := func(p float64) time.Duration { return seconds(p * c.opts.Duration.Seconds()) }
@@ -161,7 +164,7 @@
 	if j.ended() {
 		return
 	}
-	h = c.owner(j, h, forwarded)
+	h = c.owner(j, h)
 	j.host = h
 	c.stats.wait(j, h.domain)
 	c.apply(h, h.Submit(c.clock.now, model.Request{
--- a/internal/virtual/digests.go
+++ b/internal/virtual/digests.go
@@ -23,8 +23,6 @@
 	forgetAfter = 10 * time.Second
 	// cutFrom is the part of the run at which a host is cut off.
 	cutFrom = 0.3
-	// toPeer is the time of a message between hosts of a domain.
-	toPeer = 300 * time.Microsecond
 )
 
 // peer is a host with a dispatcher and its view of the others.
@@ -64,23 +62,25 @@
 func (p *peer) schedule(all []*peer) {
 	c := p.cluster
 	offset := time.Duration(p.index) * time.Millisecond
-	end := c.clock.now.Add(c.opts.Duration + c.longestDeadline())
-	c.clock.every(offset, tickEvery, end, func() { c.apply(p.host, p.core.Tick(c.clock.now)) })
+	c.clock.every(offset, tickEvery, c.idle, func() { c.apply(p.host, p.core.Tick(c.clock.now)) })
 	period := digestEvery
 	if c.opts.DigestDelay == 0 {
 		period = freshDigestEvery
 	}
-	c.clock.every(offset, period, end, func() { p.sendDigest(all) })
-	c.clock.every(offset, domainDigestEvery, end, func() { p.sendDomainDigest(all) })
-	c.clock.every(offset, reportEvery, end, func() { p.readReports() })
+	c.clock.every(offset, period, c.idle, func() { p.sendDigest(all) })
+	c.clock.every(offset, domainDigestEvery, c.idle, func() { p.sendDomainDigest(all) })
+	c.clock.every(offset, reportEvery, c.idle, func() { p.readReports() })
 }
 
-func (c *cluster) longestDeadline() time.Duration {
-	longest := time.Duration(0)
-	for _, l := range c.load.classes {
-		longest = max(longest, l.Deadline.Std())
+// idle says that all requests have arrived and ended.
+func (c *cluster) idle() bool {
+	if c.clock.now.Sub(time.Unix(0, 0)) < c.opts.Duration {
+		return false
 	}
-	return longest
+	for len(c.open) > 0 && c.open[0].ended() {
+		c.open = c.open[1:]
+	}
+	return len(c.open) == 0
 }
 
 // cutOff says that the host exchanges no digests.
@@ -161,7 +161,7 @@
 
 // owner returns the host that grants for the request where endpoints have
 // owners, and otherwise the host itself.
-func (c *cluster) owner(j *job, h *host, forwarded bool) *host {
+func (c *cluster) owner(j *job, h *host) *host {
 	if c.opts.Sharing != placement.SharingOwner || h.id == "" {
 		return h
 	}
