Find a request that gives way without a scan of all running ones

Cause, by profile: a third of a decision's time went into scanning all running drafts for one that could be preempted, also where no endpoint resumes.

Now the class that gives way is found first, and its requests are looked at only until one can.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -63,7 +63,7 @@
 	// tokens were relayed in the running attempt.
 	tokens      int
 	preemptions int
-	// place is the position among the pool's preemptible requests.
+	// place is the position among the running requests of its class.
 	place int
 }
 
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -19,8 +19,6 @@
 	states    []*classState
 	// demand is the offered load of all classes.
 	demand admission.Demand
-	// preemptible are the running requests that give way.
-	preemptible []*request
 	// yields says that a peer has protected requests waiting for the pool.
 	yields bool
 }
@@ -30,7 +28,9 @@
 	// seen says that the class sends requests to the pool.
 	seen bool
 	// inFlight is this host's work of the class in the pool.
-	inFlight   int
+	inFlight int
+	// running are the requests in flight, where the class is preemptible.
+	running    []*request
 	drain      admission.DrainRate
 	firstToken attempt.Durations
 	elapsed    attempt.Durations
@@ -100,21 +100,20 @@
 	return s.drain.Wait(now, ahead+1)
 }
 
-// addPreemptible and removePreemptible keep the list of running requests that
-// give way.
-func (p *pool) addPreemptible(r *request) {
-	r.place = len(p.preemptible)
-	p.preemptible = append(p.preemptible, r)
+// addRunning and removeRunning keep the list of requests that may give way.
+func (s *classState) addRunning(r *request) {
+	r.place = len(s.running)
+	s.running = append(s.running, r)
 }
 
-func (p *pool) removePreemptible(r *request) {
-	last := len(p.preemptible) - 1
-	if r.place > last || p.preemptible[r.place] != r {
+func (s *classState) removeRunning(r *request) {
+	last := len(s.running) - 1
+	if r.place > last || s.running[r.place] != r {
 		return
 	}
-	moved := p.preemptible[last]
-	p.preemptible[r.place] = moved
+	moved := s.running[last]
+	s.running[r.place] = moved
 	moved.place = r.place
-	p.preemptible[last] = nil
-	p.preemptible = p.preemptible[:last]
+	s.running[last] = nil
+	s.running = s.running[:last]
 }
--- a/internal/core/dispatch/run.go
+++ b/internal/core/dispatch/run.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/admission"
@@ -61,7 +62,7 @@
 	} else if p.yields && out.InFlight >= p.tiers.Floor(now, c.index, room.limit) {
 		return out
 	}
-	out.Fits = free > p.reserved(d.rules, c, room.limit) || d.victim(now, p, c, room.limit) != nil
+	out.Fits = free > p.reserved(d.rules, c, room.limit) || d.givingClass(now, p, c, room.limit) != nil
 	return out
 }
 
@@ -90,7 +91,7 @@
 	r.granted = now
 	r.tokens = 0
 	if r.class.Preemptible && !r.class.Protected {
-		r.pool.addPreemptible(r)
+		s.addRunning(r)
 	}
 	return Action{
 		Kind:     ActionGrant,
@@ -107,49 +108,54 @@
 	r.endpoint.Own--
 	r.endpoint = nil
 	r.state.inFlight--
-	r.pool.removePreemptible(r)
+	r.state.removeRunning(r)
 	if l := r.class.limits[r.Account]; l != nil {
 		l.tokens -= r.tokens
 	}
 }
 
+// givingClass returns the lowest class of which a running request gives way to
+// one of class c, or nil. To a class that is not protected it gives way down to
+// its floor.
+func (d *Dispatcher) givingClass(now time.Time, p *pool, c *class, limit int) *classState {
+	for i := len(p.states) - 1; i > c.index; i-- {
+		if d.rules.classes[i].Tier <= c.Tier {
+			return nil
+		}
+		s := p.states[i]
+		kept := 0
+		if !c.Protected {
+			kept = p.tiers.Floor(now, i, limit)
+		}
+		if s.inFlight > kept && slices.ContainsFunc(s.running, (*request).canGiveWay) {
+			return s
+		}
+	}
+	return nil
+}
+
 // victim returns the running request that gives way to one of class c: of the
 // lowest class, the one with the latest deadline, so that the oldest requests
-// go on and end. Only endpoints that can resume are considered.
+// go on and end.
 func (d *Dispatcher) victim(now time.Time, p *pool, c *class, limit int) *request {
+	s := d.givingClass(now, p, c, limit)
+	if s == nil {
+		return nil
+	}
 	var best *request
-	for _, r := range p.preemptible {
-		if !r.givesWayTo(now, c, limit) {
-			continue
-		}
-		if best == nil || r.givesWayBefore(best) {
+	for _, r := range s.running {
+		if r.canGiveWay() && (best == nil || r.Deadline.After(best.Deadline)) {
 			best = r
 		}
 	}
 	return best
 }
 
-// givesWayTo says whether a running request may be preempted for class c. For
-// classes that are not protected its class keeps the floor.
-func (r *request) givesWayTo(now time.Time, c *class, limit int) bool {
-	if r.class.Tier <= c.Tier || !r.endpoint.CanResume {
-		return false
-	}
-	if r.endpoint.Leaving() || r.endpoint.Health.Ejected() {
-		return false
-	}
-	if c.Protected {
-		return true
-	}
-	kept := r.pool.tiers.Floor(now, r.class.index, limit)
-	return r.state.inFlight > kept
-}
-
-func (r *request) givesWayBefore(other *request) bool {
-	if r.class.index != other.class.index {
-		return r.class.index > other.class.index
-	}
-	return r.Deadline.After(other.Deadline)
+// canGiveWay says that the endpoint can resume the request and may be given
+// another in its place.
+func (r *request) canGiveWay() bool {
+	e := r.endpoint
+	return e.CanResume && !e.Leaving() && !e.Health.Ejected()
 }
 
 // preemptFor cancels a running request for one of a higher tier and returns the
