--- a/internal/core/dispatch/overload_test.go
+++ b/internal/core/dispatch/overload_test.go
@@ -137,6 +137,21 @@
 	must.SliceEmpty(t, acts, must.Sprint("orders are never shed for questions"))
 }
 
+func TestOrdersAreNotShedForAnExpectedWait(t *testing.T) {
+	b := newBench(testConfig("e1"))
+	running, _ := b.submit(at(0), "order", "big")
+	for i := 1; i <= 20; i++ {
+		now := at(i * 10000)
+		_, acts := b.submit(now, "order", "big")
+		must.SliceEmpty(t, acts)
+		_, acts = b.submit(now, "order", "big")
+		must.SliceEmpty(t, acts)
+		for _, a := range b.Finish(now, running, 1, ran) {
+			running = a.Request
+		}
+	}
+}
+
 func TestExpiredRequestIsAnsweredAtOnce(t *testing.T) {
 	b := newBench(testConfig("e1"))
 	b.submit(at(0), "question", "big")
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -178,6 +178,7 @@
 	must.Nil(t, choose(placement.Wish{Spare: 1}))
 	pool[1].Models = []model.ModelName{"other"}
 	must.Eq(t, pool[0], choose(placement.Wish{Model: "m"}))
+	must.Eq(t, pool[1], choose(placement.Wish{Model: "other"}))
 	must.NotNil(t, choose(placement.Wish{Model: "nowhere"}))
 	pool[1].Own = 1
 	must.Eq(t, pool[0], choose(placement.Wish{Avoid: []model.EndpointName{"e0"}}), must.Sprint("avoided only while others have room"))
