--- a/internal/host/membership.go
+++ b/internal/host/membership.go
@@ -59,7 +59,7 @@
 // sendBeat sends one heartbeat, unless the last one to the address is still
 // under way.
 func (c *control) sendBeat(address string, beat membership.Beat) {
-	if c.beating[address] {
+	if c.beating[address] || c.host.opts.Peers == nil {
 		return
 	}
 	c.beating[address] = true
