Carry calls between hosts over gRPC

PeerError.Sent is false only when the call was never handed to a connection, as gRPC reports it in the calling goroutine, or when the peer refused the authentication. A batching host's platform error travels in trailers.

--- /dev/null
+++ b/internal/adapter/peergrpc/client.go
@@ -0,0 +1,139 @@
+// Package peergrpc carries the calls between entry hosts over gRPC: Client
+// implements port.Peers, and Server serves a port.PeerHandler.
+package peergrpc
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/metadata"
+
+	"github.com/wigeonsail/wigeonsail/api/peer"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+const (
+	// callTimeout bounds a call whose context ends later or never; streams
+	// are bounded by their request's deadline instead.
+	callTimeout = 2 * time.Second
+	// firstReconnectAfter and maxReconnectAfter bound the jittered backoff
+	// between tries to connect.
+	firstReconnectAfter = 100 * time.Millisecond
+	maxReconnectAfter   = 2 * time.Second
+	reconnectFactor     = 1.6
+	reconnectJitter     = 0.2
+)
+
+// Client calls other hosts. It is safe for concurrent use.
+type Client struct {
+	connections *connections
+}
+
+var _ port.Peers = (*Client)(nil)
+
+// NewClient returns a Client. It fails with an *AuthError.
+func NewClient(auth Auth) (*Client, error) {
+	transport, err := auth.transport()
+	if err != nil {
+		return nil, err
+	}
+	opts := []grpc.DialOption{
+		grpc.WithTransportCredentials(transport),
+		grpc.WithNoProxy(),
+		grpc.WithDisableRetry(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithStatsHandler(sentStats{}),
+		grpc.WithDefaultCallOptions(
+			grpc.MaxCallRecvMsgSize(maxMessageBytes),
+			grpc.MaxCallSendMsgSize(maxMessageBytes),
+		),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingTimeout}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff: backoff.Config{
+				BaseDelay: firstReconnectAfter, Multiplier: reconnectFactor,
+				Jitter: reconnectJitter, MaxDelay: maxReconnectAfter,
+			},
+			MinConnectTimeout: handshakeTimeout,
+		}),
+	}
+	if !auth.usesTLS() {
+		opts = append(opts, grpc.WithPerRPCCredentials(tokenCredentials{token: token(auth.Secret)}))
+	}
+	dial := func(address string) (*grpc.ClientConn, error) {
+		return grpc.NewClient("passthrough:///"+address, opts...)
+	}
+	return &Client{connections: newConnections(connectionIdleTime, dial)}, nil
+}
+
+// Close closes all connections and cuts calls in progress.
+func (c *Client) Close() { c.connections.close() }
+
+// unary does one call that is answered whole.
+func unary[Req, Res any](
+	ctx context.Context, c *Client, op, address string, req Req,
+	do func(peer.PeerClient, context.Context, Req, ...grpc.CallOption) (Res, error),
+) (Res, error) {
+	var none Res
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	ctx, mark := withSentMark(ctx)
+	conn, release, err := c.connections.get(address)
+	if err != nil {
+		return none, peerError(op, address, mark, err)
+	}
+	defer release()
+	var trailer metadata.MD
+	res, err := do(peer.NewPeerClient(conn), ctx, req, grpc.Trailer(&trailer))
+	if err != nil {
+		return none, peerError(op, address, mark, platformCause(trailer, err))
+	}
+	return res, nil
+}
+
+// Exchange implements port.Peers.
+func (c *Client) Exchange(ctx context.Context, address string, beat port.Heartbeat) (port.Heartbeat, error) {
+	res, err := unary(ctx, c, "exchange", address, heartbeatToWire(beat), peer.PeerClient.Exchange)
+	if err != nil {
+		return port.Heartbeat{}, err
+	}
+	return heartbeatFromWire(res), nil
+}
+
+// FetchConfig implements port.Peers.
+func (c *Client) FetchConfig(ctx context.Context, address string, newerThan model.Version) (port.ConfigRecord, error) {
+	req := &peer.FetchConfigRequest{NewerThan: uint64(newerThan)}
+	res, err := unary(ctx, c, "fetch config", address, req, peer.PeerClient.FetchConfig)
+	if err != nil {
+		return port.ConfigRecord{}, err
+	}
+	return port.ConfigRecord{
+		Version: model.Version(res.GetVersion()),
+		Offset:  model.Offset(res.GetOffset()),
+		Data:    res.GetData(),
+	}, nil
+}
+
+// AppendClaims implements port.Peers. When the batching host's append failed,
+// the error wraps that host's *port.PlatformError.
+func (c *Client) AppendClaims(ctx context.Context, address string, entries []port.ClaimEntry) ([]port.ClaimPlace, error) {
+	req := &peer.AppendClaimsRequest{Entries: convert(entries, claimToWire)}
+	res, err := unary(ctx, c, "append claims", address, req, peer.PeerClient.AppendClaims)
+	if err != nil {
+		return nil, err
+	}
+	return convert(res.GetPlaces(), placeFromWire), nil
+}
+
+// Burn implements port.Peers.
+func (c *Client) Burn(ctx context.Context, address string, query port.BurnQuery) ([]byte, error) {
+	req := &peer.BurnRequest{WindowMs: query.Window.Milliseconds()}
+	res, err := unary(ctx, c, "burn", address, req, peer.PeerClient.Burn)
+	if err != nil {
+		return nil, err
+	}
+	return res.GetCounts(), nil
+}
--- /dev/null
+++ b/internal/adapter/peergrpc/connections.go
@@ -0,0 +1,88 @@
+package peergrpc
+
+import (
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+)
+
+// connection is a cached connection to one address.
+type connection struct {
+	conn *grpc.ClientConn
+	// calls counts the calls in progress.
+	calls int
+	// used is the end of the last call.
+	used time.Time
+}
+
+// connections caches one connection an address and closes those that are not
+// used for idleTime.
+type connections struct {
+	dial     func(address string) (*grpc.ClientConn, error)
+	idleTime time.Duration
+
+	mu        sync.Mutex
+	byAddress map[string]*connection
+	swept     time.Time
+}
+
+func newConnections(idleTime time.Duration, dial func(string) (*grpc.ClientConn, error)) *connections {
+	return &connections{
+		dial:      dial,
+		idleTime:  idleTime,
+		byAddress: map[string]*connection{},
+		swept:     time.Now(),
+	}
+}
+
+// get returns the address's connection. The caller calls release when its
+// call has ended.
+func (c *connections) get(address string) (conn *grpc.ClientConn, release func(), err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sweep(time.Now())
+	entry, ok := c.byAddress[address]
+	if !ok {
+		conn, err := c.dial(address)
+		if err != nil {
+			return nil, nil, err
+		}
+		entry = &connection{conn: conn}
+		c.byAddress[address] = entry
+	}
+	entry.calls++
+	return entry.conn, func() { c.release(entry) }, nil
+}
+
+func (c *connections) release(entry *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	entry.calls--
+	entry.used = time.Now()
+}
+
+// sweep closes idle connections, at most twice in an idle time. The caller
+// holds mu.
+func (c *connections) sweep(now time.Time) {
+	if now.Sub(c.swept) < c.idleTime/2 {
+		return
+	}
+	c.swept = now
+	for address, entry := range c.byAddress {
+		if entry.calls == 0 && now.Sub(entry.used) >= c.idleTime {
+			_ = entry.conn.Close()
+			delete(c.byAddress, address)
+		}
+	}
+}
+
+// close closes all connections and cuts their calls.
+func (c *connections) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, entry := range c.byAddress {
+		_ = entry.conn.Close()
+		delete(c.byAddress, address)
+	}
+}
