--- a/cmd/wigeonsail/serve.go
+++ b/cmd/wigeonsail/serve.go
@@ -7,9 +7,8 @@
 	"syscall"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/json"
-	"github.com/apex/log/handlers/text"
 
+	"github.com/wigeonsail/wigeonsail/internal/logging"
 	"github.com/wigeonsail/wigeonsail/internal/server"
 	"github.com/wigeonsail/wigeonsail/internal/settings"
 )
@@ -18,14 +17,16 @@
 	Config string `short:"c" required:"" placeholder:"FILE" help:"Settings of the host (host.toml)."`
 }
 
-// Run serves until SIGINT or SIGTERM, then leaves gracefully. A second signal
-// does not cut requests in progress.
+// Run serves until SIGINT, SIGTERM or an order to leave, then leaves
+// gracefully. A second signal does not cut requests in progress.
 func (c serveCmd) Run() error {
 	s, err := settings.Load(c.Config)
 	if err != nil {
 		return &usageError{cause: err}
 	}
-	setUpLog(s.Log)
+	if err := logging.Setup(os.Stderr, s.Log); err != nil {
+		return &usageError{cause: err}
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	srv, err := server.New(s, log.Log)
@@ -33,16 +34,9 @@
 		return &usageError{cause: err}
 	}
 	srv.Start()
-	<-ctx.Done()
-	return srv.Shutdown(context.Background())
-}
-
-// setUpLog sends log lines to stderr, since stdout is for data.
-func setUpLog(s settings.Log) {
-	log.SetLevelFromString(s.Level)
-	if s.Format == "json" {
-		log.SetHandler(json.New(os.Stderr))
-		return
+	select {
+	case <-ctx.Done():
+	case <-srv.LeaveAsked():
 	}
-	log.SetHandler(text.New(os.Stderr))
+	return srv.Shutdown(context.Background())
 }
--- /dev/null
+++ b/internal/core/dispatch/peers.go
@@ -0,0 +1,193 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/placement"
+)
+
+const (
+	// spillDigestAge is the oldest digest of another domain that requests are
+	// spilled on.
+	spillDigestAge = 5 * time.Second
+	// reportMaxAge is the oldest load report that is believed.
+	reportMaxAge = 5 * time.Second
+	// baseRate keeps a part of the room for a host without demand, in requests
+	// a second.
+	baseRate = 1.0
+)
+
+// SetPeers replaces the view of the other hosts.
+func (d *Dispatcher) SetPeers(now time.Time, view PeerView) []Action {
+	d.peers = view
+	d.countPeers()
+	var out []Action
+	for _, p := range d.poolList {
+		d.refresh(now, p)
+		out = d.run(now, p, out)
+	}
+	return out
+}
+
+// countPeers sums the peers' work at each endpoint.
+func (d *Dispatcher) countPeers() {
+	for _, p := range d.poolList {
+		for _, e := range p.endpoints {
+			e.Peers.InFlight = 0
+		}
+	}
+	for _, h := range d.peers.Hosts {
+		if h.Host == d.opts.Host {
+			continue
+		}
+		for _, c := range h.InFlight {
+			if ref := d.endpoints[c.Endpoint]; ref != nil {
+				ref.Peers.InFlight += c.Count
+			}
+		}
+	}
+}
+
+// refresh works out how much of each endpoint's room this host may use. A host
+// that has no part of any endpoint, because there are more hosts than room, may
+// still send one request at a time.
+func (d *Dispatcher) refresh(now time.Time, p *pool) {
+	part := d.roomPart(now, p)
+	sum := 0
+	for _, e := range p.endpoints {
+		e.Peers.Part = part
+		e.Peers.Owner = d.owns(e.Name)
+		e.Refresh(d.opts.Sharing)
+		sum += e.Limit
+	}
+	if sum == 0 && len(p.endpoints) > 0 && d.opts.Sharing == placement.SharingParts {
+		p.endpoints[0].Limit = 1
+	}
+}
+
+func (d *Dispatcher) owns(name model.EndpointName) bool {
+	if d.opts.Sharing != placement.SharingOwner {
+		return false
+	}
+	hosts := []model.HostID{d.opts.Host}
+	for _, h := range d.peers.Hosts {
+		if h.Host != d.opts.Host {
+			hosts = append(hosts, h.Host)
+		}
+	}
+	return placement.Owner(name, hosts) == d.opts.Host
+}
+
+func (d *Dispatcher) uses(p *pool, name model.ClassName) bool {
+	c := d.rules.byName[name]
+	return c != nil && p.states[c.index].seen
+}
+
+// roomPart returns this host's part of the domain's demand on a pool. The hosts
+// stand in the order of their names, so that all see the same parts.
+func (d *Dispatcher) roomPart(now time.Time, p *pool) placement.Part {
+	own := baseRate + p.demand.Rate(now)
+	before, sum := 0.0, own
+	for _, h := range d.peers.Hosts {
+		if h.Host == d.opts.Host {
+			continue
+		}
+		rate := baseRate + d.rateOf(p, h)
+		sum += rate
+		if h.Host < d.opts.Host {
+			before += rate
+		}
+	}
+	return placement.Part{From: before / sum, To: (before + own) / sum}
+}
+
+func (d *Dispatcher) rateOf(p *pool, h PeerHost) float64 {
+	sum := 0.0
+	for _, e := range h.Demand {
+		if d.uses(p, e.Class) {
+			sum += e.Rate
+		}
+	}
+	return sum
+}
+
+// spill returns the forward to another domain that has room. A request is
+// forwarded once at most.
+func (d *Dispatcher) spill(now time.Time, req model.Request, p *pool) (Action, bool) {
+	if req.Forwarded {
+		return Action{}, false
+	}
+	var best *PoolRoom
+	var domain model.DomainName
+	seen := 0
+	for i := range d.peers.Domains {
+		dom := &d.peers.Domains[i]
+		if now.Sub(dom.At) > spillDigestAge {
+			continue
+		}
+		room := dom.room(p.Name)
+		if room == nil || room.Room <= 0 {
+			continue
+		}
+		// Drawing by room keeps all hosts from choosing the same domain.
+		seen += room.Room
+		if d.rng.IntN(seen) < room.Room {
+			best, domain = room, dom.Domain
+		}
+	}
+	if best == nil {
+		return Action{}, false
+	}
+	best.Room--
+	return Action{Kind: ActionSpill, Request: req.ID, Attempt: req.Attempt, Domain: domain}, true
+}
+
+func (dom *PeerDomain) room(name model.PoolName) *PoolRoom {
+	for i := range dom.FreeRoom {
+		if dom.FreeRoom[i].Pool == name {
+			return &dom.FreeRoom[i]
+		}
+	}
+	return nil
+}
+
+// FreeRoom returns the room of each pool that other domains may use: what this
+// host may still grant without the headroom and the requests that wait.
+func (d *Dispatcher) FreeRoom(now time.Time) []PoolRoom {
+	var out []PoolRoom
+	for _, p := range d.poolList {
+		free, limit := p.free(now)
+		free -= p.reserved(d.rules, nil, limit) + p.tiers.Len()
+		out = append(out, PoolRoom{Pool: p.Name, Room: max(free, 0)})
+	}
+	return out
+}
+
+// ReportLoad takes an endpoint's load report. A report that is old says nothing
+// of the load, but a leave it announces holds.
+func (d *Dispatcher) ReportLoad(now time.Time, rep LoadReport) []Action {
+	ref := d.endpoints[rep.Endpoint]
+	if ref == nil {
+		return nil
+	}
+	ref.SetLeaving(placement.LeavingReport, rep.Leaving)
+	ref.CanResume = rep.CanResume
+	ref.Models = rep.Models
+	if rep.Age <= reportMaxAge && rep.Queued > 0 {
+		ref.Room.Congested(now)
+	}
+	ref.Refresh(d.opts.Sharing)
+	return d.run(now, ref.pool, nil)
+}
+
+// SetLeaving marks an endpoint as leaving, or as back, by another source than
+// the configuration.
+func (d *Dispatcher) SetLeaving(now time.Time, name model.EndpointName, leaving bool) []Action {
+	ref := d.endpoints[name]
+	if ref == nil {
+		return nil
+	}
+	ref.SetLeaving(placement.LeavingList, leaving)
+	return d.run(now, ref.pool, nil)
+}
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -1,10 +1,14 @@
 package host
 
 import (
+	"context"
+	"sync/atomic"
 	"time"
 
+	"github.com/wigeonsail/wigeonsail/internal/core/burn"
 	"github.com/wigeonsail/wigeonsail/internal/core/configstate"
 	"github.com/wigeonsail/wigeonsail/internal/core/dispatch"
+	"github.com/wigeonsail/wigeonsail/internal/core/membership"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
 
@@ -12,8 +16,17 @@
 type control struct {
 	host     *Host
 	dispatch *dispatch.Dispatcher
-	config   configstate.State
+	burn     *burn.Recorder
 	waiters  map[model.RequestID]*waiter
+	config   configControl
+	members  *membership.Table
+	leaving  leavingEndpoints
+	// beating are the addresses with a heartbeat under way.
+	beating map[string]bool
+	// rounds counts the rounds of heartbeats.
+	rounds int
+	// models are those that endpoints report.
+	models map[model.EndpointName][]model.ModelName
 }
 
 // waiter is a request's link from the control loop to its traffic goroutine.
@@ -21,20 +34,46 @@
 	// decisions takes grants, refusals and spills. Each submit leads to at
 	// most one, so that sending never waits.
 	decisions chan dispatch.Action
-	// preempt is closed by the control loop when the running attempt is to
-	// give way. The traffic goroutine makes a new one for each attempt.
-	preempt chan struct{}
+	// running is the attempt in progress, if it can give way.
+	running atomic.Pointer[runningAttempt]
+}
+
+// runningAttempt lets the control loop end an attempt.
+type runningAttempt struct {
+	number model.Attempt
+	cancel context.CancelCauseFunc
 }
 
 func newWaiter() *waiter {
 	return &waiter{decisions: make(chan dispatch.Action, 1)}
 }
 
+// giveWay ends an attempt unless it has ended by itself.
+func (w *waiter) giveWay(number model.Attempt) {
+	running := w.running.Load()
+	if running != nil && running.number == number {
+		running.cancel(errPreempted)
+	}
+}
+
 func newControl(h *Host, opts dispatch.Options) *control {
 	return &control{
 		host:     h,
 		dispatch: dispatch.New(opts),
+		burn:     burn.NewRecorder(opts.Domain),
 		waiters:  make(map[model.RequestID]*waiter),
+		config:   configControl{published: make(map[string]chan<- configstate.Change)},
+		members: membership.New(membership.Options{
+			Host:        h.opts.ID,
+			Incarnation: h.opts.Incarnation,
+			Domain:      h.opts.Domain,
+			Address:     h.opts.PeerAddress,
+			Seeds:       h.opts.Seeds,
+			Every:       h.opts.HeartbeatEvery,
+		}),
+		leaving: newLeavingEndpoints(),
+		beating: make(map[string]bool),
+		models:  make(map[model.EndpointName][]model.ModelName),
 	}
 }
 
@@ -50,7 +89,7 @@
 			continue
 		}
 		if action.Kind == dispatch.ActionPreempt {
-			w.giveWay()
+			w.giveWay(action.Attempt)
 			continue
 		}
 		select {
@@ -60,24 +99,13 @@
 	}
 }
 
-// giveWay asks the running attempt to end. Repeated calls do nothing.
-func (w *waiter) giveWay() {
-	select {
-	case <-w.preempt:
-	default:
-		close(w.preempt)
-	}
-}
-
 // submitEvent asks for a decision on one attempt.
 type submitEvent struct {
-	req     model.Request
-	waiter  *waiter
-	preempt chan struct{}
+	req    model.Request
+	waiter *waiter
 }
 
 func (e submitEvent) apply(now time.Time, c *control) {
-	e.waiter.preempt = e.preempt
 	c.waiters[e.req.ID] = e.waiter
 	c.carryOut(c.dispatch.Submit(now, e.req))
 }
@@ -103,22 +131,39 @@
 	c.dispatch.Progress(now, e.id, e.tokens)
 }
 
-// forgetEvent ends a request for good.
+// forgetEvent ends a request for good. Its traffic goroutine reads no more
+// decisions, so a grant that it did not take is given back.
 type forgetEvent struct {
-	id model.RequestID
+	id     model.RequestID
+	waiter *waiter
 }
 
 func (e forgetEvent) apply(now time.Time, c *control) {
 	delete(c.waiters, e.id)
+	select {
+	case action := <-e.waiter.decisions:
+		c.giveBack(now, action)
+	default:
+	}
 	c.carryOut(c.dispatch.Cancel(now, e.id))
 }
 
+func (c *control) giveBack(now time.Time, action dispatch.Action) {
+	if action.Kind != dispatch.ActionGrant {
+		return
+	}
+	unused := dispatch.Result{Outcome: model.OutcomeNotRun, Canceled: true}
+	c.carryOut(c.dispatch.Finish(now, action.Request, action.Attempt, unused))
+}
+
 // loadEvent is an endpoint's load report.
 type loadEvent struct {
 	report dispatch.LoadReport
 }
 
 func (e loadEvent) apply(now time.Time, c *control) {
+	c.models[e.report.Endpoint] = e.report.Models
+	c.leaving.report(now, c, e.report.Endpoint, e.report.Leaving)
 	c.carryOut(c.dispatch.ReportLoad(now, e.report))
 }
 
@@ -129,5 +174,5 @@
 }
 
 func (e leavingEvent) apply(now time.Time, c *control) {
-	c.carryOut(c.dispatch.SetLeaving(now, e.endpoint, e.leaving))
+	c.leaving.report(now, c, e.endpoint, e.leaving)
 }
--- a/internal/host/engine.go
+++ b/internal/host/engine.go
@@ -22,11 +22,11 @@
 	defer h.traffic.end()
 	req, err := h.admitModelCall(call, time.Now())
 	if err != nil {
-		return err
+		return h.observeRejected(err)
 	}
-	return h.serve(ctx, req, w, func(ctx context.Context, req *request, grant dispatch.Action, preempt <-chan struct{}) attemptEnd {
+	return h.serve(ctx, req, w, func(ctx context.Context, req *request, grant dispatch.Action) attemptEnd {
 		run := engineRun{host: h, req: req, w: w, started: time.Now()}
-		return run.attempt(ctx, grant, preempt)
+		return run.attempt(ctx, grant)
 	})
 }
 
@@ -41,16 +41,11 @@
 	reported   int
 }
 
-func (r *engineRun) attempt(ctx context.Context, grant dispatch.Action, preempt <-chan struct{}) attemptEnd {
+func (r *engineRun) attempt(ctx context.Context, grant dispatch.Action) attemptEnd {
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	go func() {
-		select {
-		case <-preempt:
-			cancel(errPreempted)
-		case <-attemptCtx.Done():
-		}
-	}()
+	r.req.waiter.running.Store(&runningAttempt{number: r.req.model.Attempt, cancel: cancel})
+	defer r.req.waiter.running.Store(nil)
 	err := r.relay(attemptCtx, grant)
 	if err != nil && errors.Is(context.Cause(attemptCtx), errPreempted) {
 		err = errPreempted
@@ -127,6 +122,7 @@
 }
 
 func (r *engineRun) count(tokens int) {
+	r.host.observeTokens(r.req, tokens)
 	r.tokens += tokens
 	r.req.relayed += tokens
 	if r.tokens-r.reported < progressEvery {
