Add a relay that cuts or stalls a link between processes

Cut closes connections; stall keeps them and holds their bytes, as a network does that drops packets. The product itself needs no switch for this.

--- /dev/null
+++ b/cmd/wigeonsail/standin_cut.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"fmt"
+	"net"
+
+	"github.com/wigeonsail/wigeonsail/internal/standin/cut"
+)
+
+type standinCutCmd struct {
+	Listen string `help:"Address to relay from, as host:port." required:""`
+	To     string `help:"Address to relay to, as host:port." required:""`
+	Admin  string `help:"Address of the switch, as host:port." required:""`
+}
+
+// Run relays until interrupted. It prints the address of the switch.
+func (c *standinCutCmd) Run() error {
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return &usageError{fmt.Errorf("--listen: %w", err)}
+	}
+	relay := cut.New(c.To)
+	served := make(chan error, 1)
+	go func() { served <- relay.Serve(listener) }()
+	err = serveStandin("cut", c.Admin, relay.Admin())
+	listener.Close()
+	relay.Close()
+	if err != nil {
+		return err
+	}
+	return <-served
+}
