Report burn and hand over from the command line; count drains

Cause: counts could be gathered but no operator could read them, and what one shift left to the next had to be pieced together from four commands.

`wigeonsail handover` tells what changed, by whom and with which note, what that comes to, what is in force where, what burns, what drains and which endpoints lack a model. Both name whoever did not answer and exit with code 1 then.

Drains are counted by pool and by who told them (configuration, list, report, peer). Not counted yet: ejections, which the dispatcher does not tell.

--- a/cmd/wigeonsail/cli.go
+++ b/cmd/wigeonsail/cli.go
@@ -23,6 +23,8 @@
 	Config    configCmd    `cmd:"" help:"Check, publish and follow the configuration."`
 	Hosts     hostsCmd     `cmd:"" help:"List hosts, or let them leave."`
 	Endpoints endpointsCmd `cmd:"" help:"List endpoints, drain them or take them back."`
+	Report    reportCmd    `cmd:"" help:"Report on service levels."`
+	Handover  handoverCmd  `cmd:"" help:"Tell the next shift what changed, what is in force, what burns and what drains."`
 	Load      loadCmd      `cmd:"" help:"Drive traffic and report what became of it."`
 	Demo      demoCmd      `cmd:"" help:"Run a small fleet in one process on embedded stand-ins."`
 	Check     checkCmd     `cmd:"" help:"Check the settings of a host without starting it."`
--- /dev/null
+++ b/cmd/wigeonsail/report.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/api/operatorapi"
+	"github.com/wigeonsail/wigeonsail/internal/adapter/operatorhttp"
+	"github.com/wigeonsail/wigeonsail/internal/core/burn"
+	"github.com/wigeonsail/wigeonsail/internal/report"
+)
+
+// maxBurnBytes bounds the counts that a host answers with.
+const maxBurnBytes = 256 << 20
+
+// errIncomplete makes a report fail that some hosts are missing from.
+var errIncomplete = errors.New("some hosts did not answer; their counts are missing")
+
+// reportCmd groups the reports.
+type reportCmd struct {
+	Burn reportBurnCmd `cmd:"" help:"Attainment, error budget, burn, goodput and wasted work by class and failure domain."`
+}
+
+type reportBurnCmd struct {
+	operatorFlags
+	Window time.Duration `default:"1h" help:"How far back to count, up to 24h. The alerts have windows of their own."`
+	JSON   bool          `xor:"form" help:"Print JSON."`
+	HTML   bool          `name:"html" xor:"form" help:"Print one self-contained HTML page with plots."`
+}
+
+// Run prints the report over all hosts that the first answering host reaches.
+// It fails after printing when hosts are missing.
+func (c reportBurnCmd) Run() error {
+	b, err := c.gather(context.Background(), c.Window)
+	if err != nil {
+		return err
+	}
+	switch {
+	case c.JSON:
+		err = b.WriteJSON(os.Stdout)
+	case c.HTML:
+		err = b.WriteHTML(os.Stdout)
+	default:
+		err = b.WriteText(os.Stdout)
+	}
+	if err == nil && len(b.Missing) > 0 {
+		return errIncomplete
+	}
+	return err
+}
+
+// gather asks the given hosts one after the other until one answers. Counts
+// are fetched for the alerts' longest window as well.
+func (f operatorFlags) gather(ctx context.Context, window time.Duration) (*report.Burn, error) {
+	if window <= 0 || window > burn.Kept {
+		return nil, &usageError{cause: fmt.Errorf("window %s is not over 0 and up to %s", window, burn.Kept)}
+	}
+	fetch := window
+	for _, pair := range burn.AlertPairs {
+		fetch = max(fetch, pair.Long)
+	}
+	var errs []error
+	for _, host := range f.Host {
+		counts, err := f.fetchBurn(ctx, host, fetch)
+		if err == nil {
+			return report.NewBurn(report.BurnInput{Gathered: counts, At: time.Now(), Window: window}), nil
+		}
+		errs = append(errs, fmt.Errorf("no answer from %s: %w", host, err))
+	}
+	return nil, errors.Join(errs...)
+}
+
+func (f operatorFlags) fetchBurn(ctx context.Context, host string, window time.Duration) (burn.Gathered, error) {
+	if !strings.Contains(host, "://") {
+		host = "http://" + host
+	}
+	query := url.Values{operatorhttp.BurnWindow: {window.String()}}
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, host+operatorhttp.BurnPath+"?"+query.Encode(), nil)
+	if err != nil {
+		return burn.Gathered{}, &usageError{cause: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+f.Token)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return burn.Gathered{}, err
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxBurnBytes))
+	if err != nil {
+		return burn.Gathered{}, err
+	}
+	if res.StatusCode != http.StatusOK {
+		return burn.Gathered{}, problemError(res.StatusCode, data)
+	}
+	return burn.Decode(data)
+}
+
+// problemError reads a problem of a call that the generated client does not
+// cover.
+func problemError(status int, data []byte) error {
+	var p operatorapi.Problem
+	if err := p.UnmarshalJSON(data); err != nil {
+		return fmt.Errorf("status %d", status)
+	}
+	return &hostError{problem: p}
+}
--- /dev/null
+++ b/internal/adapter/operatorhttp/burn.go
@@ -0,0 +1,46 @@
+package operatorhttp
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/burn"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+)
+
+const (
+	// BurnPath is where a host serves the gathered service-level counts.
+	BurnPath = "/v1/burn"
+	// BurnWindow is the query parameter with the time span, for example "1h".
+	BurnWindow = "window"
+)
+
+// BurnSource gathers service-level counts over all hosts.
+type BurnSource interface {
+	GatherBurn(ctx context.Context, window time.Duration) (burn.Gathered, error)
+}
+
+// BurnHandler serves the counts in the form that hosts exchange them in.
+func BurnHandler(source BurnSource) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		window, err := time.ParseDuration(r.URL.Query().Get(BurnWindow))
+		if err != nil || window <= 0 || window > burn.Kept {
+			writeProblem(w, problem(http.StatusBadRequest, codeBadRequest,
+				"window is no time span over 0 and up to "+burn.Kept.String(), model.OutcomeNotRun))
+			return
+		}
+		counts, err := source.GatherBurn(r.Context(), window)
+		if err != nil {
+			writeProblem(w, problemOf(err))
+			return
+		}
+		data, err := counts.Encode()
+		if err != nil {
+			writeProblem(w, problemOf(err))
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.Write(data)
+	})
+}
--- a/internal/host/burn_gather_test.go
+++ b/internal/host/burn_gather_test.go
@@ -43,14 +43,15 @@
 	return burn.Gathered{Snapshot: r.Snapshot(time.Now(), time.Hour), Answered: []model.HostID{host}}
 }
 
-// TestGatherBurn has a live and a dead host in the own domain, a domain whose
-// first gateway is dead, and a domain that is known by the configuration only.
+// TestGatherBurn has in the own domain a live host, one that refuses, one that
+// left and one that fell silent; a domain whose first gateway is dead, and a
+// domain that is known by the configuration only.
 func TestGatherBurn(t *testing.T) {
 	peers := &burnPeers{whole: map[string]bool{}, answers: map[string]burn.Gathered{
 		"n2:1": gathered("n2", "north"),
 		"s2:1": gathered("s2", "south"),
 	}}
-	h := New(Options{ID: "n1", Domain: "north", PlatformLog: failingLog{}, Peers: peers, HeartbeatEvery: time.Hour})
+	h := New(Options{ID: "n1", Domain: "north", PlatformLog: failingLog{}, Peers: peers, HeartbeatEvery: 200 * time.Millisecond})
 	h.catalog.Store(catalog.New(1, &opconfig.Config{Endpoints: []opconfig.Endpoint{{Name: "e", Domain: "east"}, {Name: "n", Domain: "north"}}}))
 	now := time.Now()
 	for _, name := range []model.HostID{"n2", "n3"} {
@@ -58,6 +59,9 @@
 	}
 	h.control.members.Hear(now, membership.Beat{Host: "n2", Domain: "north", Address: "n2:1", State: membership.Ready, Incarnation: 1, Sequence: 2,
 		Domains: []membership.Digest{{Domain: "south", Sequence: 1, Gateways: []string{"s1:1", "s2:1"}, FreeRoom: []dispatch.PoolRoom{}}}})
+	past := now.Add(-30 * time.Second)
+	h.control.members.Hear(past, membership.Beat{Host: "n4", Domain: "north", Address: "n4:1", State: membership.Leaving, Incarnation: 1, Sequence: 1})
+	h.control.members.Hear(past, membership.Beat{Host: "n5", Domain: "north", Address: "n5:1", State: membership.Ready, Incarnation: 1, Sequence: 1})
 	ctx, stop := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
 	go func() {
@@ -69,10 +73,10 @@
 	<-stopped
 	must.NoError(t, err)
 	must.SliceContainsAll(t, []model.HostID{"n1", "n2", "s2"}, got.Answered)
-	must.SliceLen(t, 2, got.Missing)
-	must.Eq(t, "host n3", got.Missing[0].Name())
+	must.SliceLen(t, 3, got.Missing)
+	must.Eq(t, []string{"host n3", "host n5"}, []string{got.Missing[0].Name(), got.Missing[1].Name()})
 	must.StrContains(t, got.Missing[0].Reason, "refused")
-	must.Eq(t, burn.Missing{Domain: "east", Reason: "no host of it is known"}, got.Missing[1])
+	must.Eq(t, burn.Missing{Domain: "east", Reason: "no host of it is known"}, got.Missing[2])
 	must.SliceLen(t, 2, got.Snapshot.Rows)
-	must.Eq(t, map[string]bool{"n2:1": false, "n3:1": false, "s1:1": true, "s2:1": true}, peers.whole)
+	must.Eq(t, map[string]bool{"n2:1": false, "n3:1": false, "n5:1": false, "s1:1": true, "s2:1": true}, peers.whole)
 }
--- a/internal/host/config.go
+++ b/internal/host/config.go
@@ -134,6 +134,7 @@
 		return
 	}
 	c.host.accepted.Store(&port.ConfigRecord{Version: rec.Version, Offset: current.Offset, Data: current.Data})
+	c.host.observeConfigDrains(cfg)
 	c.host.catalog.Store(catalog.New(rec.Version, cfg))
 	c.burn.SetClasses(cfg.Classes)
 	c.config.since = now
--- a/internal/host/leaving.go
+++ b/internal/host/leaving.go
@@ -78,6 +78,7 @@
 	for name := range wanted {
 		if !l.applied[name] {
 			l.applied[name] = true
+			c.observeDrain(name)
 			c.host.opts.Log.Infof("endpoints: %s is leaving", name)
 		}
 		c.carryOut(c.dispatch.SetLeaving(now, name, true))
--- a/internal/report/text.go
+++ b/internal/report/text.go
@@ -42,6 +42,7 @@
 }
 
 func (b *Burn) writeLevels(w io.Writer) {
+	fmt.Fprintln(w)
 	t := newTable(w, "CLASS", "DOMAIN", "OBJECTIVE", "ATTAINED", "BUDGET LEFT", "REQUESTS", "GOOD", "LATE", "REFUSED", "FAILED", "UNKNOWN", "LOST", "FIRING")
 	for i := range b.Classes {
 		s := &b.Classes[i]
@@ -57,6 +58,7 @@
 	for _, p := range burn.AlertPairs {
 		head = append(head, "BURN "+shortSpan(p.Short), "BURN "+shortSpan(p.Long), "FIRES FROM")
 	}
+	fmt.Fprintln(w)
 	t := newTable(w, head...)
 	for i := range b.Classes {
 		s := &b.Classes[i]
@@ -74,6 +76,7 @@
 	for cause := range burn.WasteCauses() {
 		head = append(head, strings.ToUpper(cause.String()))
 	}
+	fmt.Fprintln(w)
 	t := newTable(w, append(head, "LIMITED", "CANCELED")...)
 	for i := range b.Classes {
 		s := &b.Classes[i]
@@ -89,9 +92,8 @@
 // table aligns columns for a terminal.
 type table struct{ w *tabwriter.Writer }
 
-// newTable starts a table after an empty line.
+// newTable starts a table.
 func newTable(w io.Writer, head ...string) *table {
-	fmt.Fprintln(w)
 	t := &table{w: tabwriter.NewWriter(w, 0, 0, cellPadding, ' ', 0)}
 	t.row(head...)
 	return t
--- a/internal/server/operators.go
+++ b/internal/server/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 
 	"github.com/wigeonsail/wigeonsail/internal/adapter/operatorhttp"
 )
@@ -11,6 +12,7 @@
 	operators, err := operatorhttp.New(operatorhttp.Options{
 		Operators:     s.host,
 		Tokens:        s.settings.Operators,
+		Extra:         map[string]http.Handler{"GET " + operatorhttp.BurnPath: operatorhttp.BurnHandler(s.host)},
 		HeaderTimeout: s.settings.Limits.HeaderTimeout.Std(),
 		IdleTimeout:   s.settings.Limits.IdleTimeout.Std(),
 		Log:           s.log,
