Complete commands and flags in bash

Cause: the command line had no completion. The words come from the parser's own model, so that they cannot differ from the help. Ruled out: a completion library, for one function of bash.

--- a/cmd/wigeonsail/cli.go
+++ b/cmd/wigeonsail/cli.go
@@ -19,17 +19,18 @@
 
 // cli is the command line. Each command lives in a file of its own.
 type cli struct {
-	Serve     serveCmd     `cmd:"" help:"Run an entry host."`
-	Config    configCmd    `cmd:"" help:"Check, publish and follow the configuration."`
-	Hosts     hostsCmd     `cmd:"" help:"List hosts, or let them leave."`
-	Endpoints endpointsCmd `cmd:"" help:"List endpoints, drain them or take them back."`
-	Report    reportCmd    `cmd:"" help:"Report on service levels."`
-	Handover  handoverCmd  `cmd:"" help:"Tell the next shift what changed, what is in force, what burns and what drains."`
-	Load      loadCmd      `cmd:"" help:"Drive traffic and report what became of it."`
-	Demo      demoCmd      `cmd:"" help:"Run a small fleet in one process on embedded stand-ins."`
-	Check     checkCmd     `cmd:"" help:"Check the settings of a host without starting it."`
-	Version   versionCmd   `cmd:"" help:"Print the version."`
-	Standin   standinCmd   `cmd:"" help:"Run a stand-in for what surrounds the hosts; for trials only."`
+	Serve      serveCmd      `cmd:"" help:"Run an entry host."`
+	Config     configCmd     `cmd:"" help:"Check, publish and follow the configuration."`
+	Hosts      hostsCmd      `cmd:"" help:"List hosts, or let them leave."`
+	Endpoints  endpointsCmd  `cmd:"" help:"List endpoints, drain them or take them back."`
+	Report     reportCmd     `cmd:"" help:"Report on service levels."`
+	Handover   handoverCmd   `cmd:"" help:"Tell the next shift what changed, what is in force, what burns and what drains."`
+	Load       loadCmd       `cmd:"" help:"Drive traffic and report what became of it."`
+	Demo       demoCmd       `cmd:"" help:"Run a small fleet in one process on embedded stand-ins."`
+	Check      checkCmd      `cmd:"" help:"Check the settings of a host without starting it."`
+	Completion completionCmd `cmd:"" help:"Print completion for a shell."`
+	Version    versionCmd    `cmd:"" help:"Print the version."`
+	Standin    standinCmd    `cmd:"" help:"Run a stand-in for what surrounds the hosts; for trials only."`
 }
 
 // usageError marks errors that the user mends by other arguments or settings.
