--- a/internal/server/fixture_test.go
+++ b/internal/server/fixture_test.go
@@ -130,7 +130,7 @@
 		Schema: opconfig.SchemaVersion,
 		Classes: []opconfig.Class{
 			{Name: "confirmations", Protected: true, Objective: 0.999, FirstToken: span(2 * time.Second), Deadline: span(10 * time.Second), MaxQueued: 100, RetryBudget: 1},
-			{Name: "questions", Tier: 1, Idempotent: true, Objective: 0.95, FirstToken: span(2 * time.Second), Deadline: span(10 * time.Second), MaxQueued: 200, RetryBudget: 1},
+			{Name: "questions", Tier: 1, Idempotent: true, Objective: 0.95, FirstToken: span(2 * time.Second), Deadline: span(10 * time.Second), MaxQueued: 1000, RetryBudget: 1},
 		},
 		Accounts: []opconfig.Account{{Name: "test", KeyHashes: []string{opconfig.HashKey(testKey)}, Share: 1, DefaultClass: "questions"}},
 		Pools: []opconfig.Pool{
@@ -143,7 +143,7 @@
 		for i, srv := range servers {
 			cfg.Endpoints = append(cfg.Endpoints, opconfig.Endpoint{
 				Name: model.EndpointName(fmt.Sprintf("%s-%d", pool, i+1)), Pool: pool, Domain: testDomain,
-				Address: strings.TrimPrefix(srv.URL, "http://"), Room: 16,
+				Address: strings.TrimPrefix(srv.URL, "http://"), Room: 1024,
 			})
 		}
 	}
--- a/internal/server/relay_bench_test.go
+++ b/internal/server/relay_bench_test.go
@@ -2,18 +2,32 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
 
+// The ways from a client to an engine that the benchmarks compare.
+const (
+	wayDirect = "direct"
+	// wayBare goes through a relay that copies events and decides nothing.
+	wayBare = "bare"
+	wayHost = "host"
+)
+
 // streamTokens answers a chat call with that many events, each flushed alone
-// and as fast as it can.
-func streamTokens(tokens int) http.Handler {
+// and sent after a pause.
+func streamTokens(tokens int, pause time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != chatPath {
 			http.NotFound(w, r)
@@ -21,7 +35,12 @@
 		}
 		w.Header().Set("Content-Type", "text/event-stream")
 		control := http.NewResponseController(w)
+		ticker := time.NewTicker(max(pause, time.Nanosecond))
+		defer ticker.Stop()
 		for range tokens {
+			if pause > 0 {
+				<-ticker.C
+			}
 			fmt.Fprint(w, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"token\"}}]}\n\n")
 			if control.Flush() != nil {
 				return
@@ -31,28 +50,111 @@
 	})
 }
 
-// BenchmarkRelayToken compares a token sent straight from an engine with one
-// relayed by a host. The difference of both is the host's cost; client, engine
-// and host run in one process.
+// bareRelay copies an engine's events to the client, each flushed alone.
+func bareRelay(engine string, client *http.Client) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		res, err := client.Post(engine+r.URL.Path, "application/json", bytes.NewReader(body))
+		if err != nil {
+			return
+		}
+		defer res.Body.Close()
+		w.Header().Set("Content-Type", "text/event-stream")
+		control := http.NewResponseController(w)
+		lines := bufio.NewReader(res.Body)
+		for {
+			event, err := lines.ReadSlice('\n')
+			if err != nil {
+				return
+			}
+			if len(event) > 1 {
+				w.Write(append(event, '\n'))
+			}
+			if len(event) > 1 && control.Flush() != nil {
+				return
+			}
+		}
+	})
+}
+
+// relayURL is where a benchmark's requests go.
+func (f *fixture) relayURL(way string) string {
+	switch way {
+	case wayDirect:
+		return f.engines[0].URL
+	case wayBare:
+		relay := httptest.NewServer(bareRelay(f.engines[0].URL, f.client))
+		f.t.Cleanup(relay.Close)
+		return relay.URL
+	default:
+		return f.url
+	}
+}
+
+// readStream sends one chat call and reads its answer to the end.
+func (f *fixture) readStream(url string) {
+	req := f.request(context.Background(), chatPath, chat("bench", 1, true), nil)
+	target, err := http.NewRequest(http.MethodPost, url+chatPath, req.Body)
+	must.NoError(f.t, err)
+	target.Header = req.Header
+	res, err := f.client.Do(target)
+	must.NoError(f.t, err)
+	defer res.Body.Close()
+	var answer strings.Builder
+	_, err = io.Copy(&answer, res.Body)
+	must.NoError(f.t, err)
+	must.StrHasSuffix(f.t, "[DONE]\n\n", answer.String())
+}
+
+// BenchmarkRelayToken sends one stream of b.N tokens as fast as it goes.
+// Client, engine and host run in one process, so the difference to the direct
+// way is the cost of the relay.
 func BenchmarkRelayToken(b *testing.B) {
-	for _, way := range []string{"direct", "host"} {
+	for _, way := range []string{wayDirect, wayBare, wayHost} {
 		b.Run(way, func(b *testing.B) {
-			f := newBenchFixture(b, streamTokens(b.N))
-			url := f.engines[0].URL
-			if way == "host" {
-				url = f.url
-			}
+			f := newBenchFixture(b, streamTokens(b.N, 0))
+			url := f.relayURL(way)
 			b.ReportAllocs()
 			b.ResetTimer()
-			req := f.request(context.Background(), chatPath, chat("bench", b.N, true), nil)
-			target, err := http.NewRequest(http.MethodPost, url+chatPath, req.Body)
-			must.NoError(b, err)
-			target.Header = req.Header
-			res, err := f.client.Do(target)
-			must.NoError(b, err)
-			defer res.Body.Close()
-			_, err = io.Copy(io.Discard, bufio.NewReader(res.Body))
-			must.NoError(b, err)
+			f.readStream(url)
 		})
 	}
 }
+
+// BenchmarkRelayPaced opens many streams whose tokens come one by one. It
+// reports the processor time a token of the whole process: client, engine and
+// what lies between.
+func BenchmarkRelayPaced(b *testing.B) {
+	const (
+		streams = 400
+		tokens  = 50
+		pause   = 20 * time.Millisecond
+	)
+	for _, way := range []string{wayDirect, wayBare, wayHost} {
+		b.Run(way, func(b *testing.B) {
+			f := newBenchFixture(b, streamTokens(tokens, pause))
+			url := f.relayURL(way)
+			b.ResetTimer()
+			before := processTime(b)
+			for range b.N {
+				var open sync.WaitGroup
+				for range streams {
+					open.Go(func() { f.readStream(url) })
+				}
+				open.Wait()
+			}
+			spent := processTime(b) - before
+			b.ReportMetric(float64(spent.Microseconds())/float64(b.N*streams*tokens), "cpu-us/token")
+		})
+	}
+}
+
+// processTime is the processor time that this process has used.
+func processTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	must.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
