--- /dev/null
+++ b/internal/adapter/callerhttp/server_test.go
@@ -0,0 +1,144 @@
+package callerhttp
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeRouter serves every model call by complete.
+type fakeRouter struct {
+	complete func(ctx context.Context, req port.CallerRequest, w port.AnswerWriter) error
+	ready    bool
+}
+
+func (f *fakeRouter) Authenticate(key string) (model.AccountName, error) {
+	if key != "good" {
+		return "", unauthorized()
+	}
+	return "account", nil
+}
+
+func (f *fakeRouter) Complete(ctx context.Context, req port.CallerRequest, w port.AnswerWriter) error {
+	return f.complete(ctx, req, w)
+}
+
+func (f *fakeRouter) Serve(ctx context.Context, req port.CallerRequest, w port.AnswerWriter) error {
+	return f.complete(ctx, req, w)
+}
+
+func (f *fakeRouter) Models(model.AccountName) []model.ModelName { return []model.ModelName{"draft"} }
+
+func (f *fakeRouter) IssueTicket(context.Context, model.AccountName) (port.Ticket, error) {
+	return port.Ticket{Text: "ticket", Expires: time.Unix(1, 0)}, nil
+}
+
+func (f *fakeRouter) Ready() bool { return f.ready }
+
+func serve(t *testing.T, router port.Router) *httptest.Server {
+	srv, err := New(Options{Router: router, MaxBody: 1 << 10})
+	must.NoError(t, err)
+	out := httptest.NewServer(srv.Handler())
+	t.Cleanup(out.Close)
+	return out
+}
+
+const streamBody = `{"model":"draft","stream":true,"messages":[{}]}`
+
+func post(t *testing.T, url, body string) *http.Response {
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	must.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer good")
+	req.Header.Set("Content-Type", "application/json")
+	res, err := http.DefaultClient.Do(req)
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = res.Body.Close() })
+	return res
+}
+
+// TestEachEventArrivesAlone sends an event only after the caller has read the
+// one before.
+func TestEachEventArrivesAlone(t *testing.T) {
+	next := make(chan struct{})
+	router := &fakeRouter{complete: func(_ context.Context, _ port.CallerRequest, w port.AnswerWriter) error {
+		must.NoError(t, w.Start(http.StatusOK, nil))
+		for _, text := range []string{"one", "two", "three"} {
+			must.NoError(t, w.WriteEvent([]byte(text), 1))
+			<-next
+		}
+		return nil
+	}}
+	res := post(t, serve(t, router).URL+"/v1/chat/completions", streamBody)
+	lines := bufio.NewReader(res.Body)
+	for _, text := range []string{"one", "two", "three"} {
+		line, err := lines.ReadString('\n')
+		must.NoError(t, err)
+		must.Eq(t, "data: "+text+"\n", line)
+		_, err = lines.ReadString('\n')
+		must.NoError(t, err)
+		next <- struct{}{}
+	}
+}
+
+func TestCallersBytesArePassedOnAsTheyCame(t *testing.T) {
+	const body = `{"model": "draft",  "messages":[ {"b":1, "a":2.50} ], "x": null}`
+	var got port.CallerRequest
+	router := &fakeRouter{complete: func(_ context.Context, req port.CallerRequest, w port.AnswerWriter) error {
+		got = req
+		return w.Start(http.StatusOK, nil)
+	}}
+	post(t, serve(t, router).URL+"/v1/chat/completions", body)
+	must.Eq(t, body, string(got.Body))
+	must.Eq(t, model.ModelName("draft"), got.Model)
+	must.Eq(t, model.AccountName("account"), got.Account)
+}
+
+func TestBrokenWholeAnswerIsCut(t *testing.T) {
+	router := &fakeRouter{complete: func(_ context.Context, _ port.CallerRequest, w port.AnswerWriter) error {
+		must.NoError(t, w.Start(http.StatusOK, http.Header{"Content-Type": {"text/plain"}}))
+		must.NoError(t, w.WriteBody([]byte("half")))
+		return &port.RequestError{Code: port.CodeEndpointFailed, Status: http.StatusBadGateway}
+	}}
+	res := post(t, serve(t, router).URL+"/services/x/y", "{}")
+	_, err := io.ReadAll(res.Body)
+	must.Error(t, err)
+}
+
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	router := &fakeRouter{complete: func(context.Context, port.CallerRequest, port.AnswerWriter) error {
+		return &port.RequestError{
+			Code: port.CodeOverloaded, Status: http.StatusServiceUnavailable, Message: "full",
+			Outcome: model.OutcomeNotRun, RetryAfter: 1200 * time.Millisecond,
+		}
+	}}
+	res := post(t, serve(t, router).URL+"/v1/chat/completions", streamBody)
+	body, err := io.ReadAll(res.Body)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusServiceUnavailable, res.StatusCode)
+	must.Eq(t, "2", res.Header.Get("Retry-After"))
+	must.StrContains(t, string(body), `"retry_after":2`)
+	must.StrContains(t, string(body), `"outcome":"not_run"`)
+	must.StrContains(t, string(body), res.Header.Get("X-Request-Id"))
+}
+
+func TestReadinessFollowsTheRouter(t *testing.T) {
+	for ready, want := range map[bool]int{true: http.StatusOK, false: http.StatusServiceUnavailable} {
+		res, err := http.Get(serve(t, &fakeRouter{ready: ready}).URL + "/readyz")
+		must.NoError(t, err)
+		must.NoError(t, res.Body.Close())
+		must.Eq(t, want, res.StatusCode)
+	}
+}
