Ask peers for the counts of their whole domain; count peer errors

Cause: the protocol between hosts could ask a host for its own counts only, so that a report saw one host of each other domain. The burn request now says whether the whole domain is meant; a release that does not know the field answers with its own counts.

Every call to another host is counted when it fails, by its kind.

Without the field in the server the new test fails; without the wrapper the gathering test does.

--- a/internal/adapter/peergrpc/client.go
+++ b/internal/adapter/peergrpc/client.go
@@ -130,7 +130,7 @@
 
 // Burn implements port.Peers.
 func (c *Client) Burn(ctx context.Context, address string, query port.BurnQuery) ([]byte, error) {
-	req := &peer.BurnRequest{WindowMs: query.Window.Milliseconds()}
+	req := &peer.BurnRequest{WindowMs: query.Window.Milliseconds(), WholeDomain: query.WholeDomain}
 	res, err := unary(ctx, c, "burn", address, req, peer.PeerClient.Burn)
 	if err != nil {
 		return nil, err
--- a/internal/adapter/peergrpc/server.go
+++ b/internal/adapter/peergrpc/server.go
@@ -163,7 +163,7 @@
 // Burn implements peer.PeerServer.
 func (s *service) Burn(ctx context.Context, req *peer.BurnRequest) (*peer.BurnResponse, error) {
 	window := time.Duration(req.GetWindowMs()) * time.Millisecond
-	counts, err := s.handler.HandleBurn(ctx, port.BurnQuery{Window: window})
+	counts, err := s.handler.HandleBurn(ctx, port.BurnQuery{Window: window, WholeDomain: req.GetWholeDomain()})
 	if err != nil {
 		return nil, fail(ctx, err)
 	}
--- a/internal/host/burn_gather_test.go
+++ b/internal/host/burn_gather_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -14,6 +16,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/dispatch"
 	"github.com/wigeonsail/wigeonsail/internal/core/membership"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/metrics"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 	"github.com/wigeonsail/wigeonsail/opconfig"
 )
@@ -51,7 +54,9 @@
 		"n2:1": gathered("n2", "north"),
 		"s2:1": gathered("s2", "south"),
 	}}
-	h := New(Options{ID: "n1", Domain: "north", PlatformLog: failingLog{}, Peers: peers, HeartbeatEvery: 200 * time.Millisecond})
+	counts, err := metrics.New(metrics.Options{})
+	must.NoError(t, err)
+	h := New(Options{ID: "n1", Metrics: counts, Domain: "north", PlatformLog: failingLog{}, Peers: peers, HeartbeatEvery: 200 * time.Millisecond})
 	h.catalog.Store(catalog.New(1, &opconfig.Config{Endpoints: []opconfig.Endpoint{{Name: "e", Domain: "east"}, {Name: "n", Domain: "north"}}}))
 	now := time.Now()
 	for _, name := range []model.HostID{"n2", "n3"} {
@@ -79,4 +84,9 @@
 	must.Eq(t, burn.Missing{Domain: "east", Reason: "no host of it is known"}, got.Missing[2])
 	must.SliceLen(t, 2, got.Snapshot.Rows)
 	must.Eq(t, map[string]bool{"n2:1": false, "n3:1": false, "n5:1": false, "s1:1": true, "s2:1": true}, peers.whole)
+
+	must.NoError(t, counts.Close())
+	rec := httptest.NewRecorder()
+	counts.Handler().ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	must.StrContains(t, rec.Body.String(), `wigeonsail_peer_errors_total{op="burn"} 3`+"\n")
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -78,6 +78,9 @@
 		opts.Metrics = metrics.Discard()
 	}
 	opts.PlatformLog = meteredLog{Log: opts.PlatformLog, metrics: opts.Metrics}
+	if opts.Peers != nil {
+		opts.Peers = meteredPeers{Peers: opts.Peers, metrics: opts.Metrics}
+	}
 	h := &Host{opts: opts, metrics: opts.Metrics, loop: newLoop(), leaveAsked: make(chan struct{})}
 	h.traffic.idle = make(chan struct{}, 1)
 	h.control = newControl(h, dispatch.Options{
--- /dev/null
+++ b/internal/host/metrics_peers.go
@@ -0,0 +1,57 @@
+package host
+
+import (
+	"context"
+	"errors"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/metrics"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+// meteredPeers counts the failed calls to other hosts.
+type meteredPeers struct {
+	port.Peers
+	metrics *metrics.Metrics
+}
+
+// Exchange implements port.Peers.
+func (p meteredPeers) Exchange(ctx context.Context, address string, beat port.Heartbeat) (port.Heartbeat, error) {
+	answer, err := p.Peers.Exchange(ctx, address, beat)
+	p.count("exchange", err)
+	return answer, err
+}
+
+// FetchConfig implements port.Peers.
+func (p meteredPeers) FetchConfig(ctx context.Context, address string, newerThan model.Version) (port.ConfigRecord, error) {
+	record, err := p.Peers.FetchConfig(ctx, address, newerThan)
+	p.count("fetch_config", err)
+	return record, err
+}
+
+// Forward implements port.Peers.
+func (p meteredPeers) Forward(ctx context.Context, address string, call port.ForwardCall) (port.ForwardStream, error) {
+	stream, err := p.Peers.Forward(ctx, address, call)
+	p.count("forward", err)
+	return stream, err
+}
+
+// AppendClaims implements port.Peers.
+func (p meteredPeers) AppendClaims(ctx context.Context, address string, entries []port.ClaimEntry) ([]port.ClaimPlace, error) {
+	places, err := p.Peers.AppendClaims(ctx, address, entries)
+	p.count("append_claims", err)
+	return places, err
+}
+
+// Burn implements port.Peers.
+func (p meteredPeers) Burn(ctx context.Context, address string, query port.BurnQuery) ([]byte, error) {
+	counts, err := p.Peers.Burn(ctx, address, query)
+	p.count("burn", err)
+	return counts, err
+}
+
+func (p meteredPeers) count(op string, err error) {
+	if err != nil && !errors.Is(err, context.Canceled) {
+		p.metrics.PeerError(op)
+	}
+}
