--- a/internal/adapter/callerhttp/server_test.go
+++ b/internal/adapter/callerhttp/server_test.go
@@ -58,15 +58,16 @@
 
 const streamBody = `{"model":"draft","stream":true,"messages":[{}]}`
 
-func post(t *testing.T, url, body string) *http.Response {
+// post sends a body and hands the answer to read.
+func post(t *testing.T, url, body string, read func(res *http.Response)) {
 	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
 	must.NoError(t, err)
 	req.Header.Set("Authorization", "Bearer good")
 	req.Header.Set("Content-Type", "application/json")
 	res, err := http.DefaultClient.Do(req)
 	must.NoError(t, err)
-	t.Cleanup(func() { _ = res.Body.Close() })
-	return res
+	defer res.Body.Close()
+	read(res)
 }
 
 // TestEachEventArrivesAlone sends an event only after the caller has read the
@@ -81,16 +82,17 @@
 		}
 		return nil
 	}}
-	res := post(t, serve(t, router).URL+"/v1/chat/completions", streamBody)
-	lines := bufio.NewReader(res.Body)
-	for _, text := range []string{"one", "two", "three"} {
-		line, err := lines.ReadString('\n')
-		must.NoError(t, err)
-		must.Eq(t, "data: "+text+"\n", line)
-		_, err = lines.ReadString('\n')
-		must.NoError(t, err)
-		next <- struct{}{}
-	}
+	post(t, serve(t, router).URL+"/v1/chat/completions", streamBody, func(res *http.Response) {
+		lines := bufio.NewReader(res.Body)
+		for _, text := range []string{"one", "two", "three"} {
+			line, err := lines.ReadString('\n')
+			must.NoError(t, err)
+			must.Eq(t, "data: "+text+"\n", line)
+			_, err = lines.ReadString('\n')
+			must.NoError(t, err)
+			next <- struct{}{}
+		}
+	})
 }
 
 func TestCallersBytesArePassedOnAsTheyCame(t *testing.T) {
@@ -100,7 +102,7 @@
 		got = req
 		return w.Start(http.StatusOK, nil)
 	}}
-	post(t, serve(t, router).URL+"/v1/chat/completions", body)
+	post(t, serve(t, router).URL+"/v1/chat/completions", body, func(*http.Response) {})
 	must.Eq(t, body, string(got.Body))
 	must.Eq(t, model.ModelName("draft"), got.Model)
 	must.Eq(t, model.AccountName("account"), got.Account)
@@ -112,9 +114,10 @@
 		must.NoError(t, w.WriteBody([]byte("half")))
 		return &port.RequestError{Code: port.CodeEndpointFailed, Status: http.StatusBadGateway}
 	}}
-	res := post(t, serve(t, router).URL+"/services/x/y", "{}")
-	_, err := io.ReadAll(res.Body)
-	must.Error(t, err)
+	post(t, serve(t, router).URL+"/services/x/y", "{}", func(res *http.Response) {
+		_, err := io.ReadAll(res.Body)
+		must.Error(t, err)
+	})
 }
 
 func TestRefusalTellsWhenToComeBack(t *testing.T) {
@@ -124,14 +127,15 @@
 			Outcome: model.OutcomeNotRun, RetryAfter: 1200 * time.Millisecond,
 		}
 	}}
-	res := post(t, serve(t, router).URL+"/v1/chat/completions", streamBody)
-	body, err := io.ReadAll(res.Body)
-	must.NoError(t, err)
-	must.Eq(t, http.StatusServiceUnavailable, res.StatusCode)
-	must.Eq(t, "2", res.Header.Get("Retry-After"))
-	must.StrContains(t, string(body), `"retry_after":2`)
-	must.StrContains(t, string(body), `"outcome":"not_run"`)
-	must.StrContains(t, string(body), res.Header.Get("X-Request-Id"))
+	post(t, serve(t, router).URL+"/v1/chat/completions", streamBody, func(res *http.Response) {
+		body, err := io.ReadAll(res.Body)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusServiceUnavailable, res.StatusCode)
+		must.Eq(t, "2", res.Header.Get("Retry-After"))
+		must.StrContains(t, string(body), `"retry_after":2`)
+		must.StrContains(t, string(body), `"outcome":"not_run"`)
+		must.StrContains(t, string(body), res.Header.Get("X-Request-Id"))
+	})
 }
 
 func TestReadinessFollowsTheRouter(t *testing.T) {
--- a/internal/virtual/cluster.go
+++ b/internal/virtual/cluster.go
@@ -161,7 +161,7 @@
 	if j.ended() {
 		return
 	}
-	h = c.owner(j, h, forwarded)
+	h = c.owner(j, h)
 	j.host = h
 	c.stats.wait(j, h.domain)
 	c.apply(h, h.Submit(c.clock.now, model.Request{
--- a/internal/virtual/digests.go
+++ b/internal/virtual/digests.go
@@ -23,8 +23,6 @@
 	forgetAfter = 10 * time.Second
 	// cutFrom is the part of the run at which a host is cut off.
 	cutFrom = 0.3
-	// toPeer is the time of a message between hosts of a domain.
-	toPeer = 300 * time.Microsecond
 )
 
 // peer is a host with a dispatcher and its view of the others.
@@ -161,7 +159,7 @@
 
 // owner returns the host that grants for the request where endpoints have
 // owners, and otherwise the host itself.
-func (c *cluster) owner(j *job, h *host, forwarded bool) *host {
+func (c *cluster) owner(j *job, h *host) *host {
 	if c.opts.Sharing != placement.SharingOwner || h.id == "" {
 		return h
 	}
