Let a load end early without cutting its requests

Cause: the leaving scenario's load lasted 16 s, less than the scenario on a busy machine (its last step then saw no traffic for 30 s). A signal now ends the arrivals only, and the scenario ends its load when it has seen what it wants.

--- a/cmd/wigeonsail/scenario_commands_test.go
+++ b/cmd/wigeonsail/scenario_commands_test.go
@@ -155,16 +155,17 @@
 }
 
 // cmdSignal sends a signal to the scenario's own background process whose
-// arguments contain a text: signal STOP|CONT|TERM|KILL TEXT
+// arguments contain a text: signal STOP|CONT|TERM|INT|KILL TEXT
 func cmdSignal(ts *testscript.TestScript, neg bool, args []string) {
 	signals := map[string]os.Signal{
 		"STOP": syscall.SIGSTOP,
 		"CONT": syscall.SIGCONT,
 		"TERM": syscall.SIGTERM,
+		"INT":  syscall.SIGINT,
 		"KILL": syscall.SIGKILL,
 	}
 	if neg || len(args) != 2 || signals[args[0]] == nil {
-		ts.Fatalf("usage: signal STOP|CONT|TERM|KILL TEXT")
+		ts.Fatalf("usage: signal STOP|CONT|TERM|INT|KILL TEXT")
 	}
 	for _, cmd := range ts.BackgroundCmds() {
 		if strings.Contains(strings.Join(cmd.Args, " "), args[1]) {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -7,7 +7,8 @@
 )
 
 // Run sends the plan's requests to the targets in turn, each at its time
-// whether or not earlier ones have ended, and waits for all answers.
+// whether or not earlier ones have ended, and waits for all answers. When ctx
+// ends, no more requests are sent; those in progress go on.
 func Run(ctx context.Context, plan Plan, targets []Target) Figures {
 	m := newMeasure()
 	drive(ctx, plan, targets, m)
@@ -28,7 +29,7 @@
 		m.begin()
 		running.Go(func() {
 			n := &notes{}
-			m.end(n, c.send(ctx, target, a, n))
+			m.end(n, c.send(context.WithoutCancel(ctx), target, a, n))
 		})
 	}
 }
