Let hosts exchange heartbeats and relay configurations

Cause: a host cut off from the platform stayed at its version, and a host that started during an outage had none.

Hosts meet by the list, by seeds and by the addresses in each other's digests; one that hears of a newer version asks for the record. A host without a version waits five rounds, so that it takes the highest it can hear of, and is not ready before.

--- /dev/null
+++ b/internal/host/heartbeat_bench_test.go
@@ -0,0 +1,176 @@
+package host
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wigeonsail/wigeonsail/internal/adapter/peergrpc"
+	"github.com/wigeonsail/wigeonsail/internal/core/dispatch"
+	"github.com/wigeonsail/wigeonsail/internal/core/membership"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+// The heartbeats of the measured fleet.
+const (
+	benchEvery     = 200 * time.Millisecond
+	benchWarmUp    = 200
+	benchAccounts  = 10
+	benchEndpoints = 24
+)
+
+// countingListener counts the bytes of all connections in both directions.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countingConn{conn, l.bytes}, err
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// answerer answers heartbeats for whichever host is called.
+type answerer struct {
+	port.PeerHandler
+	answer port.Heartbeat
+}
+
+func (a *answerer) HandleExchange(context.Context, port.Heartbeat) (port.Heartbeat, error) {
+	return a.answer, nil
+}
+
+// beatFleet is a set of hosts on a virtual clock. The heartbeats of one
+// host travel over gRPC and are counted.
+type beatFleet struct {
+	b       *testing.B
+	now     time.Time
+	tables  map[string]*membership.Table
+	order   []string
+	seen    string
+	handler *answerer
+	client  *peergrpc.Client
+	address string
+	bytes   atomic.Int64
+	calls   int
+}
+
+func newBeatFleet(b *testing.B, domains, hosts int) *beatFleet {
+	f := &beatFleet{b: b, now: time.Now(), tables: make(map[string]*membership.Table), handler: &answerer{}}
+	for d := range domains {
+		for h := range hosts {
+			f.add(fmt.Sprintf("domain-%02d", d), fmt.Sprintf("10.%d.%d.1:8802", d, h), fmt.Sprintf("10.%d.0.1:8802", d))
+		}
+	}
+	// The last host is no seed of the others.
+	f.seen = f.order[len(f.order)-1]
+	auth := peergrpc.Auth{Secret: "a-secret-of-the-benchmark"}
+	server, err := peergrpc.NewServer(auth, f.handler)
+	must.NoError(b, err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(b, err)
+	f.address = listener.Addr().String()
+	go func() { _ = server.Serve(countingListener{listener, &f.bytes}) }()
+	f.client, err = peergrpc.NewClient(auth)
+	must.NoError(b, err)
+	b.Cleanup(func() {
+		f.client.Close()
+		server.Shutdown(context.Background())
+	})
+	return f
+}
+
+func (f *beatFleet) add(domain, address, seed string) {
+	t := membership.New(membership.Options{
+		Host: model.HostID("host-" + address), Incarnation: 1_700_000_000_000_000_000,
+		Domain: model.DomainName(domain), Address: address,
+		Seeds: []string{seed, "10.0.0.1:8802"}, Every: benchEvery,
+	})
+	var work dispatch.PeerHost
+	for i := range benchEndpoints {
+		work.InFlight = append(work.InFlight, dispatch.EndpointCount{Endpoint: model.EndpointName(fmt.Sprintf("%s-engine-%d", domain, i)), Count: 8})
+	}
+	for i := range benchAccounts {
+		work.Demand = append(work.Demand, dispatch.AccountDemand{
+			Account: model.AccountName(fmt.Sprintf("account-%d", i)), Class: "questions", Rate: 3.7, TokensInFlight: 900, Queued: i,
+		})
+	}
+	t.Update(membership.Ready, 12345, work, nil)
+	f.tables[address] = t
+	f.order = append(f.order, address)
+}
+
+var benchRoom = []dispatch.PoolRoom{{Pool: "drafting", Room: 120}, {Pool: "appointments", Room: 60}}
+
+// round lets every host send its heartbeats of one round.
+func (f *beatFleet) round(counted bool) {
+	f.now = f.now.Add(benchEvery)
+	for _, from := range f.order {
+		table := f.tables[from]
+		targets, beat := table.Round(f.now, benchRoom)
+		for _, to := range targets {
+			f.tables[to].Hear(f.now, beat)
+			answer := f.tables[to].Beat(f.now, benchRoom)
+			table.Hear(f.now, answer)
+			if counted && (from == f.seen || to == f.seen) {
+				f.send(beat, answer)
+			}
+		}
+	}
+}
+
+func (f *beatFleet) send(beat, answer membership.Beat) {
+	f.calls++
+	f.handler.answer = heartbeatOf(answer)
+	_, err := f.client.Exchange(context.Background(), f.address, heartbeatOf(beat))
+	must.NoError(f.b, err)
+}
+
+// BenchmarkHeartbeats reports the bytes a second and the exchanges a second of
+// one host, both directions and framing included.
+func BenchmarkHeartbeats(b *testing.B) {
+	for _, size := range []struct{ domains, hosts int }{{4, 2}, {8, 8}, {16, 16}} {
+		b.Run(fmt.Sprintf("hosts=%d", size.domains*size.hosts), func(b *testing.B) {
+			f := newBeatFleet(b, size.domains, size.hosts)
+			for range benchWarmUp {
+				f.round(false)
+			}
+			must.Len(b, size.hosts, f.tables[f.seen].Members(f.now))
+			must.Len(b, size.domains-1, f.tables[f.seen].Domains(f.now))
+			f.round(true)
+			f.bytes.Store(0)
+			f.calls = 0
+			rounds := 0
+			for b.Loop() {
+				f.round(true)
+				rounds++
+			}
+			seconds := float64(rounds) * benchEvery.Seconds()
+			b.ReportMetric(float64(f.bytes.Load())/seconds, "bytes/s")
+			b.ReportMetric(float64(f.calls)/seconds, "exchanges/s")
+		})
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -15,6 +15,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/adapter/callerhttp"
 	"github.com/wigeonsail/wigeonsail/internal/adapter/enginehttp"
 	"github.com/wigeonsail/wigeonsail/internal/adapter/operatorhttp"
+	"github.com/wigeonsail/wigeonsail/internal/adapter/peergrpc"
 	"github.com/wigeonsail/wigeonsail/internal/adapter/platformhttp"
 	"github.com/wigeonsail/wigeonsail/internal/adapter/servicehttp"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
@@ -51,7 +52,11 @@
 	// operators serves the operator side on operatorListener.
 	operators        *operatorhttp.Server
 	operatorListener net.Listener
-	serving          errgroup.Group
+	// peers serves the other hosts on peerListener; peerClient calls them.
+	peers        *peergrpc.Server
+	peerListener net.Listener
+	peerClient   *peergrpc.Client
+	serving      errgroup.Group
 }
 
 // New builds the parts and opens the listeners. It serves nothing yet.
@@ -61,12 +66,22 @@
 	if err != nil {
 		return nil, err
 	}
+	peerClient, err := peergrpc.NewClient(peerAuth(s))
+	if err != nil {
+		return nil, errors.Join(err, counts.Close())
+	}
+	peerListener, err := net.Listen("tcp", s.Listen.Peers)
+	if err != nil {
+		return nil, errors.Join(&ListenError{Key: "peers", Cause: err}, counts.Close())
+	}
 	srv := &Server{
-		metrics:  counts,
-		settings: s,
-		log:      logger,
-		engines:  enginehttp.New(),
-		services: servicehttp.New(),
+		peerListener: peerListener,
+		peerClient:   peerClient,
+		metrics:      counts,
+		settings:     s,
+		log:          logger,
+		engines:      enginehttp.New(),
+		services:     servicehttp.New(),
 		platform: platformhttp.New(platformhttp.Options{
 			URL:     s.Platform.URL,
 			Host:    model.HostID(s.Host),
@@ -82,7 +97,8 @@
 		Engines:        srv.engines,
 		Services:       srv.services,
 		HostList:       srv.platform,
-		PeerAddress:    s.Listen.Peers,
+		Peers:          srv.peerClient,
+		PeerAddress:    peerListener.Addr().String(),
 		Seeds:          s.Peers.Seeds,
 		HeartbeatEvery: s.Peers.HeartbeatEvery.Std(),
 		ListEvery:      s.Platform.ListEvery.Std(),
@@ -113,7 +129,11 @@
 	if err != nil {
 		return &ListenError{Key: "callers", Cause: err}
 	}
-	return s.listenOperators()
+	if err := s.listenOperators(); err != nil {
+		return err
+	}
+	s.peers, err = peergrpc.NewServer(peerAuth(s.settings), s.host)
+	return err
 }
 
 // CallerAddress is where the host serves callers, as host:port.
@@ -129,6 +149,7 @@
 func (s *Server) Start() {
 	s.host.Start()
 	s.serving.Go(func() error { return s.callers.Serve(s.listener) })
+	s.serving.Go(func() error { return s.peers.Serve(s.peerListener) })
 	s.serving.Go(func() error { return s.operators.Serve(s.operatorListener) })
 	s.log.Infof("host: %s in failure domain %s serves callers on %s", s.settings.Host, s.settings.Domain, s.CallerAddress())
 }
@@ -139,7 +160,9 @@
 	s.log.Info("host: leaving, requests in progress go on")
 	drained := s.host.Drain(ctx)
 	closed := errors.Join(s.callers.Shutdown(ctx), s.operators.Shutdown(ctx))
+	s.peers.Shutdown(ctx)
 	s.host.Close()
+	s.peerClient.Close()
 	s.engines.Close()
 	s.services.Close()
 	s.platform.Close()
