Send requests that may not be repeated by permission only

Cause: the request path sent every request with an idempotency key as often as its caller asked.

A request with a key in a class that is not idempotent asks the guard first: it is sent once, answered from the record, forwarded to the host that issued its ticket, or refused with a typed outcome. A caller that goes away does not end a request that was sent, so that the retry reads its answer. POST /v1/tickets issues tickets. Hosts without a shared secret issue none.

A claim whose host is not in the view gets the benefit of the doubt for a short time, since the view lags and holds only the own failure domain. The window is half of the log's retention. A forged ticket is told unknown unless it was the first try: with a secret that differs between hosts it may have been run elsewhere.

--- a/internal/core/effect/apply.go
+++ b/internal/core/effect/apply.go
@@ -32,7 +32,9 @@
 		// With nothing left, how much was lost is not known.
 		p.blockedUntil = now.Add(m.opts.Window)
 	}
-	p.started = true
+	if p.started.IsZero() {
+		p.started = now
+	}
 	for _, raw := range records {
 		if raw.Offset < p.next {
 			continue
--- a/internal/core/effect/begin.go
+++ b/internal/core/effect/begin.go
@@ -44,7 +44,7 @@
 // outsideWindow tells whether a key that was made at the given time cannot be
 // protected. The margin makes it refused before its claim may be dropped.
 func (m *Machine) outsideWindow(now, at time.Time) bool {
-	return now.Sub(at) > m.opts.Window-maxClaimAge || at.Sub(now) > maxClaimAge
+	return now.Sub(at) > m.opts.Window-m.maxClaimAge() || at.Sub(now) > m.maxClaimAge()
 }
 
 func (m *Machine) beginWithoutLog(now time.Time, key Key, try Try) {
@@ -94,13 +94,26 @@
 		m.answerAll(f, e)
 	case f.phase == phaseClaiming && e.owner == f.owner:
 		m.grant(now, f)
-	case e.owner.HostRef == m.opts.Self || m.live[e.owner.HostRef]:
+	case m.mayAnswer(now, e):
 		f.phase = phaseWaiting
 	default:
 		m.refuseAll(f, model.OutcomeUnknown, CodeHostGone, 0)
 	}
 }
 
+// mayAnswer tells whether the owner of a claim may still record its outcome. A
+// young claim gets the benefit of the doubt, since the view of the hosts lags
+// and holds only those of the own failure domain.
+func (m *Machine) mayAnswer(now time.Time, e *entry) bool {
+	if e.owner.HostRef == m.opts.Self || m.live[e.owner.HostRef] {
+		return true
+	}
+	if e.domain == m.opts.Domain {
+		return now.Sub(e.at) < viewLag
+	}
+	return now.Sub(e.at) < foreignWait
+}
+
 func (m *Machine) claim(now time.Time, f *flight, e *entry) {
 	f.phase = phaseClaiming
 	f.owner = m.newOwner()
@@ -114,7 +127,7 @@
 
 // grant hands the right of a won claim to the first try that still waits.
 func (m *Machine) grant(now time.Time, f *flight) {
-	if now.Sub(f.claimedAt) > maxClaimAge {
+	if now.Sub(f.claimedAt) > m.maxClaimAge() {
 		m.append(f.key, m.record(now, KindRelease, f))
 		m.refuseBlind(now, f)
 		return
@@ -137,6 +150,7 @@
 		Host:        f.owner.Host,
 		Incarnation: f.owner.Incarnation,
 		Nonce:       f.owner.Nonce,
+		Domain:      m.opts.Domain,
 		UnixMilli:   now.UnixMilli(),
 		Ticket:      f.ticket,
 	}
--- a/internal/core/effect/beginticket.go
+++ b/internal/core/effect/beginticket.go
@@ -22,7 +22,7 @@
 func (m *Machine) beginTicket(now time.Time, try Try) {
 	t, err := DecodeTicket(m.opts.Secret, try.Account, try.KeyText)
 	if err != nil {
-		m.emit(refuse(try.ID, model.OutcomeNotRun, CodeTicketInvalid, 0))
+		m.emit(refuse(try.ID, unproved(try), CodeTicketInvalid, 0))
 		return
 	}
 	key := NewKey(try.Account, try.KeyText)
--- a/internal/core/effect/fold.go
+++ b/internal/core/effect/fold.go
@@ -25,6 +25,7 @@
 	generation uint32
 	digest     Digest
 	owner      Owner
+	domain     model.DomainName
 	// at is when the claim, the release or the ticket's outcome was made.
 	at time.Time
 	// outcome and place belong to stateDone.
@@ -89,6 +90,7 @@
 		generation: rec.Generation,
 		digest:     rec.Digest,
 		owner:      rec.owner(),
+		domain:     rec.Domain,
 		at:         rec.Time(),
 	})
 }
--- a/internal/core/effect/machine.go
+++ b/internal/core/effect/machine.go
@@ -21,8 +21,8 @@
 	Secret []byte
 	// Partitions is the number of partitions, equal on all hosts.
 	Partitions int
-	// Window is how long a key is protected from its first claim on. It must
-	// be shorter than the log's retention.
+	// Window is how long a key is protected from its first claim on. The log
+	// must keep records for twice as long.
 	Window time.Duration
 	// ClaimTimeout is the longest wait for a claim to be read back.
 	ClaimTimeout time.Duration
@@ -34,14 +34,19 @@
 
 // Times that all hosts share.
 const (
-	// maxClaimAge is the oldest claim that still gives the right to send. It
-	// also bounds the difference between the clocks of hosts.
-	maxClaimAge = time.Minute
-	// markEvery is the longest time without a record in a partition.
-	markEvery = 30 * time.Minute
-	// markSpreadSeconds spreads the marks of hosts, so that one host's mark
-	// spares the others theirs.
-	markSpreadSeconds = 600
+	// claimAgeLimit bounds the age of a claim that still gives the right to
+	// send. It also bounds the difference between the clocks of hosts.
+	claimAgeLimit = time.Minute
+	// claimAgesPerWindow keeps the age of a claim well below the window.
+	claimAgesPerWindow = 8
+	// viewLag is how late the view of the own failure domain's hosts may be.
+	viewLag = 2 * time.Second
+	// foreignWait is how long a host of another failure domain is taken to be
+	// at work on its claim.
+	foreignWait = 10 * time.Second
+	// marksPerWindow is the number of marks in the window of a partition
+	// without traffic.
+	marksPerWindow = 8
 	// logRetryAfter is when to come back while the log is out of reach.
 	logRetryAfter = 2 * time.Second
 	// progressRetryAfter is when to come back for an answer in progress.
@@ -69,8 +74,8 @@
 type partition struct {
 	fold *fold
 	next model.Offset
-	// started says that the stream was read from its earliest record on.
-	started bool
+	// started is when the stream was first read; zero before.
+	started time.Time
 	// blockedUntil is when all keys of the lost records are out of the window.
 	blockedUntil time.Time
 	// halted says that a record could not be understood.
@@ -163,7 +168,7 @@
 		// Entries outlive the window by the age that a claim can reach and by
 		// the clock difference, so that every reader sees them while a claim
 		// made inside the window can still be used.
-		p.fold.drop(now.Add(-m.opts.Window - 2*maxClaimAge))
+		p.fold.drop(now.Add(-m.opts.Window - 2*m.maxClaimAge()))
 	}
 	m.tickets.drop(now)
 	maps.DeleteFunc(m.abandoned, func(_ uint64, at time.Time) bool { return now.Sub(at) >= m.opts.Window })
@@ -171,16 +176,27 @@
 	return m.take()
 }
 
+// maxClaimAge is the oldest claim that still gives the right to send.
+func (m *Machine) maxClaimAge() time.Duration {
+	return min(claimAgeLimit, m.opts.Window/claimAgesPerWindow)
+}
+
 // mark keeps a partition without traffic from growing silent: a host that
 // starts later tells from the earliest record how far back the log is kept.
 func (m *Machine) mark(now time.Time) {
 	if m.logDown {
 		return
 	}
-	spread := time.Duration(xxhash.Sum64String(string(m.opts.Self.Host))%markSpreadSeconds) * time.Second
+	every := m.opts.Window / marksPerWindow
+	// The spread lets one host's mark spare the others theirs.
+	spread := time.Duration(xxhash.Sum64String(string(m.opts.Self.Host)) % uint64(every/4+1))
 	for i, p := range m.partitions {
-		quiet := now.Sub(p.fold.last) >= markEvery+spread && now.Sub(p.markedAt) >= markEvery
-		if !p.started || p.halted || !quiet {
+		quietSince := p.fold.last
+		if quietSince.Before(p.started) {
+			quietSince = p.started
+		}
+		quiet := now.Sub(quietSince) >= every+spread && now.Sub(p.markedAt) >= every
+		if p.started.IsZero() || p.halted || !quiet {
 			continue
 		}
 		p.markedAt = now
@@ -208,7 +224,7 @@
 
 // canClaim tells whether the log can decide about the partition's keys.
 func (m *Machine) canClaim(now time.Time, p *partition) bool {
-	return !m.logDown && p.started && !p.halted && !now.Before(p.blockedUntil)
+	return !m.logDown && !p.started.IsZero() && !p.halted && !now.Before(p.blockedUntil)
 }
 
 func (m *Machine) newOwner() Owner {
--- a/internal/core/effect/record.go
+++ b/internal/core/effect/record.go
@@ -37,6 +37,8 @@
 	Host        model.HostID      `json:"host"`
 	Incarnation model.Incarnation `json:"incarnation"`
 	Nonce       uint64            `json:"nonce"`
+	// Domain is the host's failure domain.
+	Domain model.DomainName `json:"domain,omitempty"`
 	// Generation counts the releases of the key before this claim.
 	Generation uint32 `json:"generation,omitempty"`
 	// UnixMilli is when the record was made, by the host's clock.
--- a/internal/core/effect/ticket.go
+++ b/internal/core/effect/ticket.go
@@ -34,11 +34,19 @@
 // to this account, or was altered.
 var ErrForgedTicket = errors.New("ticket was not issued to this account")
 
+// ErrNoSecret tells that the hosts have no secret, so that no ticket can be
+// told from a forged one.
+var ErrNoSecret = errors.New("tickets need a secret that all hosts share")
+
 // IsTicket tells whether an idempotency key has the form of a ticket.
 func IsTicket(text string) bool { return strings.HasPrefix(text, ticketPrefix) }
 
 // EncodeTicket writes the ticket for an account, with its authentication code.
+// It fails with ErrNoSecret.
 func EncodeTicket(secret []byte, account model.AccountName, t Ticket) (string, error) {
+	if len(secret) == 0 {
+		return "", ErrNoSecret
+	}
 	payload, err := json.Marshal(t)
 	if err != nil {
 		return "", err
--- /dev/null
+++ b/internal/host/forward.go
@@ -0,0 +1,167 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/effect"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+// forwardTicket hands a request to the host that issued its ticket.
+func (h *Host) forwardTicket(ctx context.Context, req *request, address string, w port.AnswerWriter) error {
+	if h.opts.Peers == nil {
+		return refusedEffect(effect.Unreachable(tryOf(req), false))
+	}
+	err := h.forwardTo(ctx, address, req, w)
+	var peer *port.PeerError
+	if errors.As(err, &peer) {
+		return refusedEffect(effect.Unreachable(tryOf(req), peer.Sent))
+	}
+	var endpoint *port.EndpointError
+	if errors.As(err, &endpoint) {
+		return refusedByPeer(endpoint)
+	}
+	return err
+}
+
+// forwardTo hands a request to another host and passes its answer on.
+func (h *Host) forwardTo(ctx context.Context, address string, req *request, w port.AnswerWriter) error {
+	stream, err := h.opts.Peers.Forward(ctx, address, port.ForwardCall{
+		Request:     req.model,
+		Key:         req.call.Key,
+		Method:      req.call.Method,
+		Path:        req.call.Path,
+		ContentType: req.call.Header.Get("Content-Type"),
+		Body:        req.call.Body,
+		Stream:      req.call.Stream,
+	})
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for {
+		part, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err := passPart(w, part, req.call.Stream); err != nil {
+			return &callerError{cause: err}
+		}
+	}
+}
+
+// passPart writes one part of a forwarded answer.
+func passPart(w port.AnswerWriter, part port.ForwardPart, events bool) error {
+	if part.Status != 0 {
+		header := http.Header{}
+		if part.ContentType != "" {
+			header.Set("Content-Type", part.ContentType)
+		}
+		if err := w.Start(part.Status, header); err != nil {
+			return err
+		}
+	}
+	if len(part.Data) == 0 {
+		return nil
+	}
+	if events {
+		return w.WriteEvent(part.Data, part.Tokens)
+	}
+	return w.WriteBody(part.Data)
+}
+
+// refusedByPeer translates the refusal of the host that got the request.
+func refusedByPeer(err *port.EndpointError) *port.RequestError {
+	out := &port.RequestError{
+		Code:       port.CodeOutcomeUnknown,
+		Status:     err.Status,
+		Message:    "the host that got the request: " + err.Cause.Error(),
+		Outcome:    err.Outcome,
+		RetryAfter: err.RetryAfter,
+		Cause:      err,
+	}
+	switch {
+	case err.Status == http.StatusUnprocessableEntity:
+		out.Code = port.CodeKeyReused
+	case err.Outcome == model.OutcomeNotRun:
+		out.Code = port.CodeOverloaded
+	}
+	if out.Status == 0 {
+		out.Status = http.StatusBadGateway
+	}
+	return out
+}
+
+// HandleForward runs a request of another host. It implements
+// port.PeerHandler.
+func (h *Host) HandleForward(ctx context.Context, call port.ForwardCall, send func(port.ForwardPart) error) error {
+	ctx, cancel := context.WithDeadline(ctx, call.Request.Deadline)
+	defer cancel()
+	req := port.CallerRequest{
+		ID:        call.Request.ID,
+		Account:   call.Request.Account,
+		Class:     call.Request.Class,
+		Budget:    call.Request.Deadline.Sub(call.Request.Arrived),
+		Key:       call.Key,
+		Method:    call.Method,
+		Path:      call.Path,
+		Header:    http.Header{"Content-Type": {call.ContentType}},
+		Body:      call.Body,
+		Model:     call.Request.Model,
+		Stream:    call.Stream,
+		Forwarded: true,
+	}
+	answer := &partWriter{send: send}
+	err := h.Serve
+	if call.Request.Model != "" {
+		err = h.Complete
+	}
+	return peerFailure(err(ctx, req, answer))
+}
+
+// peerFailure translates the end of a request for the host that sent it.
+func peerFailure(err error) error {
+	var known *port.RequestError
+	if !errors.As(err, &known) {
+		return err
+	}
+	return &port.EndpointError{
+		Outcome:    known.Outcome,
+		Status:     known.Status,
+		RetryAfter: known.RetryAfter,
+		Cause:      errors.New(known.Message),
+	}
+}
+
+// partWriter sends an answer to the host that forwarded the request.
+type partWriter struct {
+	send func(port.ForwardPart) error
+}
+
+// Start implements port.AnswerWriter.
+func (p *partWriter) Start(status int, header http.Header) error {
+	return p.send(port.ForwardPart{Status: status, ContentType: header.Get("Content-Type")})
+}
+
+// WriteEvent implements port.AnswerWriter.
+func (p *partWriter) WriteEvent(data []byte, tokens int) error {
+	return p.send(port.ForwardPart{Data: data, Tokens: tokens})
+}
+
+// WriteBody implements port.AnswerWriter.
+func (p *partWriter) WriteBody(data []byte) error {
+	return p.send(port.ForwardPart{Data: data})
+}
+
+// HandleAppendClaims appends the claims and outcomes of another host. It
+// implements port.PeerHandler.
+func (h *Host) HandleAppendClaims(ctx context.Context, entries []port.ClaimEntry) ([]port.ClaimPlace, error) {
+	return h.guard.AppendClaims(ctx, entries)
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -14,6 +14,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/catalog"
 	"github.com/wigeonsail/wigeonsail/internal/core/dispatch"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/effects"
 	"github.com/wigeonsail/wigeonsail/internal/metrics"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
@@ -45,6 +46,10 @@
 	HeartbeatEvery time.Duration
 	// ListEvery is the time between reads of the host list.
 	ListEvery time.Duration
+	// Secret authenticates tickets among the hosts.
+	Secret []byte
+	// MaxOutcome is the largest answer in bytes that is recorded for retries.
+	MaxOutcome int
 	// Retention is how long the platform's log keeps a record.
 	Retention time.Duration
 	// Log takes the host's log lines.
@@ -63,6 +68,9 @@
 	// accepted is the record of the configuration in force.
 	accepted atomic.Pointer[port.ConfigRecord]
 	leaving  atomic.Bool
+	guard    *effects.Guard
+	// members are the other hosts of the own failure domain.
+	members atomic.Pointer[[]effects.Member]
 	// leaveAsked is closed when the host is told to leave.
 	leaveAsked chan struct{}
 	leaveOnce  sync.Once
@@ -85,6 +93,7 @@
 		Domain: opts.Domain,
 		Seed:   opts.Seed,
 	})
+	h.guard = newGuard(h)
 	return h
 }
 
@@ -93,6 +102,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	h.ctx = ctx
 	h.stop = stop
+	h.guard.Start()
 	h.workers.Go(func() { h.loop.run(ctx, h.control) })
 	h.workers.Go(func() { h.followConfig(ctx) })
 	h.workers.Go(func() { h.pollEndpoints(ctx) })
@@ -107,6 +117,7 @@
 // Close ends the control loop and the pollers. Requests in progress fail, so
 // Drain comes first in a graceful shutdown.
 func (h *Host) Close() {
+	h.guard.Close()
 	h.stop()
 	h.workers.Wait()
 }
--- a/internal/host/membership.go
+++ b/internal/host/membership.go
@@ -40,6 +40,7 @@
 		c.sendBeat(address, beat)
 	}
 	c.carryOut(c.dispatch.SetPeers(now, c.members.View(now)))
+	c.shareMembers(now)
 	c.relayConfig(now)
 	c.carryConfig(now)
 }
--- a/internal/host/service.go
+++ b/internal/host/service.go
@@ -30,10 +30,18 @@
 	if err != nil {
 		return h.observeRejected(err)
 	}
-	return h.serve(ctx, req, w, func(ctx context.Context, req *request, grant dispatch.Action) attemptEnd {
+	if req.needsRight() {
+		return h.serveOnce(ctx, req, w)
+	}
+	return h.serve(ctx, req, w, h.serviceRunner(w))
+}
+
+// serviceRunner makes attempts whose answer goes to w.
+func (h *Host) serviceRunner(w port.AnswerWriter) runner {
+	return func(ctx context.Context, req *request, grant dispatch.Action) attemptEnd {
 		run := serviceRun{host: h, req: req, w: w, started: time.Now()}
 		return run.attempt(ctx, grant)
-	})
+	}
 }
 
 // serviceRun is one attempt at a plain service. It is never preempted.
--- a/internal/host/spill.go
+++ b/internal/host/spill.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/dispatch"
-	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -12,8 +11,3 @@
 func (h *Host) spill(_ context.Context, _ *request, _ dispatch.Action, _ port.AnswerWriter) error {
 	return refused(dispatch.Action{Reason: dispatch.ReasonNoEndpoint, RetryAfter: retryAfterFailure})
 }
-
-// IssueTicket makes a single-use key.
-func (h *Host) IssueTicket(context.Context, model.AccountName) (port.Ticket, error) {
-	return port.Ticket{}, notReady()
-}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -87,6 +87,8 @@
 		HeartbeatEvery: s.Peers.HeartbeatEvery.Std(),
 		ListEvery:      s.Platform.ListEvery.Std(),
 		Retention:      s.Platform.Retention.Std(),
+		Secret:         []byte(s.Peers.Secret),
+		MaxOutcome:     s.Limits.MaxOutcome,
 		Log:            logger,
 		Metrics:        counts,
 	})
