--- a/internal/core/burn/burn_test.go
+++ b/internal/core/burn/burn_test.go
@@ -86,6 +86,7 @@
 	for _, f := range figures {
 		must.InDelta(t, f.want, f.got, 1e-9, must.Sprint(f.name))
 	}
+	must.Eq(t, []CauseTokens{{"caller_gone", 2000}, {"retry", 3000}}, n.Wasted)
 	must.False(t, n.Firing())
 	must.True(t, s.Alerts[0].Firing)
 	must.True(t, s.Alerts[1].Firing)
--- a/internal/core/burn/summary.go
+++ b/internal/core/burn/summary.go
@@ -57,7 +57,15 @@
 	GoodTokensPerSecond float64 `json:"good_tokens_per_second"`
 	// WastedShare is the share of wasted among all generated tokens.
 	WastedShare float64 `json:"wasted_share"`
-	Alerts      []Alert `json:"alerts"`
+	// Wasted lists the wasted tokens by cause, those without any left out.
+	Wasted []CauseTokens `json:"wasted"`
+	Alerts []Alert       `json:"alerts"`
+}
+
+// CauseTokens is a number of wasted tokens with their cause.
+type CauseTokens struct {
+	Cause  string `json:"cause"`
+	Tokens uint64 `json:"tokens"`
 }
 
 // Firing tells whether any alert fires.
@@ -113,6 +121,12 @@
 	if generated := counts.Tokens + counts.AllWasted(); generated > 0 {
 		sum.WastedShare = float64(counts.AllWasted()) / float64(generated)
 	}
+	sum.Wasted = []CauseTokens{}
+	for cause := range WasteCauses() {
+		if tokens := counts.Wasted[cause]; tokens > 0 {
+			sum.Wasted = append(sum.Wasted, CauseTokens{Cause: cause.String(), Tokens: tokens})
+		}
+	}
 	for _, pair := range AlertPairs {
 		sum.Alerts = append(sum.Alerts, evaluate(row, now, pair))
 	}
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -12,7 +12,7 @@
 
 func example(t *testing.T) string {
 	t.Helper()
-	data, err := os.ReadFile("../../examples/office/host.toml")
+	data, err := os.ReadFile("../../examples/silbato/host.toml")
 	must.NoError(t, err)
 	return string(data)
 }
@@ -28,8 +28,8 @@
 		{"wrong unit", `timeout = "2s"`, `timeout = "2 sec"`, `:13: platform.timeout: unknown unit " sec" in duration "2 sec"; allowed: a time span`},
 		{"missing unit", `timeout = "2s"`, `timeout = 2`, `:13: platform.timeout: number without a unit; allowed: a time span`},
 		{"size with unit", `max_body = 4194304`, `max_body = "4MB"`, `limits.max_body: wrong type or unit: found a TOML string; allowed: a whole number of bytes`},
-		{"syntax", `host = "office-north-1"`, `host = `, `:3: `},
-		{"no host", `host = "office-north-1"`, ``, `: host: missing; allowed: a name`},
+		{"syntax", `host = "silbato-north-1"`, `host = `, `:3: `},
+		{"no host", `host = "silbato-north-1"`, ``, `: host: missing; allowed: a name`},
 		{"no domain", `domain = "north"`, ``, `: domain: missing failure domain; allowed: the name`},
 		{"port clash", `1.1:18082`, `1.1:18080`, `:9: listen.peers: 127.20.1.1:18080 clashes with listen.callers; allowed: an address`},
 		{"clash of all interfaces", `127.20.1.1:18081`, `0.0.0.0:18080`, `:8: listen.operators: 0.0.0.0:18080 clashes`},
@@ -37,9 +37,9 @@
 		{"bad port", `127.20.1.1:18081`, `127.20.1.1:99999`, `:8: listen.operators: "99999" is no port`},
 		{"no listener", `operators = "127.20.1.1:18081"`, ``, `:6: listen.operators: missing address`},
 		{"bad URL", `http://127`, `ftp://127`, `:12: platform.url:`},
-		{"short secret", `office-example-secret`, `abc`, `peers.secret: only 3 characters; allowed: at least 16`},
-		{"half-set TLS", `secret = "office`, "cert_file = \"x.pem\"\nsecret = \"office", `: peers.key_file: missing while another TLS file is set; allowed: a readable PEM file`},
-		{"unreadable TLS", `secret = "office`, "cert_file = \"x.pem\"\nkey_file = \"x.pem\"\nca_file = \"x.pem\"\nsecret = \"office", `:17: peers.cert_file: cannot read the file: no such file`},
+		{"short secret", `silbato-example-secret`, `abc`, `peers.secret: only 3 characters; allowed: at least 16`},
+		{"half-set TLS", `secret = "silbato`, "cert_file = \"x.pem\"\nsecret = \"silbato", `: peers.key_file: missing while another TLS file is set; allowed: a readable PEM file`},
+		{"unreadable TLS", `secret = "silbato`, "cert_file = \"x.pem\"\nkey_file = \"x.pem\"\nca_file = \"x.pem\"\nsecret = \"silbato", `:17: peers.cert_file: cannot read the file: no such file`},
 		{"bad seed", `127.20.2.1:18082`, `127.20.2.1`, `:18: peers.seeds: "127.20.2.1" is no address`},
 		{"bad hash", `name = "shift-lagos"`, "name = \"shift-lagos\"\nhash = \"12\"\n[[operator]]\nname = \"other\"", `:27: operator[1].hash: bad hash of operator shift-lagos; allowed: the SHA-256`},
 		{"operator twice", `shift-lagos`, `shift-manila`, `:26: operator[1].name: operator shift-manila stands twice`},
@@ -73,7 +73,7 @@
 func TestLoadExamples(t *testing.T) {
 	paths, err := filepath.Glob("../../examples/*/host.toml")
 	must.NoError(t, err)
-	must.SliceLen(t, 2, paths)
+	must.SliceLen(t, 3, paths)
 	for _, path := range paths {
 		_, err := Load(path)
 		must.NoError(t, err)
