--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -17,10 +17,12 @@
 	host     *Host
 	dispatch *dispatch.Dispatcher
 	burn     *burn.Recorder
-	waiters  map[model.RequestID]*waiter
-	config   configControl
-	members  *membership.Table
-	leaving  leavingEndpoints
+	// ejections is what metrics and the log know of ejected endpoints.
+	ejections ejections
+	waiters   map[model.RequestID]*waiter
+	config    configControl
+	members   *membership.Table
+	leaving   leavingEndpoints
 	// beating are the addresses with a heartbeat under way.
 	beating map[string]bool
 	// rounds counts the rounds of heartbeats.
@@ -79,6 +81,7 @@
 
 func (c *control) tick(now time.Time) {
 	c.carryOut(c.dispatch.Tick(now))
+	c.observeEjections(now)
 }
 
 // carryOut passes actions on to the requests they are about.
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"regexp"
 	"strconv"
 	"strings"
 	"testing"
@@ -45,6 +47,11 @@
 	m.FirstToken("draft", 3*time.Millisecond)
 	m.BetweenTokens("draft", 2*time.Millisecond)
 	page := scrape(t, m)
+	documented, err := os.ReadFile("../../docs/operations/logs-and-metrics.md")
+	must.NoError(t, err)
+	for _, name := range regexp.MustCompile(`(?m)^# TYPE (\S+)`).FindAllStringSubmatch(page, -1) {
+		must.StrContains(t, string(documented), "| `"+name[1]+"` |")
+	}
 	for _, line := range []string{
 		`wigeonsail_requests_total{class="draft",outcome="ran"} 2`,
 		`wigeonsail_refusals_total{class="draft",reason="queue_full"} 1`,
