Copy burn counts class by class, so that the control loop goes on

Cause: a report over 24 hours copied all classes in one event of the control loop.

Ruled out: a lock around the counts; the control loop owns them.

--- a/internal/core/burn/snapshot.go
+++ b/internal/core/burn/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"fmt"
 	"slices"
 	"time"
@@ -47,21 +48,36 @@
 // Snapshot copies the counts of the window that ends now.
 func (r *Recorder) Snapshot(now time.Time, window time.Duration) Snapshot {
 	var s Snapshot
-	for class, g := range r.rings {
-		row := Row{Class: class, Domain: r.domain, Objective: r.targets[class].objective}
-		row.Buckets = g.since(now, window)
-		if len(row.Buckets) > 0 {
+	for _, class := range r.Classes() {
+		if row := r.Row(now, window, class); len(row.Buckets) > 0 {
 			s.Rows = append(s.Rows, row)
 		}
 	}
-	s.sort()
 	return s
 }
 
+// Classes lists the counted classes in their order in snapshots.
+func (r *Recorder) Classes() []model.ClassName {
+	return slices.Sorted(maps.Keys(r.rings))
+}
+
+// Row copies the counts of one class. It lets an owner that must not be held
+// up copy class by class.
+func (r *Recorder) Row(now time.Time, window time.Duration, class model.ClassName) Row {
+	row := Row{Class: class, Domain: r.domain, Objective: r.targets[class].objective}
+	if g, ok := r.rings[class]; ok {
+		row.Buckets = g.since(now, window)
+	}
+	return row
+}
+
 func (g *ring) since(now time.Time, window time.Duration) []Bucket {
 	last := bucketNumber(now)
 	first := max(firstBucket(now, window), g.latest-bucketCount+1)
-	var out []Bucket
+	if first > last {
+		return nil
+	}
+	out := make([]Bucket, 0, last-first+1)
 	for number := first; number <= last; number++ {
 		b := &g.buckets[number%bucketCount]
 		if b.number == number && b.Counts != (Counts{}) {
--- a/internal/host/burn.go
+++ b/internal/host/burn.go
@@ -24,12 +24,23 @@
 func (e wasteEvent) apply(now time.Time, c *control) { c.burn.Waste(now, e.class, e.cause, e.tokens) }
 
 // Burn returns this host's service-level counts over the window that ends now.
+// It asks class by class, so that the control loop is not held up.
 func (h *Host) Burn(ctx context.Context, window time.Duration) (burn.Gathered, error) {
-	snapshot, err := ask(ctx, h, func(now time.Time, c *control) burn.Snapshot { return c.burn.Snapshot(now, window) })
+	classes, err := ask(ctx, h, func(_ time.Time, c *control) []model.ClassName { return c.burn.Classes() })
 	if err != nil {
 		return burn.Gathered{}, err
 	}
-	return burn.Gathered{Snapshot: snapshot, Answered: []model.HostID{h.opts.ID}}, nil
+	out := burn.Gathered{Answered: []model.HostID{h.opts.ID}}
+	for _, class := range classes {
+		row, err := ask(ctx, h, func(now time.Time, c *control) burn.Row { return c.burn.Row(now, window, class) })
+		if err != nil {
+			return burn.Gathered{}, err
+		}
+		if len(row.Buckets) > 0 {
+			out.Snapshot.Rows = append(out.Snapshot.Rows, row)
+		}
+	}
+	return out, nil
 }
 
 // HandleBurn returns the encoded counts of this host or of its domain.
