--- a/internal/core/burn/snapshot.go
+++ b/internal/core/burn/snapshot.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
-	"maps"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
