--- a/internal/host/membership.go
+++ b/internal/host/membership.go
@@ -40,6 +40,7 @@
 		c.sendBeat(address, beat)
 	}
 	c.carryOut(c.dispatch.SetPeers(now, c.members.View(now)))
+	c.shareMembers(now)
 	c.relayConfig(now)
 	c.carryConfig(now)
 }
@@ -59,7 +60,7 @@
 // sendBeat sends one heartbeat, unless the last one to the address is still
 // under way.
 func (c *control) sendBeat(address string, beat membership.Beat) {
-	if c.beating[address] {
+	if c.beating[address] || c.host.opts.Peers == nil {
 		return
 	}
 	c.beating[address] = true
