Eject slow endpoints sooner, on more answers

Now the factor is 2.5, judged on 20 answers (the test of slow endpoints gives as many). The allowance now counts the slow engine's lost capacity.

--- a/internal/core/placement/health.go
+++ b/internal/core/placement/health.go
@@ -10,9 +10,9 @@
 	failuresToEject = 3
 	// slowFactor ejects an endpoint that is this many times slower than the
 	// median of its pool.
-	slowFactor = 3.0
+	slowFactor = 2.5
 	// slowSamples is the number of answers before slowness is judged.
-	slowSamples = 5
+	slowSamples = 20
 	// maxEjectedShare bounds the ejected part of a pool.
 	maxEjectedShare = 0.34
 	// ejectFor is the first ejection's length; it doubles up to maxEjectFor.
--- a/internal/virtual/allowed.go
+++ b/internal/virtual/allowed.go
@@ -1,5 +1,11 @@
 package virtual
 
+import (
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+)
+
 // allowanceWindow is the time within which capacity and demand are compared:
 // the mean length of a burst.
 const allowanceWindow = burstMean
@@ -25,8 +31,8 @@
 		}
 	}
 	served, wanted := 0.0, 0.0
-	full := c.capacity(class.pool) * allowanceWindow.Seconds()
 	for w := range windows {
+		full := c.capacityAt(class.pool, time.Duration(w)*allowanceWindow) * allowanceWindow.Seconds()
 		served += min(own[w], max(full-above[w], 0))
 		wanted += own[w]
 	}
@@ -35,3 +41,15 @@
 	}
 	return served / wanted
 }
+
+// capacityAt returns a pool's work a second, with the engine that lags for a
+// while.
+func (c *cluster) capacityAt(pool model.PoolName, at time.Duration) float64 {
+	full := c.capacity(pool)
+	part := at.Seconds() / c.opts.Duration.Seconds()
+	slow := c.engines[0]
+	if pool == slow.pool && part >= slowFrom && part < slowUntil {
+		full -= slow.capacity() * (1 - slowTo)
+	}
+	return full
+}
