--- a/internal/virtual/report.go
+++ b/internal/virtual/report.go
@@ -57,10 +57,12 @@
 	Allowed float64 `json:"-"`
 }
 
-// SharingReport tells what went wrong between hosts before shared endpoints,
-// as parts of all grants.
+// SharingReport tells what went wrong between hosts before shared endpoints.
 type SharingReport struct {
-	Overshoot  float64
+	// Overshoot is the part of the grants to engines that found no free slot.
+	Overshoot float64
+	// Inversions is the part of all grants that were given while a higher tier
+	// waited at another host of the domain.
 	Inversions float64
 }
 
@@ -105,7 +107,7 @@
 	out.Goodput = sum.delivered / opts.Duration.Seconds()
 	out.Wasted = ratio(sum.generated-sum.kept, sum.generated)
 	out.Sharing = SharingReport{
-		Overshoot:  ratio(float64(sum.overshoot), float64(sum.grants)),
+		Overshoot:  ratio(float64(sum.overshoot), float64(sum.engineGrants)),
 		Inversions: ratio(float64(sum.inversions), float64(sum.grants)),
 	}
 	return out
@@ -115,12 +117,13 @@
 type tally struct {
 	// delivered counts tokens of whole answers during the arrivals, kept also
 	// those after them.
-	delivered  float64
-	kept       float64
-	generated  float64
-	grants     int
-	overshoot  int
-	inversions int
+	delivered    float64
+	kept         float64
+	generated    float64
+	grants       int
+	engineGrants int
+	overshoot    int
+	inversions   int
 }
 
 func (t *tally) add(c *cluster) {
@@ -139,6 +142,7 @@
 		}
 	}
 	t.grants += c.stats.grants
+	t.engineGrants += c.stats.engineGrants
 	t.overshoot += c.stats.overshoot
 	t.inversions += c.stats.inversions
 }
--- a/internal/virtual/stats.go
+++ b/internal/virtual/stats.go
@@ -5,8 +5,10 @@
 // sharingStats counts what goes wrong where hosts share endpoints.
 type sharingStats struct {
 	grants int
-	// overshoot counts grants to an endpoint without a free slot.
-	overshoot int
+	// engineGrants counts those to engines, overshoot those to an engine
+	// without a free slot.
+	engineGrants int
+	overshoot    int
 	// inversions counts grants while a higher tier waited at another host of
 	// the domain.
 	inversions int
@@ -43,8 +45,11 @@
 func (s *sharingStats) granted(j *job, h *host, e *engine) {
 	s.stop(j)
 	s.grants++
-	if len(e.running)+len(e.waiting) >= e.slots {
-		s.overshoot++
+	if e.pool == enginePool {
+		s.engineGrants++
+		if len(e.running)+len(e.waiting) >= e.slots {
+			s.overshoot++
+		}
 	}
 	for tier := range j.class.Tier {
 		key := waitKey{pool: j.class.pool, domain: h.domain, tier: tier}
