Give way to work of hosts that are not heard of

Now a report of more work than this host and its known peers have sent shrinks the room by the usual factor instead, on each side alike, and growth above that is slow while reports go on telling of queued work.

The test of frozen reports had no work of its own at the endpoint, where the rule has changed; it now has three cases, each of which fails when its branch is taken out.

--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -11,6 +11,9 @@
 	// spillDigestAge is the oldest digest of another domain that requests are
 	// spilled on.
 	spillDigestAge = 5 * time.Second
+	// unseenSlack is the work at an endpoint, beyond what is known, that the lag
+	// of reports and digests explains.
+	unseenSlack = 2
 	// reportMaxAge is the oldest load report that is believed.
 	reportMaxAge = 5 * time.Second
 	// baseRate keeps a part of the room for a host without demand, in requests
@@ -200,13 +203,26 @@
 	ref.CanResume = rep.CanResume
 	ref.Models = rep.Models
 	ref.Reports = rep.Age <= reportMaxAge
-	if rep.Age <= reportMaxAge && rep.Queued > 0 {
-		ref.Room.Queued(rep.Running)
+	if rep.Age <= reportMaxAge {
+		ref.learnQueue(now, rep)
 	}
 	ref.Refresh(d.opts.Sharing)
 	return d.run(now, ref.pool, nil)
 }
 
+// learnQueue adjusts the room to what the endpoint says of its queue.
+func (ref *endpointRef) learnQueue(now time.Time, rep LoadReport) {
+	known := ref.Own + ref.Peers.InFlight
+	switch {
+	case rep.Queued == 0:
+		ref.Room.Clear()
+	case rep.Running+rep.Queued > known+unseenSlack:
+		ref.Room.Crowded(now)
+	default:
+		ref.Room.Queued(rep.Running)
+	}
+}
+
 // SetLeaving marks an endpoint as leaving, or as back, by another source than
 // the configuration.
 func (d *Dispatcher) SetLeaving(now time.Time, name model.EndpointName, leaving bool) []Action {
--- a/internal/core/dispatch/peers_test.go
+++ b/internal/core/dispatch/peers_test.go
@@ -128,15 +128,26 @@
 	}
 }
 
-func TestFrozenReportIsNotBelieved(t *testing.T) {
+func TestReportsOfQueuedWork(t *testing.T) {
 	cases := []struct {
+		name string
 		age  time.Duration
+		own  int
 		want int
-	}{{time.Second, 3}, {time.Minute, 8}}
+	}{
+		{"the endpoint runs three at once", time.Second, 5, 0},
+		{"a frozen report is not believed", time.Minute, 5, 3},
+		{"hosts that are not heard of send work", time.Second, 0, 6},
+	}
 	for _, c := range cases {
-		b := newBench(engines(8, "e1"))
-		b.ReportLoad(at(0), dispatch.LoadReport{Endpoint: "e1", Running: 3, Queued: 2, Age: c.age})
-		must.Eq(t, c.want, b.grants(at(1), "draft"))
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(engines(8, "e1"))
+			for range c.own {
+				b.submit(at(0), "draft", "big")
+			}
+			b.ReportLoad(at(0), dispatch.LoadReport{Endpoint: "e1", Running: 3, Queued: 2, Age: c.age})
+			must.Eq(t, c.want, b.grants(at(1), "draft"))
+		})
 	}
 }
 
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -48,6 +48,22 @@
 	must.Eq(t, 7, r.Value(), must.Sprint("slow growth above what the endpoint has shown"))
 }
 
+func TestRoomGivesWayToUnseenWork(t *testing.T) {
+	r := placement.NewRoom(10)
+	r.Crowded(at(0))
+	for range 30 {
+		r.Good(r.Value())
+	}
+	must.Eq(t, 8, r.Value(), must.Sprint("slow growth"))
+	for range 100 {
+		r.Clear()
+	}
+	for range 40 {
+		r.Good(r.Value())
+	}
+	must.Eq(t, 12, r.Value(), must.Sprint("fast growth once nothing has waited for a while"))
+}
+
 func TestLateAnswersShrinkTheRoom(t *testing.T) {
 	cases := []struct {
 		name    string
--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -15,6 +15,8 @@
 	// probeFactor slows the increase above what the endpoint itself has shown
 	// to serve at once.
 	probeFactor = 0.05
+	// ceilingStep is what one report without queued work adds to the ceiling.
+	ceilingStep = 0.05
 	// roomRaise bounds the learned room by the configured one.
 	roomRaise = 4
 	// decreaseEvery is the least time between two decreases, since signs of
@@ -62,6 +64,22 @@
 	r.value = min(r.value, r.ceiling)
 }
 
+// Crowded tells that requests wait at an endpoint because of work that this
+// host and the peers it hears of did not send. All who do not see each other
+// give way by the same factor, and grow again slowly.
+func (r *Room) Crowded(now time.Time) {
+	r.Congested(now)
+	r.ceiling = r.value
+}
+
+// Clear tells that nothing waits at an endpoint, which raises the number up to
+// which the room grows fast.
+func (r *Room) Clear() {
+	if r.ceiling > 0 {
+		r.ceiling += ceilingStep
+	}
+}
+
 // Congested tells of late answers.
 func (r *Room) Congested(now time.Time) {
 	if !r.decreased.IsZero() && now.Sub(r.decreased) < decreaseEvery {
