Hand requests to hosts of other failure domains, one hop at most

Cause: the dispatcher spills, and the shell refused. A request that must not be repeated is forwarded under the right that its own host holds; the next host uses it without a claim of its own. When the gateway does not take it, the request stays in its domain. Scenarios now lock one by one, as each has addresses of its own.

--- a/cmd/wigeonsail/scenario_test.go
+++ b/cmd/wigeonsail/scenario_test.go
@@ -7,7 +7,6 @@
 
 	"github.com/rogpeppe/go-internal/lockedfile"
 	"github.com/rogpeppe/go-internal/testscript"
-	"github.com/shoenig/test/must"
 )
 
 func TestMain(m *testing.M) {
@@ -16,18 +15,20 @@
 	})
 }
 
-// TestScenarios runs one at a time on a machine, since scenarios listen on
-// fixed addresses.
+// TestScenarios runs each scenario at most once at a time on a machine, since
+// a scenario listens on fixed addresses of its own.
 func TestScenarios(t *testing.T) {
-	lock := lockedfile.MutexAt(filepath.Join(os.TempDir(), "wigeonsail-scenarios.lock"))
-	unlock, err := lock.Lock()
-	must.NoError(t, err)
-	t.Cleanup(unlock)
 	testscript.Run(t, testscript.Params{
 		Dir:  "../../scenarios",
 		Cmds: scenarioCommands,
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("HOME", os.TempDir())
+			name := "wigeonsail-" + filepath.Base(env.WorkDir) + ".lock"
+			unlock, err := lockedfile.MutexAt(filepath.Join(os.TempDir(), name)).Lock()
+			if err != nil {
+				return err
+			}
+			env.Defer(unlock)
 			return nil
 		},
 	})
--- a/internal/adapter/peergrpc/convert_forward.go
+++ b/internal/adapter/peergrpc/convert_forward.go
@@ -28,6 +28,7 @@
 		ContentType: c.ContentType,
 		Body:        c.Body,
 		Stream:      c.Stream,
+		Permitted:   c.Permitted,
 	}
 }
 
@@ -52,6 +53,7 @@
 		ContentType: r.GetContentType(),
 		Body:        r.GetBody(),
 		Stream:      r.GetStream(),
+		Permitted:   r.GetPermitted(),
 	}
 }
 
--- a/internal/host/attempts.go
+++ b/internal/host/attempts.go
@@ -47,11 +47,7 @@
 		if err != nil {
 			return giveUp(err, known, last)
 		}
-		if decision.Kind == dispatch.ActionSpill {
-			return h.spill(ctx, req, decision, w)
-		}
-		end := run(ctx, req, decision)
-		h.loop.post(finishEvent{id: req.model.ID, attempt: req.model.Attempt, result: end.result})
+		end := h.attempt(ctx, req, decision, w, run)
 		if end.err == nil {
 			return nil
 		}
@@ -70,6 +66,16 @@
 	}
 }
 
+// attempt carries out one attempt, here or at another failure domain's host.
+func (h *Host) attempt(ctx context.Context, req *request, decision dispatch.Action, w port.AnswerWriter, run runner) attemptEnd {
+	if decision.Kind == dispatch.ActionSpill {
+		return h.spill(ctx, req, decision, w)
+	}
+	end := run(ctx, req, decision)
+	h.loop.post(finishEvent{id: req.model.ID, attempt: req.model.Attempt, result: end.result})
+	return end
+}
+
 // giveUp merges a refusal to try again with what earlier attempts left behind.
 func giveUp(refusal *port.RequestError, known model.Outcome, last error) error {
 	if known != model.OutcomeNotRun {
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -95,6 +95,9 @@
 			w.giveWay(action.Attempt)
 			continue
 		}
+		if action.Kind == dispatch.ActionSpill {
+			action.Address = c.members.Gateway(time.Now(), action.Domain)
+		}
 		select {
 		case w.decisions <- action:
 		default:
--- a/internal/host/forward.go
+++ b/internal/host/forward.go
@@ -16,7 +16,7 @@
 	if h.opts.Peers == nil {
 		return refusedEffect(effect.Unreachable(tryOf(req), false))
 	}
-	err := h.forwardTo(ctx, address, req, w)
+	err := h.forwardTo(ctx, address, req, forwardCall(req), w)
 	var peer *port.PeerError
 	if errors.As(err, &peer) {
 		return refusedEffect(effect.Unreachable(tryOf(req), peer.Sent))
@@ -28,9 +28,9 @@
 	return err
 }
 
-// forwardTo hands a request to another host and passes its answer on.
-func (h *Host) forwardTo(ctx context.Context, address string, req *request, w port.AnswerWriter) error {
-	stream, err := h.opts.Peers.Forward(ctx, address, port.ForwardCall{
+// forwardCall is the request as another host gets it.
+func forwardCall(req *request) port.ForwardCall {
+	return port.ForwardCall{
 		Request:     req.model,
 		Key:         req.call.Key,
 		Method:      req.call.Method,
@@ -38,7 +38,12 @@
 		ContentType: req.call.Header.Get("Content-Type"),
 		Body:        req.call.Body,
 		Stream:      req.call.Stream,
-	})
+	}
+}
+
+// forwardTo hands a request to another host and passes its answer on.
+func (h *Host) forwardTo(ctx context.Context, address string, req *request, call port.ForwardCall, w port.AnswerWriter) error {
+	stream, err := h.opts.Peers.Forward(ctx, address, call)
 	if err != nil {
 		return err
 	}
@@ -51,15 +56,16 @@
 		if err != nil {
 			return err
 		}
-		if err := passPart(w, part, req.call.Stream); err != nil {
+		if err := h.passPart(req, w, part); err != nil {
 			return &callerError{cause: err}
 		}
 	}
 }
 
 // passPart writes one part of a forwarded answer.
-func passPart(w port.AnswerWriter, part port.ForwardPart, events bool) error {
+func (h *Host) passPart(req *request, w port.AnswerWriter, part port.ForwardPart) error {
 	if part.Status != 0 {
+		req.started = true
 		header := http.Header{}
 		if part.ContentType != "" {
 			header.Set("Content-Type", part.ContentType)
@@ -71,7 +77,8 @@
 	if len(part.Data) == 0 {
 		return nil
 	}
-	if events {
+	h.observeTokens(req, part.Tokens)
+	if req.call.Stream {
 		return w.WriteEvent(part.Data, part.Tokens)
 	}
 	return w.WriteBody(part.Data)
@@ -99,6 +106,8 @@
 	return out
 }
 
+var _ port.PeerHandler = (*Host)(nil)
+
 // HandleForward runs a request of another host. It implements
 // port.PeerHandler.
 func (h *Host) HandleForward(ctx context.Context, call port.ForwardCall, send func(port.ForwardPart) error) error {
@@ -117,6 +126,7 @@
 		Model:     call.Request.Model,
 		Stream:    call.Stream,
 		Forwarded: true,
+		Permitted: call.Permitted,
 	}
 	answer := &partWriter{send: send}
 	err := h.Serve
--- a/internal/host/service.go
+++ b/internal/host/service.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return h.observeRejected(err)
 	}
-	if req.needsRight() {
+	if req.needsRight() && !call.Permitted {
 		return h.serveOnce(ctx, req, w)
 	}
 	return h.serve(ctx, req, w, h.serviceRunner(w))
--- a/internal/port/caller.go
+++ b/internal/port/caller.go
@@ -38,6 +38,9 @@
 	Stream bool
 	// Forwarded says that another host sent the request here.
 	Forwarded bool
+	// Permitted says that the forwarding host holds the right to send the
+	// request and uses it for this call.
+	Permitted bool
 }
 
 // AnswerWriter takes the answer to a request. Start comes first and once.
--- a/internal/port/peer.go
+++ b/internal/port/peer.go
@@ -99,6 +99,9 @@
 	ContentType string
 	Body        []byte
 	Stream      bool
+	// Permitted says that the sender holds the right to send a request that
+	// must not be repeated, and uses it for this call.
+	Permitted bool
 }
 
 // ForwardPart is a part of the answer to a forwarded request. The first has
