--- /dev/null
+++ b/cmd/wigeonsail/scenario_send_test.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func init() {
+	scenarioCommands["send"] = cmdSend
+	scenarioCommands["answer"] = cmdAnswer
+	scenarioCommands["ticket"] = cmdTicket
+	scenarioCommands["tickets"] = cmdTickets
+}
+
+// sentRequest names a request that a scenario has under way.
+type sentRequest struct {
+	script *testscript.TestScript
+	name   string
+}
+
+type sentAnswer struct {
+	status int
+	body   string
+	err    error
+}
+
+var sentRequests sync.Map // sentRequest to chan sentAnswer
+
+// cmdSend sends a request and does not wait: send NAME http-arguments...
+func cmdSend(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 3 {
+		ts.Fatalf("usage: send NAME [-H 'Name: value']... METHOD URL [BODY]")
+	}
+	header := make(http.Header)
+	rest := args[1:]
+	for len(rest) > 1 && rest[0] == "-H" {
+		name, value, _ := strings.Cut(rest[1], ":")
+		header.Add(name, strings.TrimSpace(value))
+		rest = rest[2:]
+	}
+	var body io.Reader
+	if len(rest) > 2 {
+		body = strings.NewReader(rest[2])
+		header.Set("Content-Type", "application/json")
+	}
+	req, err := http.NewRequest(rest[0], rest[1], body)
+	ts.Check(err)
+	req.Header = header
+	answer := make(chan sentAnswer, 1)
+	sentRequests.Store(sentRequest{ts, args[0]}, answer)
+	go func() { answer <- roundTrip(req) }()
+}
+
+func roundTrip(req *http.Request) sentAnswer {
+	client := &http.Client{Timeout: scenarioTimeout}
+	res, err := client.Do(req)
+	if err != nil {
+		return sentAnswer{err: err}
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	return sentAnswer{status: res.StatusCode, body: string(data), err: err}
+}
+
+// cmdAnswer waits for the answer to a sent request: answer NAME. It prints and
+// fails like http.
+func cmdAnswer(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) != 1 {
+		ts.Fatalf("usage: answer NAME")
+	}
+	waiting, ok := sentRequests.LoadAndDelete(sentRequest{ts, args[0]})
+	if !ok {
+		ts.Fatalf("no request %q was sent", args[0])
+	}
+	answer := <-waiting.(chan sentAnswer)
+	_, _ = io.WriteString(ts.Stdout(), answer.body)
+	_, _ = io.WriteString(ts.Stderr(), "status "+strconv.Itoa(answer.status)+"\n")
+	if failed := answer.err != nil || answer.status >= http.StatusBadRequest; failed != neg {
+		ts.Fatalf("answer: status %d, error %v", answer.status, answer.err)
+	}
+}
+
+// takeTicket gets a ticket from a host.
+func takeTicket(ts *testscript.TestScript, key, host string) string {
+	req, err := http.NewRequest(http.MethodPost, host+"/v1/tickets", nil)
+	ts.Check(err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	answer := roundTrip(req)
+	ts.Check(answer.err)
+	var ticket struct {
+		Ticket string `json:"ticket"`
+	}
+	ts.Check(json.Unmarshal([]byte(answer.body), &ticket))
+	if ticket.Ticket == "" {
+		ts.Fatalf("no ticket: status %d, %s", answer.status, answer.body)
+	}
+	return ticket.Ticket
+}
+
+// cmdTicket puts a ticket into a variable: ticket VARIABLE KEY HOST-URL
+func cmdTicket(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 3 {
+		ts.Fatalf("usage: ticket VARIABLE KEY HOST-URL")
+	}
+	ts.Setenv(args[0], takeTicket(ts, args[1], args[2]))
+}
+
+// cmdTickets takes tickets, sends each twice at once and checks that both
+// tries got the same answer: tickets COUNT KEY HOST-URL PATH
+func cmdTickets(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 4 {
+		ts.Fatalf("usage: tickets COUNT KEY HOST-URL PATH")
+	}
+	count, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	for range count {
+		ticket := takeTicket(ts, args[1], args[2])
+		var answers [2]sentAnswer
+		var both sync.WaitGroup
+		for i := range answers {
+			req, err := http.NewRequest(http.MethodPost, args[2]+args[3], strings.NewReader("{}"))
+			ts.Check(err)
+			req.Header.Set("Authorization", "Bearer "+args[1])
+			req.Header.Set("Idempotency-Key", ticket)
+			both.Go(func() { answers[i] = roundTrip(req) })
+		}
+		both.Wait()
+		if answers[0] != answers[1] || answers[0].status != http.StatusOK {
+			ts.Fatalf("two tries of one ticket got %+v", answers)
+		}
+	}
+}
