Give orders to engines under the domain's lease

A host that holds its failure domain's lease compares what the configuration wants of each engine (the models of its pool, and the new role of an endpoint) with what the engine reports, and orders the difference. Orders state the wanted end. A report counts only when it was made after the order ended; an engine has a minute to get there; one that was there and is not any more took a stale order and is corrected at once. Loads take a call from the lease holder's part of the weight store's budget and ask the store first. The lease is given back at shutdown.

The stand-in engine keeps a role and reports it.

With each of these taken out a test failed: correction at once, waiting for reports made after the order, the retry, ignoring older reports, the budget, giving the lease back, the fencing number. The look at the lease stands twice (before planning and before giving); with only the first taken out the tests pass.

--- a/internal/adapter/enginehttp/client.go
+++ b/internal/adapter/enginehttp/client.go
@@ -130,6 +130,7 @@
 	Leaving   bool              `json:"leaving"`
 	CanResume bool              `json:"can_resume"`
 	Models    []model.ModelName `json:"models"`
+	Role      string            `json:"role"`
 	AgeMS     int64             `json:"age_ms"`
 }
 
@@ -157,6 +158,7 @@
 		Leaving:   report.Leaving,
 		CanResume: report.CanResume,
 		Models:    report.Models,
+		Role:      report.Role,
 		Age:       time.Duration(report.AgeMS) * time.Millisecond,
 	}, nil
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -16,6 +16,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/effects"
 	"github.com/wigeonsail/wigeonsail/internal/metrics"
+	"github.com/wigeonsail/wigeonsail/internal/orders"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -36,6 +37,9 @@
 	Services port.Services
 	// HostList is the platform's list of hosts.
 	HostList port.HostList
+	// Weights is the platform's weight store; nil for a host that gives no
+	// orders to endpoints.
+	Weights port.WeightStore
 	// Peers reaches the other hosts.
 	Peers port.Peers
 	// PeerAddress is where this host serves its peers.
@@ -75,9 +79,11 @@
 	leaveAsked chan struct{}
 	leaveOnce  sync.Once
 	traffic    traffic
-	ctx        context.Context
-	stop       context.CancelFunc
-	workers    sync.WaitGroup
+	// orders gives orders to endpoints; nil without a weight store.
+	orders  *orders.Giver
+	ctx     context.Context
+	stop    context.CancelFunc
+	workers sync.WaitGroup
 }
 
 // New builds a host. It serves nothing until Start.
@@ -97,6 +103,7 @@
 		Seed:   opts.Seed,
 	})
 	h.guard = newGuard(h)
+	h.orders = newOrders(h)
 	return h
 }
 
@@ -109,6 +116,9 @@
 	h.workers.Go(func() { h.loop.run(ctx, h.control) })
 	h.workers.Go(func() { h.followConfig(ctx) })
 	h.workers.Go(func() { h.pollEndpoints(ctx) })
+	if h.orders != nil {
+		h.workers.Go(func() { h.orders.Run(ctx) })
+	}
 	if h.opts.Peers != nil {
 		h.workers.Go(func() { h.beat(ctx) })
 	}
--- /dev/null
+++ b/internal/host/orders.go
@@ -0,0 +1,45 @@
+package host
+
+import (
+	"github.com/wigeonsail/wigeonsail/internal/core/order"
+	"github.com/wigeonsail/wigeonsail/internal/orders"
+	"github.com/wigeonsail/wigeonsail/opconfig"
+)
+
+// newOrders returns what gives orders to the endpoints of the host's failure
+// domain, or nil for a host without a weight store.
+func newOrders(h *Host) *orders.Giver {
+	if h.opts.Weights == nil {
+		return nil
+	}
+	return orders.New(orders.Options{
+		Host:        h.opts.ID,
+		Incarnation: h.opts.Incarnation,
+		Domain:      h.opts.Domain,
+		PlatformLog: h.opts.PlatformLog,
+		Engines:     h.opts.Engines,
+		Weights:     h.opts.Weights,
+		Wanted:      h.wantedEngines,
+		Log:         h.opts.Log,
+	})
+}
+
+// wantedEngines are the wanted states of the domain's engines by the
+// configuration in force.
+func (h *Host) wantedEngines() []order.Wanted {
+	cat := h.catalog.Load()
+	if cat == nil {
+		return nil
+	}
+	var wanted []order.Wanted
+	for _, ep := range cat.Config().Endpoints {
+		pool, ok := cat.Pool(ep.Pool)
+		if !ok || pool.Kind != opconfig.KindEngine || ep.Domain != h.opts.Domain || ep.Leaving {
+			continue
+		}
+		wanted = append(wanted, order.Wanted{
+			Endpoint: ep.Name, Address: ep.Address, Models: pool.Models, Role: ep.Role,
+		})
+	}
+	return wanted
+}
--- a/internal/host/poll.go
+++ b/internal/host/poll.go
@@ -90,6 +90,9 @@
 	if err != nil {
 		return
 	}
+	if h.orders != nil {
+		h.orders.Report(ep.endpoint.Name, report)
+	}
 	h.loop.offer(loadEvent{report: dispatch.LoadReport{
 		Endpoint:  ep.endpoint.Name,
 		Running:   report.Running,
--- /dev/null
+++ b/internal/orders/orders.go
@@ -0,0 +1,221 @@
+// Package orders gives orders to the engines of a failure domain while this
+// host holds the domain's lease. The decisions are those of the core packages
+// lease and order; this package reads the lease stream, paces the weight store
+// and sends.
+package orders
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"golang.org/x/time/rate"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/lease"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/order"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+const (
+	// DefaultLease is how long a lease lasts without renewal.
+	DefaultLease = 9 * time.Second
+	// DefaultOrderTimeout bounds one order.
+	DefaultOrderTimeout = 2 * time.Second
+	// margin covers clocks that run at different speeds, and the time from a
+	// permit to the first byte of its order.
+	margin = time.Second
+	// retryAfter is the time that an engine has to show the end of an order.
+	retryAfter = time.Minute
+	// weightCallsPerSecond and weightBurst are the lease holder's part of the
+	// weight store's budget.
+	weightCallsPerSecond = 0.5
+	weightBurst          = 2
+	// maxOrdersRunning bounds the orders under way.
+	maxOrdersRunning = 8
+	// tickEvery is the time between looks at the lease and the plan.
+	tickEvery = 250 * time.Millisecond
+	// readWait and readMax bound one read of the lease stream; readRetryAfter
+	// follows a failed one.
+	readWait       = 5 * time.Second
+	readMax        = 100
+	readRetryAfter = 500 * time.Millisecond
+	maxEvents      = 1024
+)
+
+// Options configures a Giver.
+type Options struct {
+	// Host, Incarnation and Domain are this host's own.
+	Host        model.HostID
+	Incarnation model.Incarnation
+	Domain      model.DomainName
+	// PlatformLog, Engines and Weights reach the world outside.
+	PlatformLog port.Log
+	Engines     port.Engines
+	Weights     port.WeightStore
+	// Wanted returns the wanted states of the domain's engines.
+	Wanted func() []order.Wanted
+	// Lease and OrderTimeout are equal on all hosts; 0 for the defaults.
+	Lease        time.Duration
+	OrderTimeout time.Duration
+	Log          log.Interface
+}
+
+// Giver gives the orders. Its own goroutine owns the state of the lease and
+// the plan.
+type Giver struct {
+	opts    Options
+	keeper  *lease.Keeper
+	planner *order.Planner
+	budget  *rate.Limiter
+	events  chan func(now time.Time)
+	stopped chan struct{}
+	workers sync.WaitGroup
+	// running counts the orders under way.
+	running int
+	// atEnd says that the lease stream was read to its end.
+	atEnd bool
+	// holding is what noteHolding logged last.
+	holding bool
+}
+
+// New returns a Giver. It does nothing before Run.
+func New(opts Options) *Giver {
+	if opts.Lease == 0 {
+		opts.Lease = DefaultLease
+	}
+	if opts.OrderTimeout == 0 {
+		opts.OrderTimeout = DefaultOrderTimeout
+	}
+	return &Giver{
+		opts: opts,
+		keeper: lease.New(time.Now(), lease.Options{
+			Host: opts.Host, Incarnation: opts.Incarnation,
+			Duration: opts.Lease, OrderTimeout: opts.OrderTimeout, Margin: margin,
+		}),
+		planner: order.New(order.Options{RetryAfter: retryAfter}),
+		budget:  rate.NewLimiter(weightCallsPerSecond, weightBurst),
+		events:  make(chan func(time.Time), maxEvents),
+		stopped: make(chan struct{}),
+	}
+}
+
+// Report takes an engine's load report. It never waits; a report that finds
+// the queue full is dropped, since another follows.
+func (g *Giver) Report(name model.EndpointName, load port.EngineLoad) {
+	made := time.Now().Add(-load.Age)
+	select {
+	case g.events <- func(time.Time) {
+		g.planner.Report(name, order.Report{Models: load.Models, Role: load.Role, Made: made})
+	}:
+	default:
+	}
+}
+
+// post hands an event to the Giver's goroutine.
+func (g *Giver) post(event func(now time.Time)) {
+	select {
+	case g.events <- event:
+	case <-g.stopped:
+	}
+}
+
+// Run works until ctx ends, and then gives the lease back.
+func (g *Giver) Run(ctx context.Context) {
+	g.workers.Go(func() { g.follow(ctx) })
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case event := <-g.events:
+			event(time.Now())
+		case <-ticker.C:
+			g.tick(ctx)
+		}
+	}
+	close(g.stopped)
+	g.workers.Wait()
+	g.release()
+}
+
+// tick renews the lease and gives the orders that are due.
+func (g *Giver) tick(ctx context.Context) {
+	now := time.Now()
+	if rec, due := g.dueRecord(now); due {
+		g.workers.Go(func() { g.append(ctx, rec) })
+	}
+	g.noteHolding(now)
+	if _, ok := g.keeper.Permit(now); !ok {
+		return
+	}
+	g.planner.SetWanted(g.opts.Wanted())
+	for _, o := range g.planner.Due(now, maxOrdersRunning-g.running) {
+		g.give(ctx, o)
+	}
+}
+
+func (g *Giver) dueRecord(now time.Time) (*lease.Record, bool) {
+	if !g.atEnd {
+		return nil, false
+	}
+	return g.keeper.Due(now, rand.Uint64())
+}
+
+// noteHolding logs the begin and the end of an own term.
+func (g *Giver) noteHolding(now time.Time) {
+	fencing, holding := g.keeper.Permit(now)
+	if holding == g.holding {
+		return
+	}
+	g.holding = holding
+	if holding {
+		g.opts.Log.Infof("orders: this host holds the lease of %s, fencing number %d", g.opts.Domain, fencing)
+		return
+	}
+	g.opts.Log.Warnf("orders: this host no longer holds the lease of %s", g.opts.Domain)
+}
+
+// give sends one order while the lease permits it. A load takes a call from
+// the weight store's budget first.
+func (g *Giver) give(ctx context.Context, o order.Order) {
+	fencing, ok := g.keeper.Permit(time.Now())
+	if !ok || (o.Kind == order.LoadModel && !g.budget.Allow()) {
+		g.planner.Withdraw(o)
+		return
+	}
+	g.running++
+	g.workers.Go(func() {
+		err := g.send(ctx, o, fencing)
+		g.post(func(now time.Time) {
+			g.running--
+			g.planner.Done(now, o)
+			g.noteEnd(o, fencing, err)
+		})
+	})
+}
+
+func (g *Giver) noteEnd(o order.Order, fencing model.Offset, err error) {
+	if err != nil {
+		g.opts.Log.Warnf("orders: %s %s at %s: %v", o.Kind, o.Target, o.Endpoint, err)
+		return
+	}
+	g.opts.Log.Infof("orders: gave %s %s to %s with fencing number %d", o.Kind, o.Target, o.Endpoint, fencing)
+}
+
+// send does one order within the order timeout, the call to the weight store
+// included.
+func (g *Giver) send(ctx context.Context, o order.Order, fencing model.Offset) error {
+	ctx, cancel := context.WithTimeout(ctx, g.opts.OrderTimeout)
+	defer cancel()
+	if o.Kind == order.LoadModel {
+		if _, err := g.opts.Weights.Stat(ctx, model.ModelName(o.Target)); err != nil {
+			return err
+		}
+	}
+	return g.opts.Engines.Order(ctx, o.Address, port.EngineOrder{
+		Kind: string(o.Kind), Target: o.Target, Fencing: fencing,
+	})
+}
--- /dev/null
+++ b/internal/orders/orders_test.go
@@ -0,0 +1,147 @@
+package orders
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/shoenig/test/must"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/order"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+// fakePlatform is a log of one stream and a weight store.
+type fakePlatform struct {
+	mu      sync.Mutex
+	records []port.Record
+	stats   int
+}
+
+func (p *fakePlatform) Append(_ context.Context, _ port.StreamName, data []byte) (model.Offset, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	offset := model.Offset(len(p.records))
+	p.records = append(p.records, port.Record{Offset: offset, Data: data})
+	return offset, nil
+}
+
+func (p *fakePlatform) Read(ctx context.Context, _ port.StreamName, from model.Offset, _ int, wait time.Duration) (port.Batch, error) {
+	if wait > 0 {
+		pause(ctx, 100*time.Millisecond)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	batch := port.Batch{Next: model.Offset(len(p.records))}
+	if from < batch.Next {
+		batch.Records = append(batch.Records, p.records[from:]...)
+	}
+	return batch, nil
+}
+
+func (p *fakePlatform) Stat(context.Context, model.ModelName) (int64, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stats++
+	return 1, nil
+}
+
+// fakeEngines takes all orders.
+type fakeEngines struct {
+	port.Engines
+	mu     sync.Mutex
+	orders []port.EngineOrder
+}
+
+func (e *fakeEngines) Order(_ context.Context, _ string, o port.EngineOrder) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders = append(e.orders, o)
+	return nil
+}
+
+func (e *fakeEngines) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.orders)
+}
+
+func giver(host model.HostID, p *fakePlatform, e *fakeEngines, wanted ...order.Wanted) *Giver {
+	return New(Options{
+		Host: host, Incarnation: 1, Domain: "d", PlatformLog: p, Engines: e, Weights: p,
+		Wanted: func() []order.Wanted { return wanted },
+		Log:    &log.Logger{Handler: discard.New()},
+	})
+}
+
+// firstTerm is when a host that starts alone holds the lease.
+const firstTerm = DefaultLease + DefaultOrderTimeout + margin + 2*time.Second
+
+func TestOneHostGivesOrdersAndHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, e := &fakePlatform{}, &fakeEngines{}
+		wanted := order.Wanted{Endpoint: "e", Address: "a:1", Role: "decode"}
+		givers := []*Giver{giver("h1", p, e, wanted), giver("h2", p, e, wanted)}
+		var running sync.WaitGroup
+		stops := make([]context.CancelFunc, len(givers))
+		for i, g := range givers {
+			ctx, stop := context.WithCancel(t.Context())
+			stops[i] = stop
+			running.Go(func() { g.Run(ctx) })
+		}
+		tell := func(role string) {
+			for _, g := range givers {
+				g.Report("e", port.EngineLoad{Role: role})
+			}
+			time.Sleep(time.Second)
+			synctest.Wait()
+		}
+		tell("prefill")
+		must.Eq(t, 0, e.count())
+		time.Sleep(firstTerm)
+		tell("prefill")
+		must.Eq(t, 1, e.count())
+		holder := 0
+		if name, _ := givers[0].keeper.Holder(); name == "h2" {
+			holder = 1
+		}
+		first := e.orders[0].Fencing
+		stops[holder]()
+		time.Sleep(DefaultOrderTimeout + margin + 2*time.Second)
+		tell("prefill")
+		must.Eq(t, 2, e.count())
+		must.Greater(t, first, e.orders[1].Fencing)
+		stops[1-holder]()
+		running.Wait()
+	})
+}
+
+func TestLoadsKeepToTheWeightStoresBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, e := &fakePlatform{}, &fakeEngines{}
+		var wanted []order.Wanted
+		for _, name := range []model.EndpointName{"a", "b", "c", "d", "e", "f"} {
+			wanted = append(wanted, order.Wanted{Endpoint: name, Models: []model.ModelName{"m"}})
+		}
+		g := giver("h1", p, e, wanted...)
+		ctx, stop := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { g.Run(ctx) })
+		time.Sleep(firstTerm)
+		for _, w := range wanted {
+			g.Report(w.Endpoint, port.EngineLoad{})
+		}
+		time.Sleep(time.Second)
+		must.Eq(t, weightBurst, e.count())
+		time.Sleep(10 * time.Second)
+		must.Eq(t, len(wanted), e.count())
+		must.Eq(t, len(wanted), p.stats)
+		stop()
+		running.Wait()
+	})
+}
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -143,6 +143,8 @@
 	CanResume bool
 	// Models are the models and adapters loaded.
 	Models []model.ModelName
+	// Role is the engine's role; empty for an engine that knows none.
+	Role string
 	// Age is how old the report says it is.
 	Age time.Duration
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -97,6 +97,7 @@
 		Engines:        srv.engines,
 		Services:       srv.services,
 		HostList:       srv.platform,
+		Weights:        srv.platform,
 		Peers:          srv.peerClient,
 		PeerAddress:    peerListener.Addr().String(),
 		Seeds:          s.Peers.Seeds,
--- a/internal/standin/engine/admin.go
+++ b/internal/standin/engine/admin.go
@@ -16,6 +16,7 @@
 	Leaving   bool              `json:"leaving"`
 	CanResume bool              `json:"can_resume"`
 	Models    []model.ModelName `json:"models"`
+	Role      string            `json:"role,omitempty"`
 	AgeMS     int64             `json:"age_ms"`
 	made      time.Time
 }
@@ -33,6 +34,7 @@
 	out.Leaving = e.faults.Leaving
 	out.CanResume = e.opts.CanResume
 	out.Models = slices.Clone(e.models)
+	out.Role = e.role
 	out.AgeMS = now.Sub(out.made).Milliseconds()
 	e.mu.Unlock()
 	writeJSON(w, out)
@@ -54,11 +56,19 @@
 	}
 	e.fencing = max(e.fencing, o.Fencing)
 	e.stats.Orders = append(e.stats.Orders, o)
+	e.carryOut(o)
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// carryOut brings the engine to the order's end. The caller holds mu.
+func (e *Engine) carryOut(o Order) {
 	name := model.ModelName(o.Target)
-	if o.Kind != "change_role" && !slices.Contains(e.models, name) {
+	switch {
+	case o.Kind == "change_role":
+		e.role = o.Target
+	case !slices.Contains(e.models, name):
 		e.models = append(e.models, name)
 	}
-	w.WriteHeader(http.StatusAccepted)
 }
 
 func (e *Engine) setFaults(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -81,6 +81,7 @@
 	faults  Faults
 	stats   Stats
 	models  []model.ModelName
+	role    string
 	fencing model.Offset
 	report  report
 }
--- a/opconfig/config.go
+++ b/opconfig/config.go
@@ -121,6 +121,9 @@
 	// Room is the number of requests that the endpoint serves at once, as a
 	// first guess; the hosts learn it.
 	Room int `toml:"room"`
+	// Role is the role that an engine is to have, for example "prefill";
+	// empty leaves it as it is.
+	Role string `toml:"role,omitempty"`
 	// Leaving endpoints get no new work.
 	Leaving bool `toml:"leaving,omitempty"`
 }
