--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -19,8 +19,8 @@
 	states    []*classState
 	// demand is the offered load of all classes.
 	demand admission.Demand
-	// preemptible are the running requests that give way.
-	preemptible []*request
+	// yields says that a peer has protected requests waiting for the pool.
+	yields bool
 }
 
 // classState is what is known of a class in a pool.
@@ -28,7 +28,9 @@
 	// seen says that the class sends requests to the pool.
 	seen bool
 	// inFlight is this host's work of the class in the pool.
-	inFlight   int
+	inFlight int
+	// running are the requests in flight, where the class is preemptible.
+	running    []*request
 	drain      admission.DrainRate
 	firstToken attempt.Durations
 	elapsed    attempt.Durations
@@ -48,16 +50,25 @@
 	}
 }
 
-// free returns the room that this host may still use, and the room that it may
-// use in all.
-func (p *pool) free(now time.Time) (free, limit int) {
+// poolRoom is what this host may use of a pool.
+type poolRoom struct {
+	// free is left for all classes, protected for protected ones.
+	free, protected int
+	// limit is the room with this host's work.
+	limit int
+}
+
+// room returns what this host may use now.
+func (p *pool) room(now time.Time) poolRoom {
+	var r poolRoom
 	for _, e := range p.endpoints {
-		free += e.Free(now)
+		r.free += e.Free(now, false)
+		r.protected += e.Free(now, true)
 		if e.Usable(now) {
-			limit += e.Limit
+			r.limit += e.Limit
 		}
 	}
-	return free, limit
+	return r
 }
 
 // usable says that an endpoint may get new work.
@@ -89,21 +100,20 @@
 	return s.drain.Wait(now, ahead+1)
 }
 
-// addPreemptible and removePreemptible keep the list of running requests that
-// give way.
-func (p *pool) addPreemptible(r *request) {
-	r.place = len(p.preemptible)
-	p.preemptible = append(p.preemptible, r)
+// addRunning and removeRunning keep the list of requests that may give way.
+func (s *classState) addRunning(r *request) {
+	r.place = len(s.running)
+	s.running = append(s.running, r)
 }
 
-func (p *pool) removePreemptible(r *request) {
-	last := len(p.preemptible) - 1
-	if r.place > last || p.preemptible[r.place] != r {
+func (s *classState) removeRunning(r *request) {
+	last := len(s.running) - 1
+	if r.place > last || s.running[r.place] != r {
 		return
 	}
-	moved := p.preemptible[last]
-	p.preemptible[r.place] = moved
+	moved := s.running[last]
+	s.running[r.place] = moved
 	moved.place = r.place
-	p.preemptible[last] = nil
-	p.preemptible = p.preemptible[:last]
+	s.running[last] = nil
+	s.running = s.running[:last]
 }
