Spill protected classes by the room that is theirs

Cause: digests gave one figure for the free room, and the dispatcher asked for the room of protected classes, so a confirmation found no endpoint where a question did. Digests now carry both, from the dispatcher's own count.

--- a/internal/adapter/peergrpc/convert.go
+++ b/internal/adapter/peergrpc/convert.go
@@ -129,11 +129,11 @@
 }
 
 func roomToWire(r port.PoolRoom) *peer.PoolRoom {
-	return &peer.PoolRoom{Pool: string(r.Pool), Room: int64(r.Room)}
+	return &peer.PoolRoom{Pool: string(r.Pool), Room: int64(r.Room), Protected: int64(r.Protected)}
 }
 
 func roomFromWire(r *peer.PoolRoom) port.PoolRoom {
-	return port.PoolRoom{Pool: model.PoolName(r.GetPool()), Room: int(r.GetRoom())}
+	return port.PoolRoom{Pool: model.PoolName(r.GetPool()), Room: int(r.GetRoom()), Protected: int(r.GetProtected())}
 }
 
 func claimToWire(e port.ClaimEntry) *peer.ClaimEntry {
--- a/internal/host/heartbeat.go
+++ b/internal/host/heartbeat.go
@@ -74,7 +74,7 @@
 	for _, d := range domains {
 		digest := port.DomainDigest{Domain: d.Domain, Sequence: d.Sequence, Gateways: d.Gateways, Version: d.Version}
 		for _, room := range d.FreeRoom {
-			digest.FreeRoom = append(digest.FreeRoom, port.PoolRoom{Pool: room.Pool, Room: room.Room})
+			digest.FreeRoom = append(digest.FreeRoom, port.PoolRoom(room))
 		}
 		out = append(out, digest)
 	}
@@ -115,7 +115,7 @@
 func digestOf(d port.DomainDigest) membership.Digest {
 	digest := membership.Digest{Domain: d.Domain, Sequence: d.Sequence, Gateways: d.Gateways, Version: d.Version}
 	for _, room := range d.FreeRoom {
-		digest.FreeRoom = append(digest.FreeRoom, dispatch.PoolRoom{Pool: room.Pool, Room: room.Room})
+		digest.FreeRoom = append(digest.FreeRoom, dispatch.PoolRoom(room))
 	}
 	return digest
 }
--- a/internal/host/membership.go
+++ b/internal/host/membership.go
@@ -4,9 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/wigeonsail/wigeonsail/internal/core/dispatch"
 	"github.com/wigeonsail/wigeonsail/internal/core/membership"
-	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -35,7 +33,7 @@
 	c.members.Tick(now)
 	c.leaving.restore(now, c)
 	c.updateSelf(now)
-	targets, beat := c.members.Round(now, c.freeRoom(now))
+	targets, beat := c.members.Round(now, c.dispatch.FreeRoom(now))
 	for _, address := range targets {
 		c.sendBeat(address, beat)
 	}
@@ -93,39 +91,10 @@
 	return ask(ctx, h, func(now time.Time, c *control) port.Heartbeat {
 		c.members.Hear(now, beatOf(beat))
 		c.updateSelf(now)
-		return heartbeatOf(c.members.Beat(now, c.freeRoom(now)))
+		return heartbeatOf(c.members.Beat(now, c.dispatch.FreeRoom(now)))
 	})
 }
 
-// freeRoom sums up the room left in the own domain by pool.
-func (c *control) freeRoom(now time.Time) []dispatch.PoolRoom {
-	cat := c.host.catalog.Load()
-	if cat == nil {
-		return nil
-	}
-	busy := make(map[model.EndpointName]int)
-	for _, peer := range c.members.View(now).Hosts {
-		for _, count := range peer.InFlight {
-			busy[count.Endpoint] += count.Count
-		}
-	}
-	cfg := cat.Config()
-	free := make(map[model.PoolName]int, len(cfg.Pools))
-	for i := range cfg.Endpoints {
-		ep := &cfg.Endpoints[i]
-		if ep.Domain == c.host.opts.Domain && !ep.Leaving && !c.leaving.is(ep.Name) {
-			free[ep.Pool] += max(ep.Room-busy[ep.Name], 0)
-		}
-	}
-	out := make([]dispatch.PoolRoom, 0, len(free))
-	for i := range cfg.Pools {
-		if room, ok := free[cfg.Pools[i].Name]; ok {
-			out = append(out, dispatch.PoolRoom{Pool: cfg.Pools[i].Name, Room: room})
-		}
-	}
-	return out
-}
-
 // announceLeaving tells the other hosts at once.
 func (h *Host) announceLeaving() {
 	h.loop.post(announceEvent{})
--- a/internal/port/peer.go
+++ b/internal/port/peer.go
@@ -58,7 +58,9 @@
 // PoolRoom is the room left in a pool of a domain.
 type PoolRoom struct {
 	Pool model.PoolName
-	Room int
+	// Room is for any class, Protected for protected classes.
+	Room      int
+	Protected int
 }
 
 // Heartbeat is what hosts exchange. Its size depends on the sender's own
