--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -14,7 +14,9 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/catalog"
 	"github.com/wigeonsail/wigeonsail/internal/core/dispatch"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/effects"
 	"github.com/wigeonsail/wigeonsail/internal/metrics"
+	"github.com/wigeonsail/wigeonsail/internal/orders"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -35,6 +37,9 @@
 	Services port.Services
 	// HostList is the platform's list of hosts.
 	HostList port.HostList
+	// Weights is the platform's weight store; nil for a host that gives no
+	// orders to endpoints.
+	Weights port.WeightStore
 	// Peers reaches the other hosts.
 	Peers port.Peers
 	// PeerAddress is where this host serves its peers.
@@ -45,6 +50,10 @@
 	HeartbeatEvery time.Duration
 	// ListEvery is the time between reads of the host list.
 	ListEvery time.Duration
+	// Secret authenticates tickets among the hosts.
+	Secret []byte
+	// MaxOutcome is the largest answer in bytes that is recorded for retries.
+	MaxOutcome int
 	// Retention is how long the platform's log keeps a record.
 	Retention time.Duration
 	// Log takes the host's log lines.
@@ -63,13 +72,18 @@
 	// accepted is the record of the configuration in force.
 	accepted atomic.Pointer[port.ConfigRecord]
 	leaving  atomic.Bool
+	guard    *effects.Guard
+	// members are the other hosts of the own failure domain.
+	members atomic.Pointer[[]effects.Member]
 	// leaveAsked is closed when the host is told to leave.
 	leaveAsked chan struct{}
 	leaveOnce  sync.Once
 	traffic    traffic
-	ctx        context.Context
-	stop       context.CancelFunc
-	workers    sync.WaitGroup
+	// orders gives orders to endpoints; nil without a weight store.
+	orders  *orders.Giver
+	ctx     context.Context
+	stop    context.CancelFunc
+	workers sync.WaitGroup
 }
 
 // New builds a host. It serves nothing until Start.
@@ -88,6 +102,8 @@
 		Domain: opts.Domain,
 		Seed:   opts.Seed,
 	})
+	h.guard = newGuard(h)
+	h.orders = newOrders(h)
 	return h
 }
 
@@ -96,9 +112,13 @@
 	ctx, stop := context.WithCancel(context.Background())
 	h.ctx = ctx
 	h.stop = stop
+	h.guard.Start()
 	h.workers.Go(func() { h.loop.run(ctx, h.control) })
 	h.workers.Go(func() { h.followConfig(ctx) })
 	h.workers.Go(func() { h.pollEndpoints(ctx) })
+	if h.orders != nil {
+		h.workers.Go(func() { h.orders.Run(ctx) })
+	}
 	if h.opts.Peers != nil {
 		h.workers.Go(func() { h.beat(ctx) })
 	}
@@ -110,6 +130,7 @@
 // Close ends the control loop and the pollers. Requests in progress fail, so
 // Drain comes first in a graceful shutdown.
 func (h *Host) Close() {
+	h.guard.Close()
 	h.stop()
 	h.workers.Wait()
 }
