--- a/bench/peers_test.go
+++ b/bench/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -48,17 +49,19 @@
 // heartbeat has that many endpoints and as many demands, and the digests of
 // four failure domains.
 func heartbeat(entries int) port.Heartbeat {
+	random := rand.New(rand.NewPCG(1, 1))
 	beat := port.Heartbeat{
 		Host: "host-0001", Incarnation: 1767323045000000000, Domain: domainName(1),
 		PeerAddress: "10.1.1.1:7000", State: port.HostReady, Sequence: 123456, Version: 15000,
 	}
-	for i := range entries {
+	for range entries {
 		beat.Endpoints = append(beat.Endpoints, port.EndpointDigest{
-			Name: model.EndpointName(fmt.Sprintf("engine-%05d", i)), InFlight: 40,
+			Name: model.EndpointName(fmt.Sprintf("engine-%05d", random.IntN(12_000))), InFlight: random.IntN(64),
 		})
 		beat.Demand = append(beat.Demand, port.DemandDigest{
-			Account: model.AccountName(fmt.Sprintf("account-%03d", i)), Class: "class-3",
-			Rate: 12.5, TokensInFlight: 4000, Queued: 12,
+			Account: model.AccountName(fmt.Sprintf("account-%03d", random.IntN(450))),
+			Class:   model.ClassName(fmt.Sprintf("class-%d", random.IntN(6))),
+			Rate:    random.Float64() * 20, TokensInFlight: random.IntN(8000), Queued: random.IntN(20),
 		})
 	}
 	for i := range 4 {
@@ -67,7 +70,7 @@
 			Gateways: []string{"10.1.1.1:7000", "10.1.1.2:7000", "10.1.1.3:7000"},
 		}
 		for p := range poolsPerDomain {
-			digest.FreeRoom = append(digest.FreeRoom, port.PoolRoom{Pool: model.PoolName(fmt.Sprintf("pool-%02d", p)), Room: 900})
+			digest.FreeRoom = append(digest.FreeRoom, port.PoolRoom{Pool: model.PoolName(fmt.Sprintf("pool-%02d", p)), Room: random.IntN(2000)})
 		}
 		beat.Domains = append(beat.Domains, digest)
 	}
--- a/cmd/wigeonsail/scenario_commands_test.go
+++ b/cmd/wigeonsail/scenario_commands_test.go
@@ -16,6 +16,10 @@
 // scenarioTimeout bounds every wait of a scenario's own commands.
 const scenarioTimeout = 30 * time.Second
 
+// maxStopped bounds the time that a process is stopped, so that a scenario that
+// fails meanwhile can end it.
+const maxStopped = 2 * scenarioTimeout
+
 // scenarioCommands are the commands that scenarios have beside testscript's.
 var scenarioCommands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
 	"http":       cmdHTTP,
@@ -170,6 +174,9 @@
 	for _, cmd := range ts.BackgroundCmds() {
 		if strings.Contains(strings.Join(cmd.Args, " "), args[1]) {
 			ts.Check(cmd.Process.Signal(signals[args[0]]))
+			if args[0] == "STOP" {
+				time.AfterFunc(maxStopped, func() { _ = cmd.Process.Signal(syscall.SIGCONT) })
+			}
 			return
 		}
 	}
