--- a/cmd/wigeonsail/scenario_commands_test.go
+++ b/cmd/wigeonsail/scenario_commands_test.go
@@ -16,9 +16,7 @@
 // scenarioTimeout bounds every wait of a scenario's own commands.
 const scenarioTimeout = 30 * time.Second
 
-// maxStopped bounds the time that a process is stopped, so that a scenario that
 // fails meanwhile can end it.
-const maxStopped = 2 * scenarioTimeout
 
 // scenarioCommands are the commands that scenarios have beside testscript's.
 var scenarioCommands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
@@ -175,11 +173,7 @@
 		if strings.Contains(strings.Join(cmd.Args, " "), args[1]) {
 			ts.Check(cmd.Process.Signal(signals[args[0]]))
 			if args[0] == "STOP" {
-<<<<<<< HEAD
-				time.AfterFunc(maxStopped, func() { _ = cmd.Process.Signal(syscall.SIGCONT) })
-=======
 				wakeLater(cmd.Process)
->>>>>>> effects
 			}
 			return
 		}
