Let a restarted host ignore its predecessor's entry in the list

Cause: the platform's list lags, so a host that is started again under its name sees its predecessor's entry, which leaves, and would leave at once. Ruled out: comparing addresses, which may be the same. It now takes a leaving entry as an order only after the list has had it as not leaving. Without that TestListConfirmsButMakesNobodyLive fails.

--- a/internal/core/membership/membership_test.go
+++ b/internal/core/membership/membership_test.go
@@ -68,6 +68,10 @@
 	tab := table("a", "east")
 	tab.List(start, []Listed{{Host: "b", Domain: "east", Address: "b:1"}, {Host: "a", Domain: "east", Address: "a:1", Leaving: true}})
 	must.Len(t, 1, tab.Members(start))
+	// The lagging list still has this host's predecessor.
+	must.False(t, tab.ToldToLeave())
+	tab.List(start, []Listed{{Host: "a", Domain: "east", Address: "a:1"}})
+	tab.List(start, []Listed{{Host: "a", Domain: "east", Address: "a:1", Leaving: true}})
 	must.True(t, tab.ToldToLeave())
 	targets, _ := tab.Round(start, nil)
 	must.Eq(t, []string{"b:1"}, targets)
--- a/internal/core/membership/table.go
+++ b/internal/core/membership/table.go
@@ -16,7 +16,10 @@
 	domains  map[model.DomainName]*domainState
 	contacts map[string]*contact
 	listed   map[model.HostID]Listed
-	round    uint64
+	// selfListed says that the list had this host as not leaving. Before, an
+	// entry that leaves is that of its predecessor.
+	selfListed bool
+	round      uint64
 }
 
 type member struct {
@@ -158,6 +161,9 @@
 		if h.Host == t.opts.Host || h.Domain == t.opts.Domain {
 			t.listed[h.Host] = h
 		}
+		if h.Host == t.opts.Host && !h.Leaving {
+			t.selfListed = true
+		}
 		if t.wantsContact(h.Domain, h.Address) {
 			t.touch(now, h.Address, h.Domain, "")
 		}
@@ -181,7 +187,7 @@
 }
 
 // ToldToLeave reports whether the platform's list says that this host leaves.
-func (t *Table) ToldToLeave() bool { return t.listed[t.opts.Host].Leaving }
+func (t *Table) ToldToLeave() bool { return t.selfListed && t.listed[t.opts.Host].Leaving }
 
 // Members returns the hosts of the own domain, this one included, by name.
 func (t *Table) Members(now time.Time) []Member {
