Say what config wait waits for

Cause: the comment excepted failure domains that are cut off; the code waits for them as well, as an operator who asks for everywhere expects.

--- a/cmd/wigeonsail/config_status.go
+++ b/cmd/wigeonsail/config_status.go
@@ -132,7 +132,7 @@
 const waitEvery = 100 * time.Millisecond
 
 // Run waits until every host that is not leaving or gone, and every failure
-// domain that is not cut off, has the version or a later one.
+// domain, cut off or not, has the version or a later one.
 func (c configWaitCmd) Run() error {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
