--- a/internal/host/leaving.go
+++ b/internal/host/leaving.go
@@ -25,9 +25,6 @@
 	}
 }
 
-// is says whether anybody but the configuration knows the endpoint to leave.
-func (l *leavingEndpoints) is(name model.EndpointName) bool { return l.applied[name] }
-
 // firstHand are the endpoints that this host itself knows to be leaving. What
 // peers say is not passed on, else it would go round for ever.
 func (l *leavingEndpoints) firstHand() []model.EndpointName {
