Pass over records without a version

Cause: a copy without a version, which anybody who reaches the log can append, made the fold of every host panic. Seen: TestUnknownSchemaStopsTheFold panicked with a nil dereference on {"schema":1,"carried_forward":true}. Conclusion: mended; the test holds both forms.

--- a/internal/core/configstate/record.go
+++ b/internal/core/configstate/record.go
@@ -7,6 +7,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
@@ -79,5 +80,11 @@
 	if err := json.Unmarshal(data, rec); err != nil {
 		return nil, &MalformedError{Cause: err}
 	}
+	if rec.Version == 0 {
+		return nil, &MalformedError{Cause: errNoVersion}
+	}
 	return rec, nil
 }
+
+// errNoVersion is the fault of a record without a version.
+var errNoVersion = errors.New("no version")
--- a/internal/core/configstate/state_test.go
+++ b/internal/core/configstate/state_test.go
@@ -55,6 +55,8 @@
 	s := &State{}
 	must.Eq(t, ChangeAccepted, apply(s, 0, record(t, "a", 0)))
 	must.Eq(t, ChangeMalformed, apply(s, 1, []byte("noise")))
+	must.Eq(t, ChangeMalformed, apply(&State{}, 0, []byte(`{"schema":1,"carried_forward":true}`)))
+	must.Eq(t, ChangeMalformed, apply(&State{}, 7, []byte(`{"schema":1,"carried_forward":true,"folded_to":8}`)))
 	must.Eq(t, ChangeStopped, apply(s, 2, []byte(`{"schema":2,"version":2}`)))
 	must.Eq(t, ChangeStopped, apply(s, 3, record(t, "b", 1)))
 	must.Eq(t, 1, s.Version())
