--- a/cmd/wigeonsail/scenario_commands_test.go
+++ b/cmd/wigeonsail/scenario_commands_test.go
@@ -16,8 +16,6 @@
 // scenarioTimeout bounds every wait of a scenario's own commands.
 const scenarioTimeout = 30 * time.Second
 
-// fails meanwhile can end it.
-
 // scenarioCommands are the commands that scenarios have beside testscript's.
 var scenarioCommands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
 	"http":       cmdHTTP,
