--- a/internal/effects/append.go
+++ b/internal/effects/append.go
@@ -148,6 +148,7 @@
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval = retryFirst
 	retry.MaxInterval = retryMax
+	again := false
 	for len(batch) > 0 && ctx.Err() == nil {
 		places, err := a.append(ctx, batch)
 		if err == nil {
@@ -156,7 +157,8 @@
 			}
 			return
 		}
-		a.noteFailure(ctx, err)
+		a.noteFailure(ctx, err, again)
+		again = true
 		for _, p := range batch {
 			p.finish(appended{err: err})
 		}
@@ -165,11 +167,15 @@
 	}
 }
 
-func (a *appender) noteFailure(ctx context.Context, err error) {
+// noteFailure logs the first failure of a batch and tells the state machine
+// that the log is down when the append surely took no effect.
+func (a *appender) noteFailure(ctx context.Context, err error, again bool) {
 	if ctx.Err() != nil {
 		return
 	}
-	a.guard.opts.Logger.Warnf("effects: append to partition %d failed: %v", a.partition, err)
+	if !again {
+		a.guard.opts.Logger.Warnf("effects: append to partition %d failed: %v", a.partition, err)
+	}
 	var platform *port.PlatformError
 	if errors.As(err, &platform) && platform.Outcome == model.OutcomeNotRun {
 		a.guard.post(logDownEvent{})
