--- a/cmd/wigeonsail/scenario_commands_test.go
+++ b/cmd/wigeonsail/scenario_commands_test.go
@@ -175,20 +175,10 @@
 		if strings.Contains(strings.Join(cmd.Args, " "), args[1]) {
 			ts.Check(cmd.Process.Signal(signals[args[0]]))
 			if args[0] == "STOP" {
-<<<<<<< HEAD
 				time.AfterFunc(maxStopped, func() { _ = cmd.Process.Signal(syscall.SIGCONT) })
-=======
-				wakeLater(cmd.Process)
->>>>>>> effects
 			}
 			return
 		}
 	}
 	ts.Fatalf("no background process with %q in its arguments", args[1])
 }
-
-// wakeLater lets a frozen process go on in the end, so that a scenario that
-// fails meanwhile can stop it. A process that has ended takes no signal.
-func wakeLater(process *os.Process) {
-	time.AfterFunc(scenarioTimeout, func() { _ = process.Signal(syscall.SIGCONT) })
-}
