--- a/cmd/wigeonsail/scenario_send_test.go
+++ b/cmd/wigeonsail/scenario_send_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,6 +15,7 @@
 func init() {
 	scenarioCommands["send"] = cmdSend
 	scenarioCommands["answer"] = cmdAnswer
+	scenarioCommands["cluster"] = cmdCluster
 	scenarioCommands["ticket"] = cmdTicket
 	scenarioCommands["tickets"] = cmdTickets
 }
@@ -136,3 +138,28 @@
 		}
 	}
 }
+
+// clusterHosts is the number of hosts that cmdCluster writes settings for.
+const clusterHosts = 3
+
+// cmdCluster writes a configuration with one service in one failure domain and
+// the settings of three hosts: cluster NETWORK ROOM. NETWORK are the first
+// three numbers of the addresses; host N has N+2 as the last one.
+func cmdCluster(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: cluster NETWORK ROOM")
+	}
+	config, err := os.ReadFile("testdata/one_service.toml")
+	ts.Check(err)
+	settings, err := os.ReadFile("testdata/host.toml")
+	ts.Check(err)
+	write := func(name string, content []byte, words ...string) {
+		text := strings.NewReplacer(words...).Replace(string(content))
+		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(text), 0o600))
+	}
+	write("config.toml", config, "NET", args[0], "ROOM", args[1])
+	for n := 1; n <= clusterHosts; n++ {
+		number := strconv.Itoa(n)
+		write("host-"+number+".toml", settings, "NET", args[0], "ADDRESS", strconv.Itoa(n+2), "host-N", "host-"+number)
+	}
+}
