--- a/internal/core/configstate/agreement_test.go
+++ b/internal/core/configstate/agreement_test.go
@@ -14,8 +14,10 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if err := flag.Set("rapid.seed", "20261204"); err != nil {
-		panic(err)
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "2000", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
 	os.Exit(m.Run())
 }
