--- a/bench/orders_test.go
+++ b/bench/orders_test.go
@@ -23,7 +23,7 @@
 			}
 			report := order.Report{Models: []model.ModelName{"model-00", "adapter-00"}, Role: "decode"}
 			p, heap := heapOf(func() *order.Planner {
-				p := order.New(order.Options{RetryAfter: time.Minute})
+				p := order.New(order.Options{LoadRetryAfter: time.Minute})
 				p.SetWanted(wanted)
 				for _, w := range wanted {
 					p.Report(w.Endpoint, report)
--- a/internal/core/order/planner.go
+++ b/internal/core/order/planner.go
@@ -70,9 +70,11 @@
 
 // Options configures a Planner.
 type Options struct {
-	// RetryAfter is the time that an engine has to show the end of an order
-	// before it is given again.
-	RetryAfter time.Duration
+	// LoadRetryAfter and RoleRetryAfter are the times that an engine has to
+	// show the end of an order before it is given again. A stale order that
+	// arrives before the end was seen is corrected after them.
+	LoadRetryAfter time.Duration
+	RoleRetryAfter time.Duration
 }
 
 // Planner is the state machine. It is not safe for concurrent use.
@@ -191,7 +193,7 @@
 }
 
 // mayTry reports whether to give an order whose end the report does not show.
-// After a try the engine has RetryAfter to get there. An engine that was there
+// After a try the engine has some time to get there. An engine that was there
 // and is not any more took a stale order, so it is corrected at once.
 func (p *Planner) mayTry(now time.Time, key id, report Report) bool {
 	state := p.progress[key]
@@ -201,7 +203,14 @@
 	if !report.Made.After(state.ended) {
 		return false
 	}
-	return state.reached || now.Sub(state.ended) >= p.opts.RetryAfter
+	return state.reached || now.Sub(state.ended) >= p.retryAfter(key.kind)
+}
+
+func (p *Planner) retryAfter(kind Kind) time.Duration {
+	if kind == ChangeRole {
+		return p.opts.RoleRetryAfter
+	}
+	return p.opts.LoadRetryAfter
 }
 
 func (p *Planner) start(key id) {
--- a/internal/core/order/planner_test.go
+++ b/internal/core/order/planner_test.go
@@ -14,7 +14,7 @@
 func at(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
 
 func planner(wanted ...Wanted) *Planner {
-	p := New(Options{RetryAfter: 30 * time.Second})
+	p := New(Options{LoadRetryAfter: 30 * time.Second, RoleRetryAfter: 5 * time.Second})
 	p.SetWanted(wanted)
 	return p
 }
@@ -63,6 +63,16 @@
 	must.Eq(t, due, p.Due(at(3), 9))
 }
 
+func TestStaleOrderBeforeTheEndWasSeenIsCorrected(t *testing.T) {
+	p := planner(one)
+	p.Report("e1", report(0, "prefill", "m", "n"))
+	due := p.Due(at(0), 9)
+	p.Done(at(1), due[0])
+	p.Report("e1", report(5, "prefill", "m", "n"))
+	must.SliceEmpty(t, p.Due(at(5), 9))
+	must.Eq(t, due, p.Due(at(6), 9))
+}
+
 func TestOldReportsAndForgottenEndpointsDoNotCount(t *testing.T) {
 	p := planner(one)
 	p.Report("e1", report(5, "decode", "m", "n"))
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -27,8 +27,10 @@
 	// margin covers clocks that run at different speeds, and the time from a
 	// permit to the first byte of its order.
 	margin = time.Second
-	// retryAfter is the time that an engine has to show the end of an order.
-	retryAfter = time.Minute
+	// loadRetryAfter and roleRetryAfter are the times that an engine has to
+	// show the end of an order.
+	loadRetryAfter = time.Minute
+	roleRetryAfter = 3 * time.Second
 	// weightCallsPerSecond and weightBurst are the lease holder's part of the
 	// weight store's budget.
 	weightCallsPerSecond = 0.5
@@ -95,7 +97,7 @@
 			Host: opts.Host, Incarnation: opts.Incarnation,
 			Duration: opts.Lease, OrderTimeout: opts.OrderTimeout, Margin: margin,
 		}),
-		planner: order.New(order.Options{RetryAfter: retryAfter}),
+		planner: order.New(order.Options{LoadRetryAfter: loadRetryAfter, RoleRetryAfter: roleRetryAfter}),
 		budget:  rate.NewLimiter(weightCallsPerSecond, weightBurst),
 		events:  make(chan func(time.Time), maxEvents),
 		stopped: make(chan struct{}),
