Report over two failure domains; give a frozen host's neighbours time

Cause: scenarios/report_domains.txtar (four hosts, two domains, one host frozen) failed at first: "No answer from failure domain south: ... DeadlineExceeded" instead of naming the frozen host only. The host that gathers over its domain waited 2 s for the frozen one, and the caller of that host gave up after the same 2 s, which is the peers' bound of a call. The neighbours get 1 s now. Each address has its own bound, so that a frozen first host leaves time for the next.

Ruled out: a longer bound for the peers' calls; heartbeats use the same one.

Before: the scenario failed at the frozen host.

--- a/internal/host/burn_gather.go
+++ b/internal/host/burn_gather.go
@@ -15,10 +15,10 @@
 
 const (
 	// burnPeerTimeout bounds the answer of a host of the own domain.
-	burnPeerTimeout = 2 * time.Second
+	burnPeerTimeout = time.Second
 	// burnDomainTimeout bounds the answer of a host that gathers over another
 	// domain. It leaves that host time to wait for its own peers.
-	burnDomainTimeout = 5 * time.Second
+	burnDomainTimeout = 2 * time.Second
 	// maxBurnCalls bounds the calls under way at once.
 	maxBurnCalls = 16
 )
@@ -122,19 +122,21 @@
 }
 
 func (h *Host) askTarget(ctx context.Context, target burnTarget, query port.BurnQuery, timeout time.Duration) burn.Gathered {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	err := errNoGateway
 	for _, address := range target.addresses {
 		var counts burn.Gathered
-		if counts, err = h.askPeer(ctx, address, query); err == nil {
+		if counts, err = h.askPeer(ctx, address, query, timeout); err == nil {
 			return counts
 		}
 	}
 	return burn.Gathered{Missing: []burn.Missing{{Domain: target.domain, Host: target.host, Reason: err.Error()}}}
 }
 
-func (h *Host) askPeer(ctx context.Context, address string, query port.BurnQuery) (burn.Gathered, error) {
+// askPeer bounds each call on its own, so that a frozen host leaves time for
+// the next one.
+func (h *Host) askPeer(ctx context.Context, address string, query port.BurnQuery, timeout time.Duration) (burn.Gathered, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	if h.opts.Peers == nil {
 		return burn.Gathered{}, errNoGateway
 	}
