--- a/internal/port/peer.go
+++ b/internal/port/peer.go
@@ -58,7 +58,9 @@
 // PoolRoom is the room left in a pool of a domain.
 type PoolRoom struct {
 	Pool model.PoolName
-	Room int
+	// Room is for any class, Protected for protected classes.
+	Room      int
+	Protected int
 }
 
 // Heartbeat is what hosts exchange. Its size depends on the sender's own
@@ -99,6 +101,9 @@
 	ContentType string
 	Body        []byte
 	Stream      bool
+	// Permitted says that the sender holds the right to send a request that
+	// must not be repeated, and uses it for this call.
+	Permitted bool
 }
 
 // ForwardPart is a part of the answer to a forwarded request. The first has
--- a/internal/virtual/workload.go
+++ b/internal/virtual/workload.go
@@ -95,13 +95,13 @@
 func mix(user string, n names) []classLoad {
 	name := func(s string) model.ClassName { return model.ClassName(user + "_" + s) }
 	second := opconfig.Duration(time.Second)
-	serviceWork := size{median: 6, sigma: 0.5, cap: 40}
+	serviceWork := size{median: 4, sigma: 0.3, cap: 15}
 	one := size{median: 1, cap: 1}
 	return []classLoad{
 		{
 			Class: opconfig.Class{Name: name(n.effect), Tier: 0, Protected: true, Headroom: 0.25,
 				FirstToken: second, Deadline: 10 * second, RetryBudget: 0.1},
-			pool: servicePool, share: 0.10, prompt: serviceWork, answer: one,
+			pool: servicePool, share: 0.07, prompt: serviceWork, answer: one,
 		},
 		{
 			Class: opconfig.Class{Name: name(n.readback), Tier: 0, Protected: true, Idempotent: true, Headroom: 0.05,
@@ -111,11 +111,11 @@
 		{
 			Class: opconfig.Class{Name: name(n.lookup), Tier: 1, Idempotent: true,
 				FirstToken: second, Deadline: 10 * second, RetryBudget: 0.1},
-			pool: servicePool, share: 0.90, prompt: serviceWork, answer: one,
+			pool: servicePool, share: 0.93, prompt: serviceWork, answer: one,
 		},
 		{
 			Class: opconfig.Class{Name: name(n.question), Tier: 1, Idempotent: true,
-				FirstToken: 1900 * second / 1000, Deadline: 30 * second, RetryBudget: 0.1, MaxQueued: 500},
+				FirstToken: 1900 * second / 1000, Deadline: 30 * second, RetryBudget: 0.1, Preemptible: true, MaxQueued: 500},
 			pool: enginePool, share: 0.25, prompt: size{median: 300, sigma: 0.5, cap: 1500}, answer: size{median: 90, sigma: 0.8, cap: 500},
 		},
 		{
