--- a/cmd/wigeonsail/load_real.go
+++ b/cmd/wigeonsail/load_real.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"text/tabwriter"
 	"time"
@@ -22,15 +24,16 @@
 
 // realFlags are the flags of `load` against real hosts.
 type realFlags struct {
-	Target        []string `placeholder:"URL" help:"Hosts to drive; without any, a demo is started and driven."`
-	Key           string   `default:"demo-key" env:"WIGEONSAIL_KEY" help:"Key of the client account."`
-	Model         string   `default:"draft" help:"Model of chat calls."`
-	Rate          float64  `default:"50" help:"Requests a second."`
-	Tokens        int      `default:"40" help:"Mean length of answers."`
-	Burst         float64  `default:"1" help:"Factor of the rate during bursts."`
-	CompareDirect string   `placeholder:"URL" help:"Send the same work straight to this engine as well and print the added time. With 'demo', to one of the demo's engines."`
-	Rounds        int      `default:"3" help:"Rounds of a comparison."`
-	HostPID       int      `name:"host-pid" help:"Process of the compared host, to measure its processor time a token."`
+	Target        []string           `placeholder:"URL" help:"Hosts to drive; without any, a demo is started and driven."`
+	Key           string             `default:"demo-key" env:"WIGEONSAIL_KEY" help:"Key of the client account."`
+	Model         string             `default:"draft" help:"Model of chat calls."`
+	Rate          float64            `default:"50" help:"Requests a second."`
+	Tokens        int                `default:"40" help:"Mean length of answers."`
+	Burst         float64            `default:"1" help:"Factor of the rate during bursts."`
+	CompareDirect string             `placeholder:"URL" help:"Send the same work straight to this engine as well and print the added time. With 'demo', to one of the demo's engines."`
+	Class         map[string]float64 `placeholder:"NAME=WEIGHT" help:"Classes of the chat calls and their weights; without any, the account's default class."`
+	Rounds        int                `default:"3" help:"Rounds of a comparison."`
+	HostPID       int                `name:"host-pid" help:"Process of the compared host, to measure its processor time a token."`
 }
 
 // The bursts of a load, where asked for.
@@ -81,7 +84,16 @@
 }
 
 func (f *realFlags) chatMix() []load.Mix {
-	return []load.Mix{{Kind: load.KindStream, Path: chatPath, Model: model.ModelName(f.Model), Weight: 1, Tokens: f.Tokens}}
+	chat := load.Mix{Kind: load.KindStream, Path: chatPath, Model: model.ModelName(f.Model), Weight: 1, Tokens: f.Tokens}
+	if len(f.Class) == 0 {
+		return []load.Mix{chat}
+	}
+	var mix []load.Mix
+	for _, name := range slices.Sorted(maps.Keys(f.Class)) {
+		chat.Class, chat.Weight = model.ClassName(name), f.Class[name]
+		mix = append(mix, chat)
+	}
+	return mix
 }
 
 // demoMix weighs the demo's classes.
--- a/internal/load/measure.go
+++ b/internal/load/measure.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
 
 // The range and precision of the histograms, in nanoseconds and digits.
@@ -15,16 +17,24 @@
 	digits   = 3
 )
 
-// Figures are what the callers of one target saw.
-type Figures struct {
+// Counts are numbers of requests by how they ended.
+type Counts struct {
 	Requests int `json:"requests"`
-	// Failed requests had no whole answer; Refused ones were told when to
-	// come back.
+	// Served requests had a whole answer, Failed ones had none, and Refused
+	// ones were told when to come back.
+	Served  int `json:"served"`
 	Failed  int `json:"failed"`
 	Refused int `json:"refused"`
 	// Truncated answers began and did not reach their end. They are failed.
 	Truncated int `json:"truncated"`
-	Tokens    int `json:"tokens"`
+}
+
+// Figures are what the callers of one target saw.
+type Figures struct {
+	Counts
+	// Classes counts the requests of each class that callers named.
+	Classes map[model.ClassName]*Counts `json:"classes,omitempty"`
+	Tokens  int                         `json:"tokens"`
 	// Times in milliseconds.
 	FirstTokenP50 float64 `json:"first_token_p50_ms"`
 	FirstTokenP99 float64 `json:"first_token_p99_ms"`
@@ -48,6 +58,7 @@
 
 func newMeasure() *measure {
 	return &measure{
+		figures:  Figures{Classes: make(map[model.ClassName]*Counts)},
 		firsts:   hdrhistogram.New(minNanos, maxNanos, digits),
 		betweens: hdrhistogram.New(minNanos, maxNanos, digits),
 	}
@@ -70,17 +81,17 @@
 	m.figures.PeakOpen = max(m.figures.PeakOpen, m.open)
 }
 
-func (m *measure) end(n *notes, err error) {
+func (m *measure) end(class model.ClassName, n *notes, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.open--
-	m.figures.Requests++
-	m.count(err)
-	if n.firstToken == 0 {
-		return
+	began := n.firstToken > 0
+	m.figures.count(began, err)
+	if class != "" {
+		m.classCounts(class).count(began, err)
 	}
-	if err != nil {
-		m.figures.Truncated++
+	if !began {
+		return
 	}
 	record(m.firsts, n.firstToken)
 	m.figures.Tokens += 1 + len(n.gaps)
@@ -89,14 +100,29 @@
 	}
 }
 
-func (m *measure) count(err error) {
+func (m *measure) classCounts(class model.ClassName) *Counts {
+	counts := m.figures.Classes[class]
+	if counts == nil {
+		counts = &Counts{}
+		m.figures.Classes[class] = counts
+	}
+	return counts
+}
+
+// count adds one request, whose answer began or not.
+func (c *Counts) count(began bool, err error) {
+	c.Requests++
 	var status *StatusError
 	switch {
 	case err == nil:
+		c.Served++
 	case errors.As(err, &status) && isRefusal(status.Status):
-		m.figures.Refused++
+		c.Refused++
+	case began:
+		c.Failed++
+		c.Truncated++
 	default:
-		m.figures.Failed++
+		c.Failed++
 	}
 }
 
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -29,7 +29,7 @@
 		m.begin()
 		running.Go(func() {
 			n := &notes{}
-			m.end(n, c.send(context.WithoutCancel(ctx), target, a, n))
+			m.end(a.mix.Class, n, c.send(context.WithoutCancel(ctx), target, a, n))
 		})
 	}
 }
