Share the log's appends among the domains; read long lists less often

Cause: docs/CAPACITY.md works out that 4 partitions x 25 appends a second x 4 domains is the whole of the log's 400, with nothing left for leases and configurations, and 2,500 at 25 domains. All claims and outcomes together now keep to 300 appends a second: 18.75 a partition and domain at 4 domains, 3 at 25. The host list costs 117 KB a second at 1,600 entries read each second: a host now reads 50 entries a second (3.7 KB by the measured 73 bytes an entry), and polls 12 endpoints a second in place of 40 (3.3 KB by 278 bytes a poll). Ruled out: a longer list_every by default, which would slow today's lists.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -96,6 +96,15 @@
 // Config returns the configuration. It must not be changed.
 func (c *Catalog) Config() *opconfig.Config { return c.cfg }
 
+// Domains counts the failure domains that have endpoints.
+func (c *Catalog) Domains() int {
+	seen := make(map[model.DomainName]bool)
+	for i := range c.cfg.Endpoints {
+		seen[c.cfg.Endpoints[i].Domain] = true
+	}
+	return len(seen)
+}
+
 // Class finds a class by name.
 func (c *Catalog) Class(name model.ClassName) (*opconfig.Class, bool) {
 	class, ok := c.classes[name]
--- a/internal/effects/append.go
+++ b/internal/effects/append.go
@@ -73,7 +73,7 @@
 	return &appender{
 		guard:     g,
 		partition: partition,
-		limit:     rate.NewLimiter(rate.Limit(g.opts.AppendsPerSecond), appendBurst),
+		limit:     rate.NewLimiter(appendRate(1), appendBurst),
 		wake:      make(chan struct{}, 1),
 		empty:     empty,
 	}
--- a/internal/effects/guard.go
+++ b/internal/effects/guard.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"golang.org/x/time/rate"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/effect"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
@@ -31,10 +32,12 @@
 	defaultClaimTimeout = 4 * time.Second
 	defaultMaxTickets   = 100_000
 	defaultCacheBytes   = 16 << 20
-	// defaultAppendsPerSecond bounds a host's appends to one partition. One
-	// host of a failure domain batches a partition, so that the bound on all
-	// appends grows with the domains and not with the hosts.
-	defaultAppendsPerSecond = 25
+	// maxAppendsPerSecond bounds a host's appends to one partition.
+	maxAppendsPerSecond = 25
+	// allAppendsPerSecond bounds the appends of all hosts to all partitions.
+	// One host of a failure domain batches a partition, so the domains share
+	// the bound. It leaves the log room for leases and configurations.
+	allAppendsPerSecond = 300
 )
 
 // Options configures a Guard.
@@ -51,9 +54,6 @@
 	Window time.Duration
 	// ClaimTimeout bounds the wait for a claim; 0 for the default of 4 s.
 	ClaimTimeout time.Duration
-	// AppendsPerSecond bounds this host's appends to a partition; 0 for the
-	// default of 25.
-	AppendsPerSecond int
 	// Log is the platform's log.
 	Log port.Log
 	// Peers reaches the other hosts; nil for none.
@@ -87,6 +87,21 @@
 	workers sync.WaitGroup
 }
 
+// SetDomains tells the number of failure domains, which share the appends
+// that the log takes. It may be called from any goroutine.
+func (g *Guard) SetDomains(n int) {
+	for _, a := range g.appenders {
+		a.limit.SetLimit(appendRate(n))
+	}
+}
+
+// appendRate is the bound on a host's appends to one partition, in appends a
+// second.
+func appendRate(domains int) rate.Limit {
+	shared := rate.Limit(allAppendsPerSecond) / rate.Limit(Partitions*max(domains, 1))
+	return min(shared, maxAppendsPerSecond)
+}
+
 // New builds a Guard. It decides nothing until Start.
 func New(opts Options) *Guard {
 	opts.setDefaults()
@@ -105,9 +120,6 @@
 	if o.ClaimTimeout == 0 {
 		o.ClaimTimeout = defaultClaimTimeout
 	}
-	if o.AppendsPerSecond == 0 {
-		o.AppendsPerSecond = defaultAppendsPerSecond
-	}
 	if o.Members == nil {
 		o.Members = func() []Member { return nil }
 	}
--- a/internal/host/hostlist.go
+++ b/internal/host/hostlist.go
@@ -9,6 +9,11 @@
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
+// listEntriesPerSecond bounds how many entries of the platform's list a host
+// reads in a second: a long list is read less often. An entry takes about 75
+// bytes.
+const listEntriesPerSecond = 50
+
 // announceEvery is the time between renewals of this host's entry in the
 // platform's list.
 const announceEvery = 3 * time.Second
@@ -16,15 +21,16 @@
 // followList reads the platform's host list and renews this host's entry
 // until ctx ends. Without the list the peers' heartbeats go on.
 func (h *Host) followList(ctx context.Context) {
+	var announced, due time.Time
 	ticker := time.NewTicker(h.opts.ListEvery)
 	defer ticker.Stop()
-	var announced time.Time
 	for {
-		if now := time.Now(); now.Sub(announced) >= announceEvery && h.announce(ctx) == nil {
+		now := time.Now()
+		if now.Sub(announced) >= announceEvery && h.announce(ctx) == nil {
 			announced = now
 		}
-		if hosts, err := h.opts.HostList.Hosts(ctx); err == nil {
-			h.loop.post(listEvent{hosts: hosts})
+		if !now.Before(due) {
+			due = now.Add(h.readList(ctx))
 		}
 		select {
 		case <-ctx.Done():
@@ -34,6 +40,22 @@
 	}
 }
 
+// readList hands the list to the control loop. It returns the time until the
+// next read, which ends half a tick early so that the tick finds it due.
+func (h *Host) readList(ctx context.Context) time.Duration {
+	hosts, err := h.opts.HostList.Hosts(ctx)
+	if err != nil {
+		return 0
+	}
+	h.loop.post(listEvent{hosts: hosts})
+	return listInterval(h.opts.ListEvery, len(hosts)) - h.opts.ListEvery/2
+}
+
+// listInterval is the time between reads of a list of that many entries.
+func listInterval(least time.Duration, entries int) time.Duration {
+	return max(least, time.Duration(entries)*time.Second/listEntriesPerSecond)
+}
+
 // announce adds or renews this host's entry in the platform's list.
 func (h *Host) announce(ctx context.Context) error {
 	return h.opts.HostList.Announce(ctx, port.ListedHost{
--- a/internal/host/poll.go
+++ b/internal/host/poll.go
@@ -16,7 +16,7 @@
 	pollEvery = 250 * time.Millisecond
 	// maxPollsPerSecond bounds the polls of a host however many endpoints its
 	// failure domain has. Peers tell each other which endpoints are leaving.
-	maxPollsPerSecond = 40
+	maxPollsPerSecond = 12
 	// pollTimeout bounds one poll.
 	pollTimeout = time.Second
 	// maxPollsRunning bounds the polls that wait for slow endpoints.
