Tell unknown where a host refuses a key that it has not looked up

Cause: a host that was leaving, or had no configuration yet, answered not_run to a retry whose first try another host, or the same one, had run. The outcome is unknown there, unless the caller says that it is its first try or another host holds the permission.

A claim that is read back after the log has lost younger records gives no right either: an earlier claim may be among the lost ones. New claims were refused already, a claim on its way was not.

Both were found by reading.

--- a/internal/adapter/callerhttp/service.go
+++ b/internal/adapter/callerhttp/service.go
@@ -1,6 +1,7 @@
 package callerhttp
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -59,7 +60,7 @@
 	}
 	account, err := h.router.Authenticate(key)
 	if err != nil {
-		return port.CallerRequest{}, err
+		return port.CallerRequest{}, unprovedTry(r, err)
 	}
 	req := port.CallerRequest{
 		ID:         requestID(r.Context()),
@@ -84,6 +85,23 @@
 	return req, nil
 }
 
+// unprovedTry corrects the outcome of a call that a host cannot serve yet: an
+// earlier try with the same key may have run through another host.
+func unprovedTry(r *http.Request, err error) error {
+	var known *port.RequestError
+	safe := r.Method == http.MethodGet || r.Method == http.MethodHead
+	first := r.Header.Get(port.HeaderFirstTry) == "true"
+	if !errors.As(err, &known) || r.Header.Get(headerKey) == "" || safe || first {
+		return err
+	}
+	if known.Status < http.StatusInternalServerError {
+		return err
+	}
+	corrected := *known
+	corrected.Outcome = model.OutcomeUnknown
+	return &corrected
+}
+
 // readWhole reads the body of a call with a key, since a retry is compared
 // with it and another host may have to run it.
 func readWhole(req port.CallerRequest) (port.CallerRequest, error) {
--- a/internal/core/effect/begin.go
+++ b/internal/core/effect/begin.go
@@ -125,9 +125,12 @@
 	m.append(f.key, rec)
 }
 
-// grant hands the right of a won claim to the first try that still waits.
+// grant hands the right of a won claim to the first try that still waits. A
+// claim gives none when an earlier one may have been lost with the records
+// before it.
 func (m *Machine) grant(now time.Time, f *flight) {
-	if now.Sub(f.claimedAt) > m.maxClaimAge() {
+	blocked := now.Before(m.partitionOf(f.key).blockedUntil)
+	if blocked || now.Sub(f.claimedAt) > m.maxClaimAge() {
 		m.append(f.key, m.record(now, KindRelease, f))
 		m.refuseBlind(now, f)
 		return
--- a/internal/core/effect/machine_test.go
+++ b/internal/core/effect/machine_test.go
@@ -230,6 +230,17 @@
 	}
 }
 
+func TestClaimAfterLostRecordsGivesNoRight(t *testing.T) {
+	m, log := testMachine("a"), &testLog{}
+	log.add(t, only(t, m.Begin(start, testTry(1, "x")), ActionAppend).Record)
+	log.records[0].Offset = 3
+	out, err := m.Applied(start, 0, 3, log.records)
+	must.NoError(t, err)
+	must.Len(t, 2, out)
+	must.Eq(t, KindRelease, out[0].Record.Kind)
+	must.Eq(t, model.OutcomeUnknown, out[1].Refusal.Outcome)
+}
+
 func TestClaimOfAFrozenHostGivesNoRight(t *testing.T) {
 	m, log := testMachine("a"), &testLog{}
 	log.add(t, only(t, m.Begin(start, testTry(1, "x")), ActionAppend).Record)
--- a/internal/host/effects.go
+++ b/internal/host/effects.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// headerFirstTry is the caller's word that it has sent nothing with the
-	// key before, to any host.
-	headerFirstTry = "X-Wigeonsail-First-Try"
 	// headerReplayed marks a recorded answer.
 	headerReplayed = "Idempotent-Replayed"
 	// windowsPerRetention keeps the protection of a key well inside the time
@@ -89,8 +86,7 @@
 
 // needsRight says whether the request may be sent only by permission.
 func (r *request) needsRight() bool {
-	safe := r.call.Method == http.MethodGet || r.call.Method == http.MethodHead
-	return r.call.Key != "" && !r.class.Idempotent && !safe
+	return r.call.Key != "" && !r.class.Idempotent && !isSafe(r.call.Method)
 }
 
 // serveOnce serves a request whose key must not take effect twice.
@@ -129,13 +125,30 @@
 		Account:      req.model.Account,
 		KeyText:      req.call.Key,
 		Digest:       effect.NewDigest(req.call.Method, req.call.Path, req.call.Header.Get("Content-Type"), req.call.Body),
-		First:        isFirstTry(req),
+		First:        isFirstTry(req.call),
 		Deduplicates: req.pool.Deduplicates,
 		Forwarded:    req.call.Forwarded,
 	}
 }
 
-func isFirstTry(req *request) bool { return req.call.Header.Get(headerFirstTry) == "true" }
+func isFirstTry(call port.CallerRequest) bool { return call.Header.Get(port.HeaderFirstTry) == "true" }
+
+// rejectedTry corrects the outcome of a request that was refused before its
+// key was looked up: another try with the key may have run.
+func rejectedTry(call port.CallerRequest, err error) error {
+	var known *port.RequestError
+	if !errors.As(err, &known) || call.Key == "" || isSafe(call.Method) {
+		return err
+	}
+	if isFirstTry(call) || call.Permitted {
+		return err
+	}
+	corrected := *known
+	corrected.Outcome = model.OutcomeUnknown
+	return &corrected
+}
+
+func isSafe(method string) bool { return method == http.MethodGet || method == http.MethodHead }
 
 // useRight sends the request and records its answer. It goes on when the
 // caller has gone, so that the caller's retry reads the answer.
--- a/internal/host/service.go
+++ b/internal/host/service.go
@@ -28,7 +28,7 @@
 	defer h.traffic.end()
 	req, err := h.admitServiceCall(call, time.Now())
 	if err != nil {
-		return h.observeRejected(err)
+		return h.observeRejected(rejectedTry(call, err))
 	}
 	if req.needsRight() && !call.Permitted {
 		return h.serveOnce(ctx, req, w)
--- a/internal/port/caller.go
+++ b/internal/port/caller.go
@@ -9,6 +9,10 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
 
+// HeaderFirstTry is the header with which a caller gives its word, by the value
+// "true", that it has sent nothing with the key before, to any host.
+const HeaderFirstTry = "X-Wigeonsail-First-Try"
+
 // CallerRequest is a request as the caller side hands it to the host.
 type CallerRequest struct {
 	// ID identifies the request.
