Leave out of heartbeats what the receiver holds or ignores

Cause: each heartbeat carried all in-flight counts and demand, also to hosts that already held them and to other failure domains, which ignore them, and told hosts of the own domain its free room, which they ignore too.

Work now has a sequence that rises with each change. A host shows each peer the sequence that it holds of it; the peer then leaves the work out until it changes. A host that lost it shows 0 and is sent all of it.

Ruled out: numbers of the configuration for names. gzip already shrinks the names, and numbers need the same version on both sides.

Each of the three rules (leaving work out, asking for all when it was lost, leaving the own domain's room out) was taken out once: a test of membership failed each time.

--- a/internal/adapter/peergrpc/convert.go
+++ b/internal/adapter/peergrpc/convert.go
@@ -30,6 +30,10 @@
 		Endpoints:   convert(b.Endpoints, endpointToWire),
 		Demand:      convert(b.Demand, demandToWire),
 		Domains:     convert(b.Domains, domainToWire),
+
+		WorkSequence:  b.WorkSequence,
+		SeenWork:      b.SeenWork,
+		WorkUnchanged: b.WorkUnchanged,
 	}
 }
 
@@ -45,6 +49,10 @@
 		Endpoints:   convert(b.GetEndpoints(), endpointFromWire),
 		Demand:      convert(b.GetDemand(), demandFromWire),
 		Domains:     convert(b.GetDomains(), domainFromWire),
+
+		WorkSequence:  b.GetWorkSequence(),
+		SeenWork:      b.GetSeenWork(),
+		WorkUnchanged: b.GetWorkUnchanged(),
 	}
 }
 
--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -77,6 +77,13 @@
 	Leaving []model.EndpointName
 	// Domains are the sender's own domain and some of the others.
 	Domains []Digest
+	// WorkSequence rises with each change of Work.
+	WorkSequence uint64
+	// SeenWork is the receiver's WorkSequence that the sender holds.
+	SeenWork uint64
+	// WorkUnchanged says that Work is left out, since the receiver holds that
+	// of WorkSequence.
+	WorkUnchanged bool
 }
 
 // Digest sums up a failure domain for the others.
--- a/internal/core/membership/membership_test.go
+++ b/internal/core/membership/membership_test.go
@@ -141,3 +141,55 @@
 	}
 	must.LessEq(t, 100*4*8*(ownPerRound+1), f.calls)
 }
+
+// tell lets one table hear the trimmed heartbeat of another and returns it.
+func tell(now time.Time, from, to *Table) Beat {
+	b := from.Trim(from.Beat(now, []dispatch.PoolRoom{{Pool: "p", Room: 1}}), to.opts.Address)
+	to.Hear(now, b)
+	return b
+}
+
+func TestWorkIsSentOnlyWhenThePeerDoesNotHoldIt(t *testing.T) {
+	work := func(n int) dispatch.PeerHost {
+		return dispatch.PeerHost{InFlight: []dispatch.EndpointCount{{Endpoint: "e", Count: n}}}
+	}
+	a, b := table("a", "east"), table("b", "east")
+	steps := []struct {
+		name  string
+		count int
+		// restart replaces the receiver by one that knows nothing.
+		restart   bool
+		unchanged bool
+	}{
+		{"unknown peer", 3, false, false},
+		{"peer shows it", 3, false, true},
+		{"other work", 4, false, false},
+		{"shown again", 4, false, true},
+		{"peer lost it", 4, true, true},
+		{"sent again", 4, false, false},
+	}
+	for _, s := range steps {
+		if s.restart {
+			b = table("b", "east")
+			b.opts.Incarnation, b.self.Incarnation = 2, 2
+		}
+		a.Update(Ready, 1, work(s.count), nil)
+		b.Update(Ready, 1, dispatch.PeerHost{}, nil)
+		sent := tell(start, a, b)
+		must.Eq(t, s.unchanged, sent.WorkUnchanged, must.Sprint(s.name))
+		if !s.restart {
+			must.Eq(t, work(s.count).InFlight, b.View(start).Hosts[0].InFlight, must.Sprint(s.name))
+		}
+		tell(start, b, a)
+	}
+}
+
+func TestHeartbeatsCarryNothingThatTheReceiverIgnores(t *testing.T) {
+	a, near, far := table("a", "east"), table("b", "east"), table("c", "west")
+	a.Update(Ready, 1, dispatch.PeerHost{InFlight: []dispatch.EndpointCount{{Endpoint: "e", Count: 1}}}, nil)
+	tell(start, near, a)
+	tell(start, far, a)
+	must.SliceEmpty(t, tell(start, a, far).Work.InFlight)
+	must.Len(t, 1, tell(start, a, far).Domains[0].FreeRoom)
+	must.SliceEmpty(t, tell(start, a, near).Domains[0].FreeRoom)
+}
--- a/internal/core/membership/table.go
+++ b/internal/core/membership/table.go
@@ -66,7 +66,7 @@
 func (t *Table) Update(state State, version model.Version, work dispatch.PeerHost, leaving []model.EndpointName) {
 	t.self.State = state
 	t.self.Version = version
-	t.self.Work = work
+	t.setWork(work)
 	t.self.Leaving = leaving[:min(len(leaving), maxLeavingPerBeat)]
 }
 
@@ -85,12 +85,14 @@
 	}
 	known := t.members[beat.Host]
 	if known == nil {
+		keepWork(&beat, &Beat{})
 		t.members[beat.Host] = &member{beat: beat, heard: now, versionSince: now}
 		return
 	}
 	if !newer(&beat, &known.beat) {
 		return
 	}
+	keepWork(&beat, &known.beat)
 	if beat.Version != known.beat.Version || beat.Incarnation != known.beat.Incarnation {
 		known.versionSince = now
 	}
--- a/internal/host/heartbeat.go
+++ b/internal/host/heartbeat.go
@@ -41,6 +41,10 @@
 		Endpoints:   endpointDigests(b.Work.InFlight, b.Leaving),
 		Demand:      demandDigests(b.Work.Demand),
 		Domains:     domainDigests(b.Domains),
+
+		WorkSequence:  b.WorkSequence,
+		SeenWork:      b.SeenWork,
+		WorkUnchanged: b.WorkUnchanged,
 	}
 }
 
@@ -92,6 +96,10 @@
 		Sequence:    h.Sequence,
 		Version:     h.Version,
 		Work:        dispatch.PeerHost{Host: h.Host},
+
+		WorkSequence:  h.WorkSequence,
+		SeenWork:      h.SeenWork,
+		WorkUnchanged: h.WorkUnchanged,
 	}
 	for _, ep := range h.Endpoints {
 		if ep.InFlight > 0 {
--- a/internal/host/heartbeat_bench_test.go
+++ b/internal/host/heartbeat_bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -25,6 +26,13 @@
 	benchEndpoints = 24
 )
 
+// benchSize is the size of a measured fleet.
+type benchSize struct {
+	domains, hosts int
+	// changing fleets have other work in each round.
+	changing bool
+}
+
 // countingListener counts the bytes of all connections in both directions.
 type countingListener struct {
 	net.Listener
@@ -76,13 +84,20 @@
 	address string
 	bytes   atomic.Int64
 	calls   int
+	// changing gives every host other work in each round.
+	changing bool
 }
 
-func newBeatFleet(b *testing.B, domains, hosts int) *beatFleet {
-	f := &beatFleet{b: b, now: time.Now(), tables: make(map[string]*membership.Table), handler: &answerer{}}
-	for d := range domains {
-		for h := range hosts {
-			f.add(fmt.Sprintf("domain-%02d", d), fmt.Sprintf("10.%d.%d.1:8802", d, h), fmt.Sprintf("10.%d.0.1:8802", d))
+// domainOf names the domain of an address.
+func domainOf(address string) string {
+	return "domain-" + strings.Split(address, ".")[1]
+}
+
+func newBeatFleet(b *testing.B, size benchSize) *beatFleet {
+	f := &beatFleet{b: b, now: time.Now(), tables: make(map[string]*membership.Table), handler: &answerer{}, changing: size.changing}
+	for d := range size.domains {
+		for h := range size.hosts {
+			f.add(fmt.Sprintf("domain-%d", d), fmt.Sprintf("10.%d.%d.1:8802", d, h), fmt.Sprintf("10.%d.0.1:8802", d))
 		}
 	}
 	// The last host is no seed of the others.
@@ -104,11 +119,17 @@
 }
 
 func (f *beatFleet) add(domain, address, seed string) {
-	t := membership.New(membership.Options{
+	f.tables[address] = membership.New(membership.Options{
 		Host: model.HostID("host-" + address), Incarnation: 1_700_000_000_000_000_000,
 		Domain: model.DomainName(domain), Address: address,
 		Seeds: []string{seed, "10.0.0.1:8802"}, Every: benchEvery,
 	})
+	f.work(address, domain, 0)
+	f.order = append(f.order, address)
+}
+
+// work sets the work of a host; count is that at its first endpoint.
+func (f *beatFleet) work(address, domain string, count int) {
 	var work dispatch.PeerHost
 	for i := range benchEndpoints {
 		work.InFlight = append(work.InFlight, dispatch.EndpointCount{Endpoint: model.EndpointName(fmt.Sprintf("%s-engine-%d", domain, i)), Count: 8})
@@ -118,9 +139,8 @@
 			Account: model.AccountName(fmt.Sprintf("account-%d", i)), Class: "questions", Rate: 3.7, TokensInFlight: 900, Queued: i,
 		})
 	}
-	t.Update(membership.Ready, 12345, work, nil)
-	f.tables[address] = t
-	f.order = append(f.order, address)
+	work.InFlight[0].Count = count%8 + 1
+	f.tables[address].Update(membership.Ready, 12345, work, nil)
 }
 
 var benchRoom = []dispatch.PoolRoom{{Pool: "drafting", Room: 120}, {Pool: "appointments", Room: 60}}
@@ -130,10 +150,14 @@
 	f.now = f.now.Add(benchEvery)
 	for _, from := range f.order {
 		table := f.tables[from]
-		targets, beat := table.Round(f.now, benchRoom)
+		if f.changing {
+			f.work(from, domainOf(from), int(f.now.UnixNano()/int64(benchEvery)))
+		}
+		targets, whole := table.Round(f.now, benchRoom)
 		for _, to := range targets {
+			beat := table.Trim(whole, to)
 			f.tables[to].Hear(f.now, beat)
-			answer := f.tables[to].Beat(f.now, benchRoom)
+			answer := f.tables[to].Trim(f.tables[to].Beat(f.now, benchRoom), from)
 			table.Hear(f.now, answer)
 			if counted && (from == f.seen || to == f.seen) {
 				f.send(beat, answer)
@@ -152,9 +176,9 @@
 // BenchmarkHeartbeats reports the bytes a second and the exchanges a second of
 // one host, both directions and framing included.
 func BenchmarkHeartbeats(b *testing.B) {
-	for _, size := range []struct{ domains, hosts int }{{4, 2}, {8, 8}, {16, 16}} {
-		b.Run(fmt.Sprintf("hosts=%d", size.domains*size.hosts), func(b *testing.B) {
-			f := newBeatFleet(b, size.domains, size.hosts)
+	for _, size := range []benchSize{{4, 2, false}, {8, 8, false}, {16, 16, false}, {5, 64, false}, {8, 8, true}, {5, 64, true}} {
+		b.Run(fmt.Sprintf("hosts=%d/changing=%t", size.domains*size.hosts, size.changing), func(b *testing.B) {
+			f := newBeatFleet(b, size)
 			for range benchWarmUp {
 				f.round(false)
 			}
--- a/internal/host/membership.go
+++ b/internal/host/membership.go
@@ -35,7 +35,7 @@
 	c.updateSelf(now)
 	targets, beat := c.members.Round(now, c.dispatch.FreeRoom(now))
 	for _, address := range targets {
-		c.sendBeat(address, beat)
+		c.sendBeat(address, c.members.Trim(beat, address))
 	}
 	c.carryOut(c.dispatch.SetPeers(now, c.members.View(now)))
 	c.shareMembers(now)
@@ -91,7 +91,8 @@
 	return ask(ctx, h, func(now time.Time, c *control) port.Heartbeat {
 		c.members.Hear(now, beatOf(beat))
 		c.updateSelf(now)
-		return heartbeatOf(c.members.Beat(now, c.dispatch.FreeRoom(now)))
+		answer := c.members.Beat(now, c.dispatch.FreeRoom(now))
+		return heartbeatOf(c.members.Trim(answer, beat.PeerAddress))
 	})
 }
 
@@ -109,7 +110,7 @@
 	beat := c.members.Beat(now, nil)
 	for _, address := range c.members.Announce() {
 		delete(c.beating, address)
-		c.sendBeat(address, beat)
+		c.sendBeat(address, c.members.Trim(beat, address))
 	}
 	c.carryOut(c.dispatch.SetDraining(now))
 }
--- a/internal/port/peer.go
+++ b/internal/port/peer.go
@@ -78,6 +78,13 @@
 	Endpoints []EndpointDigest
 	Demand    []DemandDigest
 	Domains   []DomainDigest
+	// WorkSequence rises with each change of the in-flight counts and demand.
+	WorkSequence uint64
+	// SeenWork is the receiver's WorkSequence that the sender holds.
+	SeenWork uint64
+	// WorkUnchanged says that in-flight counts and demand are left out, since
+	// the receiver holds those of WorkSequence.
+	WorkUnchanged bool
 }
 
 // ConfigRecord is an accepted configuration as hosts relay it.
