Send fewer heartbeats in large domains and no pings with them

Cause: gRPC measured the link with a ping for each message, which cost more than a heartbeat without work; and in a domain of 64 hosts each host had 21 exchanges a second, as in a small one.

The flow-control window is fixed at 1 MB, which ends the pings. In domains of 33 hosts and more a round takes two heartbeat intervals; the expected gap, by which hosts become suspect and gone, follows. A pair of 64 hosts then meets each 6.4 s, so a host that first learns that an endpoint leaves tells its whole domain at once. Smaller domains keep their rounds.

Ruled out: rounds that grow on with the domain. At 256 hosts a pair would meet each 102 s and a stopped host be gone after 34 minutes.

A stopped host of a domain of 64 is suspect after 32 s (16 s before) and gone after 128 s (64 s before). No test guards the fixed window; the benchmark shows it.

--- a/internal/adapter/peergrpc/client.go
+++ b/internal/adapter/peergrpc/client.go
@@ -29,6 +29,10 @@
 	reconnectJitter     = 0.2
 )
 
+// windowBytes is the flow-control window of a connection and of its streams.
+// A fixed one keeps gRPC from measuring the link with a ping at each message.
+const windowBytes = 1 << 20
+
 // Client calls other hosts. It is safe for concurrent use.
 type Client struct {
 	connections *connections
@@ -52,6 +56,8 @@
 			grpc.MaxCallRecvMsgSize(maxMessageBytes),
 			grpc.MaxCallSendMsgSize(maxMessageBytes),
 		),
+		grpc.WithStaticStreamWindowSize(windowBytes),
+		grpc.WithStaticConnWindowSize(windowBytes),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingTimeout}),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff: backoff.Config{
--- a/internal/adapter/peergrpc/server.go
+++ b/internal/adapter/peergrpc/server.go
@@ -64,6 +64,8 @@
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.MaxConcurrentStreams(maxStreamsPerPeer),
 		grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.StaticStreamWindowSize(windowBytes),
+		grpc.StaticConnWindowSize(windowBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{
 			MaxConnectionIdle: connectionIdleTime, Time: pingAfter, Timeout: pingTimeout,
 		}),
--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -114,7 +114,8 @@
 	Address     string
 	// Seeds are addresses to try while nothing else is known.
 	Seeds []string
-	// Every is the time between rounds of heartbeats.
+	// Every is the time between rounds of heartbeats in a domain of less than
+	// largeDomain other hosts, and between calls of Round in any.
 	Every time.Duration
 }
 
@@ -123,6 +124,13 @@
 	// ownPerRound is the number of hosts of the own domain met in a round. A
 	// domain of up to ownPerRound+1 hosts is a full mesh.
 	ownPerRound = 2
+	// largeDomain is the number of other hosts from which on the own domain has
+	// longer rounds. Below, a pair of hosts meets within 2 s when Every is
+	// 200 ms.
+	largeDomain = 32
+	// ticksPerLargeRound is the number of calls of Round for a round in a large
+	// domain.
+	ticksPerLargeRound = 2
 	// crossEvery is the number of rounds between heartbeats to another domain.
 	crossEvery = 5
 	// digestsPerBeat is the number of other domains in a heartbeat.
--- a/internal/core/membership/membership_test.go
+++ b/internal/core/membership/membership_test.go
@@ -193,3 +193,28 @@
 	must.Len(t, 1, tell(start, a, far).Domains[0].FreeRoom)
 	must.SliceEmpty(t, tell(start, a, near).Domains[0].FreeRoom)
 }
+
+func TestRoundsFollowTheSizeOfTheDomain(t *testing.T) {
+	for _, c := range []struct {
+		hosts, rounds, urgent int
+		gone                  time.Duration
+	}{{9, 16, 0, 8 * time.Second}, {32, 16, 0, 32 * time.Second}, {64, 8, 63, 128 * time.Second}, {256, 8, 255, 512 * time.Second}} {
+		tab := table("a", "east")
+		for i := range c.hosts - 1 {
+			b := beat(1, 1, Ready)
+			b.Host = model.HostID(fmt.Sprint("h", i))
+			b.Address = fmt.Sprint("h", i, ":1")
+			tab.Hear(start, b)
+		}
+		rounds := 0
+		for range 16 {
+			if targets, _ := tab.Round(start, nil); len(targets) > 0 {
+				rounds++
+			}
+		}
+		must.Eq(t, c.rounds, rounds, must.Sprint(c.hosts))
+		must.Len(t, c.urgent, tab.Urgent())
+		must.Eq(t, Gone, tab.Members(start.Add(c.gone))[1].Health, must.Sprint(c.hosts))
+		must.Eq(t, Suspect, tab.Members(start.Add(c.gone - time.Millisecond))[1].Health, must.Sprint(c.hosts))
+	}
+}
--- a/internal/core/membership/round.go
+++ b/internal/core/membership/round.go
@@ -11,8 +11,13 @@
 )
 
 // Round returns the addresses to send the next heartbeat to, and the
-// heartbeat. Their number does not depend on the number of hosts.
+// heartbeat. Their number does not depend on the number of hosts. In a large
+// domain only some calls start a round; the others return no address.
 func (t *Table) Round(now time.Time, room []dispatch.PoolRoom) ([]string, Beat) {
+	t.ticks++
+	if t.ticks%t.ticksPerRound() != 0 {
+		return nil, t.self
+	}
 	t.round++
 	targets := t.pick(t.ownAddresses(), ownPerRound)
 	if t.round%crossEvery == 0 {
@@ -29,6 +34,24 @@
 	return beat
 }
 
+// ticksPerRound is larger in a large domain, where heartbeats have more to
+// tell. It does not grow on, since a pair of hosts then meets too seldom.
+func (t *Table) ticksPerRound() uint64 {
+	if len(t.members) < largeDomain {
+		return 1
+	}
+	return ticksPerLargeRound
+}
+
+// Urgent returns the addresses that must hear at once of an endpoint that
+// leaves: all of the own domain when the rounds are too slow for it.
+func (t *Table) Urgent() []string {
+	if t.ticksPerRound() == 1 {
+		return nil
+	}
+	return t.ownAddresses()
+}
+
 // Announce returns every address that should hear of this host's leaving.
 func (t *Table) Announce() []string {
 	out := t.ownAddresses()
--- a/internal/core/membership/table.go
+++ b/internal/core/membership/table.go
@@ -20,6 +20,8 @@
 	// entry that leaves is that of its predecessor.
 	selfListed bool
 	round      uint64
+	// ticks counts the calls of Round.
+	ticks uint64
 }
 
 type member struct {
@@ -221,7 +223,7 @@
 // expectedGap is the time between two heartbeats of the same pair of hosts.
 func (t *Table) expectedGap() time.Duration {
 	rounds := (len(t.members) + 2*ownPerRound - 1) / (2 * ownPerRound)
-	return time.Duration(max(rounds, 1)) * t.opts.Every
+	return time.Duration(max(rounds, 1)) * time.Duration(t.ticksPerRound()) * t.opts.Every
 }
 
 func (t *Table) health(now time.Time, m *member) Health {
--- a/internal/host/leaving.go
+++ b/internal/host/leaving.go
@@ -72,14 +72,19 @@
 			c.carryOut(c.dispatch.SetLeaving(now, name, false))
 		}
 	}
+	first := false
 	for name := range wanted {
 		if !l.applied[name] {
+			first = first || !slices.Contains(l.peers, name)
 			l.applied[name] = true
 			c.observeDrain(name)
 			c.host.opts.Log.Infof("endpoints: %s is leaving", name)
 		}
 		c.carryOut(c.dispatch.SetLeaving(now, name, true))
 	}
+	if first {
+		c.tellUrgently(now)
+	}
 }
 
 // report takes an endpoint's own word.
--- a/internal/host/membership.go
+++ b/internal/host/membership.go
@@ -70,6 +70,21 @@
 	})
 }
 
+// tellUrgently tells the own domain of a new leaving endpoint at once when the
+// rounds of heartbeats are too slow for it.
+func (c *control) tellUrgently(now time.Time) {
+	addresses := c.members.Urgent()
+	if len(addresses) == 0 {
+		return
+	}
+	c.updateSelf(now)
+	beat := c.members.Beat(now, nil)
+	for _, address := range addresses {
+		delete(c.beating, address)
+		c.sendBeat(address, c.members.Trim(beat, address))
+	}
+}
+
 // beatAnswerEvent is the end of a heartbeat.
 type beatAnswerEvent struct {
 	address string
