Let one goroutine own the control state of effects as well

Cause: the guard of effects ran a control goroutine of its own, twin to the host's: two threads with control state where the house asks for one, and the same queue, offer and post written twice. internal/loop has them once; the guard's events are applied by the host's loop. Ruled out: keeping two, for the fold's time (29.5 us a confirmation by docs/CAPACITY.md): events now hold at most 16 records of the log, so that a host that reads a long stream again grants in between.

--- a/internal/effects/append.go
+++ b/internal/effects/append.go
@@ -194,7 +194,7 @@
 	var keep []bool
 	select {
 	case keep = <-reply:
-	case <-a.guard.stopped:
+	case <-a.guard.opts.Loop.Stopped():
 		return nil
 	case <-ctx.Done():
 		return nil
--- a/internal/effects/control.go
+++ b/internal/effects/control.go
@@ -1,7 +1,6 @@
 package effects
 
 import (
-	"context"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/effect"
@@ -9,49 +8,43 @@
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
-const (
-	// maxQueuedEvents bounds the events that wait for the control goroutine.
-	maxQueuedEvents = 4096
-	// tickEvery is the time between ticks of the state machine.
-	tickEvery = 100 * time.Millisecond
-)
+// tickEvery is the time between ticks of the state machine.
+const tickEvery = 100 * time.Millisecond
 
-// event is an input of the control goroutine.
+// event is an input of the guard's control state.
 type event interface {
 	apply(now time.Time, c *control)
 }
 
-// offer hands over an event without waiting. It returns false when the queue
-// is full or the Guard has ended.
+// boundEvent is an event with the state that it is for.
+type boundEvent struct {
+	event   event
+	control *control
+}
+
+// Apply implements loop.Event.
+func (b boundEvent) Apply(now time.Time) { b.event.apply(now, b.control) }
+
+// offer hands over an event without waiting. It returns false when the loop
+// is full or has ended.
 func (g *Guard) offer(ev event) bool {
-	select {
-	case <-g.stopped:
-		return false
-	default:
-	}
-	select {
-	case g.events <- ev:
-		return true
-	default:
-		return false
-	}
+	return g.opts.Loop.Offer(boundEvent{event: ev, control: g.control})
 }
 
 // post hands over an event that must not be lost.
 func (g *Guard) post(ev event) {
-	select {
-	case g.events <- ev:
-	case <-g.stopped:
-	}
+	g.opts.Loop.Post(boundEvent{event: ev, control: g.control})
 }
 
-// control owns the state machine. Its events do no I/O and never wait.
+// control is the state that only the control loop touches.
 type control struct {
 	guard   *Guard
 	machine *effect.Machine
 	answers map[effect.TryID]chan<- effect.Action
 	// logUp is what the state machine was told last.
 	logUp bool
+	// ticked is when the state machine was last told the time.
+	ticked time.Time
 }
 
 func newControl(g *Guard) *control {
@@ -72,23 +65,11 @@
 	}
 }
 
-func (c *control) run(ctx context.Context) {
-	defer close(c.guard.stopped)
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case ev := <-c.guard.events:
-			ev.apply(time.Now(), c)
-		case now := <-ticker.C:
-			c.tick(now)
-		}
-	}
-}
-
 func (c *control) tick(now time.Time) {
+	if now.Sub(c.ticked) < tickEvery {
+		return
+	}
+	c.ticked = now
 	members := c.guard.opts.Members()
 	c.guard.members.Store(&members)
 	live := make([]effect.HostRef, 0, len(members))
--- a/internal/effects/fake_test.go
+++ b/internal/effects/fake_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/wigeonsail/wigeonsail/internal/core/effect"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/loop"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -117,13 +118,25 @@
 }
 
 func startGuard(t testing.TB, l port.Log, name model.HostID, peers port.Peers, members ...Member) *Guard {
+	control := loop.New()
 	g := New(Options{
+		Loop: control,
 		Self: effect.HostRef{Host: name, Incarnation: 1}, Domain: "d", Address: string(name), Secret: []byte("s"),
 		Log: l, Peers: peers, Members: func() []Member { return members },
 		Logger: &log.Logger{Handler: discard.New()},
 	})
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		control.Run(ctx, tickEvery, g.Tick)
+		close(ended)
+	}()
 	g.Start()
-	t.Cleanup(g.Close)
+	t.Cleanup(func() {
+		g.Close()
+		stop()
+		<-ended
+	})
 	return g
 }
 
--- a/internal/effects/follow.go
+++ b/internal/effects/follow.go
@@ -11,8 +11,10 @@
 
 // How partitions are followed.
 const (
-	readWait       = 5 * time.Second
-	readMax        = 256
+	readWait = 5 * time.Second
+	// readMax bounds the records of one event, so that reading a long stream
+	// again does not hold up the control loop.
+	readMax        = 16
 	readRetryAfter = 200 * time.Millisecond
 )
 
@@ -38,7 +40,7 @@
 		g.post(batchEvent{partition: partition, batch: batch, next: reply})
 		select {
 		case next = <-reply:
-		case <-g.stopped:
+		case <-g.opts.Loop.Stopped():
 		}
 	}
 }
--- a/internal/effects/guard.go
+++ b/internal/effects/guard.go
@@ -15,6 +15,7 @@
 
 	"github.com/wigeonsail/wigeonsail/internal/core/effect"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/loop"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -42,6 +43,8 @@
 
 // Options configures a Guard.
 type Options struct {
+	// Loop owns the Guard's control state. It calls Tick regularly.
+	Loop *loop.Loop
 	// Self, Domain and Address describe this host; Address is where it
 	// serves its peers.
 	Self    effect.HostRef
@@ -77,8 +80,7 @@
 // safe for concurrent use.
 type Guard struct {
 	opts      Options
-	events    chan event
-	stopped   chan struct{}
+	control   *control
 	appenders []*appender
 	// members is the latest answer of Options.Members.
 	members atomic.Pointer[[]Member]
@@ -105,7 +107,8 @@
 // New builds a Guard. It decides nothing until Start.
 func New(opts Options) *Guard {
 	opts.setDefaults()
-	g := &Guard{opts: opts, events: make(chan event, maxQueuedEvents), stopped: make(chan struct{})}
+	g := &Guard{opts: opts}
+	g.control = newControl(g)
 	g.members.Store(&[]Member{})
 	for i := range Partitions {
 		g.appenders = append(g.appenders, newAppender(g, i))
@@ -132,13 +135,15 @@
 func (g *Guard) Start() {
 	ctx, stop := context.WithCancel(context.Background())
 	g.stop = stop
-	g.workers.Go(func() { newControl(g).run(ctx) })
 	for i, a := range g.appenders {
 		g.workers.Go(func() { g.follow(ctx, i) })
 		g.workers.Go(func() { a.run(ctx) })
 	}
 }
 
+// Tick lets time pass. Only the control loop calls it.
+func (g *Guard) Tick(now time.Time) { g.control.tick(now) }
+
 // flushTimeout bounds the wait for the last outcomes at Close.
 const flushTimeout = 2 * time.Second
 
@@ -183,7 +188,7 @@
 	select {
 	case a := <-answer:
 		return g.decide(ctx, a)
-	case <-g.stopped:
+	case <-g.opts.Loop.Stopped():
 		return Decision{}, overloaded()
 	case <-ctx.Done():
 	}
@@ -191,7 +196,7 @@
 	select {
 	case a := <-answer:
 		return g.decide(ctx, a)
-	case <-g.stopped:
+	case <-g.opts.Loop.Stopped():
 		return Decision{}, overloaded()
 	}
 }
@@ -250,7 +255,7 @@
 	select {
 	case r := <-ev.reply:
 		return r.text, expires, r.err
-	case <-g.stopped:
+	case <-g.opts.Loop.Stopped():
 		return "", time.Time{}, errClosed
 	case <-ctx.Done():
 		return "", time.Time{}, ctx.Err()
@@ -278,7 +283,7 @@
 			places[i] = r.place
 		case <-ctx.Done():
 			return nil, ctx.Err()
-		case <-g.stopped:
+		case <-g.opts.Loop.Stopped():
 			return nil, errClosed
 		}
 	}
--- a/internal/host/ask.go
+++ b/internal/host/ask.go
@@ -26,7 +26,7 @@
 		return result, nil
 	case <-ctx.Done():
 		return none, unavailable("the call ended before the host answered", retryAfterFailure, ctx.Err())
-	case <-h.loop.stopped:
+	case <-h.loop.Stopped():
 		return none, unavailable("the host has stopped", 0, nil)
 	}
 }
--- a/internal/host/attempts.go
+++ b/internal/host/attempts.go
@@ -96,7 +96,7 @@
 	select {
 	case <-ctx.Done():
 		return dispatch.Action{}, ended(ctx, model.OutcomeNotRun)
-	case <-h.loop.stopped:
+	case <-h.loop.Stopped():
 		return dispatch.Action{}, leaving()
 	case action := <-req.waiter.decisions:
 		h.observeDecision(req, action)
--- a/internal/host/burn_gather_test.go
+++ b/internal/host/burn_gather_test.go
@@ -70,7 +70,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
 	go func() {
-		h.loop.run(ctx, h.control)
+		h.loop.run(ctx)
 		close(stopped)
 	}()
 	got, err := h.GatherBurn(ctx, time.Hour)
--- a/internal/host/config_test.go
+++ b/internal/host/config_test.go
@@ -37,7 +37,9 @@
 		Log: &log.Logger{Handler: discard.New()},
 	})
 	h.ctx = t.Context()
-	close(h.loop.stopped)
+	ended, stop := context.WithCancel(t.Context())
+	stop()
+	h.loop.run(ended)
 	t.Cleanup(h.workers.Wait)
 	return h, asked
 }
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -81,6 +81,7 @@
 
 func (c *control) tick(now time.Time) {
 	c.carryOut(c.dispatch.Tick(now))
+	c.host.guard.Tick(now)
 	c.observeEjections(now)
 }
 
--- a/internal/host/effects.go
+++ b/internal/host/effects.go
@@ -24,6 +24,7 @@
 // newGuard builds the guard of requests that may not be repeated.
 func newGuard(h *Host) *effects.Guard {
 	return effects.New(effects.Options{
+		Loop:    h.loop.Loop,
 		Self:    effect.HostRef{Host: h.opts.ID, Incarnation: h.opts.Incarnation},
 		Domain:  h.opts.Domain,
 		Address: h.opts.PeerAddress,
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -15,6 +15,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/dispatch"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/effects"
+	"github.com/wigeonsail/wigeonsail/internal/loop"
 	"github.com/wigeonsail/wigeonsail/internal/metrics"
 	"github.com/wigeonsail/wigeonsail/internal/orders"
 	"github.com/wigeonsail/wigeonsail/internal/port"
@@ -66,7 +67,7 @@
 type Host struct {
 	opts    Options
 	metrics *metrics.Metrics
-	loop    *loop
+	loop    *controlLoop
 	control *control
 	catalog atomic.Pointer[catalog.Catalog]
 	// accepted is the record of the configuration in force.
@@ -95,13 +96,14 @@
 	if opts.Peers != nil {
 		opts.Peers = meteredPeers{Peers: opts.Peers, metrics: opts.Metrics}
 	}
-	h := &Host{opts: opts, metrics: opts.Metrics, loop: newLoop(), leaveAsked: make(chan struct{})}
+	h := &Host{opts: opts, metrics: opts.Metrics, leaveAsked: make(chan struct{})}
 	h.traffic.idle = make(chan struct{}, 1)
 	h.control = newControl(h, dispatch.Options{
 		Host:   opts.ID,
 		Domain: opts.Domain,
 		Seed:   opts.Seed,
 	})
+	h.loop = &controlLoop{Loop: loop.New(), control: h.control}
 	h.guard = newGuard(h)
 	h.orders = newOrders(h)
 	return h
@@ -113,7 +115,7 @@
 	h.ctx = ctx
 	h.stop = stop
 	h.guard.Start()
-	h.workers.Go(func() { h.loop.run(ctx, h.control) })
+	h.workers.Go(func() { h.loop.run(ctx) })
 	h.workers.Go(func() { h.followConfig(ctx) })
 	h.workers.Go(func() { h.pollEndpoints(ctx) })
 	if h.orders != nil {
--- a/internal/host/metrics_test.go
+++ b/internal/host/metrics_test.go
@@ -76,7 +76,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
 	go func() {
-		h.loop.run(ctx, h.control)
+		h.loop.run(ctx)
 		close(stopped)
 	}()
 	req := &request{class: &opconfig.Class{Name: "draft", Idempotent: true}}
