Let the control loop own the state of leases and orders as well

Cause: orders ran a third control goroutine. The Giver's events are applied by the host's loop; giving the lease back still follows the last order.

--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -82,6 +82,9 @@
 func (c *control) tick(now time.Time) {
 	c.carryOut(c.dispatch.Tick(now))
 	c.host.guard.Tick(now)
+	if c.host.orders != nil {
+		c.host.orders.Tick(now)
+	}
 	c.observeEjections(now)
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -119,7 +119,7 @@
 	h.workers.Go(func() { h.followConfig(ctx) })
 	h.workers.Go(func() { h.pollEndpoints(ctx) })
 	if h.orders != nil {
-		h.workers.Go(func() { h.orders.Run(ctx) })
+		h.orders.Start()
 	}
 	if h.opts.Peers != nil {
 		h.workers.Go(func() { h.beat(ctx) })
@@ -132,6 +132,9 @@
 // Close ends the control loop and the pollers. Requests in progress fail, so
 // Drain comes first in a graceful shutdown.
 func (h *Host) Close() {
+	if h.orders != nil {
+		h.orders.Close()
+	}
 	h.guard.Close()
 	h.stop()
 	h.workers.Wait()
--- a/internal/host/orders.go
+++ b/internal/host/orders.go
@@ -13,6 +13,7 @@
 		return nil
 	}
 	return orders.New(orders.Options{
+		Loop:        h.loop.Loop,
 		Host:        h.opts.ID,
 		Incarnation: h.opts.Incarnation,
 		Domain:      h.opts.Domain,
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -16,6 +16,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/lease"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/order"
+	"github.com/wigeonsail/wigeonsail/internal/loop"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -44,11 +45,12 @@
 	readWait       = 5 * time.Second
 	readMax        = 100
 	readRetryAfter = 500 * time.Millisecond
-	maxEvents      = 1024
 )
 
 // Options configures a Giver.
 type Options struct {
+	// Loop owns the Giver's control state. It calls Tick regularly.
+	Loop *loop.Loop
 	// Host, Incarnation and Domain are this host's own.
 	Host        model.HostID
 	Incarnation model.Incarnation
@@ -65,16 +67,20 @@
 	Log          log.Interface
 }
 
-// Giver gives the orders. Its own goroutine owns the state of the lease and
-// the plan.
+// Giver gives the orders. The control loop owns the state of the lease and the
+// plan.
 type Giver struct {
 	opts    Options
 	keeper  *lease.Keeper
 	planner *order.Planner
 	budget  *rate.Limiter
-	events  chan func(now time.Time)
-	stopped chan struct{}
+	ctx     context.Context
+	stop    context.CancelFunc
 	workers sync.WaitGroup
+	// started says that orders may be given; ticked is when they were last
+	// looked at.
+	started bool
+	ticked  time.Time
 	// running counts the orders under way.
 	running int
 	// atEnd says that the lease stream was read to its end.
@@ -83,7 +89,7 @@
 	holding bool
 }
 
-// New returns a Giver. It does nothing before Run.
+// New returns a Giver. It does nothing before Start.
 func New(opts Options) *Giver {
 	if opts.Lease == 0 {
 		opts.Lease = DefaultLease
@@ -99,53 +105,64 @@
 		}),
 		planner: order.New(order.Options{LoadRetryAfter: loadRetryAfter, RoleRetryAfter: roleRetryAfter}),
 		budget:  rate.NewLimiter(weightCallsPerSecond, weightBurst),
-		events:  make(chan func(time.Time), maxEvents),
-		stopped: make(chan struct{}),
 	}
 }
 
+// event is an input of the Giver's control state.
+type event func(now time.Time)
+
+// Apply implements loop.Event.
+func (e event) Apply(now time.Time) { e(now) }
+
 // Report takes an engine's load report. It never waits; a report that finds
-// the queue full is dropped, since another follows.
+// the loop full is dropped, since another follows.
 func (g *Giver) Report(name model.EndpointName, load port.EngineLoad) {
 	made := time.Now().Add(-load.Age)
-	select {
-	case g.events <- func(time.Time) {
+	g.opts.Loop.Offer(event(func(time.Time) {
 		g.planner.Report(name, order.Report{Models: load.Models, Role: load.Role, Made: made})
-	}:
-	default:
-	}
+	}))
+}
+
+// post hands an event to the control loop.
+func (g *Giver) post(ev event) { g.opts.Loop.Post(ev) }
+
+// Start follows the lease stream until Close.
+func (g *Giver) Start() {
+	g.ctx, g.stop = context.WithCancel(context.Background())
+	g.workers.Go(func() { g.follow(g.ctx) })
+	g.post(func(time.Time) { g.started = true })
 }
 
-// post hands an event to the Giver's goroutine.
-func (g *Giver) post(event func(now time.Time)) {
+// Close gives no more orders, waits for those under way and gives the lease
+// back. The control loop must still run.
+func (g *Giver) Close() {
+	released := make(chan *lease.Record, 1)
+	g.post(func(now time.Time) {
+		g.started = false
+		rec, _ := g.keeper.Release(now, rand.Uint64())
+		released <- rec
+	})
+	var rec *lease.Record
 	select {
-	case g.events <- event:
-	case <-g.stopped:
+	case rec = <-released:
+	case <-g.opts.Loop.Stopped():
 	}
+	g.stop()
+	g.workers.Wait()
+	g.release(rec)
 }
 
-// Run works until ctx ends, and then gives the lease back.
-func (g *Giver) Run(ctx context.Context) {
-	g.workers.Go(func() { g.follow(ctx) })
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case event := <-g.events:
-			event(time.Now())
-		case <-ticker.C:
-			g.tick(ctx)
-		}
+// Tick lets time pass. Only the control loop calls it.
+func (g *Giver) Tick(now time.Time) {
+	if !g.started || now.Sub(g.ticked) < tickEvery {
+		return
 	}
-	close(g.stopped)
-	g.workers.Wait()
-	g.release()
+	g.ticked = now
+	g.tick(g.ctx, now)
 }
 
 // tick renews the lease and gives the orders that are due.
-func (g *Giver) tick(ctx context.Context) {
-	now := time.Now()
+func (g *Giver) tick(ctx context.Context, now time.Time) {
 	if rec, due := g.dueRecord(now); due {
 		g.workers.Go(func() { g.append(ctx, rec) })
 	}
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/order"
+	"github.com/wigeonsail/wigeonsail/internal/loop"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -73,12 +74,29 @@
 
 func giver(host model.HostID, p *fakePlatform, e *fakeEngines, wanted ...order.Wanted) *Giver {
 	return New(Options{
-		Host: host, Incarnation: 1, Domain: "d", PlatformLog: p, Engines: e, Weights: p,
+		Loop: loop.New(), Host: host, Incarnation: 1, Domain: "d", PlatformLog: p, Engines: e, Weights: p,
 		Wanted: func() []order.Wanted { return wanted },
 		Log:    &log.Logger{Handler: discard.New()},
 	})
 }
 
+// run runs a giver with a control loop of its own until the returned function
+// is called.
+func run(t *testing.T, g *Giver) func() {
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		g.opts.Loop.Run(ctx, tickEvery, g.Tick)
+		close(ended)
+	}()
+	g.Start()
+	return func() {
+		g.Close()
+		stop()
+		<-ended
+	}
+}
+
 // firstTerm is when a host that starts alone holds the lease.
 const firstTerm = DefaultLease + DefaultOrderTimeout + margin + 2*time.Second
 
@@ -87,12 +105,9 @@
 		p, e := &fakePlatform{}, &fakeEngines{}
 		wanted := order.Wanted{Endpoint: "e", Address: "a:1", Role: "decode"}
 		givers := []*Giver{giver("h1", p, e, wanted), giver("h2", p, e, wanted)}
-		var running sync.WaitGroup
-		stops := make([]context.CancelFunc, len(givers))
+		stops := make([]func(), len(givers))
 		for i, g := range givers {
-			ctx, stop := context.WithCancel(t.Context())
-			stops[i] = stop
-			running.Go(func() { g.Run(ctx) })
+			stops[i] = run(t, g)
 		}
 		tell := func(role string) {
 			for _, g := range givers {
@@ -117,7 +132,6 @@
 		must.Eq(t, 2, e.count())
 		must.Greater(t, first, e.orders[1].Fencing)
 		stops[1-holder]()
-		running.Wait()
 	})
 }
 
@@ -129,9 +143,7 @@
 			wanted = append(wanted, order.Wanted{Endpoint: name, Models: []model.ModelName{"m"}})
 		}
 		g := giver("h1", p, e, wanted...)
-		ctx, stop := context.WithCancel(t.Context())
-		var running sync.WaitGroup
-		running.Go(func() { g.Run(ctx) })
+		stop := run(t, g)
 		time.Sleep(firstTerm)
 		for _, w := range wanted {
 			g.Report(w.Endpoint, port.EngineLoad{})
@@ -142,6 +154,5 @@
 		must.Eq(t, len(wanted), e.count())
 		must.Eq(t, len(wanted), p.stats)
 		stop()
-		running.Wait()
 	})
 }
--- a/internal/orders/stream.go
+++ b/internal/orders/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/lease"
@@ -34,7 +33,7 @@
 		g.post(func(now time.Time) { reply <- g.take(now, batch) })
 		select {
 		case next = <-reply:
-		case <-g.stopped:
+		case <-g.opts.Loop.Stopped():
 		}
 	}
 }
@@ -61,9 +60,8 @@
 }
 
 // release gives the lease back, so that a successor need not wait it out.
-func (g *Giver) release() {
-	rec, ok := g.keeper.Release(time.Now(), rand.Uint64())
-	if !ok {
+func (g *Giver) release(rec *lease.Record) {
+	if rec == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
