Take the version from peers when the log has lost it; be ready with the claims

Cause: a host that started after the log had dropped all records waited for the log for ever, since it asked peers only while the log was out of reach. It now asks them as well when records were missed. Cause: a host was ready before its claim streams were asked once; a keyed request in that moment was refused with claim_unavailable (seen once in TestUnreachableServiceIsReplacedByAnother). Readiness now waits for one answer, or one failure, of each partition.

--- a/internal/effects/follow.go
+++ b/internal/effects/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
@@ -27,10 +28,12 @@
 func (g *Guard) follow(ctx context.Context, partition int) {
 	var next model.Offset
 	wait := time.Duration(0)
+	first := sync.OnceFunc(func() { g.unread.Add(-1) })
 	for ctx.Err() == nil {
 		batch, err := g.opts.Log.Read(ctx, streamOf(partition), next, readMax, wait)
 		if err != nil {
 			g.post(logDownEvent{})
+			first()
 			pause(ctx, readRetryAfter)
 			wait = 0
 			continue
@@ -40,6 +43,7 @@
 		g.post(batchEvent{partition: partition, batch: batch, next: reply})
 		select {
 		case next = <-reply:
+			first()
 		case <-g.opts.Loop.Stopped():
 		}
 	}
--- a/internal/effects/guard.go
+++ b/internal/effects/guard.go
@@ -85,6 +85,8 @@
 	// members is the latest answer of Options.Members.
 	members atomic.Pointer[[]Member]
 	nextTry atomic.Uint64
+	// unread counts the partitions that were never asked for.
+	unread atomic.Int32
 	stop    context.CancelFunc
 	workers sync.WaitGroup
 }
@@ -109,6 +111,7 @@
 	opts.setDefaults()
 	g := &Guard{opts: opts}
 	g.control = newControl(g)
+	g.unread.Store(Partitions)
 	g.members.Store(&[]Member{})
 	for i := range Partitions {
 		g.appenders = append(g.appenders, newAppender(g, i))
@@ -141,6 +144,10 @@
 	}
 }
 
+// Ready says whether every partition was read once, or the log was found not
+// to answer. Before that a plain key would be refused for want of a claim.
+func (g *Guard) Ready() bool { return g.unread.Load() == 0 }
+
 // Tick lets time pass. Only the control loop calls it.
 func (g *Guard) Tick(now time.Time) { g.control.tick(now) }
 
--- a/internal/effects/guard_test.go
+++ b/internal/effects/guard_test.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/effect"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/loop"
 )
 
 var answer = effect.Result{Outcome: model.OutcomeRan, Status: 201, Body: []byte("booked")}
@@ -151,3 +153,15 @@
 		must.Eq(t, effect.ActionSend, begin(t, g, confirmation("k")).Kind)
 	})
 }
+
+func TestGuardIsReadyOnceTheLogWasAsked(t *testing.T) {
+	up := newFakeLog()
+	down := newFakeLog()
+	down.outage = true
+	for _, l := range []*fakeLog{up, down} {
+		g := startGuard(t, l, "a", nil)
+		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(g.Ready), wait.Timeout(5*time.Second), wait.Gap(time.Millisecond)))
+	}
+	unasked := New(Options{Loop: loop.New(), Log: up})
+	must.False(t, unasked.Ready())
+}
--- a/internal/host/config_relay.go
+++ b/internal/host/config_relay.go
@@ -32,10 +32,11 @@
 }
 
 // relayConfig asks a peer for its version where that is newer. A host that
-// starts while the log is reachable takes its first version from the log.
+// starts takes its first version from the log where the log still has one.
 func (c *control) relayConfig(now time.Time) {
 	starting := c.host.version() == 0
-	if c.config.fetching || (starting && (c.config.logReachable || c.rounds < roundsBeforeAdopting)) {
+	fromLog := c.config.logReachable && c.config.state.Settled()
+	if c.config.fetching || (starting && (fromLog || c.rounds < roundsBeforeAdopting)) {
 		return
 	}
 	version, address := c.members.NewestVersion(now)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -142,7 +142,7 @@
 
 // Ready says whether the host takes requests.
 func (h *Host) Ready() bool {
-	return h.catalog.Load() != nil && !h.leaving.Load()
+	return h.catalog.Load() != nil && h.guard.Ready() && !h.leaving.Load()
 }
 
 // Drain refuses new requests and waits until those in progress have ended,
