--- a/internal/effects/guard.go
+++ b/internal/effects/guard.go
@@ -86,7 +86,7 @@
 	members atomic.Pointer[[]Member]
 	nextTry atomic.Uint64
 	// unread counts the partitions that were never asked for.
-	unread atomic.Int32
+	unread  atomic.Int32
 	stop    context.CancelFunc
 	workers sync.WaitGroup
 }
