Report the first token at once; tell a load's errors by code

Cause: the dispatcher learns an engine's time to the first token from the first report of progress, which came after 64 tokens. It now comes with the first. The load command counts errors by code, to find why a host refuses.

--- a/internal/host/engine.go
+++ b/internal/host/engine.go
@@ -13,7 +13,8 @@
 )
 
 // progressEvery is the number of tokens between two reports of progress to
-// the control loop.
+// the control loop. The first token is reported at once, since the dispatcher
+// learns from its time.
 const progressEvery = 64
 
 // Complete serves a model call.
@@ -125,7 +126,7 @@
 	r.host.observeTokens(r.req, tokens)
 	r.tokens += tokens
 	r.req.relayed += tokens
-	if r.tokens-r.reported < progressEvery {
+	if r.reported > 0 && r.tokens-r.reported < progressEvery {
 		return
 	}
 	if r.host.loop.offer(progressEvent{id: r.req.model.ID, tokens: r.tokens - r.reported}) {
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -40,10 +41,31 @@
 func (c *client) close() { c.http.CloseIdleConnections() }
 
 // StatusError is an answer other than 200.
-type StatusError struct{ Status int }
+type StatusError struct {
+	Status int
+	// Code is the fixed name of the error; empty where the answer has none.
+	Code string
+}
 
 // Error implements error.
-func (e *StatusError) Error() string { return fmt.Sprintf("status %d", e.Status) }
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d %s", e.Status, e.Code) }
+
+// maxProblemBytes bounds an error body.
+const maxProblemBytes = 64 << 10
+
+// statusError reads the error that a host answered with.
+func statusError(res *http.Response) error {
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxProblemBytes))
+	if err != nil {
+		return err
+	}
+	var problem struct {
+		Code string `json:"code"`
+	}
+	// An answer without a code is counted by its status.
+	_ = json.Unmarshal(data, &problem)
+	return &StatusError{Status: res.StatusCode, Code: problem.Code}
+}
 
 // TruncatedError is a streamed answer without its end mark.
 type TruncatedError struct{ Tokens int }
@@ -66,11 +88,7 @@
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
-		_, err := io.Copy(io.Discard, res.Body)
-		if err != nil {
-			return err
-		}
-		return &StatusError{Status: res.StatusCode}
+		return statusError(res)
 	}
 	if a.mix.Kind == KindStream {
 		return readStream(res.Body, started, notes)
--- a/internal/load/measure.go
+++ b/internal/load/measure.go
@@ -34,7 +34,9 @@
 	Counts
 	// Classes counts the requests of each class that callers named.
 	Classes map[model.ClassName]*Counts `json:"classes,omitempty"`
-	Tokens  int                         `json:"tokens"`
+	// Codes counts the answers that were errors by their code.
+	Codes  map[string]int `json:"codes,omitempty"`
+	Tokens int            `json:"tokens"`
 	// Times in milliseconds.
 	FirstTokenP50 float64 `json:"first_token_p50_ms"`
 	FirstTokenP99 float64 `json:"first_token_p99_ms"`
@@ -58,7 +60,7 @@
 
 func newMeasure() *measure {
 	return &measure{
-		figures:  Figures{Classes: make(map[model.ClassName]*Counts)},
+		figures:  Figures{Classes: make(map[model.ClassName]*Counts), Codes: make(map[string]int)},
 		firsts:   hdrhistogram.New(minNanos, maxNanos, digits),
 		betweens: hdrhistogram.New(minNanos, maxNanos, digits),
 	}
@@ -87,6 +89,10 @@
 	m.open--
 	began := n.firstToken > 0
 	m.figures.count(began, err)
+	var status *StatusError
+	if errors.As(err, &status) {
+		m.figures.Codes[status.Code]++
+	}
 	if class != "" {
 		m.classCounts(class).count(began, err)
 	}
