--- a/internal/effects/follow.go
+++ b/internal/effects/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
@@ -11,8 +12,10 @@
 
 // How partitions are followed.
 const (
-	readWait       = 5 * time.Second
-	readMax        = 256
+	readWait = 5 * time.Second
+	// readMax bounds the records of one event, so that reading a long stream
+	// again does not hold up the control loop.
+	readMax        = 16
 	readRetryAfter = 200 * time.Millisecond
 )
 
@@ -25,10 +28,12 @@
 func (g *Guard) follow(ctx context.Context, partition int) {
 	var next model.Offset
 	wait := time.Duration(0)
+	first := sync.OnceFunc(func() { g.unread.Add(-1) })
 	for ctx.Err() == nil {
 		batch, err := g.opts.Log.Read(ctx, streamOf(partition), next, readMax, wait)
 		if err != nil {
 			g.post(logDownEvent{})
+			first()
 			pause(ctx, readRetryAfter)
 			wait = 0
 			continue
@@ -38,7 +43,8 @@
 		g.post(batchEvent{partition: partition, batch: batch, next: reply})
 		select {
 		case next = <-reply:
-		case <-g.stopped:
+			first()
+		case <-g.opts.Loop.Stopped():
 		}
 	}
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -15,6 +15,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/dispatch"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/effects"
+	"github.com/wigeonsail/wigeonsail/internal/loop"
 	"github.com/wigeonsail/wigeonsail/internal/metrics"
 	"github.com/wigeonsail/wigeonsail/internal/orders"
 	"github.com/wigeonsail/wigeonsail/internal/port"
@@ -66,7 +67,7 @@
 type Host struct {
 	opts    Options
 	metrics *metrics.Metrics
-	loop    *loop
+	loop    *controlLoop
 	control *control
 	catalog atomic.Pointer[catalog.Catalog]
 	// accepted is the record of the configuration in force.
@@ -95,13 +96,14 @@
 	if opts.Peers != nil {
 		opts.Peers = meteredPeers{Peers: opts.Peers, metrics: opts.Metrics}
 	}
-	h := &Host{opts: opts, metrics: opts.Metrics, loop: newLoop(), leaveAsked: make(chan struct{})}
+	h := &Host{opts: opts, metrics: opts.Metrics, leaveAsked: make(chan struct{})}
 	h.traffic.idle = make(chan struct{}, 1)
 	h.control = newControl(h, dispatch.Options{
 		Host:   opts.ID,
 		Domain: opts.Domain,
 		Seed:   opts.Seed,
 	})
+	h.loop = &controlLoop{Loop: loop.New(), control: h.control}
 	h.guard = newGuard(h)
 	h.orders = newOrders(h)
 	return h
@@ -113,11 +115,11 @@
 	h.ctx = ctx
 	h.stop = stop
 	h.guard.Start()
-	h.workers.Go(func() { h.loop.run(ctx, h.control) })
+	h.workers.Go(func() { h.loop.run(ctx) })
 	h.workers.Go(func() { h.followConfig(ctx) })
 	h.workers.Go(func() { h.pollEndpoints(ctx) })
 	if h.orders != nil {
-		h.workers.Go(func() { h.orders.Run(ctx) })
+		h.orders.Start()
 	}
 	if h.opts.Peers != nil {
 		h.workers.Go(func() { h.beat(ctx) })
@@ -130,6 +132,9 @@
 // Close ends the control loop and the pollers. Requests in progress fail, so
 // Drain comes first in a graceful shutdown.
 func (h *Host) Close() {
+	if h.orders != nil {
+		h.orders.Close()
+	}
 	h.guard.Close()
 	h.stop()
 	h.workers.Wait()
@@ -137,7 +142,7 @@
 
 // Ready says whether the host takes requests.
 func (h *Host) Ready() bool {
-	return h.catalog.Load() != nil && !h.leaving.Load()
+	return h.catalog.Load() != nil && h.guard.Ready() && !h.leaving.Load()
 }
 
 // Drain refuses new requests and waits until those in progress have ended,
