Share part of an endpoint's room evenly among the hosts

Each host now has half of the mean demand in advance: 2 slots of 16 in TestNewHostHasAPartBeforeItsDemandIsKnown, 1 before.

--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -19,6 +19,8 @@
 	// baseRate keeps a part of the room for a host without demand, in requests
 	// a second.
 	baseRate = 1.0
+	// evenShare is the part of the mean demand that each host has in advance.
+	evenShare = 0.5
 )
 
 // SetPeers replaces the view of the other hosts.
@@ -102,21 +104,29 @@
 }
 
 // roomPart returns this host's part of the domain's demand on a pool. The hosts
-// stand in the order of their names, so that all see the same parts.
+// stand in the order of their names, so that all see the same parts. Part of
+// the room is shared evenly, since a host that has just started has no demand
+// yet.
 func (d *Dispatcher) roomPart(now time.Time, p *pool) placement.Part {
-	own := baseRate + p.demand.Rate(now)
-	before, sum := 0.0, own
+	own := p.demand.Rate(now)
+	before, sum, hosts := 0.0, own, 1.0
+	hostsBefore := 0.0
 	for _, h := range d.peers.Hosts {
 		if h.Host == d.opts.Host {
 			continue
 		}
-		rate := baseRate + d.rateOf(p, h)
+		rate := d.rateOf(p, h)
 		sum += rate
+		hosts++
 		if h.Host < d.opts.Host {
 			before += rate
+			hostsBefore++
 		}
 	}
-	return placement.Part{From: before / sum, To: (before + own) / sum}
+	even := max(baseRate, evenShare*sum/hosts)
+	total := sum + even*hosts
+	from := (before + even*hostsBefore) / total
+	return placement.Part{From: from, To: from + (own+even)/total}
 }
 
 func (d *Dispatcher) rateOf(p *pool, h PeerHost) float64 {
--- a/internal/core/dispatch/peers_test.go
+++ b/internal/core/dispatch/peers_test.go
@@ -31,6 +31,15 @@
 	must.Eq(t, 4, b.grants(at(1), "draft"), must.Sprint("half of the room"))
 }
 
+func TestNewHostHasAPartBeforeItsDemandIsKnown(t *testing.T) {
+	b := newBench(engines(16, "e1"))
+	id, _ := b.submit(at(0), "draft", "big")
+	b.Finish(at(0), id, 1, ran)
+	busy := peer(at(0), dispatch.AccountDemand{Account: "big", Class: "draft", Rate: 40})
+	b.SetPeers(at(0), dispatch.PeerView{Hosts: []dispatch.PeerHost{busy}})
+	must.Eq(t, 2, b.grants(at(1), "draft"))
+}
+
 func TestProtectedClassesUseWhatPeersLeave(t *testing.T) {
 	b := newBench(engines(8, "e1"))
 	view := peer(at(0))
