--- a/internal/adapter/endpointhttp/transport.go
+++ b/internal/adapter/endpointhttp/transport.go
@@ -27,7 +27,7 @@
 const (
 	dialTimeout           = 2 * time.Second
 	idleTimeout           = 60 * time.Second
-	maxIdlePerEndpoint    = 256
+	maxIdlePerEndpoint    = 2048
 	maxHeaderBytes        = 64 << 10
 	connectionBufferBytes = 4 << 10
 )
--- a/internal/server/fixture_test.go
+++ b/internal/server/fixture_test.go
@@ -55,7 +55,7 @@
 
 func newFixture(t testing.TB, opts fixtureOptions) *fixture {
 	t.Helper()
-	f := &fixture{t: t, store: service.NewStore(), client: &http.Client{Transport: &http.Transport{}}}
+	f := &fixture{t: t, store: service.NewStore(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2048}}}
 	for i, o := range opts.engines {
 		o.Name = fmt.Sprintf("engine-%d", i+1)
 		o.Models = []model.ModelName{testModel}
@@ -73,7 +73,7 @@
 // newBenchFixture is a host before one engine that the benchmark brings.
 func newBenchFixture(b *testing.B, engine http.Handler) *fixture {
 	b.Helper()
-	f := &fixture{t: b, store: service.NewStore(), client: &http.Client{Transport: &http.Transport{}}}
+	f := &fixture{t: b, store: service.NewStore(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2048}}}
 	f.engines = append(f.engines, f.standin(engine))
 	f.start(fixtureOptions{})
 	return f
--- a/internal/server/relay_bench_test.go
+++ b/internal/server/relay_bench_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -158,3 +159,65 @@
 	must.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
+
+// BenchmarkFirstToken opens streams at 500 a second, each two seconds long, so
+// that about 1,000 are open at once. It reports the time to the first token.
+func BenchmarkFirstToken(b *testing.B) {
+	const (
+		rate    = 500
+		seconds = 4
+		tokens  = 40
+		pause   = 50 * time.Millisecond
+	)
+	for _, way := range []string{wayDirect, wayBare, wayHost} {
+		b.Run(way, func(b *testing.B) {
+			f := newBenchFixture(b, streamTokens(tokens, pause))
+			url := f.relayURL(way)
+			times := make(chan time.Duration, b.N*rate*seconds)
+			b.ResetTimer()
+			for range b.N {
+				var open sync.WaitGroup
+				ticker := time.NewTicker(time.Second / rate)
+				for range rate * seconds {
+					<-ticker.C
+					open.Go(func() { times <- f.firstToken(url) })
+				}
+				ticker.Stop()
+				open.Wait()
+			}
+			close(times)
+			reportTimes(b, times, pause)
+		})
+	}
+}
+
+// firstToken reads a stream to its end and returns the time to its first byte.
+func (f *fixture) firstToken(url string) time.Duration {
+	started := time.Now()
+	req, err := http.NewRequest(http.MethodPost, url+chatPath, strings.NewReader(chat("bench", 1, true)))
+	must.NoError(f.t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	req.Header.Set("Content-Type", "application/json")
+	res, err := f.client.Do(req)
+	must.NoError(f.t, err)
+	defer res.Body.Close()
+	lines := bufio.NewReader(res.Body)
+	_, err = lines.ReadString('\n')
+	must.NoError(f.t, err)
+	first := time.Since(started)
+	_, err = io.Copy(io.Discard, lines)
+	must.NoError(f.t, err)
+	return first
+}
+
+// reportTimes reports the median and the 99th percentile less the engine's
+// own time.
+func reportTimes(b *testing.B, times <-chan time.Duration, engine time.Duration) {
+	var all []time.Duration
+	for d := range times {
+		all = append(all, d-engine)
+	}
+	slices.Sort(all)
+	b.ReportMetric(float64(all[len(all)/2].Microseconds())/1000, "p50-ms")
+	b.ReportMetric(float64(all[len(all)*99/100].Microseconds())/1000, "p99-ms")
+}
