--- a/internal/server/relay_bench_test.go
+++ b/internal/server/relay_bench_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -221,3 +222,34 @@
 	b.ReportMetric(float64(all[len(all)/2].Microseconds())/1000, "p50-ms")
 	b.ReportMetric(float64(all[len(all)*99/100].Microseconds())/1000, "p99-ms")
 }
+
+// BenchmarkStreamMemory holds streams open and reports the memory of the whole
+// process for each, heap and stacks after a collection. The difference of host
+// and direct is the host's.
+func BenchmarkStreamMemory(b *testing.B) {
+	const streams = 1000
+	for _, way := range []string{wayDirect, wayBare, wayHost} {
+		b.Run(way, func(b *testing.B) {
+			f := newBenchFixture(b, streamTokens(2, 3*time.Second))
+			url := f.relayURL(way)
+			for range b.N {
+				before := memory()
+				var open sync.WaitGroup
+				for range streams {
+					open.Go(func() { f.firstToken(url) })
+				}
+				<-time.After(4500 * time.Millisecond)
+				b.ReportMetric(float64(memory()-before)/streams/1024, "KiB/stream")
+				open.Wait()
+			}
+		})
+	}
+}
+
+// memory is the heap and stacks in use after a collection, in bytes.
+func memory() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc + stats.StackInuse)
+}
