Use the field's terms for a few names; wait in one place

A newcomer's reading: orders.Giver is a Controller, membership's Beat and Hear are Heartbeat and Receive, giveWay is preempt. Behaviour is unchanged; tests changed names only.

--- a/bench/peers_test.go
+++ b/bench/peers_test.go
@@ -105,7 +105,7 @@
 			reportProcessor(b, func() {
 				now = now.Add(200 * time.Millisecond)
 				for i := range 4 {
-					table.Hear(now, beatOfHost(now, 1+i%(hosts-1)))
+					table.Receive(now, beatOfHost(now, 1+i%(hosts-1)))
 				}
 				table.Tick(now)
 				table.Update(membership.Ready, 1, d.Digest(now), nil)
@@ -134,14 +134,14 @@
 	}
 	table.List(start, list)
 	for i := 1; i < hosts; i++ {
-		table.Hear(start, beatOfHost(start, i))
+		table.Receive(start, beatOfHost(start, i))
 	}
 	return table
 }
 
-func beatOfHost(now time.Time, i int) membership.Beat {
+func beatOfHost(now time.Time, i int) membership.Heartbeat {
 	name := model.HostID(fmt.Sprintf("host-00%02d", i))
-	beat := membership.Beat{
+	beat := membership.Heartbeat{
 		Host: name, Incarnation: 1, Domain: domainName(0), Address: fmt.Sprintf("10.0.%d.%d:7000", i/200, i%200),
 		State: membership.Ready, Sequence: uint64(now.UnixNano()), Version: 1, Work: dispatch.PeerHost{Host: name, At: now},
 	}
--- a/internal/core/configstate/record.go
+++ b/internal/core/configstate/record.go
@@ -35,7 +35,7 @@
 	Version model.Version `json:"version"`
 	// Author is the name of the operator's token.
 	Author string `json:"author"`
-	// Note is the author's word to the next shift.
+	// Note is the author's note to the next shift.
 	Note string `json:"note"`
 	// At is the author's time.
 	At time.Time `json:"at"`
--- a/internal/core/effect/begin.go
+++ b/internal/core/effect/begin.go
@@ -102,7 +102,7 @@
 }
 
 // mayAnswer tells whether the owner of a claim may still record its outcome. A
-// young claim gets the benefit of the doubt, since the view of the hosts lags
+// young claim counts as in progress, since the view of the hosts lags
 // and holds only those of the own failure domain.
 func (m *Machine) mayAnswer(now time.Time, e *entry) bool {
 	if e.owner.HostRef == m.opts.Self || m.live[e.owner.HostRef] {
--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -61,8 +61,8 @@
 	}
 }
 
-// Beat is a heartbeat: what a host tells of itself and of failure domains.
-type Beat struct {
+// Heartbeat is a heartbeat: what a host tells of itself and of failure domains.
+type Heartbeat struct {
 	Host        model.HostID
 	Incarnation model.Incarnation
 	Domain      model.DomainName
--- a/internal/core/membership/membership_test.go
+++ b/internal/core/membership/membership_test.go
@@ -22,8 +22,8 @@
 	})
 }
 
-func beat(incarnation model.Incarnation, sequence uint64, state State) Beat {
-	return Beat{
+func beat(incarnation model.Incarnation, sequence uint64, state State) Heartbeat {
+	return Heartbeat{
 		Host: "b", Incarnation: incarnation, Domain: "east", Address: "b:1",
 		State: state, Sequence: sequence, Version: 3,
 	}
@@ -32,19 +32,19 @@
 func TestHearKeepsTheNewestIncarnation(t *testing.T) {
 	cases := []struct {
 		name  string
-		beats []Beat
+		beats []Heartbeat
 		want  State
 	}{
-		{"first", []Beat{beat(1, 1, Ready)}, Ready},
-		{"older incarnation", []Beat{beat(2, 1, Ready), beat(1, 9, Starting)}, Ready},
-		{"newer incarnation", []Beat{beat(1, 9, Leaving), beat(2, 1, Starting)}, Starting},
-		{"out of order", []Beat{beat(1, 5, Ready), beat(1, 4, Starting)}, Ready},
-		{"leaving is final", []Beat{beat(1, 5, Leaving), beat(1, 6, Ready)}, Leaving},
+		{"first", []Heartbeat{beat(1, 1, Ready)}, Ready},
+		{"older incarnation", []Heartbeat{beat(2, 1, Ready), beat(1, 9, Starting)}, Ready},
+		{"newer incarnation", []Heartbeat{beat(1, 9, Leaving), beat(2, 1, Starting)}, Starting},
+		{"out of order", []Heartbeat{beat(1, 5, Ready), beat(1, 4, Starting)}, Ready},
+		{"leaving is final", []Heartbeat{beat(1, 5, Leaving), beat(1, 6, Ready)}, Leaving},
 	}
 	for _, c := range cases {
 		tab := table("a", "east")
 		for _, b := range c.beats {
-			tab.Hear(start, b)
+			tab.Receive(start, b)
 		}
 		must.Eq(t, c.want, tab.Members(start)[1].State, must.Sprint(c.name))
 	}
@@ -52,7 +52,7 @@
 
 func TestSilentHostBecomesSuspectThenGone(t *testing.T) {
 	tab := table("a", "east")
-	tab.Hear(start, beat(1, 1, Ready))
+	tab.Receive(start, beat(1, 1, Ready))
 	for _, c := range []struct {
 		after time.Duration
 		want  Health
@@ -75,7 +75,7 @@
 	must.True(t, tab.ToldToLeave())
 	targets, _ := tab.Round(start, nil)
 	must.Eq(t, []string{"b:1"}, targets)
-	tab.Hear(start, beat(1, 1, Ready))
+	tab.Receive(start, beat(1, 1, Ready))
 	tab.List(start, nil)
 	must.Eq(t, Live, tab.Members(start)[1].Health)
 }
@@ -85,7 +85,7 @@
 	carry := func(sequence uint64, version model.Version) {
 		b := beat(1, sequence, Ready)
 		b.Domains = []Digest{{Domain: "west", Sequence: sequence, Version: version, Gateways: []string{"w:1"}}}
-		tab.Hear(start, b)
+		tab.Receive(start, b)
 	}
 	carry(7, 5)
 	carry(6, 4)
@@ -120,8 +120,8 @@
 		targets, b := t.Round(now, nil)
 		f.calls += len(targets)
 		for _, address := range targets {
-			f.tables[address].Hear(now, b)
-			t.Hear(now, f.tables[address].Beat(now, nil))
+			f.tables[address].Receive(now, b)
+			t.Receive(now, f.tables[address].Heartbeat(now, nil))
 		}
 	}
 }
@@ -143,9 +143,9 @@
 }
 
 // tell lets one table hear the trimmed heartbeat of another and returns it.
-func tell(now time.Time, from, to *Table) Beat {
-	b := from.Trim(from.Beat(now, []dispatch.PoolRoom{{Pool: "p", Room: 1}}), to.opts.Address)
-	to.Hear(now, b)
+func tell(now time.Time, from, to *Table) Heartbeat {
+	b := from.Trim(from.Heartbeat(now, []dispatch.PoolRoom{{Pool: "p", Room: 1}}), to.opts.Address)
+	to.Receive(now, b)
 	return b
 }
 
@@ -204,7 +204,7 @@
 			b := beat(1, 1, Ready)
 			b.Host = model.HostID(fmt.Sprint("h", i))
 			b.Address = fmt.Sprint("h", i, ":1")
-			tab.Hear(start, b)
+			tab.Receive(start, b)
 		}
 		rounds := 0
 		for range 16 {
--- a/internal/core/membership/round.go
+++ b/internal/core/membership/round.go
@@ -13,7 +13,7 @@
 // Round returns the addresses to send the next heartbeat to, and the
 // heartbeat. Their number does not depend on the number of hosts. In a large
 // domain only some calls start a round; the others return no address.
-func (t *Table) Round(now time.Time, room []dispatch.PoolRoom) ([]string, Beat) {
+func (t *Table) Round(now time.Time, room []dispatch.PoolRoom) ([]string, Heartbeat) {
 	t.ticks++
 	if t.ticks%t.ticksPerRound() != 0 {
 		return nil, t.self
@@ -23,11 +23,11 @@
 	if t.round%crossEvery == 0 {
 		targets = append(targets, t.crossTarget()...)
 	}
-	return targets, t.Beat(now, room)
+	return targets, t.Heartbeat(now, room)
 }
 
-// Beat returns this host's heartbeat.
-func (t *Table) Beat(now time.Time, room []dispatch.PoolRoom) Beat {
+// Heartbeat returns this host's heartbeat.
+func (t *Table) Heartbeat(now time.Time, room []dispatch.PoolRoom) Heartbeat {
 	t.self.Sequence++
 	beat := t.self
 	beat.Domains = append(t.ownDigest(now, room), t.otherDigests(now)...)
--- a/internal/core/membership/table.go
+++ b/internal/core/membership/table.go
@@ -11,7 +11,7 @@
 // Table is the state machine. It is not safe for concurrent use.
 type Table struct {
 	opts     Options
-	self     Beat
+	self     Heartbeat
 	members  map[model.HostID]*member
 	domains  map[model.DomainName]*domainState
 	contacts map[string]*contact
@@ -25,7 +25,7 @@
 }
 
 type member struct {
-	beat         Beat
+	beat         Heartbeat
 	heard        time.Time
 	versionSince time.Time
 }
@@ -55,7 +55,7 @@
 		contacts: make(map[string]*contact),
 		listed:   make(map[model.HostID]Listed),
 	}
-	t.self = Beat{Host: opts.Host, Incarnation: opts.Incarnation, Domain: opts.Domain, Address: opts.Address}
+	t.self = Heartbeat{Host: opts.Host, Incarnation: opts.Incarnation, Domain: opts.Domain, Address: opts.Address}
 	for _, address := range opts.Seeds {
 		if address != opts.Address {
 			t.contacts[address] = &contact{seed: true}
@@ -72,22 +72,22 @@
 	t.self.Leaving = leaving[:min(len(leaving), maxLeavingPerBeat)]
 }
 
-// Hear takes a heartbeat. Those of an older incarnation, and those that came
+// Receive takes a heartbeat. Those of an older incarnation, and those that came
 // out of order, are ignored.
-func (t *Table) Hear(now time.Time, beat Beat) {
+func (t *Table) Receive(now time.Time, beat Heartbeat) {
 	if beat.Host == t.opts.Host {
 		return
 	}
 	t.touch(now, beat.Address, beat.Domain, beat.Host)
 	for i := range beat.Domains {
-		t.hearDigest(now, &beat.Domains[i])
+		t.receiveDigest(now, &beat.Domains[i])
 	}
 	if beat.Domain != t.opts.Domain {
 		return
 	}
 	known := t.members[beat.Host]
 	if known == nil {
-		keepWork(&beat, &Beat{})
+		keepWork(&beat, &Heartbeat{})
 		t.members[beat.Host] = &member{beat: beat, heard: now, versionSince: now}
 		return
 	}
@@ -104,7 +104,7 @@
 
 // newer reports whether a beat follows the other. A leaving incarnation never
 // comes back.
-func newer(beat, than *Beat) bool {
+func newer(beat, than *Heartbeat) bool {
 	if beat.Incarnation != than.Incarnation {
 		return beat.Incarnation > than.Incarnation
 	}
@@ -114,7 +114,7 @@
 	return beat.Sequence > than.Sequence
 }
 
-func (t *Table) hearDigest(now time.Time, digest *Digest) {
+func (t *Table) receiveDigest(now time.Time, digest *Digest) {
 	for _, address := range digest.Gateways {
 		if t.wantsContact(digest.Domain, address) {
 			t.touch(now, address, digest.Domain, "")
--- a/internal/core/membership/work.go
+++ b/internal/core/membership/work.go
@@ -19,7 +19,7 @@
 // Trim leaves out of a heartbeat what the host at the address does not need:
 // work that it showed to hold, all work when it is of another domain, and the
 // room of its own domain.
-func (t *Table) Trim(beat Beat, address string) Beat {
+func (t *Table) Trim(beat Heartbeat, address string) Heartbeat {
 	c := t.contacts[address]
 	if c == nil || c.domain == "" {
 		return beat
@@ -39,7 +39,7 @@
 	return beat
 }
 
-func withoutWork(beat Beat) Beat {
+func withoutWork(beat Heartbeat) Heartbeat {
 	beat.Work = dispatch.PeerHost{}
 	beat.WorkUnchanged = true
 	return beat
@@ -60,7 +60,7 @@
 // keepWork completes a heartbeat without work by the work that is known. When
 // that is of another sequence, the heartbeat counts as one of sequence 0, so
 // that the sender learns to send all.
-func keepWork(beat, known *Beat) {
+func keepWork(beat, known *Heartbeat) {
 	if !beat.WorkUnchanged {
 		return
 	}
--- a/internal/effects/append.go
+++ b/internal/effects/append.go
@@ -9,6 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"golang.org/x/time/rate"
 
+	"github.com/wigeonsail/wigeonsail/internal/clock"
 	"github.com/wigeonsail/wigeonsail/internal/core/effect"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/port"
@@ -162,7 +163,7 @@
 		for _, p := range batch {
 			p.finish(appended{err: err})
 		}
-		pause(ctx, retry.NextBackOff())
+		clock.Sleep(ctx, retry.NextBackOff())
 		batch = a.wanted(ctx, batch)
 	}
 }
--- a/internal/effects/follow.go
+++ b/internal/effects/follow.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/wigeonsail/wigeonsail/internal/clock"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
@@ -34,7 +35,7 @@
 		if err != nil {
 			g.post(logDownEvent{})
 			first()
-			pause(ctx, readRetryAfter)
+			clock.Sleep(ctx, readRetryAfter)
 			wait = 0
 			continue
 		}
@@ -48,12 +49,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/host/burn_gather_test.go
+++ b/internal/host/burn_gather_test.go
@@ -60,13 +60,13 @@
 	h.catalog.Store(catalog.New(1, &opconfig.Config{Endpoints: []opconfig.Endpoint{{Name: "e", Domain: "east"}, {Name: "n", Domain: "north"}}}))
 	now := time.Now()
 	for _, name := range []model.HostID{"n2", "n3"} {
-		h.control.members.Hear(now, membership.Beat{Host: name, Domain: "north", Address: string(name) + ":1", State: membership.Ready, Incarnation: 1, Sequence: 1})
+		h.control.members.Receive(now, membership.Heartbeat{Host: name, Domain: "north", Address: string(name) + ":1", State: membership.Ready, Incarnation: 1, Sequence: 1})
 	}
-	h.control.members.Hear(now, membership.Beat{Host: "n2", Domain: "north", Address: "n2:1", State: membership.Ready, Incarnation: 1, Sequence: 2,
+	h.control.members.Receive(now, membership.Heartbeat{Host: "n2", Domain: "north", Address: "n2:1", State: membership.Ready, Incarnation: 1, Sequence: 2,
 		Domains: []membership.Digest{{Domain: "south", Sequence: 1, Gateways: []string{"s1:1", "s2:1"}, FreeRoom: []dispatch.PoolRoom{}}}})
 	past := now.Add(-30 * time.Second)
-	h.control.members.Hear(past, membership.Beat{Host: "n4", Domain: "north", Address: "n4:1", State: membership.Leaving, Incarnation: 1, Sequence: 1})
-	h.control.members.Hear(past, membership.Beat{Host: "n5", Domain: "north", Address: "n5:1", State: membership.Ready, Incarnation: 1, Sequence: 1})
+	h.control.members.Receive(past, membership.Heartbeat{Host: "n4", Domain: "north", Address: "n4:1", State: membership.Leaving, Incarnation: 1, Sequence: 1})
+	h.control.members.Receive(past, membership.Heartbeat{Host: "n5", Domain: "north", Address: "n5:1", State: membership.Ready, Incarnation: 1, Sequence: 1})
 	ctx, stop := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
 	go func() {
--- a/internal/host/config.go
+++ b/internal/host/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/wigeonsail/wigeonsail/internal/clock"
 	"github.com/wigeonsail/wigeonsail/internal/core/catalog"
 	"github.com/wigeonsail/wigeonsail/internal/core/configstate"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
@@ -48,7 +49,7 @@
 		if err != nil {
 			wait = 0
 			h.loop.post(configOutageEvent{})
-			pause(ctx, configRetryAfter)
+			clock.Sleep(ctx, configRetryAfter)
 			continue
 		}
 		wait = configReadWait
@@ -60,15 +61,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // configOutageEvent tells that the log could not be read.
 type configOutageEvent struct{}
 
--- a/internal/host/config_test.go
+++ b/internal/host/config_test.go
@@ -74,7 +74,7 @@
 	now := time.Now()
 	for i, version := range []model.Version{3, 7, 5} {
 		host := model.HostID(rune('b' + i))
-		h.control.members.Hear(now, membership.Beat{
+		h.control.members.Receive(now, membership.Heartbeat{
 			Host: host, Incarnation: 1, Domain: "east", Address: string(host), State: membership.Ready, Version: version,
 		})
 	}
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -50,8 +50,8 @@
 	return &waiter{decisions: make(chan dispatch.Action, 1)}
 }
 
-// giveWay ends an attempt unless it has ended by itself.
-func (w *waiter) giveWay(number model.Attempt) {
+// preempt ends an attempt unless it has ended by itself.
+func (w *waiter) preempt(number model.Attempt) {
 	running := w.running.Load()
 	if running != nil && running.number == number {
 		running.cancel(errPreempted)
@@ -96,7 +96,7 @@
 			continue
 		}
 		if action.Kind == dispatch.ActionPreempt {
-			w.giveWay(action.Attempt)
+			w.preempt(action.Attempt)
 			continue
 		}
 		if action.Kind == dispatch.ActionSpill {
@@ -152,13 +152,13 @@
 	delete(c.waiters, e.id)
 	select {
 	case action := <-e.waiter.decisions:
-		c.giveBack(now, action)
+		c.returnGrant(now, action)
 	default:
 	}
 	c.carryOut(c.dispatch.Cancel(now, e.id))
 }
 
-func (c *control) giveBack(now time.Time, action dispatch.Action) {
+func (c *control) returnGrant(now time.Time, action dispatch.Action) {
 	if action.Kind != dispatch.ActionGrant {
 		return
 	}
--- a/internal/host/heartbeat.go
+++ b/internal/host/heartbeat.go
@@ -29,7 +29,7 @@
 
 // heartbeatOf translates a heartbeat for the peers. Of long lists it keeps
 // the endpoints and accounts with the most work.
-func heartbeatOf(b membership.Beat) port.Heartbeat {
+func heartbeatOf(b membership.Heartbeat) port.Heartbeat {
 	return port.Heartbeat{
 		Host:        b.Host,
 		Incarnation: b.Incarnation,
@@ -86,8 +86,8 @@
 }
 
 // beatOf translates a peer's heartbeat.
-func beatOf(h port.Heartbeat) membership.Beat {
-	beat := membership.Beat{
+func beatOf(h port.Heartbeat) membership.Heartbeat {
+	beat := membership.Heartbeat{
 		Host:        h.Host,
 		Incarnation: h.Incarnation,
 		Domain:      h.Domain,
--- a/internal/host/heartbeat_bench_test.go
+++ b/internal/host/heartbeat_bench_test.go
@@ -156,9 +156,9 @@
 		targets, whole := table.Round(f.now, benchRoom)
 		for _, to := range targets {
 			beat := table.Trim(whole, to)
-			f.tables[to].Hear(f.now, beat)
-			answer := f.tables[to].Trim(f.tables[to].Beat(f.now, benchRoom), from)
-			table.Hear(f.now, answer)
+			f.tables[to].Receive(f.now, beat)
+			answer := f.tables[to].Trim(f.tables[to].Heartbeat(f.now, benchRoom), from)
+			table.Receive(f.now, answer)
 			if counted && (from == f.seen || to == f.seen) {
 				f.send(beat, answer)
 			}
@@ -166,7 +166,7 @@
 	}
 }
 
-func (f *beatFleet) send(beat, answer membership.Beat) {
+func (f *beatFleet) send(beat, answer membership.Heartbeat) {
 	f.calls++
 	f.handler.answer = heartbeatOf(answer)
 	_, err := f.client.Exchange(context.Background(), f.address, heartbeatOf(beat))
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -81,7 +81,7 @@
 	leaveOnce  sync.Once
 	traffic    traffic
 	// orders gives orders to endpoints; nil without a weight store.
-	orders  *orders.Giver
+	orders  *orders.Controller
 	ctx     context.Context
 	stop    context.CancelFunc
 	workers sync.WaitGroup
--- a/internal/host/leaving.go
+++ b/internal/host/leaving.go
@@ -87,7 +87,7 @@
 	}
 }
 
-// report takes an endpoint's own word.
+// report takes an endpoint's own report.
 func (l *leavingEndpoints) report(now time.Time, c *control, name model.EndpointName, leaving bool) {
 	if l.reported[name] == leaving {
 		return
--- a/internal/host/leaving_test.go
+++ b/internal/host/leaving_test.go
@@ -40,7 +40,7 @@
 	now := time.Now()
 	for i := range others {
 		name := fmt.Sprint("n", i)
-		h.control.members.Hear(now, membership.Beat{
+		h.control.members.Receive(now, membership.Heartbeat{
 			Host: model.HostID(name), Domain: "north", Address: name, State: membership.Ready, Incarnation: 1, Sequence: 1,
 		})
 	}
--- a/internal/host/membership.go
+++ b/internal/host/membership.go
@@ -57,7 +57,7 @@
 
 // sendBeat sends one heartbeat, unless the last one to the address is still
 // under way.
-func (c *control) sendBeat(address string, beat membership.Beat) {
+func (c *control) sendBeat(address string, beat membership.Heartbeat) {
 	if c.beating[address] || c.host.opts.Peers == nil {
 		return
 	}
@@ -78,7 +78,7 @@
 		return
 	}
 	c.updateSelf(now)
-	beat := c.members.Beat(now, nil)
+	beat := c.members.Heartbeat(now, nil)
 	for _, address := range addresses {
 		delete(c.beating, address)
 		c.sendBeat(address, c.members.Trim(beat, address))
@@ -98,15 +98,15 @@
 		c.members.Refused(e.address)
 		return
 	}
-	c.members.Hear(now, beatOf(e.beat))
+	c.members.Receive(now, beatOf(e.beat))
 }
 
 // HandleExchange takes a peer's heartbeat and answers with this host's.
 func (h *Host) HandleExchange(ctx context.Context, beat port.Heartbeat) (port.Heartbeat, error) {
 	return ask(ctx, h, func(now time.Time, c *control) port.Heartbeat {
-		c.members.Hear(now, beatOf(beat))
+		c.members.Receive(now, beatOf(beat))
 		c.updateSelf(now)
-		answer := c.members.Beat(now, c.dispatch.FreeRoom(now))
+		answer := c.members.Heartbeat(now, c.dispatch.FreeRoom(now))
 		return heartbeatOf(c.members.Trim(answer, beat.PeerAddress))
 	})
 }
@@ -122,7 +122,7 @@
 
 func (announceEvent) apply(now time.Time, c *control) {
 	c.updateSelf(now)
-	beat := c.members.Beat(now, nil)
+	beat := c.members.Heartbeat(now, nil)
 	for _, address := range c.members.Announce() {
 		delete(c.beating, address)
 		c.sendBeat(address, c.members.Trim(beat, address))
--- a/internal/host/orders.go
+++ b/internal/host/orders.go
@@ -8,7 +8,7 @@
 
 // newOrders returns what gives orders to the endpoints of the host's failure
 // domain, or nil for a host without a weight store.
-func newOrders(h *Host) *orders.Giver {
+func newOrders(h *Host) *orders.Controller {
 	if h.opts.Weights == nil {
 		return nil
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/clock"
 )
 
 // Run sends the plan's requests to the targets in turn, each at its time
@@ -22,7 +24,7 @@
 	defer running.Wait()
 	started := time.Now()
 	for _, a := range plan.arrivals() {
-		if !waitUntil(ctx, started.Add(a.at)) {
+		if !clock.Sleep(ctx, time.Until(started.Add(a.at))) {
 			return
 		}
 		target := targets[a.number%len(targets)]
@@ -33,19 +35,3 @@
 		})
 	}
 }
-
-// waitUntil returns false when ctx ends first.
-func waitUntil(ctx context.Context, at time.Time) bool {
-	wait := time.Until(at)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -47,9 +47,9 @@
 	readRetryAfter = 500 * time.Millisecond
 )
 
-// Options configures a Giver.
+// Options configures a Controller.
 type Options struct {
-	// Loop owns the Giver's control state. It calls Tick regularly.
+	// Loop owns the Controller's control state. It calls Tick regularly.
 	Loop *loop.Loop
 	// Host, Incarnation and Domain are this host's own.
 	Host        model.HostID
@@ -67,9 +67,9 @@
 	Log          log.Interface
 }
 
-// Giver gives the orders. The control loop owns the state of the lease and the
+// Controller gives the orders. The control loop owns the state of the lease and the
 // plan.
-type Giver struct {
+type Controller struct {
 	opts    Options
 	keeper  *lease.Keeper
 	planner *order.Planner
@@ -89,15 +89,15 @@
 	holding bool
 }
 
-// New returns a Giver. It does nothing before Start.
-func New(opts Options) *Giver {
+// New returns a Controller. It does nothing before Start.
+func New(opts Options) *Controller {
 	if opts.Lease == 0 {
 		opts.Lease = DefaultLease
 	}
 	if opts.OrderTimeout == 0 {
 		opts.OrderTimeout = DefaultOrderTimeout
 	}
-	return &Giver{
+	return &Controller{
 		opts: opts,
 		keeper: lease.New(time.Now(), lease.Options{
 			Host: opts.Host, Incarnation: opts.Incarnation,
@@ -108,7 +108,7 @@
 	}
 }
 
-// event is an input of the Giver's control state.
+// event is an input of the Controller's control state.
 type event func(now time.Time)
 
 // Apply implements loop.Event.
@@ -116,7 +116,7 @@
 
 // Report takes an engine's load report. It never waits; a report that finds
 // the loop full is dropped, since another follows.
-func (g *Giver) Report(name model.EndpointName, load port.EngineLoad) {
+func (g *Controller) Report(name model.EndpointName, load port.EngineLoad) {
 	made := time.Now().Add(-load.Age)
 	g.opts.Loop.Offer(event(func(time.Time) {
 		g.planner.Report(name, order.Report{Models: load.Models, Role: load.Role, Made: made})
@@ -124,10 +124,10 @@
 }
 
 // post hands an event to the control loop.
-func (g *Giver) post(ev event) { g.opts.Loop.Post(ev) }
+func (g *Controller) post(ev event) { g.opts.Loop.Post(ev) }
 
 // Start follows the lease stream until Close.
-func (g *Giver) Start() {
+func (g *Controller) Start() {
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.workers.Go(func() { g.follow(g.ctx) })
 	g.post(func(time.Time) { g.started = true })
@@ -135,7 +135,7 @@
 
 // Close gives no more orders, waits for those under way and gives the lease
 // back. The control loop must still run.
-func (g *Giver) Close() {
+func (g *Controller) Close() {
 	released := make(chan *lease.Record, 1)
 	g.post(func(now time.Time) {
 		g.started = false
@@ -153,7 +153,7 @@
 }
 
 // Tick lets time pass. Only the control loop calls it.
-func (g *Giver) Tick(now time.Time) {
+func (g *Controller) Tick(now time.Time) {
 	if !g.started || now.Sub(g.ticked) < tickEvery {
 		return
 	}
@@ -162,7 +162,7 @@
 }
 
 // tick renews the lease and gives the orders that are due.
-func (g *Giver) tick(ctx context.Context, now time.Time) {
+func (g *Controller) tick(ctx context.Context, now time.Time) {
 	if rec, due := g.dueRecord(now); due {
 		g.workers.Go(func() { g.append(ctx, rec) })
 	}
@@ -176,7 +176,7 @@
 	}
 }
 
-func (g *Giver) dueRecord(now time.Time) (*lease.Record, bool) {
+func (g *Controller) dueRecord(now time.Time) (*lease.Record, bool) {
 	if !g.atEnd {
 		return nil, false
 	}
@@ -184,7 +184,7 @@
 }
 
 // noteHolding logs the begin and the end of an own term.
-func (g *Giver) noteHolding(now time.Time) {
+func (g *Controller) noteHolding(now time.Time) {
 	fencing, holding := g.keeper.Permit(now)
 	if holding == g.holding {
 		return
@@ -199,7 +199,7 @@
 
 // give sends one order while the lease permits it. A load takes a call from
 // the weight store's budget first.
-func (g *Giver) give(ctx context.Context, o order.Order) {
+func (g *Controller) give(ctx context.Context, o order.Order) {
 	fencing, ok := g.keeper.Permit(time.Now())
 	if !ok || (o.Kind == order.LoadModel && !g.budget.Allow()) {
 		g.planner.Withdraw(o)
@@ -216,7 +216,7 @@
 	})
 }
 
-func (g *Giver) noteEnd(o order.Order, fencing model.Offset, err error) {
+func (g *Controller) noteEnd(o order.Order, fencing model.Offset, err error) {
 	if err != nil {
 		g.opts.Log.Warnf("orders: %s %s at %s: %v", o.Kind, o.Target, o.Endpoint, err)
 		return
@@ -226,7 +226,7 @@
 
 // send does one order within the order timeout, the call to the weight store
 // included.
-func (g *Giver) send(ctx context.Context, o order.Order, fencing model.Offset) error {
+func (g *Controller) send(ctx context.Context, o order.Order, fencing model.Offset) error {
 	ctx, cancel := context.WithTimeout(ctx, g.opts.OrderTimeout)
 	defer cancel()
 	if o.Kind == order.LoadModel {
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/shoenig/test/must"
 
+	"github.com/wigeonsail/wigeonsail/internal/clock"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/order"
 	"github.com/wigeonsail/wigeonsail/internal/loop"
@@ -34,7 +35,7 @@
 
 func (p *fakePlatform) Read(ctx context.Context, _ port.StreamName, from model.Offset, _ int, wait time.Duration) (port.Batch, error) {
 	if wait > 0 {
-		pause(ctx, 100*time.Millisecond)
+		clock.Sleep(ctx, 100*time.Millisecond)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -72,7 +73,7 @@
 	return len(e.orders)
 }
 
-func giver(host model.HostID, p *fakePlatform, e *fakeEngines, wanted ...order.Wanted) *Giver {
+func controller(host model.HostID, p *fakePlatform, e *fakeEngines, wanted ...order.Wanted) *Controller {
 	return New(Options{
 		Loop: loop.New(), Host: host, Incarnation: 1, Domain: "d", PlatformLog: p, Engines: e, Weights: p,
 		Wanted: func() []order.Wanted { return wanted },
@@ -80,9 +81,9 @@
 	})
 }
 
-// run runs a giver with a control loop of its own until the returned function
+// run runs a controller with a control loop of its own until the returned function
 // is called.
-func run(t *testing.T, g *Giver) func() {
+func run(t *testing.T, g *Controller) func() {
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() {
@@ -104,13 +105,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		p, e := &fakePlatform{}, &fakeEngines{}
 		wanted := order.Wanted{Endpoint: "e", Address: "a:1", Role: "decode"}
-		givers := []*Giver{giver("h1", p, e, wanted), giver("h2", p, e, wanted)}
-		stops := make([]func(), len(givers))
-		for i, g := range givers {
+		controllers := []*Controller{controller("h1", p, e, wanted), controller("h2", p, e, wanted)}
+		stops := make([]func(), len(controllers))
+		for i, g := range controllers {
 			stops[i] = run(t, g)
 		}
 		tell := func(role string) {
-			for _, g := range givers {
+			for _, g := range controllers {
 				g.Report("e", port.EngineLoad{Role: role})
 			}
 			time.Sleep(time.Second)
@@ -122,7 +123,7 @@
 		tell("prefill")
 		must.Eq(t, 1, e.count())
 		holder := 0
-		if name, _ := givers[0].keeper.Holder(); name == "h2" {
+		if name, _ := controllers[0].keeper.Holder(); name == "h2" {
 			holder = 1
 		}
 		first := e.orders[0].Fencing
@@ -142,7 +143,7 @@
 		for _, name := range []model.EndpointName{"a", "b", "c", "d", "e", "f"} {
 			wanted = append(wanted, order.Wanted{Endpoint: name, Models: []model.ModelName{"m"}})
 		}
-		g := giver("h1", p, e, wanted...)
+		g := controller("h1", p, e, wanted...)
 		stop := run(t, g)
 		time.Sleep(firstTerm)
 		for _, w := range wanted {
--- a/internal/orders/stream.go
+++ b/internal/orders/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/wigeonsail/wigeonsail/internal/clock"
 	"github.com/wigeonsail/wigeonsail/internal/core/lease"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/port"
@@ -12,19 +13,19 @@
 // releaseTimeout bounds the append that gives the lease back.
 const releaseTimeout = 2 * time.Second
 
-func (g *Giver) stream() port.StreamName {
+func (g *Controller) stream() port.StreamName {
 	return port.StreamName(lease.StreamPrefix + string(g.opts.Domain))
 }
 
 // follow reads the lease stream until ctx ends.
-func (g *Giver) follow(ctx context.Context) {
+func (g *Controller) follow(ctx context.Context) {
 	var next model.Offset
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
 		batch, err := g.opts.PlatformLog.Read(ctx, g.stream(), next, readMax, wait)
 		if err != nil {
 			g.post(func(time.Time) { g.atEnd = false })
-			pause(ctx, readRetryAfter)
+			clock.Sleep(ctx, readRetryAfter)
 			wait = 0
 			continue
 		}
@@ -39,7 +40,7 @@
 }
 
 // take applies what was read and returns the offset to read from next.
-func (g *Giver) take(now time.Time, batch port.Batch) model.Offset {
+func (g *Controller) take(now time.Time, batch port.Batch) model.Offset {
 	g.keeper.SkipTo(batch.Earliest)
 	for _, rec := range batch.Records {
 		g.keeper.Apply(now, rec.Offset, rec.Data)
@@ -49,7 +50,7 @@
 }
 
 // append adds a lease record. What came of it is learned by reading.
-func (g *Giver) append(ctx context.Context, rec *lease.Record) {
+func (g *Controller) append(ctx context.Context, rec *lease.Record) {
 	data, err := rec.Encode()
 	if err == nil {
 		_, err = g.opts.PlatformLog.Append(ctx, g.stream(), data)
@@ -60,7 +61,7 @@
 }
 
 // release gives the lease back, so that a successor need not wait it out.
-func (g *Giver) release(rec *lease.Record) {
+func (g *Controller) release(rec *lease.Record) {
 	if rec == nil {
 		return
 	}
@@ -68,12 +69,3 @@
 	defer cancel()
 	g.append(ctx, rec)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/port/caller.go
+++ b/internal/port/caller.go
@@ -9,7 +9,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
 
-// HeaderFirstTry is the header with which a caller gives its word, by the value
+// HeaderFirstTry is the header with which a caller declares, by the value
 // "true", that it has sent nothing with the key before, to any host.
 const HeaderFirstTry = "X-Wigeonsail-First-Try"
 
--- a/internal/standin/engine/complete.go
+++ b/internal/standin/engine/complete.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/clock"
 )
 
 // headerResumeFrom names the first token that is wanted.
@@ -125,7 +127,7 @@
 		wait = r.engine.opts.FirstToken
 	}
 	wait += time.Duration(faults.SlowByMS) * time.Millisecond
-	if !pause(r.ctx, wait) {
+	if !clock.Sleep(r.ctx, wait) {
 		r.engine.count(func(s *Stats) { s.Canceled++ })
 		return false
 	}
@@ -133,20 +135,6 @@
 	return true
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (r *run) stream() {
 	header := r.w.Header()
 	header.Set("Content-Type", "text/event-stream")
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -1,13 +1,12 @@
 package platform
 
 import (
-	"context"
 	"net/http"
-	"time"
 
 	"golang.org/x/time/rate"
 
 	"github.com/wigeonsail/wigeonsail/internal/adapter/platformhttp/wire"
+	"github.com/wigeonsail/wigeonsail/internal/clock"
 )
 
 // The paths of the stand-in's own switches.
@@ -71,7 +70,7 @@
 // passFaults delays or refuses the call, and reports whether it goes on.
 func (s *Server) passFaults(w http.ResponseWriter, r *http.Request) bool {
 	state, _ := s.faults.snapshot()
-	if delay := state.Slow.Std(); delay > 0 && !pause(r.Context(), delay) {
+	if delay := state.Slow.Std(); delay > 0 && !clock.Sleep(r.Context(), delay) {
 		return false
 	}
 	return s.isServed(w, r)
@@ -92,18 +91,6 @@
 	return false
 }
 
-// pause waits and reports whether the caller is still there.
-func pause(ctx context.Context, delay time.Duration) bool {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // closeConnection ends the handler and closes the connection without an
 // answer.
 func closeConnection() { panic(http.ErrAbortHandler) }
