--- a/internal/adapter/callerhttp/server.go
+++ b/internal/adapter/callerhttp/server.go
@@ -56,7 +56,7 @@
 	}
 	mux.HandleFunc("/", writeNotFound)
 	return &Server{http: &http.Server{
-		Handler:           withRequestID(limitBody(mux, opts.MaxBody)),
+		Handler:           withRequestID(http.MaxBytesHandler(mux, opts.MaxBody)),
 		ReadHeaderTimeout: opts.HeaderTimeout,
 		IdleTimeout:       opts.IdleTimeout,
 		MaxHeaderBytes:    opts.MaxHeader,
@@ -78,15 +78,6 @@
 // Shutdown stops taking connections and waits until all requests have ended.
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
-// limitBody refuses bodies over max bytes. Reading past the limit fails with
-// an *http.MaxBytesError.
-func limitBody(next http.Handler, max int64) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		r.Body = http.MaxBytesReader(w, r.Body, max)
-		next.ServeHTTP(w, r)
-	})
-}
-
 func writeHealthy(w http.ResponseWriter, _ *http.Request) {
 	w.Write([]byte("ok\n"))
 }
