--- a/internal/effects/follow.go
+++ b/internal/effects/follow.go
@@ -32,6 +32,9 @@
 	first := sync.OnceFunc(func() { g.unread.Add(-1) })
 	for ctx.Err() == nil {
 		batch, err := g.opts.Log.Read(ctx, streamOf(partition), next, readMax, wait)
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			g.post(logDownEvent{})
 			first()
