--- a/internal/report/plot.go
+++ b/internal/report/plot.go
@@ -20,6 +20,8 @@
 const (
 	plotWidth  = 18 * vg.Centimeter
 	plotHeight = 6 * vg.Centimeter
+	// minPlotTop is the least upper end of the value axis.
+	minPlotTop = 1
 	// plotPoints is the number of points of one curve.
 	plotPoints = 60
 )
@@ -53,7 +55,6 @@
 	p := plot.New()
 	p.Title.Text = title
 	p.Y.Label.Text = unit
-	p.Y.Min = 0
 	p.X.Tick.Marker = plot.TimeTicks{Format: "15:04"}
 	p.Legend.Top = true
 	p.Add(plotter.NewGrid())
@@ -67,6 +68,9 @@
 		p.Add(curve)
 		p.Legend.Add(string(l.name), curve)
 	}
+	// Curves that are zero throughout would else be drawn between -1 and 1.
+	p.Y.Min = 0
+	p.Y.Max = max(p.Y.Max, minPlotTop)
 	return renderSVG(p)
 }
 
