Ask the core's rule whether a failed attempt may be followed by another

Cause: the host had the rule a second time, and attempt.Allowed ran in tests only. The host now describes the end of the attempt and asks the core. Before and after: the tests of faulty engines and services pass.

--- a/internal/host/attempts.go
+++ b/internal/host/attempts.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
+	"github.com/wigeonsail/wigeonsail/internal/core/attempt"
 	"github.com/wigeonsail/wigeonsail/internal/core/dispatch"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/port"
@@ -121,10 +123,22 @@
 	if errors.As(end.err, &caller) {
 		return false
 	}
-	if r.started && (!r.call.Stream || errors.Is(end.err, port.ErrNoResume)) {
-		return false
+	return int(r.model.Attempt) < maxAttempts && attempt.Allowed(time.Now(), r.retryFacts(end))
+}
+
+// retryFacts describes the end of an attempt to the rules of retries.
+func (r *request) retryFacts(end attemptEnd) attempt.Ended {
+	relayed := r.relayed
+	if r.started {
+		relayed = max(relayed, 1)
+	}
+	return attempt.Ended{
+		Idempotent: r.class.Idempotent || r.call.Method == http.MethodGet,
+		Outcome:    end.result.Outcome,
+		Relayed:    relayed,
+		CanResume:  r.call.Stream && !errors.Is(end.err, port.ErrNoResume),
+		Deadline:   r.model.Deadline,
 	}
-	return int(r.model.Attempt) < maxAttempts && r.retryable(end.result.Outcome)
 }
 
 func (r *request) nextAttempt(failedAt model.EndpointName, end attemptEnd) {
--- a/internal/host/request.go
+++ b/internal/host/request.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -136,17 +135,3 @@
 	}
 	return cat.Models()
 }
-
-// retryable says whether the request may be tried again after an attempt with
-// this outcome. A request that may have run is tried again only when running
-// it twice does no harm.
-func (r *request) retryable(outcome model.Outcome) bool {
-	switch outcome {
-	case model.OutcomeNotRun:
-		return true
-	case model.OutcomeRan:
-		return false
-	default:
-		return r.class.Idempotent || r.call.Method == http.MethodGet
-	}
-}
