Sum a peer's demand by class once for each digest

Cause: a refresh went over all demand entries of all peers for each pool, with a look-up by name each time: pools x hosts x entries.

--- a/internal/core/dispatch/dispatch.go
+++ b/internal/core/dispatch/dispatch.go
@@ -40,7 +40,9 @@
 	expiry    admission.Expiry
 	demand    demandTable
 	peers     PeerView
-	draining  bool
+	// peerDemand is that of the other hosts of the failure domain.
+	peerDemand []hostDemand
+	draining   bool
 }
 
 type endpointRef struct {
--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -35,8 +35,9 @@
 	return out
 }
 
-// countPeers sums the peers' work at each endpoint.
+// countPeers sums the peers' work at each endpoint and their demand by class.
 func (d *Dispatcher) countPeers() {
+	d.peerDemand = d.peerDemand[:0]
 	for _, p := range d.poolList {
 		for _, e := range p.endpoints {
 			e.Peers.InFlight = 0
@@ -46,6 +47,7 @@
 		if h.Host == d.opts.Host {
 			continue
 		}
+		d.peerDemand = append(d.peerDemand, d.rules.sumDemand(h))
 		for _, c := range h.InFlight {
 			if ref := d.endpoints[c.Endpoint]; ref != nil {
 				ref.Peers.InFlight += c.Count
@@ -72,19 +74,6 @@
 	}
 }
 
-// peersWait says that a peer has protected requests waiting for the pool.
-func (d *Dispatcher) peersWait(p *pool) bool {
-	for _, h := range d.peers.Hosts {
-		for _, e := range h.Demand {
-			c := d.rules.byName[e.Class]
-			if h.Host != d.opts.Host && e.Queued > 0 && c != nil && c.Protected && p.states[c.index].seen {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 func (d *Dispatcher) owns(name model.EndpointName) bool {
 	if d.opts.Sharing != placement.SharingOwner {
 		return false
@@ -98,11 +87,6 @@
 	return placement.Owner(name, hosts) == d.opts.Host
 }
 
-func (d *Dispatcher) uses(p *pool, name model.ClassName) bool {
-	c := d.rules.byName[name]
-	return c != nil && p.states[c.index].seen
-}
-
 // roomPart returns this host's part of the domain's demand on a pool. The hosts
 // stand in the order of their names, so that all see the same parts. Part of
 // the room is shared evenly, since a host that has just started has no demand
@@ -111,14 +95,11 @@
 	own := p.demand.Rate(now)
 	before, sum, hosts := 0.0, own, 1.0
 	hostsBefore := 0.0
-	for _, h := range d.peers.Hosts {
-		if h.Host == d.opts.Host {
-			continue
-		}
-		rate := d.rateOf(p, h)
+	for _, h := range d.peerDemand {
+		rate := h.rate(p)
 		sum += rate
 		hosts++
-		if h.Host < d.opts.Host {
+		if h.host < d.opts.Host {
 			before += rate
 			hostsBefore++
 		}
@@ -129,16 +110,6 @@
 	return placement.Part{From: from, To: from + (own+even)/total}
 }
 
-func (d *Dispatcher) rateOf(p *pool, h PeerHost) float64 {
-	sum := 0.0
-	for _, e := range h.Demand {
-		if d.uses(p, e.Class) {
-			sum += e.Rate
-		}
-	}
-	return sum
-}
-
 // spill returns the forward to another domain that has room. A request is
 // forwarded once at most.
 func (d *Dispatcher) spill(now time.Time, req model.Request, c *class, p *pool) (Action, bool) {
