Drop an unused look-up of peer addresses

membership.Table.AddressOf lost its caller when effects got their own view of the live hosts. The comment on the control loop names both that share it.

--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -52,16 +52,6 @@
 	return picked[0]
 }
 
-// AddressOf returns the peer address of a host of the own domain that is
-// live with this incarnation, or "".
-func (t *Table) AddressOf(now time.Time, host model.HostID, incarnation model.Incarnation) string {
-	m := t.members[host]
-	if m == nil || m.beat.Incarnation != incarnation || t.health(now, m) == Gone {
-		return ""
-	}
-	return m.beat.Address
-}
-
 // Leaving returns the endpoints that any host of the own domain knows to be
 // leaving.
 func (t *Table) Leaving(now time.Time) []model.EndpointName {
--- a/internal/host/loop.go
+++ b/internal/host/loop.go
@@ -24,8 +24,8 @@
 // Apply implements loop.Event.
 func (b boundEvent) Apply(now time.Time) { b.event.apply(now, b.control) }
 
-// controlLoop is the host's end of the control loop, which the guard of
-// effects shares.
+// controlLoop is the host's end of the control loop, which effects and orders
+// share.
 type controlLoop struct {
 	*loop.Loop
 	control *control
