Wrap events for the control loop in one place

Three packages each had a type of their own to fit the loop's interface; loop.Func serves them. Behaviour and tests are unchanged; the whole test command passes.

--- a/internal/effects/control.go
+++ b/internal/effects/control.go
@@ -5,6 +5,7 @@
 
 	"github.com/wigeonsail/wigeonsail/internal/core/effect"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/loop"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -16,24 +17,20 @@
 	apply(now time.Time, c *control)
 }
 
-// boundEvent is an event with the state that it is for.
-type boundEvent struct {
-	event   event
-	control *control
+// bind ties an event to the state that it is for.
+func (g *Guard) bind(ev event) loop.Event {
+	return loop.Func(func(now time.Time) { ev.apply(now, g.control) })
 }
 
-// Apply implements loop.Event.
-func (b boundEvent) Apply(now time.Time) { b.event.apply(now, b.control) }
-
 // offer hands over an event without waiting. It returns false when the loop
 // is full or has ended.
 func (g *Guard) offer(ev event) bool {
-	return g.opts.Loop.Offer(boundEvent{event: ev, control: g.control})
+	return g.opts.Loop.Offer(g.bind(ev))
 }
 
 // post hands over an event that must not be lost.
 func (g *Guard) post(ev event) {
-	g.opts.Loop.Post(boundEvent{event: ev, control: g.control})
+	g.opts.Loop.Post(g.bind(ev))
 }
 
 // control is the state that only the control loop touches.
--- a/internal/host/loop.go
+++ b/internal/host/loop.go
@@ -15,15 +15,6 @@
 	apply(now time.Time, c *control)
 }
 
-// boundEvent is an event with the state that it is for.
-type boundEvent struct {
-	event   event
-	control *control
-}
-
-// Apply implements loop.Event.
-func (b boundEvent) Apply(now time.Time) { b.event.apply(now, b.control) }
-
 // controlLoop is the host's end of the control loop, which effects and orders
 // share.
 type controlLoop struct {
@@ -31,14 +22,19 @@
 	control *control
 }
 
+// bind ties an event to the state that it is for.
+func (l *controlLoop) bind(ev event) loop.Event {
+	return loop.Func(func(now time.Time) { ev.apply(now, l.control) })
+}
+
 // offer hands over an event without waiting; see loop.Loop.Offer.
 func (l *controlLoop) offer(ev event) bool {
-	return l.Offer(boundEvent{event: ev, control: l.control})
+	return l.Offer(l.bind(ev))
 }
 
 // post hands over an event that must not be lost; see loop.Loop.Post.
 func (l *controlLoop) post(ev event) {
-	l.Post(boundEvent{event: ev, control: l.control})
+	l.Post(l.bind(ev))
 }
 
 // run applies events until ctx ends.
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -15,6 +15,12 @@
 	Apply(now time.Time)
 }
 
+// Func is an event that calls a function.
+type Func func(now time.Time)
+
+// Apply implements Event.
+func (f Func) Apply(now time.Time) { f(now) }
+
 // Loop applies events one after another.
 type Loop struct {
 	events  chan Event
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -108,23 +108,17 @@
 	}
 }
 
-// event is an input of the Controller's control state.
-type event func(now time.Time)
-
-// Apply implements loop.Event.
-func (e event) Apply(now time.Time) { e(now) }
-
 // Report takes an engine's load report. It never waits; a report that finds
 // the loop full is dropped, since another follows.
 func (g *Controller) Report(name model.EndpointName, load port.EngineLoad) {
 	made := time.Now().Add(-load.Age)
-	g.opts.Loop.Offer(event(func(time.Time) {
+	g.opts.Loop.Offer(loop.Func(func(time.Time) {
 		g.planner.Report(name, order.Report{Models: load.Models, Role: load.Role, Made: made})
 	}))
 }
 
 // post hands an event to the control loop.
-func (g *Controller) post(ev event) { g.opts.Loop.Post(ev) }
+func (g *Controller) post(ev loop.Func) { g.opts.Loop.Post(ev) }
 
 // Start follows the lease stream until Close.
 func (g *Controller) Start() {
