Keep the room that spills take in the dispatcher's own copy

Cause: SetPeers kept the caller's slices. A spill lowered the room in them on the control loop while a heartbeat's goroutine read the same slices in domainDigests (scenarios/spill.txtar under the race detector). Ruled out: the other values that leave the loop. Work and demand digests, histories, burn rows, member lists and the room are made anew for each use; configurations and catalogs are immutable. Change: the dispatcher clones the domains and their room. Before: the new test fails, the caller's room is 2 in place of 3. After: it passes.

--- a/internal/core/dispatch/peers.go
+++ b/internal/core/dispatch/peers.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
@@ -23,8 +24,13 @@
 	evenShare = 0.5
 )
 
-// SetPeers replaces the view of the other hosts.
+// SetPeers replaces the view of the other hosts. The view stays the caller's:
+// what spills take off the room of a domain is kept in a copy.
 func (d *Dispatcher) SetPeers(now time.Time, view PeerView) []Action {
+	view.Domains = slices.Clone(view.Domains)
+	for i := range view.Domains {
+		view.Domains[i].FreeRoom = slices.Clone(view.Domains[i].FreeRoom)
+	}
 	d.peers = view
 	d.countPeers()
 	var out []Action
--- a/internal/core/dispatch/peers_test.go
+++ b/internal/core/dispatch/peers_test.go
@@ -92,6 +92,17 @@
 	}
 }
 
+// Heartbeats on other goroutines send the same digests while requests spill.
+func TestSpillLeavesTheCallersDigestsAlone(t *testing.T) {
+	b := newBench(engines(1, "e1"))
+	room := []dispatch.PoolRoom{{Pool: "engines", Room: 3, Protected: 3}}
+	b.SetPeers(at(0), dispatch.PeerView{Domains: []dispatch.PeerDomain{{Domain: "b", At: at(0), FreeRoom: room}}})
+	b.SetLeaving(at(0), "e1", true)
+	_, acts := b.submit(at(0), "draft", "big")
+	must.Eq(t, []dispatch.ActionKind{dispatch.ActionSpill}, kinds(acts))
+	must.Eq(t, []dispatch.PoolRoom{{Pool: "engines", Room: 3, Protected: 3}}, room)
+}
+
 func TestProtectedRequestsSpillOnceTheirClassFillsTheDomain(t *testing.T) {
 	b := newBench(testConfig("e1"))
 	b.SetPeers(at(0), dispatch.PeerView{Domains: []dispatch.PeerDomain{{
