--- a/cmd/wigeonsail/cli.go
+++ b/cmd/wigeonsail/cli.go
@@ -20,6 +20,7 @@
 // cli is the command line. Each command lives in a file of its own.
 type cli struct {
 	Serve      serveCmd      `cmd:"" help:"Run an entry host."`
+	Gateway    gatewayCmd    `cmd:"" help:"Run an entry host on the users' platform."`
 	Config     configCmd     `cmd:"" help:"Check, publish and follow the configuration."`
 	Hosts      hostsCmd      `cmd:"" help:"List hosts, or let them leave."`
 	Endpoints  endpointsCmd  `cmd:"" help:"List endpoints, drain them or take them back."`
--- a/internal/adapter/peergrpc/client.go
+++ b/internal/adapter/peergrpc/client.go
@@ -121,11 +121,7 @@
 	if err != nil {
 		return port.ConfigRecord{}, err
 	}
-	return port.ConfigRecord{
-		Version: model.Version(res.GetVersion()),
-		Offset:  model.Offset(res.GetOffset()),
-		Data:    res.GetData(),
-	}, nil
+	return configFromWire(res), nil
 }
 
 // AppendClaims implements port.Peers. When the batching host's append failed,
--- a/internal/adapter/peergrpc/convert.go
+++ b/internal/adapter/peergrpc/convert.go
@@ -159,3 +159,15 @@
 func placeFromWire(p *peer.ClaimPlace) port.ClaimPlace {
 	return port.ClaimPlace{Offset: model.Offset(p.GetOffset()), Index: int(p.GetIndex())}
 }
+
+func configToWire(rec port.ConfigRecord) *peer.ConfigRecord {
+	return &peer.ConfigRecord{Version: uint64(rec.Version), Offset: uint64(rec.Offset), Data: rec.Data}
+}
+
+func configFromWire(rec *peer.ConfigRecord) port.ConfigRecord {
+	return port.ConfigRecord{
+		Version: model.Version(rec.GetVersion()),
+		Offset:  model.Offset(rec.GetOffset()),
+		Data:    rec.GetData(),
+	}
+}
--- a/internal/adapter/peergrpc/server.go
+++ b/internal/adapter/peergrpc/server.go
@@ -54,6 +54,10 @@
 
 // NewServer returns a Server. It fails with an *AuthError.
 func NewServer(auth Auth, handler port.PeerHandler) (*Server, error) {
+	return newServer(auth, &service{handler: handler})
+}
+
+func newServer(auth Auth, service peer.PeerServer) (*Server, error) {
 	transport, err := auth.transport()
 	if err != nil {
 		return nil, err
@@ -77,7 +81,7 @@
 		opts = append(opts, tokenInterceptors(token(auth.Secret))...)
 	}
 	s := &Server{grpc: grpc.NewServer(opts...)}
-	peer.RegisterPeerServer(s.grpc, &service{handler: handler})
+	peer.RegisterPeerServer(s.grpc, service)
 	return s, nil
 }
 
@@ -138,7 +142,7 @@
 	if err != nil {
 		return nil, fail(ctx, err)
 	}
-	return &peer.ConfigRecord{Version: uint64(rec.Version), Offset: uint64(rec.Offset), Data: rec.Data}, nil
+	return configToWire(rec), nil
 }
 
 // Forward implements peer.PeerServer.
--- /dev/null
+++ b/internal/adapter/peergrpc/share.go
@@ -0,0 +1,185 @@
+package peergrpc
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/wigeonsail/wigeonsail/api/peer"
+	"github.com/wigeonsail/wigeonsail/internal/core/balance"
+	"github.com/wigeonsail/wigeonsail/internal/core/directory"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+var _ port.LoadPeers = (*Client)(nil)
+
+const shareOp = "share"
+
+// Share implements port.LoadPeers. The stream ends with ctx or Close.
+func (c *Client) Share(ctx context.Context, address string) (port.LoadStream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	ctx, mark := withSentMark(ctx)
+	conn, release, err := c.connections.get(address)
+	if err != nil {
+		cancel()
+		return nil, peerError(shareOp, address, mark, err)
+	}
+	end := sync.OnceFunc(func() {
+		cancel()
+		release()
+	})
+	stream, err := peer.NewPeerClient(conn).Share(ctx)
+	if err != nil {
+		end()
+		return nil, peerError(shareOp, address, mark, err)
+	}
+	return &loadStream{stream: stream, address: address, mark: mark, end: end}, nil
+}
+
+// loadStream implements port.LoadStream.
+type loadStream struct {
+	stream  grpc.ClientStreamingClient[peer.LoadDigest, peer.ShareEnd]
+	address string
+	mark    *sentMark
+	end     func()
+}
+
+// Send implements port.LoadStream.
+func (s *loadStream) Send(d port.LoadDigest) error {
+	err := s.stream.Send(loadToWire(d))
+	if errors.Is(err, io.EOF) {
+		// The stream's status says why it ended.
+		_, err = s.stream.CloseAndRecv()
+		if err == nil {
+			err = io.ErrUnexpectedEOF
+		}
+	}
+	if err != nil {
+		return peerError(shareOp, s.address, s.mark, err)
+	}
+	return nil
+}
+
+// Close implements port.LoadStream.
+func (s *loadStream) Close() { s.end() }
+
+// FetchEndpoints implements port.LoadPeers.
+func (c *Client) FetchEndpoints(ctx context.Context, address string) ([]directory.Entry, error) {
+	res, err := unary(ctx, c, "fetch endpoints", address, &peer.FetchEndpointsRequest{}, peer.PeerClient.FetchEndpoints)
+	if err != nil {
+		return nil, err
+	}
+	return convert(res.GetEntries(), entryFromWire), nil
+}
+
+// NewLoadServer returns a Server for hosts that share their work. It fails with
+// an *AuthError.
+func NewLoadServer(auth Auth, handler port.LoadHandler) (*Server, error) {
+	return newServer(auth, &loadService{handler: handler})
+}
+
+// loadService translates calls for the handler.
+type loadService struct {
+	peer.UnimplementedPeerServer
+	handler port.LoadHandler
+}
+
+// Share implements peer.PeerServer.
+func (s *loadService) Share(stream grpc.ClientStreamingServer[peer.LoadDigest, peer.ShareEnd]) error {
+	for {
+		d, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return stream.SendAndClose(&peer.ShareEnd{})
+		}
+		if err != nil {
+			return err
+		}
+		s.handler.HandleLoad(loadFromWire(d))
+	}
+}
+
+// FetchConfig implements peer.PeerServer.
+func (s *loadService) FetchConfig(ctx context.Context, req *peer.FetchConfigRequest) (*peer.ConfigRecord, error) {
+	rec, err := s.handler.HandleFetchConfig(ctx, model.Version(req.GetNewerThan()))
+	if err != nil {
+		return nil, fail(ctx, err)
+	}
+	return configToWire(rec), nil
+}
+
+// FetchEndpoints implements peer.PeerServer.
+func (s *loadService) FetchEndpoints(ctx context.Context, _ *peer.FetchEndpointsRequest) (*peer.EndpointList, error) {
+	list, err := s.handler.HandleFetchEndpoints(ctx)
+	if err != nil {
+		return nil, fail(ctx, err)
+	}
+	return &peer.EndpointList{Entries: convert(list, entryToWire)}, nil
+}
+
+func loadToWire(d port.LoadDigest) *peer.LoadDigest {
+	return &peer.LoadDigest{
+		Host:        string(d.Host),
+		Incarnation: uint64(d.Incarnation),
+		Domain:      string(d.Domain),
+		Address:     d.Address,
+		Leaving:     d.Leaving,
+		Version:     uint64(d.Version),
+		ListAgeMs:   d.ListAge.Milliseconds(),
+		Loads:       convert(d.Loads, endpointLoadToWire),
+		Known:       d.Known,
+	}
+}
+
+func loadFromWire(d *peer.LoadDigest) port.LoadDigest {
+	return port.LoadDigest{
+		Host:        model.HostID(d.GetHost()),
+		Incarnation: model.Incarnation(d.GetIncarnation()),
+		Domain:      model.DomainName(d.GetDomain()),
+		Address:     d.GetAddress(),
+		Leaving:     d.GetLeaving(),
+		Version:     model.Version(d.GetVersion()),
+		ListAge:     time.Duration(d.GetListAgeMs()) * time.Millisecond,
+		Loads:       convert(d.GetLoads(), endpointLoadFromWire),
+		Known:       d.GetKnown(),
+	}
+}
+
+func endpointLoadToWire(l balance.EndpointLoad) *peer.EndpointLoad {
+	out := &peer.EndpointLoad{Endpoint: string(l.Endpoint), Count: int64(l.Count), Memory: int64(l.Memory)}
+	for _, n := range l.Pending {
+		out.Pending = append(out.Pending, int64(n))
+	}
+	return out
+}
+
+func endpointLoadFromWire(l *peer.EndpointLoad) balance.EndpointLoad {
+	out := balance.EndpointLoad{
+		Endpoint: model.EndpointName(l.GetEndpoint()),
+		Load:     balance.Load{Count: int(l.GetCount()), Memory: int(l.GetMemory())},
+	}
+	for i, n := range l.GetPending() {
+		if i < len(out.Pending) {
+			out.Pending[i] = int(n)
+		}
+	}
+	return out
+}
+
+func entryToWire(e directory.Entry) *peer.EndpointEntry {
+	return &peer.EndpointEntry{
+		Name: string(e.Name), Pool: string(e.Pool), Address: e.Address, Domain: string(e.Domain),
+		Slots: int64(e.Slots), Draining: e.Draining, Started: e.Started,
+	}
+}
+
+func entryFromWire(e *peer.EndpointEntry) directory.Entry {
+	return directory.Entry{
+		Name: model.EndpointName(e.GetName()), Pool: model.PoolName(e.GetPool()), Address: e.GetAddress(),
+		Domain: model.DomainName(e.GetDomain()), Slots: int(e.GetSlots()), Draining: e.GetDraining(), Started: e.GetStarted(),
+	}
+}
--- /dev/null
+++ b/internal/core/balance/balance.go
@@ -0,0 +1,306 @@
+// Package balance places requests on endpoints. It knows what this host has
+// sent where, what the other hosts say they have sent, which endpoint likely
+// caches which part of a prompt, and how fast and sound each endpoint has been.
+// From that it expects the time to the first answer at each endpoint and picks
+// the cheapest, or refuses. It is a state machine: no I/O, no clock.
+package balance
+
+import (
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/attempt"
+	"github.com/wigeonsail/wigeonsail/internal/core/directory"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/routing"
+)
+
+// Options configures a Balancer.
+type Options struct {
+	// Domain is this host's failure domain.
+	Domain model.DomainName
+	// Budget bounds the retries of all hosts together, for each pool.
+	Budget attempt.WindowOptions
+}
+
+// Request is a request that needs an endpoint.
+type Request struct {
+	ID     model.RequestID
+	Pool   model.PoolName
+	Prompt model.Prompt
+	Tier   model.Tier
+	// Target is the time in which the answer or its first event should come.
+	Target time.Duration
+	// Arrived is when the caller sent it, Deadline when nobody waits any more.
+	Arrived  time.Time
+	Deadline time.Time
+	// Avoid lists the endpoints that failed or refused it.
+	Avoid []model.EndpointName
+	// Repeat says that an endpoint has received the request before, so that
+	// sending it again takes from the retry budget.
+	Repeat bool
+}
+
+// Reason tells why a request was refused.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	// ReasonNoEndpoint means that no endpoint can take the request.
+	ReasonNoEndpoint Reason = "no_endpoint"
+	// ReasonRetryBudget means that the hosts have no retries left.
+	ReasonRetryBudget Reason = "retry_budget"
+	// ReasonTooLate means that no endpoint can answer before the deadline.
+	ReasonTooLate Reason = "too_late"
+	// ReasonTooLarge means that the prompt fits into no endpoint's memory.
+	ReasonTooLarge Reason = "too_large"
+)
+
+// Decision says where a request goes, or why nowhere.
+type Decision struct {
+	// Endpoint and Address are empty for a refusal.
+	Endpoint model.EndpointName
+	Address  string
+	// Priority is the engine's: smaller is served first.
+	Priority int
+	// FetchFrom is the address of an endpoint that likely caches the shared
+	// parts of the prompt; empty for none.
+	FetchFrom string
+	// Expected is the expected time to the first answer.
+	Expected time.Duration
+	// InFlight is the known work at the endpoint, PeersAge the age of the
+	// oldest peer's share in it.
+	InFlight int
+	PeersAge time.Duration
+	// Reason and RetryAfter belong to a refusal.
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Refused says that the request goes nowhere.
+func (d Decision) Refused() bool { return d.Endpoint == "" }
+
+// Result is the end of an attempt.
+type Result struct {
+	// Failure is what went wrong at the endpoint.
+	Failure Failure
+	// Elapsed is the time from the decision to the end.
+	Elapsed time.Duration
+}
+
+// Failure is what an endpoint did wrong.
+type Failure uint8
+
+// The failures.
+const (
+	// FailureNone means that the endpoint did its part.
+	FailureNone Failure = iota
+	// FailureRefused means that the endpoint had no room.
+	FailureRefused
+	// FailureError means that the endpoint answered with an error of its own.
+	FailureError
+	// FailureBroken means that the answer broke off or never came.
+	FailureBroken
+	// FailureUnreachable means that no connection could be opened.
+	FailureUnreachable
+)
+
+// Balancer is the state machine. The control loop owns it.
+type Balancer struct {
+	opts      Options
+	pools     map[model.PoolName]*pool
+	endpoints map[model.EndpointName]*endpoint
+	running   map[model.RequestID]*running
+	peers     map[model.HostID]*peerLoad
+	// hosts are the other hosts with the time of their last word.
+	hosts   map[model.HostID]time.Time
+	holders holders
+	// changed says that the own load differs from the last OwnLoad.
+	changed bool
+}
+
+type pool struct {
+	engine    *routing.Engine
+	endpoints []*endpoint
+	budget    *attempt.Window
+}
+
+// running is a request at an endpoint.
+type running struct {
+	req      Request
+	endpoint *endpoint
+	granted  time.Time
+	expected time.Duration
+	// pending are the prompt tokens that the endpoint has still to read.
+	pending int
+	memory  int
+}
+
+// New returns a Balancer without pools and endpoints.
+func New(opts Options) *Balancer {
+	return &Balancer{
+		opts:      opts,
+		pools:     make(map[model.PoolName]*pool),
+		endpoints: make(map[model.EndpointName]*endpoint),
+		running:   make(map[model.RequestID]*running),
+		peers:     make(map[model.HostID]*peerLoad),
+		hosts:     make(map[model.HostID]time.Time),
+		holders:   newHolders(),
+	}
+}
+
+// SetPools takes the pools of a new configuration.
+func (b *Balancer) SetPools(pools []routing.Pool) {
+	for _, cfg := range pools {
+		b.pool(cfg.Name).engine = cfg.Engine
+	}
+}
+
+// pool returns a pool. Endpoints may be listed before the configuration names
+// their pool.
+func (b *Balancer) pool(name model.PoolName) *pool {
+	p := b.pools[name]
+	if p == nil {
+		p = &pool{budget: attempt.NewWindow(b.opts.Budget)}
+		b.pools[name] = p
+	}
+	return p
+}
+
+// Apply takes a change of the directory.
+func (b *Balancer) Apply(c directory.Change) {
+	e := b.endpoints[c.Entry.Name]
+	if c.Gone {
+		if e != nil {
+			b.remove(e)
+		}
+		return
+	}
+	if e != nil && (c.Restarted || e.Pool != c.Entry.Pool) {
+		b.remove(e)
+		e = nil
+	}
+	if e == nil {
+		e = newEndpoint(c.Entry)
+		b.endpoints[e.Name] = e
+		p := b.pool(e.Pool)
+		p.endpoints = append(p.endpoints, e)
+		b.countPeers()
+		return
+	}
+	e.Entry = c.Entry
+}
+
+// remove forgets an endpoint. Requests that run there end on their own.
+func (b *Balancer) remove(e *endpoint) {
+	delete(b.endpoints, e.Name)
+	b.holders.forget(e.Name)
+	p := b.pool(e.Pool)
+	kept := p.endpoints[:0]
+	for _, other := range p.endpoints {
+		if other != e {
+			kept = append(kept, other)
+		}
+	}
+	p.endpoints = kept
+}
+
+// Submit decides where a request goes. A granted request is accounted until
+// Finish.
+func (b *Balancer) Submit(now time.Time, req Request) Decision {
+	p := b.pools[req.Pool]
+	if p == nil {
+		return refuse(ReasonNoEndpoint, unknownPoolRetryAfter)
+	}
+	if !req.Repeat {
+		p.budget.First(now)
+	}
+	choice, reason := b.choose(now, p, &req)
+	if choice.endpoint == nil {
+		return refuse(reason, choice.retryAfter)
+	}
+	if req.Repeat && !p.budget.Retry(now, len(b.hosts)+1) {
+		return refuse(ReasonRetryBudget, choice.expected)
+	}
+	return b.grant(now, &req, choice)
+}
+
+func (b *Balancer) grant(now time.Time, req *Request, c choice) Decision {
+	e := c.endpoint
+	r := &running{
+		req:      *req,
+		endpoint: e,
+		granted:  now,
+		expected: c.expected,
+		pending:  c.pending,
+		memory:   memoryOf(&req.Prompt),
+	}
+	b.running[req.ID] = r
+	b.changed = true
+	d := Decision{
+		Endpoint:  e.Name,
+		Address:   e.Address,
+		Priority:  int(req.Tier),
+		FetchFrom: c.fetchFrom,
+		Expected:  c.expected,
+		InFlight:  e.own.Count + e.peers.Count,
+		PeersAge:  b.peersAge(now),
+	}
+	e.own.add(req.Tier, r.pending, r.memory, 1)
+	e.opened = max(e.opened, e.own.Count)
+	if key := req.Prompt.SharedKey(); key != 0 {
+		b.holders.note(now, key, e.Name)
+	}
+	return d
+}
+
+// FirstAnswer tells that the first event of a stream, or the whole answer of
+// another request, has come.
+func (b *Balancer) FirstAnswer(now time.Time, id model.RequestID) {
+	r := b.running[id]
+	if r == nil {
+		return
+	}
+	r.endpoint.own.add(r.req.Tier, -r.pending, 0, 0)
+	r.pending = 0
+	r.endpoint.learn(now, now.Sub(r.granted), r.expected)
+	b.changed = true
+}
+
+// Finish ends an attempt.
+func (b *Balancer) Finish(now time.Time, id model.RequestID, res Result) {
+	r := b.running[id]
+	if r == nil {
+		return
+	}
+	delete(b.running, id)
+	r.endpoint.own.add(r.req.Tier, -r.pending, -r.memory, -1)
+	r.endpoint.ended(now, res.Failure)
+	b.changed = true
+}
+
+// Usable says whether any endpoint takes requests.
+func (b *Balancer) Usable(now time.Time) bool {
+	for _, e := range b.endpoints {
+		if e.usable(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func refuse(reason Reason, after time.Duration) Decision {
+	return Decision{Reason: reason, RetryAfter: min(max(after, minRetryAfter), maxRetryAfter)}
+}
+
+const (
+	// minRetryAfter and maxRetryAfter bound the time to come back that a refusal
+	// states. Callers wait a third of the time they have left at most.
+	minRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 4 * time.Second
+	// unknownPoolRetryAfter is the time in which a listed endpoint is seen by all
+	// hosts.
+	unknownPoolRetryAfter = time.Second
+)
+
+// String returns the reason as it stands in logs and metrics.
+func (r Reason) String() string { return string(r) }
--- /dev/null
+++ b/internal/core/balance/endpoint.go
@@ -0,0 +1,162 @@
+package balance
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/directory"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+)
+
+const (
+	// learnWeight is the weight of the newest answer in a learned mean.
+	learnWeight = 0.15
+	// maxSlowness bounds the learned factor of one answer.
+	maxSlowness = 8
+	// forgetTime is the time in which half of what was learned of an endpoint's
+	// slowness and failures is forgotten, so that it is tried again.
+	forgetTime = 4 * time.Second
+	// firstPause is the time without requests after the first failure to
+	// connect; it doubles up to maxPause.
+	firstPause = 250 * time.Millisecond
+	maxPause   = 4 * time.Second
+	// breaksToPause is the number of broken answers in a row after which an
+	// endpoint is paused.
+	breaksToPause = 2
+)
+
+// endpoint is what is known of one endpoint.
+type endpoint struct {
+	directory.Entry
+	// hash is that of the name, for rendezvous hashing.
+	hash uint64
+	// own is this host's work there, peers that of the others.
+	own   Load
+	peers Load
+	// opened is the largest number of requests at once, which is about the
+	// number of connections that this host keeps.
+	opened int
+
+	// slowness is the mean of the time that answers took by the time that was
+	// expected; 1 for an endpoint as fast as expected.
+	slowness float64
+	// failing is the mean share of failures.
+	failing float64
+	learned time.Time
+
+	// breaks counts the failures to connect or answer in a row.
+	breaks int
+	paused time.Time
+}
+
+func newEndpoint(entry directory.Entry) *endpoint {
+	return &endpoint{Entry: entry, hash: xxhash.Sum64String(string(entry.Name)), slowness: 1}
+}
+
+// usable says that the endpoint may get requests.
+func (e *endpoint) usable(now time.Time) bool {
+	return !e.Draining && !now.Before(e.paused)
+}
+
+// learn takes the time to a first answer.
+func (e *endpoint) learn(now time.Time, took, expected time.Duration) {
+	e.fade(now)
+	ratio := took.Seconds() / max(expected.Seconds(), minExpected.Seconds())
+	ratio = min(ratio, maxSlowness)
+	e.slowness += learnWeight * (ratio - e.slowness)
+	e.breaks = 0
+}
+
+// minExpected keeps the ratio of very short answers from being noise.
+const minExpected = 5 * time.Millisecond
+
+// ended takes the end of an attempt.
+func (e *endpoint) ended(now time.Time, f Failure) {
+	e.fade(now)
+	failed := 0.0
+	switch f {
+	case FailureNone:
+		e.breaks = 0
+	case FailureRefused:
+		failed = 1
+	case FailureError:
+		failed = 1
+		e.breaks = 0
+	case FailureBroken:
+		failed = 1
+		e.breaks++
+		if e.breaks >= breaksToPause {
+			e.pause(now, e.breaks-breaksToPause)
+		}
+	case FailureUnreachable:
+		failed = 1
+		e.pause(now, e.breaks)
+		e.breaks++
+	}
+	e.failing += learnWeight * (failed - e.failing)
+}
+
+// pause keeps requests away after a failure.
+func (e *endpoint) pause(now time.Time, doublings int) {
+	length := firstPause << min(doublings, 8)
+	e.paused = now.Add(min(length, maxPause))
+}
+
+// fade lets what was learned go back to the expected value with time.
+func (e *endpoint) fade(now time.Time) {
+	if !e.learned.IsZero() {
+		keep := math.Exp2(-now.Sub(e.learned).Seconds() / forgetTime.Seconds())
+		e.slowness = 1 + (e.slowness-1)*keep
+		e.failing *= keep
+	}
+	e.learned = now
+}
+
+// Load is work at an endpoint.
+type Load struct {
+	// Count is the number of requests.
+	Count int
+	// Pending are the prompt tokens that are still to be read, by tier.
+	Pending [Tiers]int
+	// Memory is the number of tokens that the requests hold.
+	Memory int
+}
+
+// Tiers is the number of tiers that are told apart; higher ones count as the
+// last.
+const Tiers = 4
+
+func (l *Load) add(tier model.Tier, pending, memory, count int) {
+	l.Count += count
+	l.Pending[min(max(int(tier), 0), Tiers-1)] += pending
+	l.Memory += memory
+}
+
+// sum adds another load.
+func (l *Load) sum(other Load) {
+	l.Count += other.Count
+	l.Memory += other.Memory
+	for i, n := range other.Pending {
+		l.Pending[i] += n
+	}
+}
+
+// pending returns the prompt tokens that are read before those of a request of
+// the tier. Less urgent ones count in part, since what an engine has begun to
+// read it goes on with.
+func (l *Load) pending(tier model.Tier) float64 {
+	total := 0.0
+	for i, n := range l.Pending {
+		if i <= int(tier) {
+			total += float64(n)
+		} else {
+			total += lessUrgentShare * float64(n)
+		}
+	}
+	return total
+}
+
+// lessUrgentShare is the part of less urgent prompts that is read first.
+const lessUrgentShare = 0.5
--- /dev/null
+++ b/internal/core/balance/peers.go
@@ -0,0 +1,91 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+)
+
+const (
+	// peerMaxAge is the age from which on what a peer said of its work no longer
+	// counts: most requests have ended by then.
+	peerMaxAge = 2 * time.Second
+	// hostMemory is how long a silent host still has its part of what all hosts
+	// share: it may be cut off and go on.
+	hostMemory = 30 * time.Second
+)
+
+// EndpointLoad is the work of one host at one endpoint.
+type EndpointLoad struct {
+	Endpoint model.EndpointName
+	Load
+}
+
+type peerLoad struct {
+	heard time.Time
+	loads []EndpointLoad
+}
+
+// OwnLoad returns this host's work and whether it changed since the last call.
+func (b *Balancer) OwnLoad() ([]EndpointLoad, bool) {
+	changed := b.changed
+	b.changed = false
+	var out []EndpointLoad
+	for name, e := range b.endpoints {
+		if e.own.Count > 0 {
+			out = append(out, EndpointLoad{Endpoint: name, Load: e.own})
+		}
+	}
+	return out, changed
+}
+
+// SetPeer takes what another host says of its work. The list must not be
+// changed afterwards.
+func (b *Balancer) SetPeer(now time.Time, host model.HostID, loads []EndpointLoad) {
+	b.peers[host] = &peerLoad{heard: now, loads: loads}
+	b.hosts[host] = now
+	b.countPeers()
+}
+
+// Tick forgets the work of peers that are silent.
+func (b *Balancer) Tick(now time.Time) {
+	forgotten := false
+	for host, p := range b.peers {
+		if now.Sub(p.heard) > peerMaxAge {
+			delete(b.peers, host)
+			forgotten = true
+		}
+	}
+	if forgotten {
+		b.countPeers()
+	}
+	for host, heard := range b.hosts {
+		if now.Sub(heard) > hostMemory {
+			delete(b.hosts, host)
+		}
+	}
+}
+
+// Peers returns the number of hosts that were heard of late.
+func (b *Balancer) Peers() int { return len(b.peers) }
+
+func (b *Balancer) countPeers() {
+	for _, e := range b.endpoints {
+		e.peers = Load{}
+	}
+	for _, p := range b.peers {
+		for _, l := range p.loads {
+			if e := b.endpoints[l.Endpoint]; e != nil {
+				e.peers.sum(l.Load)
+			}
+		}
+	}
+}
+
+func (b *Balancer) peersAge(now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for _, p := range b.peers {
+		oldest = max(oldest, now.Sub(p.heard))
+	}
+	return oldest
+}
--- /dev/null
+++ b/internal/gateway/control.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/balance"
+	"github.com/wigeonsail/wigeonsail/internal/core/directory"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/routing"
+	"github.com/wigeonsail/wigeonsail/internal/loop"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+// control is the state that only the control loop touches.
+type control struct {
+	gateway   *Gateway
+	balancer  *balance.Balancer
+	directory *directory.Directory
+	peers     *peerTable
+	// fetchingConfig and fetchingList say that a peer is being asked.
+	fetchingConfig bool
+	fetchingList   bool
+	listAsked      time.Time
+}
+
+func newControl(g *Gateway) *control {
+	c := &control{
+		gateway:   g,
+		balancer:  balance.New(balance.Options{Domain: g.opts.Domain, Budget: g.opts.Budget}),
+		directory: directory.New(),
+	}
+	c.peers = newPeerTable(g)
+	return c
+}
+
+func (c *control) tick(now time.Time) {
+	c.balancer.Tick(now)
+	c.apply(now, c.directory.Tick(now))
+	c.gateway.usable.Store(c.balancer.Usable(now))
+	c.askPeersForList(now)
+	c.peers.tick(now, c)
+}
+
+// apply tells the balancer what changed in the list of endpoints.
+func (c *control) apply(now time.Time, changes []directory.Change) {
+	for _, change := range changes {
+		c.balancer.Apply(change)
+		logEndpoint(c.gateway.opts.Log, change, c.directory.Age(now))
+	}
+}
+
+// place decides where a request goes.
+func (g *Gateway) place(ctx context.Context, req balance.Request) (balance.Decision, bool) {
+	return ask(ctx, g, func(now time.Time) balance.Decision {
+		return g.control.balancer.Submit(now, req)
+	})
+}
+
+// finish ends the attempt of a request.
+func (g *Gateway) finish(id model.RequestID, res balance.Result) {
+	g.loop.Post(loop.Func(func(now time.Time) { g.control.balancer.Finish(now, id, res) }))
+}
+
+func (g *Gateway) firstAnswer(id model.RequestID) {
+	g.loop.Post(loop.Func(func(now time.Time) { g.control.balancer.FirstAnswer(now, id) }))
+}
+
+// configFound takes a configuration from the platform or from a peer. Only a
+// higher version than the one in force changes anything.
+func (c *control) configFound(now time.Time, cfg *routing.Config, rec port.ConfigRecord, source string) {
+	if cfg.Version <= c.version() {
+		return
+	}
+	before := c.version()
+	c.gateway.table.Store(routing.NewTable(cfg))
+	c.gateway.record.Store(&rec)
+	c.balancer.SetPools(cfg.Pools)
+	c.peers.changed = true
+	c.gateway.opts.Log.WithFields(fields{
+		"version": cfg.Version, "before": before, "source": source,
+		"routes": len(cfg.Routes), "accounts": len(cfg.Accounts),
+	}).Info("config: in force")
+}
+
+// version returns the version in force; 0 for none.
+func (c *control) version() model.Version {
+	if rec := c.gateway.record.Load(); rec != nil {
+		return rec.Version
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/gateway/follow.go
@@ -0,0 +1,188 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/clock"
+	"github.com/wigeonsail/wigeonsail/internal/core/directory"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/loop"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+const (
+	// configWait is how long a read waits for a new configuration. It bounds the
+	// time for which a connection that has gone silent goes unnoticed.
+	configWait = 2 * time.Second
+	// firstRetry and maxRetry bound the time between reads that fail.
+	firstRetry = 200 * time.Millisecond
+	maxRetry   = time.Second
+)
+
+// follower reads one of the platform's lists: all of it once, and the changes
+// from then on.
+type follower struct {
+	gateway *Gateway
+	topic   port.Topic
+	// wait is how long a read waits for changes.
+	wait time.Duration
+	next model.Offset
+	// whole says that the list has been read and next is set.
+	whole bool
+	retry time.Duration
+	// down says that the last read failed.
+	down bool
+}
+
+// read returns the records since the last read. The first read, and the one
+// after records have expired, returns the whole list.
+func (f *follower) read(ctx context.Context) (batch port.KeyedBatch, whole bool, err error) {
+	if !f.whole {
+		batch, err = f.gateway.opts.Lists.Newest(ctx, f.topic)
+		whole = true
+	} else {
+		batch, err = f.gateway.opts.Lists.Changes(ctx, f.topic, f.next, f.wait)
+	}
+	var expired *port.ExpiredError
+	if errors.As(err, &expired) {
+		f.whole = false
+		f.gateway.opts.Log.WithFields(fields{"topic": f.topic.String(), "from": f.next}).Warn("lists: records expired, reading all")
+		return f.read(ctx)
+	}
+	f.note(err)
+	if err != nil {
+		return batch, whole, err
+	}
+	f.whole = true
+	f.next = batch.Next
+	return batch, whole, nil
+}
+
+// note logs that the platform was lost or is back.
+func (f *follower) note(err error) {
+	entry := f.gateway.opts.Log.WithField("topic", f.topic.String())
+	switch {
+	case err != nil && !f.down:
+		entry.WithError(err).Warn("lists: lost")
+	case err == nil && f.down:
+		entry.Info("lists: back")
+	}
+	f.down = err != nil
+	if err != nil {
+		f.retry = min(max(2*f.retry, firstRetry), maxRetry)
+		f.gateway.opts.Metrics.PlatformError("read "+f.topic.String(), model.OutcomeNotRun)
+		return
+	}
+	f.retry = 0
+}
+
+// followConfig puts each new configuration in force until ctx ends.
+func (g *Gateway) followConfig(ctx context.Context) {
+	f := follower{gateway: g, topic: port.TopicConfig, wait: configWait}
+	for ctx.Err() == nil {
+		batch, _, err := f.read(ctx)
+		if err != nil {
+			clock.Sleep(ctx, f.retry)
+			continue
+		}
+		for _, rec := range batch.Records {
+			g.readConfig(rec)
+		}
+	}
+}
+
+// readConfig decodes a configuration and hands it to the control loop.
+func (g *Gateway) readConfig(rec port.KeyedRecord) {
+	if !g.opts.Decoder.IsConfig(rec.Key) || len(rec.Value) == 0 {
+		return
+	}
+	g.takeConfig(rec.Value, "platform")
+}
+
+func (g *Gateway) takeConfig(value []byte, source string) {
+	cfg, err := g.opts.Decoder.Config(value)
+	if err != nil {
+		g.opts.Log.WithError(err).WithField("source", source).Error("config: skipped, cannot be read")
+		return
+	}
+	rec := port.ConfigRecord{Version: cfg.Version, Data: value}
+	g.loop.Post(loop.Func(func(now time.Time) { g.control.configFound(now, cfg, rec, source) }))
+}
+
+// followEndpoints keeps the list of endpoints until ctx ends.
+func (g *Gateway) followEndpoints(ctx context.Context) {
+	f := follower{gateway: g, topic: port.TopicEndpoints}
+	for ctx.Err() == nil {
+		batch, whole, err := f.read(ctx)
+		if err != nil {
+			clock.Sleep(ctx, f.retry)
+			continue
+		}
+		update := g.decodeEndpoints(batch, whole)
+		g.loop.Post(loop.Func(func(now time.Time) { g.control.endpointsFound(now, update) }))
+		clock.Sleep(ctx, g.opts.ListEvery)
+	}
+}
+
+// endpointUpdate is a decoded part of the list of endpoints.
+type endpointUpdate struct {
+	// whole says that endpoints that are not in the list are gone.
+	whole bool
+	list  []endpointRecord
+}
+
+type endpointRecord struct {
+	name  model.EndpointName
+	entry directory.Entry
+	// removed says that the entry was deleted or cannot be read.
+	removed bool
+}
+
+func (g *Gateway) decodeEndpoints(batch port.KeyedBatch, whole bool) endpointUpdate {
+	update := endpointUpdate{whole: whole}
+	for _, rec := range batch.Records {
+		item := endpointRecord{name: model.EndpointName(rec.Key)}
+		if len(rec.Value) == 0 {
+			item.removed = true
+			update.list = append(update.list, item)
+			continue
+		}
+		entry, err := g.opts.Decoder.Endpoint(rec.Key, rec.Value)
+		if err != nil {
+			g.opts.Log.WithError(err).WithField("endpoint", rec.Key).Warn("lists: entry skipped")
+			continue
+		}
+		item.entry = entry
+		update.list = append(update.list, item)
+	}
+	return update
+}
+
+// endpointsFound takes a part of the list of endpoints.
+func (c *control) endpointsFound(now time.Time, update endpointUpdate) {
+	c.directory.Answered(now)
+	if update.whole {
+		var list []directory.Entry
+		for _, rec := range update.list {
+			if !rec.removed {
+				list = append(list, rec.entry)
+			}
+		}
+		c.apply(now, c.directory.Replace(now, list))
+		return
+	}
+	for _, rec := range update.list {
+		var change directory.Change
+		var changed bool
+		if rec.removed {
+			change, changed = c.directory.Remove(now, rec.name)
+		} else {
+			change, changed = c.directory.Put(rec.entry)
+		}
+		if changed {
+			c.apply(now, []directory.Change{change})
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,294 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/clock"
+	"github.com/wigeonsail/wigeonsail/internal/core/balance"
+	"github.com/wigeonsail/wigeonsail/internal/core/directory"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/loop"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+const (
+	// heartbeatEvery is the longest time between two digests to a peer.
+	heartbeatEvery = time.Second
+	// digestsPerSecond bounds the digests that a host sends: with many peers each
+	// hears from it less often.
+	digestsPerSecond = 250
+	// knownEvery is the time between digests that name the other hosts.
+	knownEvery = 2 * time.Second
+	// forgetPeerAfter is how long a silent address that is no seed is tried.
+	forgetPeerAfter = 20 * time.Second
+	// firstReconnect and maxReconnect bound the time between tries to open a
+	// stream.
+	firstReconnect = 100 * time.Millisecond
+	maxReconnect   = 2 * time.Second
+	// staleList is the age from which on a host asks its peers for the list of
+	// endpoints, and askListEvery the time between two such questions.
+	staleList    = 2500 * time.Millisecond
+	askListEvery = time.Second
+)
+
+// peerTable keeps the addresses of the other hosts and a sender for each. The
+// control loop owns it.
+type peerTable struct {
+	gateway *Gateway
+	peers   map[string]*peer
+	// changed asks for a digest at once.
+	changed   bool
+	told      time.Time
+	toldKnown time.Time
+}
+
+// peer is another host's address.
+type peer struct {
+	seed bool
+	// mailbox holds the newest digest that the sender has not taken yet.
+	mailbox chan port.LoadDigest
+	stop    context.CancelFunc
+	// heard is when the host last told something, added when the address was
+	// learned.
+	heard   time.Time
+	added   time.Time
+	host    model.HostID
+	version model.Version
+	listAge time.Duration
+}
+
+func newPeerTable(g *Gateway) *peerTable {
+	return &peerTable{gateway: g, peers: make(map[string]*peer)}
+}
+
+// learn adds an address.
+func (t *peerTable) learn(now time.Time, address string, seed bool) *peer {
+	if address == "" || address == t.gateway.opts.PeerAddress || t.gateway.opts.Peers == nil {
+		return nil
+	}
+	if p := t.peers[address]; p != nil {
+		return p
+	}
+	ctx, stop := context.WithCancel(t.gateway.ctx)
+	p := &peer{seed: seed, mailbox: make(chan port.LoadDigest, 1), stop: stop, added: now}
+	t.peers[address] = p
+	t.changed = true
+	t.toldKnown = time.Time{}
+	t.gateway.workers.Go(func() { t.gateway.sendDigests(ctx, address, p.mailbox) })
+	return p
+}
+
+// tick forgets silent addresses and sends a digest when one is due.
+func (t *peerTable) tick(now time.Time, c *control) {
+	for address, p := range t.peers {
+		if !p.seed && now.Sub(later(p.heard, p.added)) > forgetPeerAfter {
+			p.stop()
+			delete(t.peers, address)
+			t.gateway.opts.Log.WithField("address", address).Info("peers: forgotten")
+		}
+	}
+	if len(t.peers) == 0 || now.Sub(t.told) < t.interval() {
+		return
+	}
+	loads, changed := c.balancer.OwnLoad()
+	if !changed && !t.changed && now.Sub(t.told) < heartbeatEvery {
+		return
+	}
+	t.changed = false
+	t.told = now
+	t.tell(c.digest(now, loads))
+}
+
+// interval is the least time between two digests.
+func (t *peerTable) interval() time.Duration {
+	spread := time.Duration(len(t.peers)) * time.Second / digestsPerSecond
+	return max(t.gateway.opts.ShareEvery, spread)
+}
+
+// tell puts the digest into all mailboxes, in place of one that was not sent.
+func (t *peerTable) tell(d port.LoadDigest) {
+	for _, p := range t.peers {
+		select {
+		case <-p.mailbox:
+		default:
+		}
+		p.mailbox <- d
+	}
+}
+
+// digest is what this host tells the others.
+func (c *control) digest(now time.Time, loads []balance.EndpointLoad) port.LoadDigest {
+	opts := &c.gateway.opts
+	d := port.LoadDigest{
+		Host: opts.Host, Incarnation: opts.Incarnation, Domain: opts.Domain, Address: opts.PeerAddress,
+		Leaving: c.gateway.leaving.Load(), Version: c.version(),
+		ListAge: c.directory.Age(now), Loads: loads,
+	}
+	if now.Sub(c.peers.toldKnown) >= knownEvery {
+		c.peers.toldKnown = now
+		d.Known = c.peers.live(now)
+	}
+	return d
+}
+
+// live lists the addresses that were heard of late.
+func (t *peerTable) live(now time.Time) []string {
+	var out []string
+	for address, p := range t.peers {
+		if now.Sub(p.heard) < forgetPeerAfter {
+			out = append(out, address)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// HandleLoad implements port.LoadHandler.
+func (g *Gateway) HandleLoad(d port.LoadDigest) {
+	g.loop.Offer(loop.Func(func(now time.Time) { g.control.digestCame(now, d) }))
+}
+
+func (c *control) digestCame(now time.Time, d port.LoadDigest) {
+	if d.Host == c.gateway.opts.Host {
+		return
+	}
+	c.balancer.SetPeer(now, d.Host, d.Loads)
+	p := c.peers.learn(now, d.Address, false)
+	if p == nil {
+		return
+	}
+	if p.heard.IsZero() {
+		c.gateway.opts.Log.WithFields(fields{"host": d.Host, "address": d.Address, "domain": d.Domain}).Info("peers: heard")
+	}
+	p.heard, p.host, p.version, p.listAge = now, d.Host, d.Version, d.ListAge
+	for _, address := range d.Known {
+		c.peers.learn(now, address, false)
+	}
+	if d.Version > c.version() {
+		c.askPeerForConfig(d.Address)
+	}
+}
+
+// askPeerForConfig fetches a newer configuration from a peer.
+func (c *control) askPeerForConfig(address string) {
+	if c.fetchingConfig {
+		return
+	}
+	c.fetchingConfig = true
+	known := c.version()
+	g := c.gateway
+	g.background(func(ctx context.Context) {
+		rec, err := g.opts.Peers.FetchConfig(ctx, address, known)
+		if err != nil {
+			g.opts.Log.WithError(err).WithField("address", address).Warn("peers: configuration not fetched")
+		} else if rec.Version > known {
+			g.takeConfig(rec.Data, "peer "+address)
+		}
+		g.loop.Post(loop.Func(func(time.Time) { c.fetchingConfig = false }))
+	})
+}
+
+// askPeersForList fetches the list of endpoints from the peer with the newest
+// one while the platform does not answer this host.
+func (c *control) askPeersForList(now time.Time) {
+	if c.fetchingList || c.directory.Age(now) < staleList || now.Sub(c.listAsked) < askListEvery {
+		return
+	}
+	best := ""
+	for address, p := range c.peers.peers {
+		if p.heard.IsZero() || now.Sub(p.heard) > heartbeatEvery*2 {
+			continue
+		}
+		if best == "" || p.listAge < c.peers.peers[best].listAge {
+			best = address
+		}
+	}
+	if best == "" || c.directory.Len() > 0 && c.peers.peers[best].listAge > staleList {
+		return
+	}
+	c.fetchingList = true
+	c.listAsked = now
+	g := c.gateway
+	g.background(func(ctx context.Context) {
+		list, err := g.opts.Peers.FetchEndpoints(ctx, best)
+		if err != nil {
+			g.opts.Log.WithError(err).WithField("address", best).Warn("peers: list of endpoints not fetched")
+		}
+		g.loop.Post(loop.Func(func(now time.Time) {
+			c.fetchingList = false
+			if err == nil && len(list) > 0 {
+				c.apply(now, c.directory.Merge(list))
+			}
+		}))
+	})
+}
+
+// HandleFetchConfig implements port.LoadHandler.
+func (g *Gateway) HandleFetchConfig(_ context.Context, newerThan model.Version) (port.ConfigRecord, error) {
+	rec := g.record.Load()
+	if rec == nil || rec.Version <= newerThan {
+		return port.ConfigRecord{}, nil
+	}
+	return *rec, nil
+}
+
+// HandleFetchEndpoints implements port.LoadHandler.
+func (g *Gateway) HandleFetchEndpoints(ctx context.Context) ([]directory.Entry, error) {
+	list, ok := ask(ctx, g, func(time.Time) []directory.Entry { return g.control.directory.Entries() })
+	if !ok {
+		return nil, errStopped
+	}
+	return list, nil
+}
+
+// sendDigests passes digests on to a peer until ctx ends. A broken stream is
+// opened again.
+func (g *Gateway) sendDigests(ctx context.Context, address string, mailbox <-chan port.LoadDigest) {
+	wait := time.Duration(0)
+	lost := false
+	for clock.Sleep(ctx, wait) {
+		sent, err := g.shareWith(ctx, address, mailbox)
+		if ctx.Err() != nil {
+			return
+		}
+		if sent > 0 {
+			wait = 0
+			lost = false
+		}
+		if err != nil && !lost {
+			lost = true
+			g.opts.Metrics.PeerError("share")
+			g.opts.Log.WithError(err).WithField("address", address).Warn("peers: lost")
+		}
+		wait = min(max(2*wait, firstReconnect), maxReconnect)
+	}
+}
+
+// shareWith opens a stream and sends digests until it breaks. It returns the
+// number sent.
+func (g *Gateway) shareWith(ctx context.Context, address string, mailbox <-chan port.LoadDigest) (int, error) {
+	stream, err := g.opts.Peers.Share(ctx, address)
+	if err != nil {
+		return 0, err
+	}
+	defer stream.Close()
+	for sent := 0; ; sent++ {
+		select {
+		case <-ctx.Done():
+			return sent, nil
+		case d := <-mailbox:
+			if err := stream.Send(d); err != nil {
+				return sent, err
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/route.go
@@ -0,0 +1,220 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/attempt"
+	"github.com/wigeonsail/wigeonsail/internal/core/balance"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/routing"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+const (
+	// answerSlack is how long after the time limit an endpoint's own answer about
+	// it is waited for. The rules count a request as held from 250 ms on.
+	answerSlack = 120 * time.Millisecond
+	// maxTries bounds the endpoints that are asked for one request, those that
+	// did not run it included.
+	maxTries = 4
+	// minTimeLeft is the least time left for which another try is begun.
+	minTimeLeft = 30 * time.Millisecond
+	// defaultPatience is the time that a caller waits who does not say.
+	defaultPatience = 30 * time.Second
+)
+
+// exchange is one request with its answer.
+type exchange struct {
+	gateway *Gateway
+	call    *port.RoutedCall
+	w       port.RoutedWriter
+	version model.Version
+	route   *routing.Route
+	account model.AccountName
+	ask     balance.Request
+
+	// tries counts the attempts, runs those that may have run.
+	tries int
+	runs  int
+	// started says that the answer's header was sent to the caller.
+	started bool
+	// first is when the first part of the answer was sent.
+	first time.Time
+	// lastEvent is the last event that the caller has.
+	lastEvent string
+	events    int
+	// fallback is an endpoint's own failure, which the caller gets when no other
+	// endpoint does better.
+	fallback *wholeAnswer
+}
+
+// wholeAnswer is an endpoint's answer with its whole body.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// Route implements port.CallRouter.
+func (g *Gateway) Route(ctx context.Context, call *port.RoutedCall, w port.RoutedWriter) bool {
+	g.running.Add(1)
+	defer g.running.Add(-1)
+	x, refusal := g.admit(call, w)
+	if refusal != nil {
+		g.logRefused(call, refusal)
+		return w.Refuse(refusal) == nil
+	}
+	ctx, cancel := context.WithDeadlineCause(ctx, x.ask.Deadline.Add(answerSlack), errDeadline)
+	defer cancel()
+	return x.run(ctx)
+}
+
+// admit checks a call against the configuration in force.
+func (g *Gateway) admit(call *port.RoutedCall, w port.RoutedWriter) (*exchange, *port.RequestError) {
+	table := g.table.Load()
+	if table == nil {
+		return nil, notReady()
+	}
+	route, ok := table.Route(call.Host, call.Path)
+	if !ok {
+		return nil, unknownRoute(call.Host, call.Path)
+	}
+	x := &exchange{gateway: g, call: call, w: w, route: route, version: table.Version(), lastEvent: call.LastEvent}
+	tier := route.Tier
+	if !route.Public {
+		account, ok := table.Account(call.Key)
+		if !ok {
+			return nil, unauthorized()
+		}
+		if account != nil {
+			x.account = account.Name
+			if account.HasTier {
+				tier = account.Tier
+			}
+		}
+	}
+	x.ask = balance.Request{
+		ID:       call.ID,
+		Pool:     route.PoolFor(g.draws.next()),
+		Prompt:   call.Prompt,
+		Tier:     tier,
+		Target:   route.Target,
+		Arrived:  call.Arrived,
+		Deadline: call.Arrived.Add(x.timeLimit()),
+	}
+	return x, nil
+}
+
+// timeLimit is the shorter of the caller's and the route's.
+func (x *exchange) timeLimit() time.Duration {
+	limit := x.call.Patience
+	if limit <= 0 {
+		limit = defaultPatience
+	}
+	if x.route.Timeout > 0 {
+		limit = min(limit, x.route.Timeout)
+	}
+	return limit
+}
+
+// tryEnd is the end of one attempt.
+type tryEnd struct {
+	// answered says that the caller has the whole answer.
+	answered bool
+	outcome  model.Outcome
+	// arrived says that the endpoint received the request.
+	arrived bool
+	failure balance.Failure
+	err     error
+}
+
+// run tries endpoints until one answers or nothing more may be tried.
+func (x *exchange) run(ctx context.Context) bool {
+	for {
+		decision, ok := x.gateway.place(ctx, x.ask)
+		if !ok {
+			return x.stop(ctx, tryEnd{outcome: model.OutcomeNotRun, err: context.Cause(ctx)})
+		}
+		x.logPlaced(decision)
+		if decision.Refused() {
+			return x.stop(ctx, tryEnd{outcome: model.OutcomeNotRun, err: &refusalError{decision: decision}})
+		}
+		begun := time.Now()
+		end := x.try(ctx, decision)
+		x.gateway.finish(x.call.ID, balance.Result{Failure: end.failure, Elapsed: time.Since(begun)})
+		x.logTried(decision, end)
+		if end.answered {
+			x.logAnswered()
+			return true
+		}
+		if !x.mayTryAgain(ctx, end) {
+			return x.stop(ctx, end)
+		}
+		x.ask.Avoid = append(x.ask.Avoid, decision.Endpoint)
+		x.ask.Repeat = x.ask.Repeat || end.arrived
+		x.gateway.opts.Metrics.Retried(model.ClassName(x.route.Name), failureName(end.failure))
+	}
+}
+
+// mayTryAgain says whether a failed attempt may be followed by another.
+func (x *exchange) mayTryAgain(ctx context.Context, end tryEnd) bool {
+	x.tries++
+	if end.outcome != model.OutcomeNotRun {
+		x.runs++
+	}
+	if ctx.Err() != nil || x.tries >= maxTries || x.runs >= max(x.route.MaxAttempts, 1) {
+		return false
+	}
+	return attempt.Allowed(time.Now().Add(minTimeLeft), attempt.Ended{
+		Idempotent: x.route.Repeatable(),
+		Outcome:    end.outcome,
+		Relayed:    x.events,
+		CanResume:  x.route.Resumable,
+		Deadline:   x.ask.Deadline,
+	})
+}
+
+// refusalError says that no endpoint was found for the next attempt.
+type refusalError struct{ decision balance.Decision }
+
+// Error implements error.
+func (e *refusalError) Error() string { return "no endpoint: " + string(e.decision.Reason) }
+
+// stop gives up: it tells the caller what is known of the request. It returns
+// false when the answer has begun and stays incomplete.
+func (x *exchange) stop(ctx context.Context, end tryEnd) bool {
+	cause := context.Cause(ctx)
+	if cause != nil && !errors.Is(cause, errDeadline) {
+		x.logGone()
+		return false
+	}
+	if x.started {
+		x.logBroken(end.err)
+		return false
+	}
+	if x.fallback != nil {
+		x.logPassed()
+		return x.w.Answer(x.fallback.status, x.fallback.header, x.fallback.body) == nil
+	}
+	answer := x.finalError(cause, end)
+	x.gateway.logGivenUp(x, answer, end.err)
+	return x.w.Refuse(answer) == nil
+}
+
+// finalError says whether the request may have run.
+func (x *exchange) finalError(cause error, end tryEnd) *port.RequestError {
+	if x.runs > 0 || end.outcome != model.OutcomeNotRun {
+		if cause != nil {
+			return failed(cause)
+		}
+		return failed(end.err)
+	}
+	var refusal *refusalError
+	if errors.As(end.err, &refusal) {
+		return refused(refusal.decision.Reason, refusal.decision.RetryAfter)
+	}
+	return refused(balance.ReasonNoEndpoint, notReadyRetryAfter)
+}
--- /dev/null
+++ b/internal/gateway/try.go
@@ -0,0 +1,243 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/balance"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+const (
+	// silenceFactor and minSilence bound the wait for a first answer of a
+	// request that may be repeated, in targets of its route.
+	silenceFactor = 3
+	minSilence    = 700 * time.Millisecond
+	// gapFactor and minGap bound the pause between two events of a stream that
+	// may be resumed, in longest pauses of its route.
+	gapFactor = 5
+	minGap    = 1200 * time.Millisecond
+)
+
+// try sends one attempt and passes its answer on.
+func (x *exchange) try(ctx context.Context, decision balance.Decision) tryEnd {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := x.watchSilence(cancel)
+	defer watch.stop()
+	reply, err := x.gateway.opts.Endpoints.Send(ctx, port.RoutedAttempt{
+		Call:      x.call,
+		Endpoint:  decision.Endpoint,
+		Address:   decision.Address,
+		Account:   x.account,
+		TimeLeft:  time.Until(x.ask.Deadline),
+		Priority:  decision.Priority,
+		FetchFrom: decision.FetchFrom,
+		LastEvent: x.lastEvent,
+	})
+	if err != nil {
+		return endOf(ctx, err)
+	}
+	defer reply.Close()
+	switch {
+	case reply.Refused():
+		return tryEnd{outcome: model.OutcomeNotRun, arrived: true, failure: balance.FailureRefused, err: statusError(reply.Status())}
+	case reply.Status()/100 != 2:
+		return x.takeFailure(ctx, reply)
+	case !reply.Authentic():
+		return tryEnd{outcome: model.OutcomeUnknown, arrived: true, failure: balance.FailureBroken, err: errUnsigned}
+	case reply.Events():
+		return x.relay(ctx, reply, watch)
+	default:
+		return x.passWhole(ctx, reply)
+	}
+}
+
+// passWhole passes an answer on once its whole body has come.
+func (x *exchange) passWhole(ctx context.Context, reply port.RoutedReply) tryEnd {
+	body, err := reply.Body()
+	if err != nil {
+		return endOf(ctx, err)
+	}
+	x.gateway.firstAnswer(x.call.ID)
+	x.first = time.Now()
+	return tryEnd{
+		answered: x.w.Answer(reply.Status(), reply.Header(), body) == nil,
+		outcome:  model.OutcomeRan,
+		arrived:  true,
+		err:      errCallerGone,
+	}
+}
+
+var errCallerGone = errors.New("the caller has gone")
+
+// takeFailure keeps an endpoint's own failure for the caller, unless its status
+// would promise that the request has not run.
+func (x *exchange) takeFailure(ctx context.Context, reply port.RoutedReply) tryEnd {
+	status := reply.Status()
+	end := tryEnd{outcome: model.OutcomeRan, arrived: true, failure: balance.FailureError, err: statusError(status)}
+	body, err := reply.Body()
+	if err != nil {
+		return endOf(ctx, err)
+	}
+	if reply.Authentic() && !promisesNotRun(status) {
+		x.fallback = &wholeAnswer{status: status, header: reply.Header(), body: body}
+	}
+	if status < http.StatusInternalServerError {
+		// The caller's own fault is no sign of a bad endpoint, and others would
+		// say the same.
+		end.failure = balance.FailureNone
+		x.runs = maxTries
+	}
+	return end
+}
+
+// promisesNotRun says that callers take a status as a promise that the request
+// has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest,
+		http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// relay passes a stream's events on as they come.
+func (x *exchange) relay(ctx context.Context, reply port.RoutedReply, watch *silenceWatch) tryEnd {
+	for {
+		batch, err := reply.Next()
+		if errors.Is(err, io.EOF) {
+			return x.streamEnded(reply)
+		}
+		if err != nil {
+			return endOf(ctx, err)
+		}
+		if x.events == 0 {
+			x.first = time.Now()
+		}
+		if batch.Events > 0 {
+			watch.heard(x.maxGap())
+			x.gateway.firstAnswer(x.call.ID)
+		}
+		if err := x.passEvents(reply, batch); err != nil {
+			return tryEnd{outcome: model.OutcomeRan, arrived: true, err: err}
+		}
+	}
+}
+
+// passEvents writes events to the caller, after the header of the first reply.
+func (x *exchange) passEvents(reply port.RoutedReply, batch port.EventBatch) error {
+	if err := x.begin(reply); err != nil {
+		return err
+	}
+	if err := x.w.Write(batch.Data); err != nil {
+		return err
+	}
+	x.events += batch.Events
+	if batch.Last != "" {
+		x.lastEvent = batch.Last
+	}
+	return nil
+}
+
+func (x *exchange) begin(reply port.RoutedReply) error {
+	if x.started {
+		return nil
+	}
+	x.started = true
+	return x.w.Start(reply.Status(), reply.Header())
+}
+
+// streamEnded ends a stream that its endpoint completed.
+func (x *exchange) streamEnded(reply port.RoutedReply) tryEnd {
+	err := x.begin(reply)
+	return tryEnd{answered: err == nil, outcome: model.OutcomeRan, arrived: true, err: err}
+}
+
+// endOf translates the error of an attempt.
+func endOf(ctx context.Context, err error) tryEnd {
+	end := tryEnd{outcome: model.OutcomeUnknown, arrived: true, failure: balance.FailureBroken, err: err}
+	var failure *port.EndpointError
+	if errors.As(err, &failure) {
+		end.outcome = failure.Outcome
+		if failure.Outcome == model.OutcomeNotRun {
+			end.arrived = false
+			end.failure = balance.FailureUnreachable
+		}
+	}
+	cause := context.Cause(ctx)
+	if cause != nil && !errors.Is(cause, errSilent) {
+		// The caller has gone or the time is up: that says little of the
+		// endpoint.
+		end.failure = balance.FailureNone
+	}
+	return end
+}
+
+// statusError is the cause for an endpoint's status.
+type statusError int
+
+// Error implements error.
+func (e statusError) Error() string { return "the endpoint answered " + http.StatusText(int(e)) }
+
+// failureName names a failure in metrics and logs.
+func failureName(f balance.Failure) string {
+	switch f {
+	case balance.FailureRefused:
+		return "refused"
+	case balance.FailureError:
+		return "error"
+	case balance.FailureBroken:
+		return "broken"
+	case balance.FailureUnreachable:
+		return "unreachable"
+	default:
+		return "none"
+	}
+}
+
+// maxGap is the longest pause between two events; 0 for a stream that cannot go
+// on elsewhere.
+func (x *exchange) maxGap() time.Duration {
+	if !x.route.Resumable || x.route.MaxGap <= 0 {
+		return 0
+	}
+	return max(gapFactor*x.route.MaxGap, minGap)
+}
+
+// silenceWatch ends an attempt whose endpoint says nothing while another could
+// do the work.
+type silenceWatch struct{ timer *time.Timer }
+
+// watchSilence waits for the first answer. Requests that may not be repeated
+// wait until their time limit.
+func (x *exchange) watchSilence(cancel context.CancelCauseFunc) *silenceWatch {
+	if !x.route.Repeatable() || x.runs+1 >= x.route.MaxAttempts {
+		return &silenceWatch{}
+	}
+	limit := max(silenceFactor*x.route.Target, minSilence)
+	return &silenceWatch{timer: time.AfterFunc(limit, func() { cancel(errSilent) })}
+}
+
+// heard starts the wait for the next event; 0 ends the watch.
+func (w *silenceWatch) heard(gap time.Duration) {
+	switch {
+	case w.timer == nil:
+	case gap <= 0:
+		w.timer.Stop()
+	default:
+		w.timer.Reset(gap)
+	}
+}
+
+func (w *silenceWatch) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
--- /dev/null
+++ b/internal/port/share.go
@@ -0,0 +1,52 @@
+package port
+
+import (
+	"context"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/balance"
+	"github.com/wigeonsail/wigeonsail/internal/core/directory"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+)
+
+// LoadDigest is what a host tells the others of itself.
+type LoadDigest struct {
+	Host        model.HostID
+	Incarnation model.Incarnation
+	Domain      model.DomainName
+	// Address is where the host serves its peers.
+	Address string
+	Leaving bool
+	// Version is the configuration in force at the host.
+	Version model.Version
+	// ListAge is the age of the host's list of endpoints.
+	ListAge time.Duration
+	// Loads is the host's work.
+	Loads []balance.EndpointLoad
+	// Known are addresses of other hosts; empty when they did not change.
+	Known []string
+}
+
+// LoadPeers tells other hosts what this one does.
+type LoadPeers interface {
+	// Share opens a stream of digests to a peer.
+	Share(ctx context.Context, address string) (LoadStream, error)
+	// FetchConfig returns the peer's configuration when it is newer.
+	FetchConfig(ctx context.Context, address string, newerThan model.Version) (ConfigRecord, error)
+	// FetchEndpoints returns the peer's list of endpoints.
+	FetchEndpoints(ctx context.Context, address string) ([]directory.Entry, error)
+}
+
+// LoadStream carries digests to one peer.
+type LoadStream interface {
+	// Send fails with a *PeerError when the stream has ended.
+	Send(digest LoadDigest) error
+	Close()
+}
+
+// LoadHandler takes what other hosts tell and ask.
+type LoadHandler interface {
+	HandleLoad(digest LoadDigest)
+	HandleFetchConfig(ctx context.Context, newerThan model.Version) (ConfigRecord, error)
+	HandleFetchEndpoints(ctx context.Context) ([]directory.Entry, error)
+}
--- /dev/null
+++ b/internal/server/gateway.go
@@ -0,0 +1,163 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/wigeonsail/wigeonsail/internal/adapter/peergrpc"
+	"github.com/wigeonsail/wigeonsail/internal/core/attempt"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/gateway"
+	"github.com/wigeonsail/wigeonsail/internal/metrics"
+	"github.com/wigeonsail/wigeonsail/internal/settings"
+	"github.com/wigeonsail/wigeonsail/platform"
+)
+
+// sideHeaderTimeout bounds reading a header on the readiness and metrics
+// listeners.
+const sideHeaderTimeout = 2 * time.Second
+
+// Gateway is an entry host on the users' platform with its listeners.
+type Gateway struct {
+	settings  *settings.Gateway
+	log       log.Interface
+	metrics   *metrics.Metrics
+	gateway   *gateway.Gateway
+	replicas  *platform.Replicas
+	store     *platform.Store
+	ingress   *platform.Ingress
+	peers     *peergrpc.Server
+	peerCalls *peergrpc.Client
+	sides     []*http.Server
+	listeners map[string]net.Listener
+	serving   errgroup.Group
+}
+
+// NewGateway builds the parts and opens the listeners. It serves nothing yet.
+func NewGateway(s *settings.Gateway, logger log.Interface) (*Gateway, error) {
+	now := time.Now()
+	counts, err := metrics.New(metrics.Options{})
+	if err != nil {
+		return nil, err
+	}
+	auth := peergrpc.Auth{Secret: s.Peers.Secret}
+	peerCalls, err := peergrpc.NewClient(auth)
+	if err != nil {
+		return nil, errors.Join(err, counts.Close())
+	}
+	g := &Gateway{
+		settings:  s,
+		log:       logger,
+		metrics:   counts,
+		replicas:  platform.NewReplicas(),
+		store:     platform.NewStore(s.Platform.Address),
+		peerCalls: peerCalls,
+	}
+	g.gateway = gateway.New(gateway.Options{
+		Host:        model.HostID(s.Host),
+		Domain:      model.DomainName(s.Domain),
+		Incarnation: model.Incarnation(now.UnixNano()),
+		Seed:        uint64(now.UnixNano()),
+		Endpoints:   g.replicas,
+		Lists:       g.store,
+		Decoder:     platform.Decoder{},
+		ListEvery:   s.Platform.ListEvery.Std(),
+		Peers:       peerCalls,
+		PeerAddress: s.Listen.Peers,
+		Seeds:       s.Peers.Seeds,
+		ShareEvery:  s.Peers.ShareEvery.Std(),
+		Budget: attempt.WindowOptions{
+			Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Std(),
+		},
+		Log:     logger,
+		Metrics: counts,
+	})
+	g.ingress = platform.NewIngress(platform.IngressOptions{Router: g.gateway, Log: logger})
+	g.peers, err = peergrpc.NewLoadServer(auth, g.gateway)
+	if err != nil {
+		return nil, errors.Join(err, counts.Close())
+	}
+	if err := g.listen(); err != nil {
+		return nil, errors.Join(err, counts.Close())
+	}
+	return g, nil
+}
+
+// listen opens all listeners, or none.
+func (g *Gateway) listen() error {
+	g.listeners = make(map[string]net.Listener)
+	for key, address := range map[string]string{
+		"callers":   g.settings.Listen.Callers,
+		"readiness": g.settings.Listen.Readiness,
+		"peers":     g.settings.Listen.Peers,
+		"metrics":   g.settings.Listen.Metrics,
+	} {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, open := range g.listeners {
+				_ = open.Close()
+			}
+			return &ListenError{Key: key, Cause: err}
+		}
+		g.listeners[key] = listener
+	}
+	return nil
+}
+
+// Start serves until Shutdown.
+func (g *Gateway) Start() {
+	g.gateway.Start()
+	g.serving.Go(func() error { return g.ingress.Serve(g.listeners["callers"]) })
+	g.serving.Go(func() error { return g.peers.Serve(g.listeners["peers"]) })
+	g.serveSide(g.listeners["readiness"], platform.NewReadiness(g.gateway))
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", g.metrics.Handler())
+	g.serveSide(g.listeners["metrics"], mux)
+	g.log.WithFields(log.Fields{
+		"host": g.settings.Host, "domain": g.settings.Domain, "callers": g.settings.Listen.Callers,
+		"peers": g.settings.Listen.Peers, "seeds": g.settings.Peers.Seeds,
+	}).Info("host: started")
+}
+
+func (g *Gateway) serveSide(listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: sideHeaderTimeout}
+	g.sides = append(g.sides, server)
+	g.serving.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+}
+
+// Shutdown ends the host: it says that it is not ready, serves what still
+// reaches it for the linger time, and ends when no request is in progress or
+// ctx ends.
+func (g *Gateway) Shutdown(ctx context.Context) error {
+	g.log.WithField("linger_ms", g.settings.Shutdown.Linger.Std().Milliseconds()).Info("host: leaving")
+	g.gateway.Leave()
+	linger, cancel := context.WithTimeout(ctx, g.settings.Shutdown.Linger.Std())
+	<-linger.Done()
+	cancel()
+	drained := g.gateway.Drain(ctx)
+	closed := errors.Join(g.ingress.Shutdown(ctx), g.ingress.Close())
+	for _, side := range g.sides {
+		closed = errors.Join(closed, side.Close())
+	}
+	ended, end := context.WithCancel(ctx)
+	end()
+	g.peers.Shutdown(ended)
+	g.gateway.Close()
+	g.peerCalls.Close()
+	g.replicas.Close()
+	g.store.Close()
+	served := g.serving.Wait()
+	g.log.Info("host: left")
+	return errors.Join(drained, closed, served, g.metrics.Close())
+}
