Close idle connections once the linger time of a leaving host is over

Callers sent requests on kept connections six seconds after SIGTERM, and the process ended before their answers. Ruled out: requests sent within the linger time; all of them ended. Change: after the linger time the listener and the idle connections close. Also log what is to be read at an endpoint before a request.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -71,6 +71,10 @@
 	// oldest peer's share in it.
 	InFlight int
 	PeersAge time.Duration
+	// Pending are the prompt tokens to be read at the endpoint before, by tier,
+	// and Own those that the request adds.
+	Pending [Tiers]int
+	Own     int
 	// Reason and RetryAfter belong to a refusal.
 	Reason     Reason
 	RetryAfter time.Duration
@@ -245,6 +249,9 @@
 		InFlight:  e.own.Count + e.peers.Count,
 		PeersAge:  b.peersAge(now),
 	}
+	total := e.own
+	total.sum(e.peers)
+	d.Pending, d.Own = total.Pending, c.pending
 	e.own.add(req.Tier, r.pending, r.memory, 1)
 	e.opened = max(e.opened, e.own.Count)
 	if key := req.Prompt.SharedKey(); key != 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,7 +61,6 @@
 	// usable says that the list has endpoints.
 	usable  atomic.Bool
 	leaving atomic.Bool
-	running atomic.Int64
 	draws   draws
 	ctx     context.Context
 	stop    context.CancelFunc
@@ -97,8 +96,8 @@
 	}
 }
 
-// Close ends the control loop. Requests in progress fail, so Drain comes
-// first.
+// Close ends the control loop. Requests in progress fail, so callers are
+// drained first.
 func (g *Gateway) Close() {
 	g.stop()
 	g.workers.Wait()
@@ -121,26 +120,9 @@
 	return table.Limits()
 }
 
-// drainCheckEvery bounds how late Drain sees that the last request has ended.
-const drainCheckEvery = 50 * time.Millisecond
-
 // Leave makes the host not ready. It goes on serving what reaches it.
 func (g *Gateway) Leave() { g.leaving.Store(true) }
 
-// Drain waits until no request is in progress, or ctx ends.
-func (g *Gateway) Drain(ctx context.Context) error {
-	ticker := time.NewTicker(drainCheckEvery)
-	defer ticker.Stop()
-	for g.running.Load() > 0 {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
-	return nil
-}
-
 // background runs work outside the control loop until Close.
 func (g *Gateway) background(work func(ctx context.Context)) {
 	g.workers.Go(func() { work(g.ctx) })
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -51,6 +51,8 @@
 	f["fetch_from"] = d.FetchFrom
 	f["expected_ms"] = d.Expected.Milliseconds()
 	f["in_flight"] = d.InFlight
+	f["pending"] = d.Pending
+	f["own"] = d.Own
 	f["peers_age_ms"] = d.PeersAge.Milliseconds()
 	x.gateway.opts.Log.WithFields(f).Info("request: placed")
 }
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -60,8 +60,6 @@
 
 // Route implements port.CallRouter.
 func (g *Gateway) Route(ctx context.Context, call *port.RoutedCall, w port.RoutedWriter) bool {
-	g.running.Add(1)
-	defer g.running.Add(-1)
 	x, refusal := g.admit(call, w)
 	if refusal != nil {
 		g.logRefused(call, refusal)
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -136,17 +136,18 @@
 	})
 }
 
-// Shutdown ends the host: it says that it is not ready, serves what still
-// reaches it for the linger time, and ends when no request is in progress or
-// ctx ends.
+// Shutdown ends the host: it says that it is not ready and serves what still
+// reaches it for the linger time. Then it closes the listener and the idle
+// connections, whose callers would else send requests that can't be finished,
+// and ends when no request is in progress or ctx ends.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	g.log.WithField("linger_ms", g.settings.Shutdown.Linger.Std().Milliseconds()).Info("host: leaving")
 	g.gateway.Leave()
 	linger, cancel := context.WithTimeout(ctx, g.settings.Shutdown.Linger.Std())
 	<-linger.Done()
 	cancel()
-	drained := g.gateway.Drain(ctx)
-	closed := errors.Join(g.ingress.Shutdown(ctx), g.ingress.Close())
+	drained := g.ingress.Shutdown(ctx)
+	closed := g.ingress.Close()
 	for _, side := range g.sides {
 		closed = errors.Join(closed, side.Close())
 	}
