Order the requests of one tier by their route's priority at the engines

Nearly all accounts have the same tier, which takes precedence over the route's, so that questions and drafts had one engine priority and questions waited for whole drafts to be read. Ruled out: a wrong decoding; the platform's page lets the account's precede. Change: the engine's priority is the tier times three plus the route's own.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -27,7 +27,10 @@
 	ID     model.RequestID
 	Pool   model.PoolName
 	Prompt model.Prompt
-	Tier   model.Tier
+	// Tier is the caller's or the route's, Rank the route's own, which orders the
+	// requests of one tier.
+	Tier model.Tier
+	Rank model.Tier
 	// Target is the time in which the answer or its first event should come.
 	Target time.Duration
 	// Arrived is when the caller sent it, Deadline when nobody waits any more.
@@ -40,6 +43,15 @@
 	Repeat bool
 }
 
+// ranksPerTier is the number of ranks that are told apart within a tier.
+const ranksPerTier = 3
+
+// priority is the engine's priority: by tier first, by rank within a tier.
+func (r *Request) priority() int {
+	rank := min(max(int(r.Rank), 0), ranksPerTier-1)
+	return min(max(int(r.Tier), 0)*ranksPerTier+rank, Priorities-1)
+}
+
 // Reason tells why a request was refused.
 type Reason string
 
@@ -71,9 +83,9 @@
 	// oldest peer's share in it.
 	InFlight int
 	PeersAge time.Duration
-	// Pending are the prompt tokens to be read at the endpoint before, by tier,
-	// and Own those that the request adds.
-	Pending [Tiers]int
+	// Pending are the prompt tokens to be read at the endpoint before, by
+	// priority, and Own those that the request adds.
+	Pending [Priorities]int
 	Own     int
 	// Reason and RetryAfter belong to a refusal.
 	Reason     Reason
@@ -243,7 +255,7 @@
 	d := Decision{
 		Endpoint:  e.Name,
 		Address:   e.Address,
-		Priority:  int(req.Tier),
+		Priority:  req.priority(),
 		FetchFrom: c.fetchFrom,
 		Expected:  c.expected,
 		InFlight:  e.own.Count + e.peers.Count,
@@ -252,7 +264,7 @@
 	total := e.own
 	total.sum(e.peers)
 	d.Pending, d.Own = total.Pending, c.pending
-	e.own.add(req.Tier, r.pending, r.memory, 1)
+	e.own.add(req.priority(), r.pending, r.memory, 1)
 	e.opened = max(e.opened, e.own.Count)
 	if key := req.Prompt.SharedKey(); key != 0 {
 		b.holders.note(now, key, e.Name)
@@ -267,7 +279,7 @@
 	if r == nil {
 		return
 	}
-	r.endpoint.own.add(r.req.Tier, -r.pending, 0, 0)
+	r.endpoint.own.add(r.req.priority(), -r.pending, 0, 0)
 	r.pending = 0
 	r.endpoint.learn(now, now.Sub(r.granted), r.expected)
 	b.changed = true
@@ -280,7 +292,7 @@
 		return
 	}
 	delete(b.running, id)
-	r.endpoint.own.add(r.req.Tier, -r.pending, -r.memory, -1)
+	r.endpoint.own.add(r.req.priority(), -r.pending, -r.memory, -1)
 	r.endpoint.ended(now, res.Failure)
 	b.changed = true
 }
--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -128,7 +128,7 @@
 	if source == nil {
 		c.pending += shared
 	}
-	tokens := total.pending(req.Tier) + float64(c.pending)
+	tokens := total.pending(req.priority()) + float64(c.pending)
 	wait := time.Duration((tokens/readRate + fetch) * float64(time.Millisecond))
 	busy := time.Duration(total.Count) * perRequest
 	c.expected = time.Duration(e.slowness * float64(firstAnswerBase+wait+busy))
--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -7,7 +7,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/directory"
-	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
 
 const (
@@ -118,19 +117,19 @@
 type Load struct {
 	// Count is the number of requests.
 	Count int
-	// Pending are the prompt tokens that are still to be read, by tier.
-	Pending [Tiers]int
+	// Pending are the prompt tokens that are still to be read, by priority.
+	Pending [Priorities]int
 	// Memory is the number of tokens that the requests hold.
 	Memory int
 }
 
-// Tiers is the number of tiers that are told apart; higher ones count as the
-// last.
-const Tiers = 4
+// Priorities is the number of priorities that engines tell apart; 0 is served
+// first.
+const Priorities = 10
 
-func (l *Load) add(tier model.Tier, pending, memory, count int) {
+func (l *Load) add(priority, pending, memory, count int) {
 	l.Count += count
-	l.Pending[min(max(int(tier), 0), Tiers-1)] += pending
+	l.Pending[priority] += pending
 	l.Memory += memory
 }
 
@@ -144,12 +143,12 @@
 }
 
 // pending returns the prompt tokens that are read before those of a request of
-// the tier. Less urgent ones count in part, since what an engine has begun to
-// read it goes on with.
-func (l *Load) pending(tier model.Tier) float64 {
+// the priority. Less urgent ones count in part, since what an engine has begun
+// to read it goes on with.
+func (l *Load) pending(priority int) float64 {
 	total := 0.0
 	for i, n := range l.Pending {
-		if i <= int(tier) {
+		if i <= priority {
 			total += float64(n)
 		} else {
 			total += lessUrgentShare * float64(n)
