Place by what endpoints are known to hold, at the price of a request's worth

Ruled out: evictions; 148 shared prompts take a sixth of the memory. Change: hosts tell each other which endpoint holds or reads which parts; what is still to be read is estimated over time; the cost of a choice is the chance to be late by rank plus the price of moved and re-read tokens, connections and bytes between domains.

--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -132,6 +132,7 @@
 		ListAgeMs:   d.ListAge.Milliseconds(),
 		Loads:       convert(d.Loads, endpointLoadToWire),
 		Known:       d.Known,
+		Marks:       convert(d.Marks, markToWire),
 	}
 }
 
@@ -146,17 +147,32 @@
 		ListAge:     time.Duration(d.GetListAgeMs()) * time.Millisecond,
 		Loads:       convert(d.GetLoads(), endpointLoadFromWire),
 		Known:       d.GetKnown(),
+		Marks:       convert(d.GetMarks(), markFromWire),
 	}
 }
 
 func endpointLoadToWire(l balance.EndpointLoad) *peer.EndpointLoad {
 	out := &peer.EndpointLoad{Endpoint: string(l.Endpoint), Count: int64(l.Count), Memory: int64(l.Memory)}
-	for _, n := range l.Pending {
+	for i, n := range l.Pending {
+		if n == 0 {
+			continue
+		}
+		for len(out.Pending) < i {
+			out.Pending = append(out.Pending, 0)
+		}
 		out.Pending = append(out.Pending, int64(n))
 	}
 	return out
 }
 
+func markToWire(m balance.Mark) *peer.PartMark {
+	return &peer.PartMark{Key: uint64(m.Key), Endpoint: string(m.Endpoint), Held: m.Held}
+}
+
+func markFromWire(m *peer.PartMark) balance.Mark {
+	return balance.Mark{Key: model.PartID(m.GetKey()), Endpoint: model.EndpointName(m.GetEndpoint()), Held: m.GetHeld()}
+}
+
 func endpointLoadFromWire(l *peer.EndpointLoad) balance.EndpointLoad {
 	out := balance.EndpointLoad{
 		Endpoint: model.EndpointName(l.GetEndpoint()),
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -48,10 +48,11 @@
 
 // priority is the engine's priority: by tier first, by rank within a tier.
 func (r *Request) priority() int {
-	rank := min(max(int(r.Rank), 0), ranksPerTier-1)
-	return min(max(int(r.Tier), 0)*ranksPerTier+rank, Priorities-1)
+	return min(max(int(r.Tier), 0)*ranksPerTier+r.rank(), Priorities-1)
 }
 
+func (r *Request) rank() int { return min(max(int(r.Rank), 0), ranksPerTier-1) }
+
 // Reason tells why a request was refused.
 type Reason string
 
@@ -132,6 +133,8 @@
 	holders holders
 	// changed says that the own load differs from the last OwnLoad.
 	changed bool
+	// refreshed is when the pending tokens were last worked out.
+	refreshed time.Time
 }
 
 type pool struct {
@@ -146,9 +149,13 @@
 	endpoint *endpoint
 	granted  time.Time
 	expected time.Duration
-	// pending are the prompt tokens that the endpoint has still to read.
+	// read are the prompt tokens that the endpoint had to read, pending those
+	// that it has likely still to read.
+	read    int
 	pending int
 	memory  int
+	// answered says that the first answer has come.
+	answered bool
 }
 
 // New returns a Balancer without pools and endpoints.
@@ -247,7 +254,8 @@
 		endpoint: e,
 		granted:  now,
 		expected: c.expected,
-		pending:  c.pending,
+		read:     c.read,
+		pending:  c.read,
 		memory:   memoryOf(&req.Prompt),
 	}
 	b.running[req.ID] = r
@@ -263,11 +271,11 @@
 	}
 	total := e.own
 	total.sum(e.peers)
-	d.Pending, d.Own = total.Pending, c.pending
+	d.Pending, d.Own = total.Pending, c.read
 	e.own.add(req.priority(), r.pending, r.memory, 1)
 	e.opened = max(e.opened, e.own.Count)
 	if key := req.Prompt.SharedKey(); key != 0 {
-		b.holders.note(now, key, e.Name)
+		b.holders.granted(now, key, e.Name)
 	}
 	return d
 }
@@ -276,11 +284,16 @@
 // another request, has come.
 func (b *Balancer) FirstAnswer(now time.Time, id model.RequestID) {
 	r := b.running[id]
-	if r == nil {
+	if r == nil || r.answered {
 		return
 	}
 	r.endpoint.own.add(r.req.priority(), -r.pending, 0, 0)
 	r.pending = 0
+	r.read = 0
+	if key := r.req.Prompt.SharedKey(); key != 0 {
+		b.holders.read(now, key, r.endpoint.Name)
+	}
+	r.answered = true
 	r.endpoint.learn(now, now.Sub(r.granted), r.expected)
 	b.changed = true
 }
@@ -297,6 +310,40 @@
 	b.changed = true
 }
 
+// refreshEvery is the least time between two estimates of what is still to be
+// read.
+const refreshEvery = 10 * time.Millisecond
+
+// leastPending is the part of a prompt that counts as not yet read until the
+// first event has come.
+const leastPending = 0.15
+
+// refresh estimates what is still to be read of this host's requests.
+func (b *Balancer) refresh(now time.Time) {
+	if now.Sub(b.refreshed) < refreshEvery {
+		return
+	}
+	b.refreshed = now
+	for _, r := range b.running {
+		if r.read == 0 {
+			continue
+		}
+		left := r.left(now)
+		r.endpoint.own.add(r.req.priority(), left-r.pending, 0, 0)
+		r.pending = left
+	}
+}
+
+// left estimates the prompt tokens that the endpoint has not read yet: it reads
+// them in the last part of the expected time.
+func (r *running) left(now time.Time) int {
+	own := float64(r.read) * readTime
+	begins := float64(r.expected.Milliseconds()) - firstEventBase - own
+	elapsed := float64(now.Sub(r.granted).Milliseconds())
+	part := 1 - (elapsed-begins)/max(own, 1)
+	return int(float64(r.read) * min(max(part, leastPending), 1))
+}
+
 // Usable says whether any endpoint takes requests.
 func (b *Balancer) Usable(now time.Time) bool {
 	for _, e := range b.endpoints {
--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -1,53 +1,87 @@
 package balance
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
 
+// An engine as a request sees it. What an endpoint does faster or slower is
+// learned as its slowness.
 const (
-	// readRate is the prompt tokens that an engine reads in a millisecond; the
-	// learned slowness corrects it for each endpoint.
-	readRate = 60.0
-	// firstAnswerBase is the time to the first event of an idle engine.
-	firstAnswerBase = 95 * time.Millisecond
-	// perRequest is what each request at an engine adds to the time of a step.
-	perRequest = 500 * time.Microsecond
-	// queuedRequest is what each request above an engine's slots adds.
-	queuedRequest = 50 * time.Millisecond
-	// memoryPart is the part of an engine's memory from which on requests are
-	// likely to be preempted, memoryPenalty what that costs.
-	memoryPart    = 0.9
-	memoryPenalty = 3 * time.Second
-	// otherDomain is the cost of an endpoint in another failure domain: the way
-	// there and the bytes between domains.
-	otherDomain = 5 * time.Millisecond
-	// newConnection is the cost of opening a connection.
-	newConnection = 8 * time.Millisecond
-	// awayFromHome is the cost of each 1,000 shared tokens that another endpoint
-	// than their home has to get.
-	awayFromHome = 20 * time.Millisecond
-	// fetchRate is the tokens that move between engines in a millisecond.
-	fetchRate = 2000.0
+	// firstEventBase is the time to the first event of an idle engine for a
+	// prompt without tokens, in milliseconds.
+	firstEventBase = 95.0
+	// readTime is the time to read a prompt token, in milliseconds, readTimeEach
+	// what each running request adds: their tokens are made in between.
+	readTime     = 0.028
+	readTimeEach = 0.0006
+	// fetchBase and fetchTime are the time to get parts from another endpoint:
+	// for the first token and for each, in milliseconds.
+	fetchBase = 4.0
+	fetchTime = 0.0005
+	// lessUrgentShare is the part of less urgent prompts that is read first,
+	// since an engine goes on with what it has begun.
+	lessUrgentShare = 0.2
 	// outputPart is the part of the longest answer that a request is expected to
 	// hold in memory.
 	outputPart = 0.5
-	// serviceBase is the time that a plain service is expected to take.
-	serviceBase = 45 * time.Millisecond
-	// failurePenalty is the cost of an endpoint that fails all requests.
-	failurePenalty = time.Second
+	// serviceBase is the time that a plain service is expected to take, in
+	// milliseconds.
+	serviceBase = 45.0
 )
 
+// The costs of a choice, as parts of what a request in time is worth.
+const (
+	// movedTokens is the cost of moving 1,000 tokens between endpoints,
+	// reReadTokens that of reading them although another endpoint holds them.
+	movedTokens  = 0.022
+	reReadTokens = 0.075
+	// awayFromHome is the cost of reading parts for the first time at another
+	// endpoint than their home: hosts that do so at once read them twice.
+	awayFromHome = 0.05
+	// otherDomain is the cost of bytes between failure domains, newConnection
+	// that of a connection.
+	otherDomain   = 0.02
+	newConnection = 0.05
+	// overMemory is the cost of a request that has to be preempted, overSlots
+	// that of each request above an engine's slots.
+	overMemory = 0.8
+	overSlots  = 0.1
+	// failing is the cost of an attempt that fails.
+	failing = 1.0
+	// crowding is the cost of reading for a second before requests that have a
+	// second to be read: it delays all that come later.
+	crowding = 0.6
+	// slowerAnswer is the cost of an answer that takes all of its target, apart
+	// from being late.
+	slowerAnswer = 0.05
+)
+
+// lateness is the cost of a late answer by the rank of its route.
+var lateness = [ranksPerTier]float64{2, 1.3, 0.9}
+
+// The chance to be late: a half when the expected time is evenTime of the
+// target, and rising with its lateSlope'th power.
+const (
+	evenTime  = 0.75
+	lateSlope = 3.0
+)
+
+// memoryPart is the part of an engine's memory from which on requests are
+// likely to be preempted.
+const memoryPart = 0.9
+
 // choice is an endpoint with what is expected of it.
 type choice struct {
 	endpoint *endpoint
-	// expected is the time to the first answer, cost the time with the price of
-	// moved tokens, connections and the like.
-	expected  time.Duration
-	cost      time.Duration
-	pending   int
+	// expected is the time to the first answer.
+	expected time.Duration
+	cost     float64
+	// read is the number of tokens that the endpoint has to read.
+	read      int
 	fetchFrom string
 	// retryAfter is when to come back when no endpoint was found.
 	retryAfter time.Duration
@@ -58,6 +92,7 @@
 	if p.engine != nil && req.Prompt.InputTokens > p.engine.CacheTokens {
 		return choice{retryAfter: maxRetryAfter}, ReasonTooLarge
 	}
+	b.refresh(now)
 	best := b.cheapest(now, p, req, req.Avoid)
 	if best.endpoint == nil && len(req.Avoid) > 0 {
 		best = b.cheapest(now, p, req, nil)
@@ -69,13 +104,13 @@
 }
 
 func (b *Balancer) cheapest(now time.Time, p *pool, req *Request, avoid []model.EndpointName) choice {
-	home, source := b.home(now, p, req.Prompt.SharedKey())
+	where := b.locate(now, p, &req.Prompt)
 	var best choice
 	for _, e := range p.endpoints {
 		if !e.usable(now) || slices.Contains(avoid, e.Name) {
 			continue
 		}
-		c := b.price(now, p, req, e, home, source)
+		c := b.price(now, p, req, e, where)
 		if best.endpoint == nil || c.cost < best.cost {
 			best = c
 		}
@@ -84,61 +119,90 @@
 }
 
 // price works out what a request costs at an endpoint.
-func (b *Balancer) price(now time.Time, p *pool, req *Request, e *endpoint, home, source *endpoint) choice {
+func (b *Balancer) price(now time.Time, p *pool, req *Request, e *endpoint, where whereabouts) choice {
 	e.fade(now)
 	c := choice{endpoint: e}
+	var ms float64
 	if p.engine == nil {
-		c.expected = e.serviceTime()
-		c.cost = c.expected
+		ms = e.serviceTime()
 	} else {
-		b.priceEngine(p, req, &c, home, source)
+		ms = b.priceEngine(now, p, req, &c, where)
 	}
+	ms *= e.slowness
+	c.expected = time.Duration(ms * float64(time.Millisecond))
+	c.cost += lateCost(req, now, ms)
 	if e.Domain != b.opts.Domain {
 		c.cost += otherDomain
 	}
 	if e.own.Count >= e.opened {
 		c.cost += newConnection
 	}
-	c.cost += time.Duration(e.failing * float64(failurePenalty))
+	c.cost += e.failing * failing
 	return c
 }
 
-// serviceTime is the expected time of an answer of a plain service.
-func (e *endpoint) serviceTime() time.Duration {
+// lateCost is the cost of an answer after so many milliseconds from now.
+func lateCost(req *Request, now time.Time, ms float64) float64 {
+	target := float64(req.Target.Milliseconds())
+	if target <= 0 {
+		return 0
+	}
+	ms += float64(now.Sub(req.Arrived).Milliseconds())
+	ratio := ms / target
+	late := 1 / (1 + math.Pow(evenTime/ratio, lateSlope))
+	return late*lateness[req.rank()] + slowerAnswer*ratio
+}
+
+// serviceTime is the expected time of an answer of a plain service, in
+// milliseconds.
+func (e *endpoint) serviceTime() float64 {
 	count := e.own.Count + e.peers.Count
-	slots := max(e.Slots, 1)
-	rounds := 1 + float64(count)/float64(slots)
-	return time.Duration(rounds * e.slowness * float64(serviceBase))
+	return serviceBase * (1 + float64(count)/float64(max(e.Slots, 1)))
 }
 
-func (b *Balancer) priceEngine(p *pool, req *Request, c *choice, home, source *endpoint) {
+// priceEngine adds the costs of an engine and returns the expected time to the
+// first event in milliseconds.
+func (b *Balancer) priceEngine(now time.Time, p *pool, req *Request, c *choice, where whereabouts) float64 {
 	e := c.endpoint
 	total := e.own
 	total.sum(e.peers)
-	shared := req.Prompt.SharedTokens()
-	c.pending = req.Prompt.OwnTokens()
-	fetch := 0.0
-	if e != home && shared > 0 {
-		c.cost += time.Duration(float64(shared) / 1000 * float64(awayFromHome))
-		fetch = float64(shared) / fetchRate
-	}
-	if source != nil && source != e {
-		c.fetchFrom = source.Address
-	}
-	if source == nil {
-		c.pending += shared
-	}
-	tokens := total.pending(req.priority()) + float64(c.pending)
-	wait := time.Duration((tokens/readRate + fetch) * float64(time.Millisecond))
-	busy := time.Duration(total.Count) * perRequest
-	c.expected = time.Duration(e.slowness * float64(firstAnswerBase+wait+busy))
-	c.cost += c.expected
+	fetch := b.priceShared(now, req, c, where)
+	each := readTime + readTimeEach*float64(total.Count)
+	before := total.pending(req.priority()) * each
+	own := float64(c.read) * each
+	c.cost += crowding * own / 1000 * total.pending(Priorities-1) * each / 1000
 	if over := total.Count + 1 - p.engine.Slots; over > 0 {
-		c.cost += time.Duration(over) * queuedRequest
+		c.cost += float64(over) * overSlots
 	}
 	if float64(total.Memory+memoryOf(&req.Prompt)) > memoryPart*float64(p.engine.CacheTokens) {
-		c.cost += memoryPenalty
+		c.cost += overMemory
+	}
+	return firstEventBase + before + own + fetch
+}
+
+// priceShared decides how an endpoint gets the shared parts of the prompt. It
+// returns the time to fetch them in milliseconds.
+func (b *Balancer) priceShared(now time.Time, req *Request, c *choice, where whereabouts) float64 {
+	c.read = req.Prompt.OwnTokens()
+	if where.tokens == 0 {
+		return 0
+	}
+	thousands := float64(where.tokens) / 1000
+	held, reading := b.holders.state(now, req.Prompt.SharedKey(), c.endpoint.Name)
+	switch {
+	case held || reading:
+		return 0
+	case where.source != nil:
+		c.fetchFrom = where.source.Address
+		c.cost += movedTokens * thousands
+		return fetchBase + fetchTime*float64(where.tokens)
+	case where.reading:
+		c.cost += reReadTokens * thousands
+	case c.endpoint != where.home:
+		c.cost += awayFromHome
 	}
+	c.read += where.tokens
+	return 0
 }
 
 // memoryOf is the number of tokens that a request is expected to hold.
--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -156,6 +156,3 @@
 	}
 	return total
 }
-
-// lessUrgentShare is the part of less urgent prompts that is read first.
-const lessUrgentShare = 0.5
--- a/internal/core/balance/holders.go
+++ b/internal/core/balance/holders.go
@@ -10,37 +10,109 @@
 	// holdFor is the time for which an endpoint is expected to keep the parts of
 	// a prompt after their last use.
 	holdFor = 20 * time.Second
+	// readFor bounds the time that an endpoint is expected to take to read parts.
+	readFor = 5 * time.Second
 	// maxHolders bounds the remembered endpoints of a key.
-	maxHolders = 4
+	maxHolders = 6
 	// maxKeys bounds the remembered keys.
-	maxKeys = 4096
+	maxKeys = 8192
+	// markFor is how long a mark is repeated to the other hosts, since a digest
+	// may be replaced by the next one before it is sent.
+	markFor = 300 * time.Millisecond
 )
 
-// holders remembers which endpoints this host has sent the shared parts of
-// prompts to.
+// Mark tells the other hosts that an endpoint holds the shared parts of a
+// prompt, or has begun to read them.
+type Mark struct {
+	Key      model.PartID
+	Endpoint model.EndpointName
+	// Held says that the parts have been read.
+	Held bool
+}
+
+// holders remembers which endpoints hold the shared parts of prompts, from the
+// requests of this host and the marks of the others.
 type holders struct {
 	byKey map[model.PartID][]holder
+	marks []timedMark
 }
 
 type holder struct {
 	endpoint model.EndpointName
+	held     bool
 	used     time.Time
 }
 
+type timedMark struct {
+	Mark
+	at time.Time
+}
+
 func newHolders() holders { return holders{byKey: make(map[model.PartID][]holder)} }
 
-// note tells that an endpoint reads the parts.
-func (h *holders) note(now time.Time, key model.PartID, name model.EndpointName) {
-	list := h.byKey[key]
+// current says that the endpoint still holds the parts, or still reads them.
+func (h holder) current(now time.Time) bool {
+	if h.held {
+		return now.Sub(h.used) < holdFor
+	}
+	return now.Sub(h.used) < readFor
+}
+
+// state tells what is known of an endpoint and a key.
+func (h *holders) state(now time.Time, key model.PartID, name model.EndpointName) (held, reading bool) {
+	for _, entry := range h.byKey[key] {
+		if entry.endpoint == name && entry.current(now) {
+			return entry.held, !entry.held
+		}
+	}
+	return false, false
+}
+
+// granted notes that a request with the key goes to an endpoint, and tells the
+// other hosts.
+func (h *holders) granted(now time.Time, key model.PartID, name model.EndpointName) {
+	held, _ := h.state(now, key, name)
+	h.tell(now, Mark{Key: key, Endpoint: name, Held: held})
+}
+
+// read notes that an endpoint has read the parts, and tells the other hosts.
+func (h *holders) read(now time.Time, key model.PartID, name model.EndpointName) {
+	h.tell(now, Mark{Key: key, Endpoint: name, Held: true})
+}
+
+func (h *holders) tell(now time.Time, m Mark) {
+	h.take(now, m)
+	h.marks = append(h.marks, timedMark{Mark: m, at: now})
+}
+
+// recent returns the marks of the last moments.
+func (h *holders) recent(now time.Time, span time.Duration) []Mark {
+	first := 0
+	for first < len(h.marks) && now.Sub(h.marks[first].at) > span {
+		first++
+	}
+	h.marks = append(h.marks[:0], h.marks[first:]...)
+	var out []Mark
+	for _, m := range h.marks {
+		out = append(out, m.Mark)
+	}
+	return out
+}
+
+// take notes a mark. One that an endpoint reads does not undo that it holds.
+func (h *holders) take(now time.Time, m Mark) {
+	list := h.byKey[m.Key]
 	for i := range list {
-		if list[i].endpoint == name {
+		if list[i].endpoint == m.Endpoint {
+			list[i].held = m.Held || list[i].held && list[i].current(now)
 			list[i].used = now
 			return
 		}
 	}
+	entry := holder{endpoint: m.Endpoint, held: m.Held, used: now}
 	if len(list) < maxHolders {
 		h.makeRoom(now)
-		h.byKey[key] = append(list, holder{endpoint: name, used: now})
+		h.byKey[m.Key] = append(list, entry)
 		return
 	}
 	oldest := 0
@@ -49,7 +121,7 @@
 			oldest = i
 		}
 	}
-	list[oldest] = holder{endpoint: name, used: now}
+	list[oldest] = entry
 }
 
 // makeRoom forgets keys that are no longer held when there are too many.
@@ -58,7 +130,7 @@
 		return
 	}
 	for key, list := range h.byKey {
-		if len(list) == 0 || now.Sub(list[0].used) > holdFor {
+		if len(list) == 0 || !list[0].current(now) {
 			delete(h.byKey, key)
 		}
 	}
@@ -77,55 +149,47 @@
 	}
 }
 
-// home returns the endpoint where the parts of a key belong, by rendezvous
-// hashing, so that all hosts agree without a message, and the endpoint that
-// most likely has them now: the home, or the one that the home replaced.
-func (b *Balancer) home(now time.Time, p *pool, key model.PartID) (home, source *endpoint) {
+// whereabouts is what is known of the shared parts of a prompt.
+type whereabouts struct {
+	tokens int
+	// home is where the parts belong by rendezvous hashing, so that all hosts
+	// agree without a message.
+	home *endpoint
+	// source is an endpoint that holds them and can hand them on; nil for none.
+	source *endpoint
+	// reading says that an endpoint is about to hold them.
+	reading bool
+}
+
+// locate finds the shared parts of a prompt.
+func (b *Balancer) locate(now time.Time, p *pool, prompt *model.Prompt) whereabouts {
+	key := prompt.SharedKey()
 	if key == 0 || p.engine == nil {
-		return nil, nil
+		return whereabouts{}
 	}
-	var homeScore, sourceScore uint64
+	w := whereabouts{tokens: prompt.SharedTokens()}
+	var best uint64
 	for _, e := range p.endpoints {
-		score := rendezvous(key, e)
-		if e.usable(now) && (home == nil || score > homeScore) {
-			home, homeScore = e, score
-		}
-		// A draining endpoint still hands on what it caches.
-		if !now.Before(e.paused) && (source == nil || score > sourceScore) {
-			source, sourceScore = e, score
+		if score := rendezvous(key, e); e.usable(now) && (w.home == nil || score > best) {
+			w.home, best = e, score
 		}
 	}
-	if known := b.lastHolder(now, key); known != nil && (source == nil || source == home) {
-		return home, b.preferHome(now, key, home, known)
-	}
-	return home, source
-}
-
-// preferHome returns the home when this host has used it for the key, and
-// else the endpoint that it has used.
-func (b *Balancer) preferHome(now time.Time, key model.PartID, home, known *endpoint) *endpoint {
-	for _, entry := range b.holders.byKey[key] {
-		if home != nil && entry.endpoint == home.Name && now.Sub(entry.used) < holdFor {
-			return home
-		}
-	}
-	return known
-}
-
-// lastHolder returns the endpoint that this host sent the key to last.
-func (b *Balancer) lastHolder(now time.Time, key model.PartID) *endpoint {
-	var best *endpoint
 	var used time.Time
 	for _, entry := range b.holders.byKey[key] {
 		e := b.endpoints[entry.endpoint]
-		if e == nil || now.Before(e.paused) || now.Sub(entry.used) > holdFor {
+		if e == nil || now.Before(e.paused) || !entry.current(now) {
+			continue
+		}
+		if !entry.held {
+			w.reading = true
 			continue
 		}
-		if best == nil || entry.used.After(used) {
-			best, used = e, entry.used
+		// A draining endpoint still hands on what it holds.
+		if w.source == nil || entry.used.After(used) {
+			w.source, used = e, entry.used
 		}
 	}
-	return best
+	return w
 }
 
 // rendezvous is the score of an endpoint for a key; the largest wins.
--- a/internal/core/balance/peers.go
+++ b/internal/core/balance/peers.go
@@ -26,9 +26,9 @@
 	loads []EndpointLoad
 }
 
-// OwnLoad returns this host's work and whether it changed since the last call.
-func (b *Balancer) OwnLoad() ([]EndpointLoad, bool) {
-	changed := b.changed
+// OwnLoad returns this host's work.
+func (b *Balancer) OwnLoad(now time.Time) []EndpointLoad {
+	b.refresh(now)
 	b.changed = false
 	var out []EndpointLoad
 	for name, e := range b.endpoints {
@@ -36,12 +36,24 @@
 			out = append(out, EndpointLoad{Endpoint: name, Load: e.own})
 		}
 	}
-	return out, changed
+	return out
 }
 
-// SetPeer takes what another host says of its work. The list must not be
+// Changed says that requests began or ended since the last OwnLoad.
+func (b *Balancer) Changed() bool { return b.changed }
+
+// Marks returns what the other hosts should know of held parts. They are told
+// every interval at most.
+func (b *Balancer) Marks(now time.Time, interval time.Duration) []Mark {
+	return b.holders.recent(now, max(markFor, 2*interval))
+}
+
+// SetPeer takes what another host says of its work. The lists must not be
 // changed afterwards.
-func (b *Balancer) SetPeer(now time.Time, host model.HostID, loads []EndpointLoad) {
+func (b *Balancer) SetPeer(now time.Time, host model.HostID, loads []EndpointLoad, marks []Mark) {
+	for _, m := range marks {
+		b.holders.take(now, m)
+	}
 	b.peers[host] = &peerLoad{heard: now, loads: loads}
 	b.hosts[host] = now
 	b.countPeers()
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -79,7 +79,8 @@
 	first := x.first.Sub(x.call.Arrived)
 	x.gateway.opts.Metrics.FirstToken(model.ClassName(x.route.Name), first)
 	x.gateway.opts.Log.WithFields(fields{
-		"request": x.call.ID, "first_ms": first.Milliseconds(), "events": x.events, "age_ms": x.ageMS(),
+		"request": x.call.ID, "first_ms": first.Milliseconds(), "gap_ms": x.longestGap.Milliseconds(),
+		"events": x.events, "age_ms": x.ageMS(),
 	}).Info("request: answered")
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/clock"
-	"github.com/wigeonsail/wigeonsail/internal/core/balance"
 	"github.com/wigeonsail/wigeonsail/internal/core/directory"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/loop"
@@ -92,13 +91,12 @@
 	if len(t.peers) == 0 || now.Sub(t.told) < t.interval() {
 		return
 	}
-	loads, changed := c.balancer.OwnLoad()
-	if !changed && !t.changed && now.Sub(t.told) < heartbeatEvery {
+	if !c.balancer.Changed() && !t.changed && now.Sub(t.told) < heartbeatEvery {
 		return
 	}
 	t.changed = false
 	t.told = now
-	t.tell(c.digest(now, loads))
+	t.tell(c.digest(now))
 }
 
 // interval is the least time between two digests.
@@ -119,12 +117,14 @@
 }
 
 // digest is what this host tells the others.
-func (c *control) digest(now time.Time, loads []balance.EndpointLoad) port.LoadDigest {
+func (c *control) digest(now time.Time) port.LoadDigest {
 	opts := &c.gateway.opts
 	d := port.LoadDigest{
 		Host: opts.Host, Incarnation: opts.Incarnation, Domain: opts.Domain, Address: opts.PeerAddress,
 		Leaving: c.gateway.leaving.Load(), Version: c.version(),
-		ListAge: c.directory.Age(now), Loads: loads,
+		ListAge: c.directory.Age(now),
+		Loads:   c.balancer.OwnLoad(now),
+		Marks:   c.balancer.Marks(now, c.peers.interval()),
 	}
 	if now.Sub(c.peers.toldKnown) >= knownEvery {
 		c.peers.toldKnown = now
@@ -161,7 +161,7 @@
 	if d.Host == c.gateway.opts.Host {
 		return
 	}
-	c.balancer.SetPeer(now, d.Host, d.Loads)
+	c.balancer.SetPeer(now, d.Host, d.Loads, d.Marks)
 	p := c.peers.learn(now, d.Address, false)
 	if p == nil {
 		return
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -46,6 +46,10 @@
 	// lastEvent is the last event that the caller has.
 	lastEvent string
 	events    int
+	// passed is when the last event was passed on, longestGap the longest pause
+	// between two events.
+	passed     time.Time
+	longestGap time.Duration
 	// fallback is an endpoint's own failure, which the caller gets when no other
 	// endpoint does better.
 	fallback *wholeAnswer
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -139,6 +139,7 @@
 	if err := x.w.Write(batch.Data); err != nil {
 		return err
 	}
+	x.noteGap(time.Now())
 	x.events += batch.Events
 	if batch.Last != "" {
 		x.lastEvent = batch.Last
@@ -146,6 +147,13 @@
 	return nil
 }
 
+func (x *exchange) noteGap(now time.Time) {
+	if x.events > 0 {
+		x.longestGap = max(x.longestGap, now.Sub(x.passed))
+	}
+	x.passed = now
+}
+
 func (x *exchange) begin(reply port.RoutedReply) error {
 	if x.started {
 		return nil
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -23,6 +23,8 @@
 	ListAge time.Duration
 	// Loads is the host's work.
 	Loads []balance.EndpointLoad
+	// Marks tell which endpoints hold the shared parts of prompts.
+	Marks []balance.Mark
 	// Known are addresses of other hosts; empty when they did not change.
 	Known []string
 }
