--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -68,7 +68,7 @@
 
 // configFound takes a configuration from the platform or from a peer. Only a
 // higher version than the one in force changes anything.
-func (c *control) configFound(now time.Time, cfg *routing.Config, rec port.ConfigRecord, source string) {
+func (c *control) configFound(cfg *routing.Config, rec port.ConfigRecord, source string) {
 	if cfg.Version <= c.version() {
 		return
 	}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -108,7 +108,7 @@
 		return
 	}
 	rec := port.ConfigRecord{Version: cfg.Version, Data: value}
-	g.loop.Post(loop.Func(func(now time.Time) { g.control.configFound(now, cfg, rec, source) }))
+	g.loop.Post(loop.Func(func(time.Time) { g.control.configFound(cfg, rec, source) }))
 }
 
 // followEndpoints keeps the list of endpoints until ctx ends.
--- a/internal/server/gateway_fixture_test.go
+++ b/internal/server/gateway_fixture_test.go
@@ -183,11 +183,6 @@
 	return f.send(g, http.MethodPost, "/confirm/12?x=1", "referee", nil)
 }
 
-func (f *fleet) read(g *Gateway) fleetAnswer {
-	f.t.Helper()
-	return f.send(g, http.MethodGet, "/read/12", "", nil)
-}
-
 // stream asks for a stream on a route.
 func (f *fleet) stream(g *Gateway, route string) fleetAnswer {
 	f.t.Helper()
