Avoid endpoints and domains that have fallen silent

Ruled out: dial timeouts; those move on in 350 ms. Change: streams that stop for 400 ms and overdue first answers make an endpoint dear, many of them at once a domain; connections from before are not used again.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -135,6 +135,8 @@
 	changed bool
 	// refreshed is when the pending tokens were last worked out.
 	refreshed time.Time
+	// cutOff are the other failure domains that seem to be out of reach.
+	cutOff map[model.DomainName]bool
 }
 
 type pool struct {
@@ -156,6 +158,10 @@
 	memory  int
 	// answered says that the first answer has come.
 	answered bool
+	// stalled says that the stream has stopped for longer than usual, overdue
+	// that the first answer should have come long ago.
+	stalled bool
+	overdue bool
 }
 
 // New returns a Balancer without pools and endpoints.
@@ -294,6 +300,7 @@
 		b.holders.read(now, key, r.endpoint.Name)
 	}
 	r.answered = true
+	r.setOverdue(false)
 	r.endpoint.learn(now, now.Sub(r.granted), r.expected)
 	b.changed = true
 }
@@ -306,44 +313,12 @@
 	}
 	delete(b.running, id)
 	r.endpoint.own.add(r.req.priority(), -r.pending, -r.memory, -1)
+	r.setOverdue(false)
+	r.setStalled(false)
 	r.endpoint.ended(now, res.Failure)
 	b.changed = true
 }
 
-// refreshEvery is the least time between two estimates of what is still to be
-// read.
-const refreshEvery = 10 * time.Millisecond
-
-// leastPending is the part of a prompt that counts as not yet read until the
-// first event has come.
-const leastPending = 0.15
-
-// refresh estimates what is still to be read of this host's requests.
-func (b *Balancer) refresh(now time.Time) {
-	if now.Sub(b.refreshed) < refreshEvery {
-		return
-	}
-	b.refreshed = now
-	for _, r := range b.running {
-		if r.read == 0 {
-			continue
-		}
-		left := r.left(now)
-		r.endpoint.own.add(r.req.priority(), left-r.pending, 0, 0)
-		r.pending = left
-	}
-}
-
-// left estimates the prompt tokens that the endpoint has not read yet: it reads
-// them in the last part of the expected time.
-func (r *running) left(now time.Time) int {
-	own := float64(r.read) * readTime
-	begins := float64(r.expected.Milliseconds()) - firstEventBase - own
-	elapsed := float64(now.Sub(r.granted).Milliseconds())
-	part := 1 - (elapsed-begins)/max(own, 1)
-	return int(float64(r.read) * min(max(part, leastPending), 1))
-}
-
 // Usable says whether any endpoint takes requests.
 func (b *Balancer) Usable(now time.Time) bool {
 	for _, e := range b.endpoints {
--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -69,7 +69,9 @@
 	b.FirstAnswer(at(time.Second), id)
 	b.Finish(at(2*time.Second), id, balance.Result{})
 	for i := range 4 {
-		_, d := b.submit(at(time.Duration(3+i)*time.Second), draft(7))
+		now := at(time.Duration(3+i) * time.Second)
+		id, d := b.submit(now, draft(7))
+		b.FirstAnswer(now.Add(d.Expected), id)
 		must.Eq(t, first.Endpoint, d.Endpoint)
 		must.Eq(t, "", d.FetchFrom)
 		must.Eq(t, 3000, d.Own, must.Sprint("shared parts are not read again"))
@@ -229,6 +231,41 @@
 	must.False(t, d.Refused())
 }
 
+// Load: streams of an endpoint stop. It gets nothing until they go on.
+func TestEndpointsWithStalledStreamsAreAvoided(t *testing.T) {
+	b := newBench(4)
+	id, first := b.submit(at(0), draft(7))
+	b.FirstAnswer(at(first.Expected), id)
+	b.Stalled(id, true)
+	_, d := b.submit(at(time.Second), question(8))
+	must.NotEq(t, first.Endpoint, d.Endpoint)
+	b.Stalled(id, false)
+	_, d = b.submit(at(time.Second), draft(7))
+	must.Eq(t, first.Endpoint, d.Endpoint)
+}
+
+// Load: all requests to another domain fall silent at once. New ones stay in
+// this domain even for the endpoints there that nobody has asked yet.
+func TestDomainsThatFallSilentAreAvoided(t *testing.T) {
+	b := newBench(1)
+	for i := range 4 {
+		name := model.EndpointName(fmt.Sprintf("far-%d", i))
+		b.Apply(directory.Change{Entry: directory.Entry{Name: name, Pool: "services", Address: string(name), Domain: "south", Slots: 4}})
+	}
+	silent := map[model.EndpointName]bool{}
+	for len(silent) < 2 {
+		_, d := b.submit(at(0), balance.Request{Pool: "services", Target: 300 * time.Millisecond})
+		if d.Endpoint != "services-0" {
+			silent[d.Endpoint] = true
+		}
+	}
+	for range 3 {
+		id, d := b.submit(at(time.Second), balance.Request{Pool: "services", Target: 300 * time.Millisecond})
+		b.Finish(at(time.Second), id, balance.Result{})
+		must.Eq(t, "services-0", d.Endpoint)
+	}
+}
+
 // What a request adds to an endpoint's load is taken off again, whatever its
 // end.
 func TestLoadIsGivenBack(t *testing.T) {
--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -52,6 +52,10 @@
 	overSlots  = 0.1
 	// failing is the cost of an attempt that fails.
 	failing = 1.0
+	// silentEndpoint is the cost of an endpoint at which requests have fallen
+	// silent, silentDomain that of one in a domain that seems cut off.
+	silentEndpoint = 0.5
+	silentDomain   = 0.7
 	// crowding is the cost of reading for a second before requests that have a
 	// second to be read: it delays all that come later.
 	crowding = 0.6
@@ -138,6 +142,12 @@
 		c.cost += newConnection
 	}
 	c.cost += e.failing * failing
+	if e.stalled > 0 || e.overdue > 0 {
+		c.cost += silentEndpoint
+	}
+	if b.cutOff[e.Domain] {
+		c.cost += silentDomain
+	}
 	return c
 }
 
--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -45,6 +45,11 @@
 	failing float64
 	learned time.Time
 
+	// stalled counts this host's streams that have stopped for longer than usual,
+	// overdue its requests without a first answer after far more than expected.
+	stalled int
+	overdue int
+
 	// breaks counts the failures to connect or answer in a row.
 	breaks int
 	paused time.Time
@@ -59,6 +64,11 @@
 	return !e.Draining && !now.Before(e.paused)
 }
 
+// suspect says that the endpoint, or the way to it, may be dead.
+func (e *endpoint) suspect(now time.Time) bool {
+	return e.stalled > 0 || e.overdue > 0 || now.Before(e.paused)
+}
+
 // learn takes the time to a first answer.
 func (e *endpoint) learn(now time.Time, took, expected time.Duration) {
 	e.fade(now)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -66,6 +66,11 @@
 	g.loop.Post(loop.Func(func(now time.Time) { g.control.balancer.FirstAnswer(now, id) }))
 }
 
+// stalled tells that a stream has stopped, or goes on.
+func (g *Gateway) stalled(id model.RequestID, stalled bool) {
+	g.loop.Offer(loop.Func(func(time.Time) { g.control.balancer.Stalled(id, stalled) }))
+}
+
 // configFound takes a configuration from the platform or from a peer. Only a
 // higher version than the one in force changes anything.
 func (c *control) configFound(cfg *routing.Config, rec port.ConfigRecord, source string) {
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -12,22 +12,11 @@
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
-const (
-	// silenceFactor and minSilence bound the wait for a first answer of a
-	// request that may be repeated, in targets of its route.
-	silenceFactor = 3
-	minSilence    = 700 * time.Millisecond
-	// gapFactor and minGap bound the pause between two events of a stream that
-	// may be resumed, in longest pauses of its route.
-	gapFactor = 5
-	minGap    = 1200 * time.Millisecond
-)
-
 // try sends one attempt and passes its answer on.
 func (x *exchange) try(ctx context.Context, decision balance.Decision) tryEnd {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := x.watchSilence(cancel)
+	watch := x.watch(cancel, decision)
 	defer watch.stop()
 	reply, err := x.gateway.opts.Endpoints.Send(ctx, port.RoutedAttempt{
 		Call:      x.call,
@@ -40,6 +29,9 @@
 		LastEvent: x.lastEvent,
 	})
 	if err != nil {
+		if cause := context.Cause(ctx); errors.Is(cause, errSilent) || errors.Is(cause, errDeadline) {
+			x.gateway.opts.Endpoints.Distrust(decision.Endpoint, decision.Address)
+		}
 		return endOf(ctx, err)
 	}
 	defer reply.Close()
@@ -110,6 +102,9 @@
 
 // relay passes a stream's events on as they come.
 func (x *exchange) relay(ctx context.Context, reply port.RoutedReply, watch *silenceWatch) tryEnd {
+
+	defer watch.stop()
+	answered := false
 	for {
 		batch, err := reply.Next()
 		if errors.Is(err, io.EOF) {
@@ -118,16 +113,18 @@
 		if err != nil {
 			return endOf(ctx, err)
 		}
+		if !answered {
+			answered = true
+			x.gateway.firstAnswer(x.call.ID)
+		}
 		if x.events == 0 {
 			x.first = time.Now()
 		}
-		if batch.Events > 0 {
-			watch.heard(x.maxGap())
-			x.gateway.firstAnswer(x.call.ID)
-		}
+		watch.pause()
 		if err := x.passEvents(reply, batch); err != nil {
 			return tryEnd{outcome: model.OutcomeRan, arrived: true, err: err}
 		}
+		watch.wait()
 	}
 }
 
@@ -209,43 +206,3 @@
 		return "none"
 	}
 }
-
-// maxGap is the longest pause between two events; 0 for a stream that cannot go
-// on elsewhere.
-func (x *exchange) maxGap() time.Duration {
-	if !x.route.Resumable || x.route.MaxGap <= 0 {
-		return 0
-	}
-	return max(gapFactor*x.route.MaxGap, minGap)
-}
-
-// silenceWatch ends an attempt whose endpoint says nothing while another could
-// do the work.
-type silenceWatch struct{ timer *time.Timer }
-
-// watchSilence waits for the first answer. Requests that may not be repeated
-// wait until their time limit.
-func (x *exchange) watchSilence(cancel context.CancelCauseFunc) *silenceWatch {
-	if !x.route.Repeatable() || x.runs+1 >= x.route.MaxAttempts {
-		return &silenceWatch{}
-	}
-	limit := max(silenceFactor*x.route.Target, minSilence)
-	return &silenceWatch{timer: time.AfterFunc(limit, func() { cancel(errSilent) })}
-}
-
-// heard starts the wait for the next event; 0 ends the watch.
-func (w *silenceWatch) heard(gap time.Duration) {
-	switch {
-	case w.timer == nil:
-	case gap <= 0:
-		w.timer.Stop()
-	default:
-		w.timer.Reset(gap)
-	}
-}
-
-func (w *silenceWatch) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-}
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -85,6 +85,9 @@
 	// Send sends an attempt and returns when the answer's header has come. The
 	// attempt ends when ctx does. It fails with an *EndpointError.
 	Send(ctx context.Context, attempt RoutedAttempt) (RoutedReply, error)
+	// Distrust tells that an endpoint has fallen silent: connections that were
+	// open before are not used again.
+	Distrust(endpoint model.EndpointName, address string)
 }
 
 // RoutedReply is the answer of an endpoint. Close must be called.
