Let two hosts read the platform's lists and tell the others of changes

Ruled out: longer polls; a leaving endpoint must be known within its bound. Change: the first two live hosts by name read; digests name the offset of the last change, at which the others read once, and the version in force, which they fetch from the sender. A host that hears of no reader reads itself.

--- /dev/null
+++ b/internal/core/readers/readers.go
@@ -0,0 +1,61 @@
+// Package readers decides which hosts read the platform's lists. Calls to the
+// platform's store are rate-limited and priced for all hosts together, so a few
+// hosts read and the others hear of changes from them.
+package readers
+
+import (
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+)
+
+const (
+	// wanted is the number of hosts that read while all is well: one may freeze
+	// or be turned away without a gap.
+	wanted = 2
+	// heardWithin is the age of a digest up to which its sender counts as live.
+	// It is above the longest time between two digests.
+	heardWithin = 1500 * time.Millisecond
+	// readWithin is the age of a read up to which a host counts as reading.
+	readWithin = 1500 * time.Millisecond
+)
+
+// Peer is another host.
+type Peer struct {
+	Host model.HostID
+	// Heard is when the host last told something, ReadAge the age of its last
+	// own read of the store at that time.
+	Heard   time.Time
+	ReadAge time.Duration
+}
+
+// reading says that the peer lately read the store itself.
+func (p Peer) reading(now time.Time) bool {
+	return now.Sub(p.Heard) <= heardWithin && p.ReadAge <= readWithin
+}
+
+// ShouldRead says whether a host reads the store itself: it is one of the first
+// live hosts by name, or no other host is known to read.
+func ShouldRead(now time.Time, self model.HostID, peers []Peer) bool {
+	before := 0
+	others := false
+	for _, p := range peers {
+		if now.Sub(p.Heard) > heardWithin {
+			continue
+		}
+		if p.Host < self {
+			before++
+		}
+		others = others || p.reading(now)
+	}
+	return before < wanted || !others
+}
+
+// Age returns the age of the newest read of any host that this host hears.
+func Age(now time.Time, own time.Duration, peers []Peer) time.Duration {
+	age := own
+	for _, p := range peers {
+		age = min(age, p.ReadAge+now.Sub(p.Heard))
+	}
+	return age
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -22,6 +22,12 @@
 	fetchingConfig bool
 	fetchingList   bool
 	listAsked      time.Time
+	// listRead is when this host last read the list of endpoints itself,
+	// listNext the offset after what it has read, and listChange the one after
+	// the last record that changed the list.
+	listRead   time.Time
+	listNext   model.Offset
+	listChange model.Offset
 }
 
 func newControl(g *Gateway) *control {
@@ -38,6 +44,7 @@
 	c.balancer.Tick(now)
 	c.apply(now, c.directory.Tick(now))
 	c.gateway.usable.Store(c.balancer.Usable(now))
+	c.chooseReaders(now)
 	c.askPeersForList(now)
 	c.peers.tick(now, c)
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -19,6 +19,9 @@
 	// firstRetry and maxRetry bound the time between reads that fail.
 	firstRetry = 200 * time.Millisecond
 	maxRetry   = time.Second
+	// idleCheck is how often a host that hears of configurations from its peers
+	// looks whether it should read again.
+	idleCheck = 200 * time.Millisecond
 )
 
 // follower reads one of the platform's lists: all of it once, and the changes
@@ -82,6 +85,11 @@
 func (g *Gateway) followConfig(ctx context.Context) {
 	f := follower{gateway: g, topic: port.TopicConfig, wait: configWait}
 	for ctx.Err() == nil {
+		if f.whole && !g.reading.Load() {
+			// Versions come from the hosts that read.
+			clock.Sleep(ctx, idleCheck)
+			continue
+		}
 		batch, _, err := f.read(ctx)
 		if err != nil {
 			clock.Sleep(ctx, f.retry)
@@ -122,7 +130,31 @@
 		}
 		update := g.decodeEndpoints(batch, whole)
 		g.loop.Post(loop.Func(func(now time.Time) { g.control.endpointsFound(now, update) }))
-		clock.Sleep(ctx, g.opts.ListEvery)
+		// News that came while reading is likely read; if not, it comes again.
+		select {
+		case <-g.listNews:
+		default:
+		}
+		g.awaitListTurn(ctx)
+	}
+}
+
+// awaitListTurn waits until the list of endpoints is to be read again: at
+// regular times by hosts that read, and when another host saw a change.
+func (g *Gateway) awaitListTurn(ctx context.Context) {
+	ticker := time.NewTicker(g.opts.ListEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.listNews:
+			return
+		case <-ticker.C:
+			if g.reading.Load() {
+				return
+			}
+		}
 	}
 }
 
@@ -131,6 +163,8 @@
 	// whole says that endpoints that are not in the list are gone.
 	whole bool
 	list  []endpointRecord
+	// next is the offset after the records.
+	next model.Offset
 }
 
 type endpointRecord struct {
@@ -141,7 +175,7 @@
 }
 
 func (g *Gateway) decodeEndpoints(batch port.KeyedBatch, whole bool) endpointUpdate {
-	update := endpointUpdate{whole: whole}
+	update := endpointUpdate{whole: whole, next: batch.Next}
 	for _, rec := range batch.Records {
 		item := endpointRecord{name: model.EndpointName(rec.Key)}
 		if len(rec.Value) == 0 {
@@ -163,6 +197,8 @@
 // endpointsFound takes a part of the list of endpoints.
 func (c *control) endpointsFound(now time.Time, update endpointUpdate) {
 	c.directory.Answered(now)
+	c.listRead = now
+	c.listNext = update.next
 	if update.whole {
 		var list []directory.Entry
 		for _, rec := range update.list {
@@ -170,9 +206,10 @@
 				list = append(list, rec.entry)
 			}
 		}
-		c.apply(now, c.directory.Replace(now, list))
+		c.listChanged(now, c.directory.Replace(now, list))
 		return
 	}
+	var changes []directory.Change
 	for _, rec := range update.list {
 		var change directory.Change
 		var changed bool
@@ -182,7 +219,18 @@
 			change, changed = c.directory.Put(rec.entry)
 		}
 		if changed {
-			c.apply(now, []directory.Change{change})
+			changes = append(changes, change)
 		}
 	}
+	c.listChanged(now, changes)
+}
+
+// listChanged applies what a read has changed and tells the other hosts.
+func (c *control) listChanged(now time.Time, changes []directory.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	c.listChange = c.listNext
+	c.peers.changed = true
+	c.apply(now, changes)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,10 +61,14 @@
 	// usable says that the list has endpoints.
 	usable  atomic.Bool
 	leaving atomic.Bool
-	draws   draws
-	ctx     context.Context
-	stop    context.CancelFunc
-	workers sync.WaitGroup
+	// reading says that this host reads the platform's lists itself. listNews
+	// asks it to read the list of endpoints at once.
+	reading  atomic.Bool
+	listNews chan struct{}
+	draws    draws
+	ctx      context.Context
+	stop     context.CancelFunc
+	workers  sync.WaitGroup
 }
 
 var (
@@ -77,7 +81,8 @@
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.Discard()
 	}
-	g := &Gateway{opts: opts, loop: loop.New(), draws: newDraws(opts.Seed)}
+	g := &Gateway{opts: opts, loop: loop.New(), draws: newDraws(opts.Seed), listNews: make(chan struct{}, 1)}
+	g.reading.Store(true)
 	g.control = newControl(g)
 	return g
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -8,6 +8,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/clock"
 	"github.com/wigeonsail/wigeonsail/internal/core/directory"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/readers"
 	"github.com/wigeonsail/wigeonsail/internal/loop"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
@@ -30,6 +31,8 @@
 	// endpoints, and askListEvery the time between two such questions.
 	staleList    = 2500 * time.Millisecond
 	askListEvery = time.Second
+	// maxReadAge is told by hosts that have never read the list.
+	maxReadAge = time.Hour
 )
 
 // peerTable keeps the addresses of the other hosts and a sender for each. The
@@ -55,7 +58,7 @@
 	added   time.Time
 	host    model.HostID
 	version model.Version
-	listAge time.Duration
+	readAge time.Duration
 }
 
 func newPeerTable(g *Gateway) *peerTable {
@@ -122,9 +125,9 @@
 	d := port.LoadDigest{
 		Host: opts.Host, Incarnation: opts.Incarnation, Domain: opts.Domain, Address: opts.PeerAddress,
 		Leaving: c.gateway.leaving.Load(), Version: c.version(),
-		ListAge: c.directory.Age(now),
-		Loads:   c.balancer.OwnLoad(now),
-		Marks:   c.balancer.Marks(now, c.peers.interval()),
+		ReadAge: min(now.Sub(c.listRead), maxReadAge), ListChange: c.listChange,
+		Loads: c.balancer.OwnLoad(now),
+		Marks: c.balancer.Marks(now, c.peers.interval()),
 	}
 	if now.Sub(c.peers.toldKnown) >= knownEvery {
 		c.peers.toldKnown = now
@@ -169,13 +172,42 @@
 	if p.heard.IsZero() {
 		c.gateway.opts.Log.WithFields(fields{"host": d.Host, "address": d.Address, "domain": d.Domain}).Info("peers: heard")
 	}
-	p.heard, p.host, p.version, p.listAge = now, d.Host, d.Version, d.ListAge
+	p.heard, p.host, p.version, p.readAge = now, d.Host, d.Version, d.ReadAge
 	for _, address := range d.Known {
 		c.peers.learn(now, address, false)
 	}
 	if d.Version > c.version() {
 		c.askPeerForConfig(d.Address)
 	}
+	if d.ListChange > c.listNext {
+		c.gateway.askForListNews()
+	}
+}
+
+// askForListNews lets the host read the list of endpoints at once.
+func (g *Gateway) askForListNews() {
+	select {
+	case g.listNews <- struct{}{}:
+	default:
+	}
+}
+
+// chooseReaders decides whether this host reads the platform's lists, and takes
+// the reads of the others as a sign that the store answers.
+func (c *control) chooseReaders(now time.Time) {
+	var peers []readers.Peer
+	for _, p := range c.peers.peers {
+		if !p.heard.IsZero() {
+			peers = append(peers, readers.Peer{Host: p.host, Heard: p.heard, ReadAge: p.readAge})
+		}
+	}
+	reading := readers.ShouldRead(now, c.gateway.opts.Host, peers)
+	if reading != c.gateway.reading.Swap(reading) {
+		c.gateway.opts.Log.WithFields(fields{"reading": reading, "peers": len(peers)}).Info("lists: turn changed")
+	}
+	if age := readers.Age(now, now.Sub(c.listRead), peers); age < c.directory.Age(now) && !c.listRead.IsZero() {
+		c.directory.Answered(now.Add(-age))
+	}
 }
 
 // askPeerForConfig fetches a newer configuration from a peer.
@@ -208,11 +240,11 @@
 		if p.heard.IsZero() || now.Sub(p.heard) > heartbeatEvery*2 {
 			continue
 		}
-		if best == "" || p.listAge < c.peers.peers[best].listAge {
+		if best == "" || p.readAge < c.peers.peers[best].readAge {
 			best = address
 		}
 	}
-	if best == "" || c.directory.Len() > 0 && c.peers.peers[best].listAge > staleList {
+	if best == "" || c.directory.Len() > 0 && c.peers.peers[best].readAge > staleList {
 		return
 	}
 	c.fetchingList = true
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -19,8 +19,10 @@
 	Leaving bool
 	// Version is the configuration in force at the host.
 	Version model.Version
-	// ListAge is the age of the host's list of endpoints.
-	ListAge time.Duration
+	// ReadAge is the age of the host's last own read of the list of endpoints,
+	// ListChange the offset after the last record that changed it.
+	ReadAge    time.Duration
+	ListChange model.Offset
 	// Loads is the host's work.
 	Loads []balance.EndpointLoad
 	// Marks tell which endpoints hold the shared parts of prompts.
