--- a/cmd/wigeonsail/check.go
+++ b/cmd/wigeonsail/check.go
@@ -7,11 +7,15 @@
 )
 
 type checkCmd struct {
-	Config string `short:"c" required:"" placeholder:"FILE" help:"Settings of a host (host.toml)."`
+	Config  string `short:"c" required:"" placeholder:"FILE" help:"Settings of a host (host.toml)."`
+	Gateway bool   `help:"The file holds the settings of a gateway (gateway.toml)."`
 }
 
 // Run checks the settings without starting a host.
 func (c checkCmd) Run() error {
+	if c.Gateway {
+		return c.checkGateway()
+	}
 	s, err := settings.Load(c.Config)
 	if err != nil {
 		return &usageError{cause: err}
@@ -19,3 +23,12 @@
 	fmt.Printf("%s: good: host %s in failure domain %s\n", c.Config, s.Host, s.Domain)
 	return nil
 }
+
+func (c checkCmd) checkGateway() error {
+	s, err := settings.LoadGateway(c.Config)
+	if err != nil {
+		return &usageError{cause: err}
+	}
+	fmt.Printf("%s: good: host %s in failure domain %s\n", c.Config, s.Host, s.Domain)
+	return nil
+}
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -20,6 +20,9 @@
 	Domain model.DomainName
 	// Budget bounds the retries of all hosts together, for each pool.
 	Budget attempt.WindowOptions
+	// Warm says that the endpoints have served other hosts before, so that a host
+	// that knows nothing yet expects them to hold shared parts.
+	Warm bool
 }
 
 // Request is a request that needs an endpoint.
@@ -137,6 +140,8 @@
 	changed bool
 	// refreshed is when the pending tokens were last worked out.
 	refreshed time.Time
+	// started is the time of the first request.
+	started time.Time
 	// cutOff are the other failure domains that seem to be out of reach.
 	cutOff map[model.DomainName]bool
 }
@@ -238,6 +243,9 @@
 // Submit decides where a request goes. A granted request is accounted until
 // Finish.
 func (b *Balancer) Submit(now time.Time, req Request) Decision {
+	if b.started.IsZero() {
+		b.started = now
+	}
 	p := b.pools[req.Pool]
 	if p == nil {
 		return refuse(ReasonNoEndpoint, unknownPoolRetryAfter)
--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -22,9 +22,12 @@
 	next int
 }
 
-func newBench(n int) *bench {
+func newBench(n int) *bench { return newBenchOf(n, false) }
+
+func newBenchOf(n int, warm bool) *bench {
 	b := &bench{Balancer: balance.New(balance.Options{
 		Domain: "north",
+		Warm:   warm,
 		Budget: attempt.WindowOptions{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
 	})}
 	b.SetPools([]routing.Pool{{Name: "engines", Engine: &routing.Engine{Slots: 4, CacheTokens: 100_000}}, {Name: "services"}})
@@ -78,6 +81,21 @@
 	}
 }
 
+// Load: all hosts are replaced at once while the endpoints go on. Prompts go
+// where the hosts before had sent them, by hashing, and are not read again.
+func TestReplacedHostsExpectPartsAtTheirHomes(t *testing.T) {
+	before, after := newBench(6), newBenchOf(6, true)
+	for key := model.PartID(1); key < 20; key++ {
+		id, first := before.submit(at(0), draft(key))
+		before.FirstAnswer(at(first.Expected), id)
+		before.Finish(at(first.Expected), id, balance.Result{})
+		id, d := after.submit(at(0), draft(key))
+		after.Finish(at(0), id, balance.Result{})
+		must.Eq(t, first.Endpoint, d.Endpoint)
+		must.Eq(t, 3000, d.Own)
+	}
+}
+
 // Load: one shared part is wanted by more drafts than its endpoint reads in
 // time. Some go elsewhere and fetch the part instead of reading it again.
 func TestHotPartsSpreadByFetching(t *testing.T) {
--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -41,7 +41,7 @@
 	reReadTokens = 0.075
 	// awayFromHome is the cost of reading parts for the first time at another
 	// endpoint than their home: hosts that do so at once read them twice.
-	awayFromHome = 0.05
+	awayFromHome = 0.15
 	// otherDomain is the cost of bytes between failure domains, newConnection
 	// that of a connection.
 	otherDomain   = 0.02
@@ -211,8 +211,18 @@
 		return fetchBase + fetchTime*float64(where.tokens)
 	case where.reading:
 		c.cost += reReadTokens * thousands
+	case c.endpoint == where.home && where.assumed:
+		return 0
 	case c.endpoint != where.home:
 		c.cost += awayFromHome
+		if where.home != nil {
+			// Fetching what the home lacks after all moves nothing.
+			c.fetchFrom = where.home.Address
+		}
+		if where.assumed {
+			c.cost += movedTokens * thousands
+			return fetchBase + fetchTime*float64(where.tokens)
+		}
 	}
 	c.read += where.tokens
 	return 0
--- a/internal/core/balance/holders.go
+++ b/internal/core/balance/holders.go
@@ -159,6 +159,8 @@
 	source *endpoint
 	// reading says that an endpoint is about to hold them.
 	reading bool
+	// assumed says that the home likely holds them, although nobody told so.
+	assumed bool
 }
 
 // locate finds the shared parts of a prompt.
@@ -174,6 +176,7 @@
 			w.home, best = e, score
 		}
 	}
+	w.assumed = b.opts.Warm && now.Sub(b.started) < holdFor
 	var used time.Time
 	for _, entry := range b.holders.byKey[key] {
 		e := b.endpoints[entry.endpoint]
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,7 +45,9 @@
 	ShareEvery time.Duration
 	// Budget bounds the retries of all hosts together.
 	Budget attempt.WindowOptions
-	Log    log.Interface
+	// Warm says that the endpoints have served other hosts before.
+	Warm bool
+	Log  log.Interface
 	// Metrics counts what the host decides; nil for no counting.
 	Metrics *metrics.Metrics
 }
--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -1,6 +1,7 @@
 package logging
 
 import (
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,8 @@
 type Async struct {
 	out     io.Writer
 	dropped atomic.Int64
+	// told is the number of dropped lines that the log has told of.
+	told    int64
 	mu      sync.Mutex
 	buf     []byte
 	stop    chan struct{}
@@ -66,6 +69,7 @@
 		case <-a.stop:
 			last = true
 		}
+		a.tellDropped()
 		spare = a.flush(spare)
 		if last {
 			return
@@ -85,3 +89,16 @@
 	}
 	return full
 }
+
+// tellDropped adds a line about dropped ones to the log.
+func (a *Async) tellDropped() {
+	dropped := a.dropped.Load()
+	if dropped == a.told {
+		return
+	}
+	a.told = dropped
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.buf = fmt.Appendf(a.buf, "{\"level\":\"warn\",\"timestamp\":%q,\"fields\":{\"dropped\":%d},\"message\":\"log: lines dropped\"}\n",
+		time.Now().UTC().Format(time.RFC3339Nano), dropped)
+}
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -80,6 +80,7 @@
 		Budget: attempt.WindowOptions{
 			Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Std(),
 		},
+		Warm:    !s.FirstStart,
 		Log:     logger,
 		Metrics: counts,
 	})
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -23,11 +23,16 @@
 	isSpan bool
 }
 
-// Fields lists every key in the order of the file.
+// Fields lists every key of host.toml in the order of the file.
 func Fields() []Field {
 	return appendFields(nil, "", reflect.ValueOf(Default()))
 }
 
+// GatewayFields lists every key of gateway.toml in the order of the file.
+func GatewayFields() []Field {
+	return appendFields(nil, "", reflect.ValueOf(DefaultGateway()))
+}
+
 func appendFields(fields []Field, prefix string, table reflect.Value) []Field {
 	for i := range table.NumField() {
 		tag := table.Type().Field(i).Tag
@@ -63,9 +68,9 @@
 
 // field returns the description of the key; array indexes in key are ignored.
 // An unknown key gives an empty Field.
-func field(key string) Field {
+func field(fields []Field, key string) Field {
 	plain := withoutIndexes(key)
-	for _, f := range Fields() {
+	for _, f := range fields {
 		if f.Key == plain {
 			return f
 		}
@@ -73,16 +78,16 @@
 	return Field{}
 }
 
-func allowedFor(key string) string { return field(key).Allowed }
+func allowedFor(fields []Field, key string) string { return field(fields, key).Allowed }
 
 // allowedKeys lists the keys of the table that key stands in.
-func allowedKeys(key string) string {
+func allowedKeys(fields []Field, key string) string {
 	table := ""
 	if at := strings.LastIndex(key, "."); at >= 0 {
 		table = withoutIndexes(key[:at+1])
 	}
 	var names []string
-	for _, f := range Fields() {
+	for _, f := range fields {
 		rest, in := strings.CutPrefix(f.Key, table)
 		if !in {
 			continue
@@ -93,7 +98,7 @@
 		}
 	}
 	if len(names) == 0 {
-		return allowedKeys("")
+		return allowedKeys(fields, "")
 	}
 	return strings.Join(names, ", ")
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -1,13 +1,10 @@
 package settings
 
 import (
-	"bytes"
 	"fmt"
 	"os"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
 	"github.com/wigeonsail/wigeonsail/opconfig"
 )
 
@@ -15,8 +12,11 @@
 // requests on for a platform.
 type Gateway struct {
 	// Host names this host, Domain its failure domain.
-	Host   string `toml:"host"`
-	Domain string `toml:"domain"`
+	Host   string `toml:"host" allowed:"a name that no other host has"`
+	Domain string `toml:"domain" allowed:"the name of the host's failure domain"`
+	// FirstStart says that the whole system starts for the first time, so that
+	// no endpoint caches anything yet.
+	FirstStart bool `toml:"first_start" allowed:"true or false"`
 
 	Listen   GatewayListen   `toml:"listen"`
 	Platform GatewayPlatform `toml:"platform"`
@@ -30,53 +30,53 @@
 // GatewayListen holds the addresses that the host listens on, as ip:port.
 type GatewayListen struct {
 	// Callers serves the callers, Readiness says whether they should come.
-	Callers   string `toml:"callers"`
-	Readiness string `toml:"readiness"`
+	Callers   string `toml:"callers" allowed:"an address as ip:port"`
+	Readiness string `toml:"readiness" allowed:"an address as ip:port"`
 	// Peers serves the other hosts.
-	Peers string `toml:"peers"`
+	Peers string `toml:"peers" allowed:"an address as ip:port"`
 	// Metrics serves counters and histograms.
-	Metrics string `toml:"metrics"`
+	Metrics string `toml:"metrics" allowed:"an address as ip:port"`
 }
 
 // GatewayPlatform tells how to reach the platform's log service.
 type GatewayPlatform struct {
 	// Address is the service's, as ip:port.
-	Address string `toml:"address"`
+	Address string `toml:"address" allowed:"an address as ip:port"`
 	// ListEvery is the time between reads of the list of endpoints.
-	ListEvery opconfig.Duration `toml:"list_every"`
+	ListEvery opconfig.Duration `toml:"list_every" allowed:"a time span over 0 with its unit, such as \"200ms\" or \"2s\""`
 }
 
 // GatewayPeers tells how hosts talk to each other.
 type GatewayPeers struct {
 	// Secret authenticates hosts to each other.
-	Secret string `toml:"secret"`
+	Secret string `toml:"secret" allowed:"at least 16 characters, the same on all hosts"`
 	// Seeds are peer addresses of other hosts to begin with.
-	Seeds []string `toml:"seeds"`
+	Seeds []string `toml:"seeds" allowed:"peer addresses of other hosts, each as ip:port"`
 	// ShareEvery is the least time between two digests to a peer.
-	ShareEvery opconfig.Duration `toml:"share_every"`
+	ShareEvery opconfig.Duration `toml:"share_every" allowed:"a time span over 0 with its unit, such as \"200ms\" or \"2s\""`
 }
 
 // GatewayRetries is the budget of second sends that all hosts share.
 type GatewayRetries struct {
 	// Ratio is the allowed number of retries for each request, Slack what all
 	// hosts have beyond that in a Window.
-	Ratio  float64           `toml:"ratio"`
-	Slack  float64           `toml:"slack"`
-	Window opconfig.Duration `toml:"window"`
+	Ratio  float64           `toml:"ratio" allowed:"a number of 0 or more"`
+	Slack  float64           `toml:"slack" allowed:"a number of 0 or more"`
+	Window opconfig.Duration `toml:"window" allowed:"a time span over 0 with its unit, such as \"200ms\" or \"2s\""`
 }
 
 // GatewayShutdown tells how the host ends after SIGTERM.
 type GatewayShutdown struct {
 	// Grace is the time until the host is killed.
-	Grace opconfig.Duration `toml:"grace"`
+	Grace opconfig.Duration `toml:"grace" allowed:"a time span over 0 with its unit, such as \"200ms\" or \"2s\""`
 	// Linger is the time in which callers notice that the host leaves.
-	Linger opconfig.Duration `toml:"linger"`
+	Linger opconfig.Duration `toml:"linger" allowed:"a time span over 0 with its unit, such as \"200ms\" or \"2s\""`
 }
 
 // GatewayLimits bounds what the process takes of its machine.
 type GatewayLimits struct {
 	// Memory is the process's memory in MB.
-	Memory int `toml:"memory_mb"`
+	Memory int `toml:"memory_mb" allowed:"a whole number of megabytes over 0"`
 }
 
 // DefaultGateway returns the settings of a file that leaves all keys out.
@@ -101,13 +101,18 @@
 	if err != nil {
 		return nil, unreadable(path, "", err)
 	}
-	idx := indexLines(data)
+	return parseGateway(path, data)
+}
+
+func parseGateway(path string, data []byte) (*Gateway, error) {
 	s := DefaultGateway()
-	if err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(&s); err != nil {
-		return nil, decodeError(path, idx, err)
+	fields := GatewayFields()
+	idx, err := decode(path, data, &s, fields)
+	if err != nil {
+		return nil, err
 	}
 	if f := s.check(); f != nil {
-		return nil, f.at(path, idx)
+		return nil, f.at(path, idx, fields)
 	}
 	return &s, nil
 }
--- /dev/null
+++ b/internal/settings/gateway_test.go
@@ -0,0 +1,60 @@
+package settings
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// placeholder is a field that the platform fills into the template.
+var placeholder = regexp.MustCompile(`\{\{[^}]*\}\}`)
+
+// filled returns the template as the platform fills it in.
+func filled(t *testing.T) string {
+	template, err := os.ReadFile("../../deploy/gateway.toml")
+	must.NoError(t, err)
+	text := strings.NewReplacer(
+		"{{node_name}}", "front-a-1", "{{zone}}", "a", "{{bootstrap}}", "false", "{{ip}}", "10.1.0.40",
+		"{{listen.front}}", "10.1.0.40:8227", "{{listen.ready}}", "10.1.0.40:8220", "{{listen.control}}", "10.1.0.40:8229",
+		"{{platform.address}}", "10.200.1.7:8223", "{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", `"10.1.0.40:8229","10.2.0.29:8229"`,
+		"{{bounds.budget_ratio}}", "0.2", "{{bounds.budget_slack}}", "58", "{{bounds.budget_window_s}}", "10",
+		"{{bounds.grace_s}}", "8", "{{limits.memory_mb}}", "134",
+	).Replace(string(template))
+	must.Eq(t, "", placeholder.FindString(text), must.Sprint("a placeholder that the test does not fill in"))
+	return text
+}
+
+func TestGatewayTemplate(t *testing.T) {
+	s, err := parseGateway("gateway.toml", []byte(filled(t)))
+	must.NoError(t, err)
+	must.Eq(t, "front-a-1", s.Host)
+	must.Eq(t, 58, s.Retries.Slack)
+	must.Eq(t, 8*time.Second, s.Shutdown.Grace.Std())
+	must.Len(t, 2, s.Peers.Seeds)
+}
+
+func TestGatewayFaults(t *testing.T) {
+	cases := []struct{ name, from, to, want string }{
+		{"unknown key", "[limits]", "[limits]\nother = 1", "limits.other: unknown key; allowed: memory_mb"},
+		{"no name", `host = "front-a-1"`, "", "host: missing; allowed: a name that no other host has"},
+		{"no address", "10.200.1.7:8223", "store", `platform.address: "store" is no address; allowed: an address as ip:port`},
+		{"no unit", `grace = "8s"`, "grace = 8", "shutdown.grace: "},
+		{"bad seed", "10.2.0.29:8229", "10.2.0.29", "peers.seeds: "},
+		{"no memory", "memory_mb = 134", "memory_mb = 0", "limits.memory_mb: not over 0"},
+		{"short secret", "wigeonsail-entry-hosts", "short", "peers.secret: shorter than 16 characters"},
+		{"negative budget", "ratio = 0.2", "ratio = -1", "retries: below 0"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			text := strings.Replace(filled(t), c.from, c.to, 1)
+			_, err := parseGateway("gateway.toml", []byte(text))
+			must.Error(t, err)
+			must.StrContains(t, err.Error(), c.want)
+			must.StrNotContains(t, err.Error(), "\n")
+		})
+	}
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -21,30 +21,40 @@
 }
 
 func parse(path string, data []byte) (*Settings, error) {
-	idx := indexLines(data)
 	s := Default()
-	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
-	if err := decoder.Decode(&s); err != nil {
-		return nil, decodeError(path, idx, err)
-	}
-	if fault := checkUnits(idx); fault != nil {
-		return nil, fault.at(path, idx)
+	fields := Fields()
+	idx, err := decode(path, data, &s, fields)
+	if err != nil {
+		return nil, err
 	}
 	for _, rule := range rules {
 		fault := rule(&s)
 		if fault == nil {
 			continue
 		}
-		return nil, fault.at(path, idx)
+		return nil, fault.at(path, idx, fields)
 	}
 	return &s, nil
 }
 
+// decode reads a file into settings that hold the defaults. Unknown keys and
+// time spans without a unit are faults.
+func decode(path string, data []byte, into any, fields []Field) (*lineIndex, error) {
+	idx := indexLines(data)
+	if err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(into); err != nil {
+		return nil, decodeError(path, idx, fields, err)
+	}
+	if fault := checkUnits(idx, fields); fault != nil {
+		return nil, fault.at(path, idx, fields)
+	}
+	return idx, nil
+}
+
 // checkUnits refuses a bare number where a time span is due: the decoder would
 // take it as nanoseconds.
-func checkUnits(idx *lineIndex) *fault {
+func checkUnits(idx *lineIndex, fields []Field) *fault {
 	for _, key := range idx.numbers {
-		if field(key).isSpan {
+		if field(fields, key).isSpan {
 			return &fault{key: key, problem: "number without a unit"}
 		}
 	}
@@ -62,13 +72,13 @@
 }
 
 // decodeError translates an error of the TOML decoder.
-func decodeError(path string, idx *lineIndex, err error) *Error {
+func decodeError(path string, idx *lineIndex, fields []Field, err error) *Error {
 	var unknown *toml.StrictMissingError
 	if errors.As(err, &unknown) && len(unknown.Errors) > 0 {
 		first := &unknown.Errors[0]
 		line, _ := first.Position()
 		key := strings.Join(first.Key(), ".")
-		return &Error{File: path, Line: line, Key: key, Problem: "unknown key", Allowed: allowedKeys(key), Cause: err}
+		return &Error{File: path, Line: line, Key: key, Problem: "unknown key", Allowed: allowedKeys(fields, key), Cause: err}
 	}
 	var decode *toml.DecodeError
 	if !errors.As(err, &decode) {
@@ -76,7 +86,7 @@
 	}
 	line, _ := decode.Position()
 	key := strings.Join(decode.Key(), ".")
-	allowed := allowedFor(key)
+	allowed := allowedFor(fields, key)
 	if allowed == "" {
 		return &Error{File: path, Line: line, Key: key, Problem: syntaxProblem(decode), Allowed: "TOML", Cause: err}
 	}
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -91,7 +91,7 @@
 		}
 	}
 	var want []string
-	for _, f := range Fields() {
+	for _, f := range append(Fields(), GatewayFields()...) {
 		must.NotEqOp(t, "", f.Allowed, must.Sprint(f.Key))
 		want = append(want, "| `"+f.Key+"` | "+f.Default+" | "+f.Allowed+" |")
 	}
--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -24,13 +24,13 @@
 }
 
 // at adds the place in the file.
-func (f *fault) at(path string, idx *lineIndex) *Error {
+func (f *fault) at(path string, idx *lineIndex, fields []Field) *Error {
 	return &Error{
 		File:    path,
 		Line:    idx.line(f.key),
 		Key:     f.key,
 		Problem: f.problem,
-		Allowed: allowedFor(f.key),
+		Allowed: allowedFor(fields, f.key),
 		Cause:   f.cause,
 	}
 }
