Reach the platform's log and host list by its published protocol only

Cause: two clients stood side by side, one of them for a protocol of our own that no platform speaks. Change: platform.Store is the one client: log, lists, and the hosts' entries on a keyed topic. The stand-in that scenarios use speaks the same; its list of hosts is written by PUT /admin/hosts/NAME, its reads are checked by 410 and 'first'. What is left of the old adapter is the weight store.

--- a/bench/log_test.go
+++ b/bench/log_test.go
@@ -8,18 +8,18 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/wigeonsail/wigeonsail/internal/adapter/platformhttp"
 	"github.com/wigeonsail/wigeonsail/internal/core/effect"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 	"github.com/wigeonsail/wigeonsail/internal/standin/platform"
+	fleetplatform "github.com/wigeonsail/wigeonsail/platform"
 )
 
-func servePlatform(b *testing.B) (*platformhttp.Platform, *countedListener) {
+func servePlatform(b *testing.B) (*fleetplatform.Store, *countedListener) {
 	l := listen(b)
 	server := &http.Server{Handler: platform.New(platform.Options{AppendsPerSecond: 1e9, AppendBurst: 1 << 30})}
 	go func() { _ = server.Serve(l) }()
-	p := platformhttp.New(platformhttp.Options{URL: "http://" + l.Addr().String(), Host: "host-0001"})
+	p := fleetplatform.NewStore(fleetplatform.StoreOptions{URL: "http://" + l.Addr().String(), Host: "host-0001"})
 	b.Cleanup(func() {
 		p.Close()
 		must.NoError(b, server.Close())
--- a/cmd/wigeonsail/scenario_publish_test.go
+++ b/cmd/wigeonsail/scenario_publish_test.go
@@ -6,9 +6,9 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/wigeonsail/wigeonsail/internal/adapter/platformhttp"
 	"github.com/wigeonsail/wigeonsail/internal/core/configstate"
 	"github.com/wigeonsail/wigeonsail/opconfig"
+	"github.com/wigeonsail/wigeonsail/platform"
 )
 
 func init() { scenarioCommands["publish"] = cmdPublish }
@@ -34,7 +34,7 @@
 	}
 	data, err := record.Encode()
 	ts.Check(err)
-	client := platformhttp.New(platformhttp.Options{URL: args[0], Host: "operator"})
+	client := platform.NewStore(platform.StoreOptions{URL: args[0], Host: "operator"})
 	defer client.Close()
 	ok := poll(func() bool {
 		_, err := client.Append(context.Background(), configstate.Stream, data)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -12,7 +12,6 @@
 
 	"github.com/apex/log"
 
-	"github.com/wigeonsail/wigeonsail/internal/adapter/platformhttp"
 	"github.com/wigeonsail/wigeonsail/internal/core/configstate"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/server"
@@ -21,6 +20,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/standin/platform"
 	"github.com/wigeonsail/wigeonsail/internal/standin/service"
 	"github.com/wigeonsail/wigeonsail/opconfig"
+	fleetplatform "github.com/wigeonsail/wigeonsail/platform"
 )
 
 // The size of the demo.
@@ -174,7 +174,7 @@
 	if err != nil {
 		return err
 	}
-	client := platformhttp.New(platformhttp.Options{URL: d.platformURL, Host: "demo-operator"})
+	client := fleetplatform.NewStore(fleetplatform.StoreOptions{URL: d.platformURL, Host: "demo-operator"})
 	defer client.Close()
 	_, err = client.Append(ctx, configstate.Stream, data)
 	return err
--- a/internal/server/fixture_test.go
+++ b/internal/server/fixture_test.go
@@ -17,7 +17,6 @@
 	"github.com/shoenig/test/must"
 	"go.uber.org/goleak"
 
-	"github.com/wigeonsail/wigeonsail/internal/adapter/platformhttp"
 	"github.com/wigeonsail/wigeonsail/internal/core/configstate"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/settings"
@@ -25,6 +24,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/standin/platform"
 	"github.com/wigeonsail/wigeonsail/internal/standin/service"
 	"github.com/wigeonsail/wigeonsail/opconfig"
+	fleetplatform "github.com/wigeonsail/wigeonsail/platform"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -118,7 +118,7 @@
 	record := configstate.Record{Schema: configstate.RecordSchema, PublishID: "1", Version: 1, Author: "test", Body: body}
 	data, err := record.Encode()
 	must.NoError(f.t, err)
-	client := platformhttp.New(platformhttp.Options{URL: url, Host: "operator"})
+	client := fleetplatform.NewStore(fleetplatform.StoreOptions{URL: url, Host: "operator"})
 	defer client.Close()
 	_, err = client.Append(context.Background(), configstate.Stream, data)
 	must.NoError(f.t, err)
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -61,7 +61,7 @@
 		log:       logger,
 		metrics:   counts,
 		replicas:  platform.NewReplicas(),
-		store:     platform.NewStore(s.Platform.Address),
+		store:     platform.NewStore(platform.StoreOptions{URL: "http://" + s.Platform.Address, Host: model.HostID(s.Host)}),
 		peerCalls: peerCalls,
 	}
 	g.gateway = gateway.New(gateway.Options{
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -16,12 +16,13 @@
 	"github.com/wigeonsail/wigeonsail/internal/adapter/enginehttp"
 	"github.com/wigeonsail/wigeonsail/internal/adapter/operatorhttp"
 	"github.com/wigeonsail/wigeonsail/internal/adapter/peergrpc"
-	"github.com/wigeonsail/wigeonsail/internal/adapter/platformhttp"
 	"github.com/wigeonsail/wigeonsail/internal/adapter/servicehttp"
+	"github.com/wigeonsail/wigeonsail/internal/adapter/weighthttp"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/host"
 	"github.com/wigeonsail/wigeonsail/internal/metrics"
 	"github.com/wigeonsail/wigeonsail/internal/settings"
+	"github.com/wigeonsail/wigeonsail/platform"
 )
 
 // ListenError says which listener could not be opened.
@@ -48,7 +49,8 @@
 	listener net.Listener
 	engines  *enginehttp.Client
 	services *servicehttp.Client
-	platform *platformhttp.Platform
+	store    *platform.Store
+	weights  *weighthttp.Store
 	// operators serves the operator side on operatorListener.
 	operators        *operatorhttp.Server
 	operatorListener net.Listener
@@ -82,10 +84,11 @@
 		log:          logger,
 		engines:      enginehttp.New(),
 		services:     servicehttp.New(),
-		platform: platformhttp.New(platformhttp.Options{
-			URL:     s.Platform.URL,
-			Host:    model.HostID(s.Host),
-			Timeout: s.Platform.Timeout.Std(),
+		store: platform.NewStore(platform.StoreOptions{
+			URL: s.Platform.URL, Host: model.HostID(s.Host), Timeout: s.Platform.Timeout.Std(),
+		}),
+		weights: weighthttp.New(weighthttp.Options{
+			URL: s.Platform.URL, Host: model.HostID(s.Host), Timeout: s.Platform.Timeout.Std(),
 		}),
 	}
 	srv.host = host.New(host.Options{
@@ -93,11 +96,11 @@
 		Domain:         model.DomainName(s.Domain),
 		Incarnation:    model.Incarnation(now.UnixNano()),
 		Seed:           uint64(now.UnixNano()),
-		PlatformLog:    srv.platform,
+		PlatformLog:    srv.store,
 		Engines:        srv.engines,
 		Services:       srv.services,
-		HostList:       srv.platform,
-		Weights:        srv.platform,
+		HostList:       srv.store,
+		Weights:        srv.weights,
 		Peers:          srv.peerClient,
 		PeerAddress:    peerListener.Addr().String(),
 		Seeds:          s.Peers.Seeds,
@@ -168,7 +171,8 @@
 	s.peerClient.Close()
 	s.engines.Close()
 	s.services.Close()
-	s.platform.Close()
+	s.store.Close()
+	s.weights.Close()
 	served := s.serving.Wait()
 	s.log.Info("host: left")
 	return errors.Join(drained, closed, served, s.metrics.Close())
--- a/internal/standin/platform/admin.go
+++ b/internal/standin/platform/admin.go
@@ -1,6 +1,10 @@
 package platform
 
-import "net/http"
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+)
 
 // Stats is the body of the answer to /admin/stats.
 type Stats struct {
@@ -27,3 +31,25 @@
 func (s *Server) showStats(w http.ResponseWriter, _ *http.Request) {
 	answer(w, Stats{Appends: s.streams.appends()})
 }
+
+func (s *Server) putHost(w http.ResponseWriter, r *http.Request) {
+	var entry json.RawMessage
+	if !decode(w, r, &entry) {
+		return
+	}
+	s.hosts.announce(r.PathValue("name"), entry)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		refuseBad(w, "body: "+err.Error())
+		return false
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		refuseBad(w, "body: "+err.Error())
+		return false
+	}
+	return true
+}
--- a/internal/standin/platform/hosts.go
+++ b/internal/standin/platform/hosts.go
@@ -1,17 +1,16 @@
 package platform
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"time"
-
-	"github.com/wigeonsail/wigeonsail/internal/adapter/platformhttp/wire"
 )
 
 // announcement is what a host said of itself, and when.
 type announcement struct {
-	host wire.Host
-	at   time.Time
+	value []byte
+	at    time.Time
 }
 
 // hosts is the lagging host list.
@@ -28,27 +27,27 @@
 }
 
 // announce adds or renews an entry.
-func (h *hosts) announce(host wire.Host) {
+func (h *hosts) announce(name string, value []byte) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.byName[host.Name] = append(h.byName[host.Name], announcement{host: host, at: time.Now()})
+	h.byName[name] = append(h.byName[name], announcement{value: slices.Clone(value), at: time.Now()})
 }
 
 // list returns the list as it was lag ago, ordered by name.
-func (h *hosts) list(lag time.Duration) []wire.Host {
+func (h *hosts) list(lag time.Duration) []newestItem {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	asOf := time.Now().Add(-lag)
-	list := []wire.Host{}
+	list := []newestItem{}
 	for name, said := range h.byName {
 		said = dropSuperseded(said, asOf)
 		h.byName[name] = said
 		first := said[0]
 		if !first.at.After(asOf) && asOf.Sub(first.at) < h.expiry {
-			list = append(list, first.host)
+			list = append(list, newestItem{Key: name, Value: first.value})
 		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
 	return list
 }
 
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -5,7 +5,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/wigeonsail/wigeonsail/internal/adapter/platformhttp/wire"
+	"github.com/wigeonsail/wigeonsail/internal/adapter/weighthttp/wire"
 	"github.com/wigeonsail/wigeonsail/internal/clock"
 )
 
@@ -15,6 +15,9 @@
 	FaultsPath = "/admin/faults"
 	// StatsPath shows the counts of the platform's work.
 	StatsPath = "/admin/stats"
+	// HostsPath is followed by the name of a host or endpoint; PUT writes its
+	// entry as an operator would.
+	HostsPath = "/admin/hosts/"
 )
 
 // Server serves the platform's services.
@@ -45,14 +48,14 @@
 }
 
 func (s *Server) route() {
-	s.service("POST "+wire.StreamsPath+"{stream}"+wire.RecordsSuffix, s.appendRecord)
-	s.service("GET "+wire.StreamsPath+"{stream}"+wire.RecordsSuffix, s.readRecords)
-	s.service("GET "+wire.HostsPath, s.listHosts)
-	s.service("PUT "+wire.HostsPath+"/{name}", s.announceHost)
+	s.service("POST /v1/log-append", s.appendRecords)
+	s.service("GET /v1/log-read", s.readRecords)
+	s.service("GET /v1/log-newest", s.listNewest)
 	s.service("GET "+wire.WeightsPath+"{name...}", s.statWeights)
 	s.mux.HandleFunc("GET "+FaultsPath, s.showFaults)
 	s.mux.HandleFunc("POST "+FaultsPath, s.changeFaults)
 	s.mux.HandleFunc("GET "+StatsPath, s.showStats)
+	s.mux.HandleFunc("PUT "+HostsPath+"{name}", s.putHost)
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -12,7 +13,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/wigeonsail/wigeonsail/internal/adapter/platformhttp/wire"
+	"github.com/wigeonsail/wigeonsail/internal/adapter/weighthttp/wire"
 )
 
 // ask does one call and decodes its answer.
@@ -26,17 +27,35 @@
 	return w.Code
 }
 
+// oneRecord is the body of an append of the record "x".
+const oneRecord = "\x00\x00\x00\x01x"
+
 func appendOne(t *testing.T, s *Server, stream string) int {
 	t.Helper()
-	return ask(t, s, http.MethodPost, "/v1/streams/"+stream+"/records", `{"data":"eA=="}`, nil)
+	return ask(t, s, http.MethodPost, "/v1/log-append?part=0&topic="+stream, oneRecord, nil)
+}
+
+// readAnswer is a decoded answer to a read.
+type readAnswer struct {
+	status         int
+	next, earliest uint64
+	records        int
 }
 
-func readAll(t *testing.T, s *Server, wait string) wire.ReadResponse {
+func readFrom(t *testing.T, s *Server, from, waitMS int) readAnswer {
 	t.Helper()
-	var res wire.ReadResponse
-	path := fmt.Sprintf("/v1/streams/s/records?from=0&max=10&wait=%s", wait)
-	must.Eq(t, http.StatusOK, ask(t, s, http.MethodGet, path, "", &res))
-	return res
+	w := httptest.NewRecorder()
+	path := fmt.Sprintf("/v1/log-read?topic=s&part=0&from=%d&wait_ms=%d", from, waitMS)
+	s.ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+	body := w.Body.Bytes()
+	if w.Code != http.StatusOK {
+		return readAnswer{status: w.Code}
+	}
+	must.Eq(t, 0, (len(body)-16)%len(oneRecord))
+	return readAnswer{
+		status: w.Code, next: binary.BigEndian.Uint64(body), earliest: binary.BigEndian.Uint64(body[8:]),
+		records: (len(body) - 16) / len(oneRecord),
+	}
 }
 
 func TestRetentionByCountAndAge(t *testing.T) {
@@ -45,15 +64,11 @@
 		for range 5 {
 			must.Eq(t, http.StatusOK, appendOne(t, s, "s"))
 		}
-		res := readAll(t, s, "0s")
-		must.Eq(t, 2, res.Earliest)
-		must.Eq(t, 5, res.Next)
-		must.Len(t, 3, res.Records)
-		must.Eq(t, 2, res.Records[0].Offset)
+		must.Eq(t, http.StatusGone, readFrom(t, s, 0, 0).status)
+		must.Eq(t, readAnswer{status: http.StatusOK, next: 5, earliest: 2, records: 3}, readFrom(t, s, 2, 0))
 		time.Sleep(time.Minute + time.Second)
-		res = readAll(t, s, "0s")
-		must.Eq(t, 5, res.Earliest)
-		must.SliceEmpty(t, res.Records)
+		must.Eq(t, http.StatusGone, readFrom(t, s, 2, 0).status)
+		must.Eq(t, readAnswer{status: http.StatusOK, next: 5, earliest: 5}, readFrom(t, s, 5, 0))
 	})
 }
 
@@ -63,7 +78,7 @@
 		must.Eq(t, http.StatusOK, appendOne(t, s, "a"))
 		must.Eq(t, http.StatusOK, appendOne(t, s, "b"))
 		var refused wire.ErrorResponse
-		status := ask(t, s, http.MethodPost, "/v1/streams/c/records", `{"data":"eA=="}`, &refused)
+		status := ask(t, s, http.MethodPost, "/v1/log-append?part=0&topic=c", oneRecord, &refused)
 		must.Eq(t, http.StatusTooManyRequests, status)
 		must.True(t, refused.NotApplied)
 		must.Eq(t, 10, refused.RetryAfterMillis)
@@ -76,13 +91,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := New(Options{})
 		start := time.Now()
-		must.SliceEmpty(t, readAll(t, s, "5s").Records)
+		must.Eq(t, 0, readFrom(t, s, 0, 5000).records)
 		must.Eq(t, 5*time.Second, time.Since(start))
 		go func() {
 			time.Sleep(time.Second)
 			appendOne(t, s, "s")
 		}()
-		must.Len(t, 1, readAll(t, s, "5s").Records)
+		must.Eq(t, 1, readFrom(t, s, 0, 5000).records)
 		must.Eq(t, 6*time.Second, time.Since(start))
 	})
 }
@@ -96,7 +111,7 @@
 			ask(t, s, http.MethodPost, FaultsPath, `{"outage":true}`, nil)
 		}()
 		var refused wire.ErrorResponse
-		status := ask(t, s, http.MethodGet, "/v1/streams/s/records?from=0&max=1&wait=9s", "", &refused)
+		status := ask(t, s, http.MethodGet, "/v1/log-read?topic=s&part=0&from=0&wait_ms=9000", "", &refused)
 		must.Eq(t, http.StatusServiceUnavailable, status)
 		must.Eq(t, wire.CodeUnavailable, refused.Code)
 		must.Eq(t, time.Second, time.Since(start))
@@ -106,23 +121,26 @@
 func TestHostListLagsAndExpires(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := New(Options{ListLag: 2 * time.Second, ListExpiry: 10 * time.Second})
-		announce := func(leaving bool) {
-			body := fmt.Sprintf(`{"name":"h1","domain":"d1","leaving":%t}`, leaving)
-			must.Eq(t, http.StatusNoContent, ask(t, s, http.MethodPut, "/v1/hosts/h1", body, nil))
+		announce := func(value string) {
+			record := append([]byte("\x02h1"), value...)
+			body := append(binary.BigEndian.AppendUint32(nil, uint32(len(record))), record...)
+			must.Eq(t, http.StatusOK, ask(t, s, http.MethodPost, "/v1/log-append?part=0&topic="+hostsTopic, string(body), nil))
 		}
-		list := func() []wire.Host {
-			var res wire.HostsResponse
-			must.Eq(t, http.StatusOK, ask(t, s, http.MethodGet, "/v1/hosts", "", &res))
-			return res.Hosts
+		list := func() []newestItem {
+			var res struct {
+				Items []newestItem `json:"items"`
+			}
+			must.Eq(t, http.StatusOK, ask(t, s, http.MethodGet, "/v1/log-newest?part=0&topic="+hostsTopic, "", &res))
+			return res.Items
 		}
-		announce(false)
+		announce("here")
 		must.SliceEmpty(t, list())
 		time.Sleep(2 * time.Second)
-		must.Eq(t, []wire.Host{{Name: "h1", Domain: "d1"}}, list())
-		announce(true)
-		must.False(t, list()[0].Leaving)
+		must.Eq(t, []newestItem{{Key: "h1", Value: []byte("here")}}, list())
+		announce("leaving")
+		must.Eq(t, "here", string(list()[0].Value))
 		time.Sleep(2 * time.Second)
-		must.True(t, list()[0].Leaving)
+		must.Eq(t, "leaving", string(list()[0].Value))
 		time.Sleep(11 * time.Second)
 		must.SliceEmpty(t, list())
 	})
@@ -138,9 +156,10 @@
 
 func TestBadRequestsAreRefused(t *testing.T) {
 	s := New(Options{})
-	must.Eq(t, http.StatusBadRequest, ask(t, s, http.MethodPost, "/v1/streams/s/records", `{`, nil))
-	must.Eq(t, http.StatusBadRequest, ask(t, s, http.MethodGet, "/v1/streams/s/records?from=x&max=1&wait=0s", "", nil))
-	must.Eq(t, http.StatusBadRequest, ask(t, s, http.MethodPut, "/v1/hosts/a", `{"name":"b"}`, nil))
+	must.Eq(t, http.StatusBadRequest, ask(t, s, http.MethodPost, "/v1/log-append?part=0&topic=s", `{`, nil))
+	must.Eq(t, http.StatusBadRequest, ask(t, s, http.MethodPost, "/v1/log-append?part=0", oneRecord, nil))
+	must.Eq(t, http.StatusBadRequest, ask(t, s, http.MethodGet, "/v1/log-read?topic=s&part=0&from=x", "", nil))
+	must.Eq(t, http.StatusBadRequest, ask(t, s, http.MethodPost, "/v1/log-append?part=0&topic="+hostsTopic, "\x00\x00\x00\x01\x09", nil))
 	var stats Stats
 	must.Eq(t, http.StatusOK, ask(t, s, http.MethodGet, StatsPath, "", &stats))
 	must.MapEmpty(t, stats.Appends)
--- a/internal/standin/platform/services.go
+++ b/internal/standin/platform/services.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"encoding/json"
-	"errors"
 	"io"
 	"math"
 	"net/http"
@@ -12,58 +12,95 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/wigeonsail/wigeonsail/internal/adapter/platformhttp/wire"
+	"github.com/wigeonsail/wigeonsail/internal/adapter/weighthttp/wire"
 )
 
 const (
-	// maxBodyBytes bounds a request's body; base64 adds a third to a record.
+	// maxBodyBytes bounds a request's body.
 	maxBodyBytes = 2 << 20
-	// maxReadRecords bounds the records of one read.
-	maxReadRecords = 1000
 	// maxWait bounds the wait of one read.
 	maxWait = 30 * time.Second
 	// defaultWeightBytes is the size of a model that Options does not list.
 	defaultWeightBytes = 8 << 30
 )
 
-func (s *Server) appendRecord(w http.ResponseWriter, r *http.Request) {
-	var req wire.AppendRequest
-	if !decode(w, r, &req) {
+func (s *Server) appendRecords(w http.ResponseWriter, r *http.Request) {
+	topic := r.URL.Query().Get("topic")
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil || topic == "" {
+		refuseBad(w, "a topic and a body of a bounded size are needed")
+		return
+	}
+	records, ok := splitRecords(body)
+	if !ok || len(records) == 0 {
+		refuseBad(w, "the body holds no whole records")
+		return
+	}
+	if topic == hostsTopic {
+		s.announceHosts(w, records)
 		return
 	}
 	if !allow(w, s.appends) {
 		return
 	}
-	offset := s.streams.append(r.PathValue("stream"), req.Data)
+	var first uint64
+	for i, record := range records {
+		offset := s.streams.append(topic, record)
+		if i == 0 {
+			first = offset
+		}
+	}
 	if s.faults.takeLostAnswer() {
 		closeConnection()
 	}
-	answer(w, wire.AppendResponse{Offset: offset})
+	answer(w, appended{Offset: first, End: first + uint64(len(records))})
+}
+
+// appended is the answer to an append.
+type appended struct {
+	Offset uint64 `json:"offset"`
+	End    uint64 `json:"end"`
+}
+
+// lengthBytes is the size of a record's length.
+const lengthBytes = 4
+
+// splitRecords cuts a body into records.
+func splitRecords(body []byte) ([][]byte, bool) {
+	var out [][]byte
+	for len(body) > 0 {
+		if len(body) < lengthBytes {
+			return nil, false
+		}
+		size := int(binary.BigEndian.Uint32(body))
+		body = body[lengthBytes:]
+		if size > len(body) {
+			return nil, false
+		}
+		out = append(out, body[:size])
+		body = body[size:]
+	}
+	return out, true
 }
 
 func (s *Server) readRecords(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
-	from, err := strconv.ParseUint(query.Get(wire.FromParam), 10, 64)
+	from, err := strconv.ParseUint(query.Get("from"), 10, 64)
 	if err != nil {
-		refuseBad(w, wire.FromParam+" must be an offset")
+		refuseBad(w, "from must be an offset")
 		return
 	}
-	limit, err := strconv.Atoi(query.Get(wire.MaxParam))
-	if err != nil || limit < 1 {
-		refuseBad(w, wire.MaxParam+" must be a number of records from 1")
+	waitMS, err := strconv.Atoi(query.Get("wait_ms"))
+	if err != nil && query.Has("wait_ms") {
+		refuseBad(w, "wait_ms must be a number of milliseconds")
 		return
 	}
-	wait, err := time.ParseDuration(query.Get(wire.WaitParam))
-	if err != nil {
-		refuseBad(w, wire.WaitParam+" must be a duration")
-		return
-	}
-	s.longPoll(w, r, from, min(limit, maxReadRecords), min(wait, maxWait))
+	s.longPoll(w, r, from, min(time.Duration(waitMS)*time.Millisecond, maxWait))
 }
 
 // longPoll answers a read. A fault that is switched on meanwhile ends the
 // wait.
-func (s *Server) longPoll(w http.ResponseWriter, r *http.Request, from uint64, limit int, wait time.Duration) {
+func (s *Server) longPoll(w http.ResponseWriter, r *http.Request, from uint64, wait time.Duration) {
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	_, changed := s.faults.snapshot()
@@ -74,28 +111,58 @@
 		case <-ctx.Done():
 		}
 	}()
-	res := s.streams.readWait(ctx, r.PathValue("stream"), from, limit, wait)
-	if s.isServed(w, r) {
-		answer(w, res)
+	res := s.streams.readWait(ctx, r.URL.Query().Get("topic"), from, wait)
+	if !s.isServed(w, r) {
+		return
 	}
+	if from < res.earliest {
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusGone)
+		_ = json.NewEncoder(w).Encode(map[string]uint64{"first": res.earliest})
+		return
+	}
+	out := binary.BigEndian.AppendUint64(nil, res.next)
+	out = binary.BigEndian.AppendUint64(out, res.earliest)
+	for _, record := range res.records {
+		out = binary.BigEndian.AppendUint32(out, uint32(len(record)))
+		out = append(out, record...)
+	}
+	_, _ = w.Write(out)
 }
 
-func (s *Server) listHosts(w http.ResponseWriter, _ *http.Request) {
-	state, _ := s.faults.snapshot()
-	answer(w, wire.HostsResponse{Hosts: s.hosts.list(state.ListLag.Std())})
-}
+// hostsTopic is the topic of the hosts' entries, which lags.
+const hostsTopic = "keyed.wigeonsail-hosts"
 
-func (s *Server) announceHost(w http.ResponseWriter, r *http.Request) {
-	var host wire.Host
-	if !decode(w, r, &host) {
-		return
+// announceHosts takes entries of hosts: a key with its length, and a value.
+func (s *Server) announceHosts(w http.ResponseWriter, records [][]byte) {
+	for _, record := range records {
+		if len(record) == 0 || len(record) < 1+int(record[0]) {
+			refuseBad(w, "a record has no whole key")
+			return
+		}
+		at := 1 + int(record[0])
+		s.hosts.announce(string(record[1:at]), record[at:])
 	}
-	if host.Name != r.PathValue("name") {
-		refuseBad(w, "name must be the name in the path")
+	answer(w, appended{})
+}
+
+// newestItem is a key with its value.
+type newestItem struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+}
+
+func (s *Server) listNewest(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("topic") != hostsTopic {
+		refuseBad(w, "this stand-in keeps the newest records of one topic")
 		return
 	}
-	s.hosts.announce(host)
-	w.WriteHeader(http.StatusNoContent)
+	state, _ := s.faults.snapshot()
+	answer(w, struct {
+		Items   []newestItem `json:"items"`
+		HasMore bool         `json:"has_more"`
+		End     uint64       `json:"end"`
+	}{Items: s.hosts.list(state.ListLag.Std())})
 }
 
 func (s *Server) statWeights(w http.ResponseWriter, r *http.Request) {
@@ -126,26 +193,6 @@
 	return false
 }
 
-func decode(w http.ResponseWriter, r *http.Request, into any) bool {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		refuse(w, http.StatusRequestEntityTooLarge, wire.ErrorResponse{
-			Code: wire.CodeTooLarge, Message: "body over " + strconv.Itoa(maxBodyBytes) + " bytes", NotApplied: true,
-		})
-		return false
-	}
-	if err != nil {
-		refuseBad(w, "body: "+err.Error())
-		return false
-	}
-	if err := json.Unmarshal(body, into); err != nil {
-		refuseBad(w, "body: "+err.Error())
-		return false
-	}
-	return true
-}
-
 func refuseBad(w http.ResponseWriter, message string) {
 	refuse(w, http.StatusBadRequest, wire.ErrorResponse{Code: wire.CodeBadRequest, Message: message, NotApplied: true})
 }
--- a/internal/standin/platform/streams.go
+++ b/internal/standin/platform/streams.go
@@ -4,8 +4,6 @@
 	"context"
 	"sync"
 	"time"
-
-	"github.com/wigeonsail/wigeonsail/internal/adapter/platformhttp/wire"
 )
 
 // maxReadBytes bounds the data of one read; one record always fits.
@@ -103,32 +101,38 @@
 	return counts
 }
 
-// read returns up to maxRecords from offset on, and a channel that is closed
-// by the stream's next append.
-func (s *streams) read(name string, from uint64, maxRecords int) (wire.ReadResponse, <-chan struct{}) {
+// batch is a run of records.
+type batch struct {
+	records        [][]byte
+	earliest, next uint64
+}
+
+// read returns the records from an offset on, and a channel that is closed by
+// the stream's next append.
+func (s *streams) read(name string, from uint64) (batch, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.get(name)
-	res := wire.ReadResponse{Records: []wire.Record{}, Earliest: st.earliest, Next: st.next()}
+	res := batch{earliest: st.earliest, next: st.next()}
 	size := 0
-	for offset := max(from, st.earliest); offset < st.next() && len(res.Records) < maxRecords; offset++ {
+	for offset := max(from, st.earliest); offset < st.next(); offset++ {
 		data := st.records[offset-st.earliest].data
 		size += len(data)
-		if size > maxReadBytes && len(res.Records) > 0 {
+		if size > maxReadBytes && len(res.records) > 0 {
 			break
 		}
-		res.Records = append(res.Records, wire.Record{Offset: offset, Data: data})
+		res.records = append(res.records, data)
 	}
 	return res, st.changed
 }
 
 // readWait reads like read and waits up to wait for a first record.
-func (s *streams) readWait(ctx context.Context, name string, from uint64, maxRecords int, wait time.Duration) wire.ReadResponse {
+func (s *streams) readWait(ctx context.Context, name string, from uint64, wait time.Duration) batch {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
-		res, changed := s.read(name, from, maxRecords)
-		if len(res.Records) > 0 || wait <= 0 {
+		res, changed := s.read(name, from)
+		if len(res.records) > 0 || from < res.earliest || wait <= 0 {
 			return res
 		}
 		select {
