Take a peer's newer list of endpoints while the store turns this host away

Ruled out: the two seconds of grace after an outage. Change: a list carries the offset that it stands for; a host whose own reads fail fetches it when a peer names a newer change, and takes it as a whole. Before: TestGatewayTakesNewerListsFromPeers fails after 5 s. After: it passes.

--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -69,12 +69,12 @@
 func (s *loadStream) Close() { s.end() }
 
 // FetchEndpoints implements port.LoadPeers.
-func (c *Client) FetchEndpoints(ctx context.Context, address string) ([]directory.Entry, error) {
+func (c *Client) FetchEndpoints(ctx context.Context, address string) (port.EndpointList, error) {
 	res, err := unary(ctx, c, "fetch endpoints", address, &peer.FetchEndpointsRequest{}, peer.PeerClient.FetchEndpoints)
 	if err != nil {
-		return nil, err
+		return port.EndpointList{}, err
 	}
-	return convert(res.GetEntries(), entryFromWire), nil
+	return port.EndpointList{Entries: convert(res.GetEntries(), entryFromWire), Next: model.Offset(res.GetNext())}, nil
 }
 
 // NewLoadServer returns a Server for hosts that share their work. It fails with
@@ -118,7 +118,7 @@
 	if err != nil {
 		return nil, fail(ctx, err)
 	}
-	return &peer.EndpointList{Entries: convert(list, entryToWire)}, nil
+	return &peer.EndpointList{Entries: convert(list.Entries, entryToWire), Next: uint64(list.Next)}, nil
 }
 
 func loadToWire(d port.LoadDigest) *peer.LoadDigest {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -28,6 +28,8 @@
 	listRead   time.Time
 	listNext   model.Offset
 	listChange model.Offset
+	// listFailing says that this host's last read of the list failed.
+	listFailing bool
 }
 
 func newControl(g *Gateway) *control {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -125,6 +125,7 @@
 	for ctx.Err() == nil {
 		batch, whole, err := f.read(ctx)
 		if err != nil {
+			g.loop.Post(loop.Func(func(time.Time) { g.control.listFailing = true }))
 			clock.Sleep(ctx, f.retry)
 			continue
 		}
@@ -198,7 +199,8 @@
 func (c *control) endpointsFound(now time.Time, update endpointUpdate) {
 	c.directory.Answered(now)
 	c.listRead = now
-	c.listNext = update.next
+	c.listFailing = false
+	c.listNext = max(c.listNext, update.next)
 	if update.whole {
 		var list []directory.Entry
 		for _, rec := range update.list {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/clock"
-	"github.com/wigeonsail/wigeonsail/internal/core/directory"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/readers"
 	"github.com/wigeonsail/wigeonsail/internal/loop"
@@ -225,8 +224,12 @@
 	if d.Version > c.version() {
 		c.askPeerForConfig(d.Address)
 	}
-	if d.ListChange > c.listNext {
-		c.gateway.askForListNews()
+	if d.ListChange <= c.listNext {
+		return
+	}
+	c.gateway.askForListNews()
+	if c.listFailing {
+		c.askPeerForList(now, d.Address)
 	}
 }
 
@@ -293,23 +296,42 @@
 	if best == "" || c.directory.Len() > 0 && c.peers.peers[best].readAge > staleList {
 		return
 	}
+	c.askPeerForList(now, best)
+}
+
+// askPeerForList fetches a peer's list of endpoints.
+func (c *control) askPeerForList(now time.Time, address string) {
+	if c.fetchingList {
+		return
+	}
 	c.fetchingList = true
 	c.listAsked = now
 	g := c.gateway
 	g.background(func(ctx context.Context) {
-		list, err := g.opts.Peers.FetchEndpoints(ctx, best)
+		list, err := g.opts.Peers.FetchEndpoints(ctx, address)
 		if err != nil {
-			g.opts.Log.WithError(err).WithField("address", best).Warn("peers: list of endpoints not fetched")
+			g.opts.Log.WithError(err).WithField("address", address).Warn("peers: list of endpoints not fetched")
 		}
 		g.loop.Post(loop.Func(func(now time.Time) {
 			c.fetchingList = false
-			if err == nil && len(list) > 0 {
-				c.apply(now, c.directory.Merge(list))
+			if err == nil {
+				c.takeList(now, list)
 			}
 		}))
 	})
 }
 
+// takeList takes a peer's list: as a whole when it is newer than what this host
+// has read itself, else only what it adds.
+func (c *control) takeList(now time.Time, list port.EndpointList) {
+	if list.Next <= c.listNext || len(list.Entries) == 0 {
+		c.apply(now, c.directory.Merge(list.Entries))
+		return
+	}
+	c.listNext = list.Next
+	c.apply(now, c.directory.Replace(now, list.Entries))
+}
+
 // HandleFetchConfig implements port.LoadHandler.
 func (g *Gateway) HandleFetchConfig(_ context.Context, newerThan model.Version) (port.ConfigRecord, error) {
 	rec := g.record.Load()
@@ -320,10 +342,12 @@
 }
 
 // HandleFetchEndpoints implements port.LoadHandler.
-func (g *Gateway) HandleFetchEndpoints(ctx context.Context) ([]directory.Entry, error) {
-	list, ok := ask(ctx, g, func(time.Time) []directory.Entry { return g.control.directory.Entries() })
+func (g *Gateway) HandleFetchEndpoints(ctx context.Context) (port.EndpointList, error) {
+	list, ok := ask(ctx, g, func(time.Time) port.EndpointList {
+		return port.EndpointList{Entries: g.control.directory.Entries(), Next: g.control.listNext}
+	})
 	if !ok {
-		return nil, errStopped
+		return port.EndpointList{}, errStopped
 	}
 	return list, nil
 }
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -38,7 +38,7 @@
 	// FetchConfig returns the peer's configuration when it is newer.
 	FetchConfig(ctx context.Context, address string, newerThan model.Version) (ConfigRecord, error)
 	// FetchEndpoints returns the peer's list of endpoints.
-	FetchEndpoints(ctx context.Context, address string) ([]directory.Entry, error)
+	FetchEndpoints(ctx context.Context, address string) (EndpointList, error)
 }
 
 // LoadStream carries digests to one peer.
@@ -52,5 +52,12 @@
 type LoadHandler interface {
 	HandleLoad(digest LoadDigest)
 	HandleFetchConfig(ctx context.Context, newerThan model.Version) (ConfigRecord, error)
-	HandleFetchEndpoints(ctx context.Context) ([]directory.Entry, error)
+	HandleFetchEndpoints(ctx context.Context) (EndpointList, error)
+}
+
+// EndpointList is a host's list of endpoints.
+type EndpointList struct {
+	Entries []directory.Entry
+	// Next is the offset after the records that the list is made of.
+	Next model.Offset
 }
--- a/internal/server/gateway_test.go
+++ b/internal/server/gateway_test.go
@@ -302,6 +302,26 @@
 	f.eventually(func() bool { return status() == http.StatusUnauthorized })
 }
 
+// Endpoints that are gone get nothing from a host that the store turns away
+// either, once its peers know.
+func TestGatewayTakesNewerListsFromPeers(t *testing.T) {
+	f := newFleet(t)
+	f.publish(fleetConfig(1))
+	f.add(servicePool, replica.Options{Instance: "i-1"})
+	gone := f.add(servicePool, replica.Options{Instance: "i-2"})
+	first := f.readyHost("h1")
+	f.cutOff()
+	second := f.readyHost("h2", first.Address("peers"))
+	f.store.Put("keyed.servers", gone.Instance(), nil)
+	f.eventually(func() bool {
+		before := len(gone.Runs())
+		for range 5 {
+			f.confirm(second)
+		}
+		return len(gone.Runs()) == before
+	})
+}
+
 func TestGatewayFinishesStreamsBeforeItLeaves(t *testing.T) {
 	f := newFleet(t)
 	f.publish(fleetConfig(1))
