Do not refuse a request because four endpoints were out of reach

Ruled out: the retry budget; nothing had arrived anywhere. Change: attempts that reach no endpoint have a bound of their own, 24; an endpoint stays suspect for 1.5 s after a pause, so that those of a cut domain are avoided together. Before: TestGatewayFindsTheOneEndpointInReach fails with a bound of four. After: it passes.

--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -21,6 +21,9 @@
 	// connect; it doubles up to maxPause.
 	firstPause = 250 * time.Millisecond
 	maxPause   = 4 * time.Second
+	// suspectFor is how long an endpoint stays suspect after a pause, so that
+	// those of a cut domain are suspect together.
+	suspectFor = 1500 * time.Millisecond
 	// breaksToPause is the number of broken answers in a row after which an
 	// endpoint is paused.
 	breaksToPause = 2
@@ -66,7 +69,7 @@
 
 // suspect says that the endpoint, or the way to it, may be dead.
 func (e *endpoint) suspect(now time.Time) bool {
-	return e.stalled > 0 || e.overdue > 0 || now.Before(e.paused)
+	return e.stalled > 0 || e.overdue > 0 || now.Before(e.paused.Add(suspectFor))
 }
 
 // learn takes the time to a first answer.
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -36,7 +36,7 @@
 func (x *exchange) logPlaced(d balance.Decision) {
 	f := fields{
 		"request": x.call.ID, "route": x.route.Name, "pool": x.ask.Pool, "account": x.account,
-		"config": x.version, "try": x.tries + 1, "tier": x.ask.Tier, "rank": x.ask.Rank,
+		"config": x.version, "try": x.tries + x.unreachable + 1, "tier": x.ask.Tier, "rank": x.ask.Rank,
 		"prompt": x.ask.Prompt.InputTokens, "shared": x.ask.Prompt.SharedTokens(),
 		"left_ms": time.Until(x.ask.Deadline).Milliseconds(),
 	}
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -17,9 +17,12 @@
 	// answerSlack is how long after the time limit an endpoint's own answer about
 	// it is waited for. The rules count a request as held from 250 ms on.
 	answerSlack = 120 * time.Millisecond
-	// maxTries bounds the endpoints that are asked for one request, those that
-	// did not run it included.
+	// maxTries bounds the endpoints that receive one request, those that did not
+	// run it included.
 	maxTries = 4
+	// maxUnreachable bounds the endpoints that could not be reached for one
+	// request: a cut may leave few of many.
+	maxUnreachable = 24
 	// minTimeLeft is the least time left for which another try is begun.
 	minTimeLeft = 30 * time.Millisecond
 	// defaultPatience is the time that a caller waits who does not say.
@@ -36,9 +39,11 @@
 	account model.AccountName
 	ask     balance.Request
 
-	// tries counts the attempts, runs those that may have run.
-	tries int
-	runs  int
+	// tries counts the attempts that arrived, runs those that may have run, and
+	// unreachable those that reached no endpoint.
+	tries       int
+	runs        int
+	unreachable int
 	// started says that the answer's header was sent to the caller.
 	started bool
 	// first is when the first part of the answer was sent.
@@ -164,10 +169,17 @@
 
 // mayTryAgain says whether a failed attempt may be followed by another.
 func (x *exchange) mayTryAgain(ctx context.Context, end tryEnd) bool {
-	x.tries++
+	if end.failure == balance.FailureUnreachable {
+		x.unreachable++
+	} else {
+		x.tries++
+	}
 	if end.outcome != model.OutcomeNotRun {
 		x.runs++
 	}
+	if x.unreachable >= maxUnreachable {
+		return false
+	}
 	if ctx.Err() != nil || x.tries >= maxTries || x.runs >= max(x.route.MaxAttempts, 1) {
 		return false
 	}
--- a/internal/server/gateway_test.go
+++ b/internal/server/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"testing"
@@ -123,6 +124,24 @@
 	must.SliceEmpty(t, r.Runs())
 }
 
+// Load: a cut leaves one endpoint in reach. Connections to the others are
+// refused at once; that is no reason to refuse the request.
+func TestGatewayFindsTheOneEndpointInReach(t *testing.T) {
+	f := newFleet(t)
+	f.publish(fleetConfig(1))
+	for i := range 8 {
+		dead, err := replica.Start(replica.Options{Instance: fmt.Sprintf("i-dead-%d", i)})
+		must.NoError(t, err)
+		dead.Close()
+		f.list(servicePool, dead, "ready")
+	}
+	f.add(servicePool, replica.Options{Instance: "z-1", Work: 20 * time.Millisecond})
+	g := f.readyHost("h1")
+	for range 20 {
+		must.Eq(t, http.StatusOK, f.confirm(g).status)
+	}
+}
+
 func TestGatewayKeepsAConnectionWithAStrayAnswer(t *testing.T) {
 	f := newFleet(t)
 	f.publish(fleetConfig(1))
