Keep the turn of a reader that the store turns away from going round

While the store turned both readers away, the other hosts took their place, saw each other read, all stopped, and began again when the reads were 1.5 s old: a leaving endpoint was known after up to 3.7 s in place of 2. Ruled out: the grace after an outage; list_age was 0 on the first hosts. Change: hosts tell whether it is their turn and whether their reads fail; those that fail, or are late with their turn, do not count, and the next by name keep the turn. A host whose turn begins reads at once.

--- a/internal/core/readers/readers.go
+++ b/internal/core/readers/readers.go
@@ -16,8 +16,9 @@
 	// heardWithin is the age of a digest up to which its sender counts as live.
 	// It is above the longest time between two digests.
 	heardWithin = 1500 * time.Millisecond
-	// readWithin is the age of a read up to which a host counts as reading.
-	readWithin = 1500 * time.Millisecond
+	// lateRead is the age of its last read from which on a host that should read
+	// counts as failing. Hosts read every second.
+	lateRead = 1300 * time.Millisecond
 )
 
 // Peer is another host.
@@ -27,26 +28,34 @@
 	// own read of the store at that time.
 	Heard   time.Time
 	ReadAge time.Duration
+	// Reading says that the host reads at regular times, Failing that its last
+	// read failed.
+	Reading bool
+	Failing bool
 }
 
-// reading says that the peer lately read the store itself.
-func (p Peer) reading(now time.Time) bool {
-	return now.Sub(p.Heard) <= heardWithin && p.ReadAge <= readWithin
+// able says that the peer is live and can read, as far as is known.
+func (p Peer) able(now time.Time) bool {
+	if now.Sub(p.Heard) > heardWithin || p.Failing {
+		return false
+	}
+	return !p.Reading || p.ReadAge <= lateRead
 }
 
 // ShouldRead says whether a host reads the store itself: it is one of the first
-// live hosts by name, or no other host is known to read.
+// able hosts by name, or no other able host reads. A host that the store turns
+// away goes on trying, but another one takes its place.
 func ShouldRead(now time.Time, self model.HostID, peers []Peer) bool {
 	before := 0
 	others := false
 	for _, p := range peers {
-		if now.Sub(p.Heard) > heardWithin {
+		if !p.able(now) {
 			continue
 		}
 		if p.Host < self {
 			before++
 		}
-		others = others || p.reading(now)
+		others = others || p.Reading
 	}
 	return before < wanted || !others
 }
--- a/internal/core/readers/readers_test.go
+++ b/internal/core/readers/readers_test.go
@@ -13,11 +13,17 @@
 var now = time.Unix(1000, 0)
 
 func peer(name string, heard, read time.Duration) readers.Peer {
-	return readers.Peer{Host: model.HostID(name), Heard: now.Add(-heard), ReadAge: read}
+	return readers.Peer{Host: model.HostID(name), Heard: now.Add(-heard), ReadAge: read, Reading: read < time.Minute}
+}
+
+func failing(name string) readers.Peer {
+	p := peer(name, 0, 0)
+	p.Failing = true
+	return p
 }
 
 func TestShouldRead(t *testing.T) {
-	long := time.Minute
+	idle := time.Minute
 	cases := []struct {
 		name  string
 		self  string
@@ -29,15 +35,49 @@
 		{"second", "h2", []readers.Peer{peer("h1", 0, 0), peer("h3", 0, 0)}, true},
 		{"third", "h3", []readers.Peer{peer("h1", 0, 0), peer("h2", 0, 0)}, false},
 		{"third, one reader is silent", "h3", []readers.Peer{peer("h1", 2*time.Second, 0), peer("h2", 0, 0)}, true},
-		{"third, one reader is turned away", "h3", []readers.Peer{peer("h1", 0, long), peer("h2", 0, 0)}, false},
-		{"third, both readers are turned away", "h3", []readers.Peer{peer("h1", 0, long), peer("h2", 0, 2*time.Second)}, true},
-		{"third, the others never read", "h3", []readers.Peer{peer("h1", 0, long), peer("h2", 0, long), peer("h4", 0, 0)}, false},
+		{"third, one reader is turned away", "h3", []readers.Peer{failing("h1"), peer("h2", 0, 0)}, true},
+		{"fourth, one reader is turned away", "h4", []readers.Peer{failing("h1"), peer("h2", 0, 0), peer("h3", 0, 0)}, false},
+		{"fourth, both readers are turned away", "h4", []readers.Peer{failing("h1"), failing("h2"), peer("h3", 0, 0)}, true},
+		{"fifth, both readers are turned away", "h5", []readers.Peer{failing("h1"), failing("h2"), peer("h3", 0, 0), peer("h4", 0, 0)}, false},
+		{"third, a reader hangs", "h3", []readers.Peer{peer("h1", 0, 1400*time.Millisecond), peer("h2", 0, 0)}, true},
+		{"third, nobody has begun to read", "h3", []readers.Peer{peer("h1", 0, idle), peer("h2", 0, idle)}, true},
 	}
 	for _, c := range cases {
 		must.Eq(t, c.want, readers.ShouldRead(now, model.HostID(c.self), c.peers), must.Sprint(c.name))
 	}
 }
 
+// Load: the store turns the first readers away for seconds. The hosts settle on
+// two others and keep them, so that the list is read every second.
+func TestReadersSettle(t *testing.T) {
+	names := []string{"h1", "h2", "h3", "h4", "h5", "h6"}
+	reading := map[string]bool{}
+	changes := 0
+	for range 50 {
+		next := map[string]bool{}
+		for _, self := range names {
+			var peers []readers.Peer
+			for _, other := range names {
+				if other == self {
+					continue
+				}
+				p := readers.Peer{Host: model.HostID(other), Heard: now, Reading: reading[other], Failing: other <= "h2"}
+				if !reading[other] {
+					p.ReadAge = time.Minute
+				}
+				peers = append(peers, p)
+			}
+			next[self] = readers.ShouldRead(now, model.HostID(self), peers)
+			if next[self] != reading[self] {
+				changes++
+			}
+		}
+		reading = next
+	}
+	must.Eq(t, map[string]bool{"h1": true, "h2": true, "h3": true, "h4": true, "h5": false, "h6": false}, reading)
+	must.LessEq(t, 12, changes)
+}
+
 func TestAgeIsThatOfTheNewestRead(t *testing.T) {
 	peers := []readers.Peer{peer("h1", time.Second, 300*time.Millisecond), peer("h2", 0, 5*time.Second)}
 	must.Eq(t, 1300*time.Millisecond, readers.Age(now, time.Minute, peers))
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -125,7 +125,7 @@
 	for ctx.Err() == nil {
 		batch, whole, err := f.read(ctx)
 		if err != nil {
-			g.loop.Post(loop.Func(func(time.Time) { g.control.listFailing = true }))
+			g.loop.Post(loop.Func(func(time.Time) { g.control.listFailed() }))
 			clock.Sleep(ctx, f.retry)
 			continue
 		}
@@ -227,6 +227,14 @@
 	c.listChanged(now, changes)
 }
 
+// listFailed notes that this host could not read the list.
+func (c *control) listFailed() {
+	if !c.listFailing {
+		c.listFailing = true
+		c.peers.note()
+	}
+}
+
 // listChanged applies what a read has changed and tells the other hosts.
 func (c *control) listChanged(now time.Time, changes []directory.Change) {
 	if len(changes) == 0 {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -73,6 +73,9 @@
 	domain  model.DomainName
 	version model.Version
 	readAge time.Duration
+	// reading and failing are what the host tells of its reads.
+	reading bool
+	failing bool
 }
 
 func newPeerTable(g *Gateway) *peerTable {
@@ -169,6 +172,7 @@
 		Host: opts.Host, Incarnation: opts.Incarnation, Domain: opts.Domain, Address: opts.PeerAddress,
 		Leaving: c.gateway.leaving.Load(), Version: c.version(),
 		ReadAge: min(now.Sub(c.listRead), maxReadAge), ListChange: c.listChange,
+		Reading: c.gateway.reading.Load(), ReadFailing: c.listFailing,
 		Loads: c.balancer.OwnLoad(now),
 		Marks: c.balancer.Marks(now, interval),
 	}
@@ -217,7 +221,8 @@
 	if p.heard.IsZero() {
 		c.gateway.opts.Log.WithFields(fields{"host": d.Host, "address": d.Address, "domain": d.Domain}).Info("peers: heard")
 	}
-	p.heard, p.host, p.domain, p.version, p.readAge = now, d.Host, d.Domain, d.Version, d.ReadAge
+	p.heard, p.host, p.domain, p.version = now, d.Host, d.Domain, d.Version
+	p.readAge, p.reading, p.failing = d.ReadAge, d.Reading, d.ReadFailing
 	for _, address := range d.Known {
 		c.peers.learn(now, address, false)
 	}
@@ -247,12 +252,18 @@
 	var peers []readers.Peer
 	for _, p := range c.peers.peers {
 		if !p.heard.IsZero() {
-			peers = append(peers, readers.Peer{Host: p.host, Heard: p.heard, ReadAge: p.readAge})
+			peers = append(peers, readers.Peer{
+				Host: p.host, Heard: p.heard, ReadAge: p.readAge, Reading: p.reading, Failing: p.failing,
+			})
 		}
 	}
 	reading := readers.ShouldRead(now, c.gateway.opts.Host, peers)
 	if reading != c.gateway.reading.Swap(reading) {
 		c.gateway.opts.Log.WithFields(fields{"reading": reading, "peers": len(peers)}).Info("lists: turn changed")
+		c.peers.note()
+		if reading {
+			c.gateway.askForListNews()
+		}
 	}
 	if age := readers.Age(now, now.Sub(c.listRead), peers); age < c.directory.Age(now) && !c.listRead.IsZero() {
 		c.directory.Answered(now.Add(-age))
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -23,6 +23,10 @@
 	// ListChange the offset after the last record that changed it.
 	ReadAge    time.Duration
 	ListChange model.Offset
+	// Reading says that the host reads the list at regular times, ReadFailing
+	// that its last read failed.
+	Reading     bool
+	ReadFailing bool
 	// Loads is the host's work.
 	Loads []balance.EndpointLoad
 	// Marks tell which endpoints hold the shared parts of prompts.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -82,7 +82,7 @@
 // DefaultGateway returns the settings of a file that leaves all keys out.
 func DefaultGateway() Gateway {
 	return Gateway{
-		Platform: GatewayPlatform{ListEvery: opconfig.Duration(time.Second)},
+		Platform: GatewayPlatform{ListEvery: opconfig.Duration(700 * time.Millisecond)},
 		Peers:    GatewayPeers{ShareEvery: opconfig.Duration(40 * time.Millisecond)},
 		Retries:  GatewayRetries{Ratio: 0.2, Slack: 50, Window: opconfig.Duration(10 * time.Second)},
 		Shutdown: GatewayShutdown{
