Keep what a decision costs from growing with all endpoints and hosts

Cause: each digest of a peer summed all peers at all endpoints again, each 10 ms all endpoints were looked at for cut domains, and each decision compared all endpoints: 661 us a decision before 2,000 endpoints. Change: peers' work is kept by difference; cut domains are sought every 50 ms; of more than 256 endpoints a sample is compared, besides those that hold the prompt's parts. A host without a configuration names 2 s to come back.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -6,6 +6,7 @@
 package balance
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/attempt"
@@ -23,6 +24,8 @@
 	// Warm says that the endpoints have served other hosts before, so that a host
 	// that knows nothing yet expects them to hold shared parts.
 	Warm bool
+	// Seed starts the draws among many endpoints.
+	Seed uint64
 }
 
 // Request is a request that needs an endpoint.
@@ -140,8 +143,11 @@
 	changed bool
 	// refreshed is when the pending tokens were last worked out.
 	refreshed time.Time
+	// cutOffSought is when cut domains were last looked for.
+	cutOffSought time.Time
 	// started is the time of the first request.
 	started time.Time
+	rng     *rand.Rand
 	// cutOff are the other failure domains that seem to be out of reach.
 	cutOff map[model.DomainName]bool
 }
@@ -181,6 +187,7 @@
 		peers:     make(map[model.HostID]*peerLoad),
 		hosts:     make(map[model.HostID]time.Time),
 		holders:   newHolders(),
+		rng:       rand.New(rand.NewPCG(opts.Seed, opts.Seed^0x9e3779b97f4a7c15)),
 	}
 }
 
@@ -220,7 +227,7 @@
 		b.endpoints[e.Name] = e
 		p := b.pool(e.Pool)
 		p.endpoints = append(p.endpoints, e)
-		b.countPeers()
+		b.countPeers(e)
 		return
 	}
 	e.Entry = c.Entry
--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -284,6 +284,44 @@
 	}
 }
 
+// Whatever comes and goes, what is known of the peers' work is the sum of their
+// last words.
+func TestPeersWorkIsTheSumOfTheirLastWords(t *testing.T) {
+	b := newBench(2)
+	load := func(n int) []balance.EndpointLoad {
+		return []balance.EndpointLoad{{Endpoint: "services-0", Load: balance.Load{Count: n}}}
+	}
+	inFlight := func() int {
+		_, d := b.submit(at(0), balance.Request{Pool: "services", Target: time.Second, Avoid: []model.EndpointName{"services-1"}})
+		b.Finish(at(0), model.RequestID(fmt.Sprint(b.next)), balance.Result{})
+		return d.InFlight
+	}
+	b.SetPeer(at(0), "h2", load(3), nil)
+	b.SetPeer(at(0), "h3", load(4), nil)
+	must.Eq(t, 7, inFlight())
+	b.SetPeer(at(time.Second), "h2", load(1), nil)
+	must.Eq(t, 5, inFlight())
+	restarted := directory.Entry{Name: "services-0", Pool: "services", Address: "services-0", Domain: "north", Slots: 4, Started: 2}
+	b.Apply(directory.Change{Entry: restarted, Restarted: true})
+	must.Eq(t, 5, inFlight())
+	b.Tick(at(2500 * time.Millisecond))
+	must.Eq(t, 1, inFlight())
+	b.SetPeer(at(2500*time.Millisecond), "h2", nil, nil)
+	must.Eq(t, 0, inFlight())
+}
+
+// Load: thousands of endpoints. A prompt still goes where its parts are.
+func TestLargePoolsAreSampled(t *testing.T) {
+	b := newBench(2000)
+	for key := model.PartID(1); key < 20; key++ {
+		id, first := b.submit(at(0), draft(key))
+		b.FirstAnswer(at(first.Expected), id)
+		b.Finish(at(first.Expected), id, balance.Result{})
+		_, d := b.submit(at(first.Expected), draft(key))
+		must.Eq(t, first.Endpoint, d.Endpoint)
+	}
+}
+
 // What a request adds to an endpoint's load is taken off again, whatever its
 // end.
 func TestLoadIsGivenBack(t *testing.T) {
--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -77,6 +77,10 @@
 	lateSlope = 3.0
 )
 
+// maxCompared is the largest number of endpoints that are compared for one
+// request, besides those that hold its parts.
+const maxCompared = 256
+
 // memoryPart is the part of an engine's memory from which on requests are
 // likely to be preempted.
 const memoryPart = 0.9
@@ -113,7 +117,7 @@
 func (b *Balancer) cheapest(now time.Time, p *pool, req *Request, avoid []model.EndpointName) choice {
 	where := b.locate(now, p, &req.Prompt)
 	var best choice
-	for _, e := range p.endpoints {
+	for _, e := range b.candidates(p, req.Prompt.SharedKey(), where) {
 		if !e.usable(now) || slices.Contains(avoid, e.Name) {
 			continue
 		}
@@ -125,6 +129,28 @@
 	return best
 }
 
+// candidates are the endpoints that are compared: all of a small pool. Of a
+// large one, where the parts of the prompt are or belong, and a sample: hosts
+// that compare all of many would all meet at the few best.
+func (b *Balancer) candidates(p *pool, key model.PartID, where whereabouts) []*endpoint {
+	if len(p.endpoints) <= maxCompared {
+		return p.endpoints
+	}
+	out := make([]*endpoint, 0, maxCompared+maxHolders+1)
+	if where.home != nil {
+		out = append(out, where.home)
+	}
+	for _, h := range b.holders.byKey[key] {
+		if e := b.endpoints[h.endpoint]; e != nil && e.Pool == p.endpoints[0].Pool {
+			out = append(out, e)
+		}
+	}
+	for range maxCompared {
+		out = append(out, p.endpoints[b.rng.IntN(len(p.endpoints))])
+	}
+	return out
+}
+
 // price works out what a request costs at an endpoint.
 func (b *Balancer) price(now time.Time, p *pool, req *Request, e *endpoint, where whereabouts) choice {
 	e.fade(now)
--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -147,11 +147,13 @@
 }
 
 // sum adds another load.
-func (l *Load) sum(other Load) {
-	l.Count += other.Count
-	l.Memory += other.Memory
+func (l *Load) sum(other Load) { l.sumTimes(other, 1) }
+
+func (l *Load) sumTimes(other Load, times int) {
+	l.Count += times * other.Count
+	l.Memory += times * other.Memory
 	for i, n := range other.Pending {
-		l.Pending[i] += n
+		l.Pending[i] += times * n
 	}
 }
 
--- a/internal/core/balance/peers.go
+++ b/internal/core/balance/peers.go
@@ -54,9 +54,12 @@
 	for _, m := range marks {
 		b.holders.take(now, m)
 	}
+	if before := b.peers[host]; before != nil {
+		b.addPeer(before.loads, -1)
+	}
 	b.peers[host] = &peerLoad{heard: now, loads: loads}
 	b.hosts[host] = now
-	b.countPeers()
+	b.addPeer(loads, 1)
 }
 
 // SetFarInterval tells how often hosts of different failure domains hear from
@@ -65,16 +68,12 @@
 
 // Tick forgets the work of peers that are silent.
 func (b *Balancer) Tick(now time.Time) {
-	forgotten := false
 	for host, p := range b.peers {
 		if now.Sub(p.heard) > peerMaxAge {
+			b.addPeer(p.loads, -1)
 			delete(b.peers, host)
-			forgotten = true
 		}
 	}
-	if forgotten {
-		b.countPeers()
-	}
 	for host, heard := range b.hosts {
 		if now.Sub(heard) > hostMemory {
 			delete(b.hosts, host)
@@ -85,13 +84,20 @@
 // Peers returns the number of hosts that were heard of late.
 func (b *Balancer) Peers() int { return len(b.peers) }
 
-func (b *Balancer) countPeers() {
-	for _, e := range b.endpoints {
-		e.peers = Load{}
+// addPeer adds a peer's work to its endpoints, or takes it off with sign -1.
+func (b *Balancer) addPeer(loads []EndpointLoad, sign int) {
+	for _, l := range loads {
+		if e := b.endpoints[l.Endpoint]; e != nil {
+			e.peers.sumTimes(l.Load, sign)
+		}
 	}
+}
+
+// countPeers sums the peers' work at an endpoint that is new here.
+func (b *Balancer) countPeers(e *endpoint) {
 	for _, p := range b.peers {
 		for _, l := range p.loads {
-			if e := b.endpoints[l.Endpoint]; e != nil {
+			if l.Endpoint == e.Name {
 				e.peers.sum(l.Load)
 			}
 		}
--- a/internal/core/balance/refresh.go
+++ b/internal/core/balance/refresh.go
@@ -20,6 +20,8 @@
 	// cutOffLeast their least number, for the domain to count as cut off.
 	cutOffPart  = 0.5
 	cutOffLeast = 2
+	// cutOffEvery is the time between looks for cut domains.
+	cutOffEvery = 50 * time.Millisecond
 )
 
 // refresh estimates what is still to be read of this host's requests, and looks
@@ -42,7 +44,10 @@
 		r.endpoint.own.add(r.req.priority(), left-r.pending, 0, 0)
 		r.pending = left
 	}
-	b.findCutOff(now)
+	if now.Sub(b.cutOffSought) >= cutOffEvery {
+		b.cutOffSought = now
+		b.findCutOff(now)
+	}
 }
 
 // left estimates the prompt tokens that the endpoint has not read yet: it reads
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -35,7 +35,7 @@
 func newControl(g *Gateway) *control {
 	c := &control{
 		gateway:   g,
-		balancer:  balance.New(balance.Options{Domain: g.opts.Domain, Budget: g.opts.Budget, Warm: g.opts.Warm}),
+		balancer:  balance.New(balance.Options{Domain: g.opts.Domain, Budget: g.opts.Budget, Warm: g.opts.Warm, Seed: g.opts.Seed}),
 		directory: directory.New(),
 	}
 	c.peers = newPeerTable(g)
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -19,9 +19,15 @@
 	errUnsigned = errors.New("the answer carries no signature of an endpoint")
 )
 
-// notReadyRetryAfter is when to come back to a host without a configuration:
-// another host likely has one.
-const notReadyRetryAfter = 500 * time.Millisecond
+const (
+	// notReadyRetryAfter is when to come back to a host without a configuration.
+	// It has one within milliseconds of its start while the store or a peer
+	// answers, so a caller sees this only in an outage, which lasts seconds.
+	notReadyRetryAfter = 2 * time.Second
+	// noEndpointRetryAfter is when to come back when no endpoint was reached: the
+	// longest pause of an endpoint that is tried again begins shorter.
+	noEndpointRetryAfter = 500 * time.Millisecond
+)
 
 func notReady() *port.RequestError {
 	return &port.RequestError{
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -231,5 +231,5 @@
 	if errors.As(end.err, &refusal) {
 		return refused(refusal.decision.Reason, refusal.decision.RetryAfter)
 	}
-	return refused(balance.ReasonNoEndpoint, notReadyRetryAfter)
+	return refused(balance.ReasonNoEndpoint, noEndpointRetryAfter)
 }
