Number requests by ourselves and count each once for the budget of retries

An attempt that reached no endpoint counted as one more first try, so an outage widened the budget; two requests with one id of a caller shared one entry of the load, which stayed for ever. Change: only the first attempt counts; the control loop knows requests by a number added to the caller's id; a caller's own fault ends the attempts by a field and not by a full counter.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -257,7 +257,7 @@
 	if p == nil {
 		return refuse(ReasonNoEndpoint, unknownPoolRetryAfter)
 	}
-	if !req.Repeat {
+	if len(req.Avoid) == 0 {
 		p.budget.First(now)
 	}
 	choice, reason := b.choose(now, p, &req)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,8 @@
 	reading  atomic.Bool
 	listNews chan struct{}
 	draws    draws
+	// sequence numbers the requests.
+	sequence atomic.Uint64
 	ctx      context.Context
 	stop     context.CancelFunc
 	workers  sync.WaitGroup
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/attempt"
@@ -104,7 +105,7 @@
 		}
 	}
 	x.ask = balance.Request{
-		ID:       call.ID,
+		ID:       g.nextID(call.ID),
 		Pool:     route.PoolFor(g.draws.next()),
 		Prompt:   call.Prompt,
 		Tier:     tier,
@@ -116,6 +117,11 @@
 	return x, nil
 }
 
+// nextID makes a caller's id unique: nothing keeps callers from using one twice.
+func (g *Gateway) nextID(id model.RequestID) model.RequestID {
+	return id + "/" + model.RequestID(strconv.FormatUint(g.sequence.Add(1), 10))
+}
+
 // timeLimit is the shorter of the caller's and the route's.
 func (x *exchange) timeLimit() time.Duration {
 	limit := x.call.Patience
@@ -136,7 +142,9 @@
 	// arrived says that the endpoint received the request.
 	arrived bool
 	failure balance.Failure
-	err     error
+	// final says that another endpoint would answer the same.
+	final bool
+	err   error
 }
 
 // run tries endpoints until one answers or nothing more may be tried.
@@ -144,6 +152,8 @@
 	for {
 		decision, ok := x.gateway.place(ctx, x.ask)
 		if !ok {
+			// The decision may still have been made.
+			x.gateway.finish(x.ask.ID, balance.Result{})
 			return x.stop(ctx, tryEnd{outcome: model.OutcomeNotRun, err: context.Cause(ctx)})
 		}
 		x.logPlaced(decision)
@@ -152,7 +162,7 @@
 		}
 		begun := time.Now()
 		end := x.try(ctx, decision)
-		x.gateway.finish(x.call.ID, balance.Result{Failure: end.failure, Elapsed: time.Since(begun)})
+		x.gateway.finish(x.ask.ID, balance.Result{Failure: end.failure, Elapsed: time.Since(begun)})
 		x.logTried(decision, end)
 		if end.answered {
 			x.logAnswered()
@@ -177,7 +187,7 @@
 	if end.outcome != model.OutcomeNotRun {
 		x.runs++
 	}
-	if x.unreachable >= maxUnreachable {
+	if end.final || x.unreachable >= maxUnreachable {
 		return false
 	}
 	if ctx.Err() != nil || x.tries >= maxTries || x.runs >= max(x.route.MaxAttempts, 1) {
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -84,7 +84,7 @@
 	if !changed {
 		return
 	}
-	w.exchange.gateway.stalled(w.exchange.call.ID, stalled)
+	w.exchange.gateway.stalled(w.exchange.ask.ID, stalled)
 	if stalled {
 		w.exchange.gateway.opts.Endpoints.Distrust(w.endpoint, w.address)
 	}
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		return endOf(ctx, err)
 	}
-	x.gateway.firstAnswer(x.call.ID)
+	x.gateway.firstAnswer(x.ask.ID)
 	x.first = time.Now()
 	return tryEnd{
 		answered: x.w.Answer(reply.Status(), reply.Header(), body) == nil,
@@ -83,7 +83,7 @@
 		// The caller's own fault is no sign of a bad endpoint, and others would
 		// say the same.
 		end.failure = balance.FailureNone
-		x.runs = maxTries
+		end.final = true
 	}
 	return end
 }
@@ -102,7 +102,6 @@
 
 // relay passes a stream's events on as they come.
 func (x *exchange) relay(ctx context.Context, reply port.RoutedReply, watch *silenceWatch) tryEnd {
-
 	defer watch.stop()
 	answered := false
 	for {
@@ -115,11 +114,12 @@
 		}
 		if !answered {
 			answered = true
-			x.gateway.firstAnswer(x.call.ID)
+			x.gateway.firstAnswer(x.ask.ID)
 		}
 		if x.events == 0 {
 			x.first = time.Now()
 		}
+		// A slow caller must not look like a silent endpoint.
 		watch.pause()
 		if err := x.passEvents(reply, batch); err != nil {
 			return tryEnd{outcome: model.OutcomeRan, arrived: true, err: err}
--- a/internal/server/gateway_test.go
+++ b/internal/server/gateway_test.go
@@ -155,6 +155,23 @@
 	}
 }
 
+// Callers that use one id for two requests at once get both answers.
+func TestGatewayServesOneIDTwice(t *testing.T) {
+	f := newFleet(t)
+	f.publish(fleetConfig(1))
+	f.add(servicePool, replica.Options{Instance: "i-1", Work: 50 * time.Millisecond})
+	g := f.readyHost("h1")
+	answers := make(chan int, 4)
+	for range 4 {
+		go func() {
+			answers <- f.sendAs(g, "one-id", http.MethodGet, "/read/1", "", nil).status
+		}()
+	}
+	for range 4 {
+		must.Eq(t, http.StatusOK, <-answers)
+	}
+}
+
 func TestGatewayReusesConnections(t *testing.T) {
 	f := newFleet(t)
 	f.publish(fleetConfig(1))
--- a/internal/standin/logstore/records.go
+++ b/internal/standin/logstore/records.go
@@ -80,8 +80,9 @@
 	}
 }
 
-// splitRecords cuts a call's body into records.
-func splitRecords(body []byte) ([][]byte, bool) {
+// SplitRecords cuts a call's body into records. It returns false for a body that
+// ends within one.
+func SplitRecords(body []byte) ([][]byte, bool) {
 	var out [][]byte
 	for len(body) > 0 {
 		if len(body) < lengthBytes {
@@ -108,7 +109,7 @@
 	topic := query.Get("topic")
 	part, _ := number(query, "part")
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxCall))
-	records, whole := splitRecords(body)
+	records, whole := SplitRecords(body)
 	if err != nil || !whole || topic == "" {
 		w.WriteHeader(http.StatusBadRequest)
 		return
