--- /dev/null
+++ b/internal/adapter/peergrpc/share_bench_test.go
@@ -0,0 +1,52 @@
+package peergrpc
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonsail/wigeonsail/api/peer"
+	"github.com/wigeonsail/wigeonsail/internal/core/balance"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+// digestOf returns a digest of a host with work at some endpoints.
+func digestOf(endpoints int) port.LoadDigest {
+	d := port.LoadDigest{Host: "front-luzon-a-1", Domain: "luzon-a", Address: "10.1.0.40:8229", Incarnation: 1 << 60, Version: 40}
+	for i := range endpoints {
+		l := balance.EndpointLoad{Endpoint: model.EndpointName(fmt.Sprintf("i-%010d", i)), Load: balance.Load{Count: 2, Memory: 8000}}
+		l.Pending[5] = 4000
+		d.Loads = append(d.Loads, l)
+	}
+	d.Marks = []balance.Mark{{Key: 1 << 60, Endpoint: "i-0000000001", Held: true}, {Key: 1 << 61, Endpoint: "i-0000000002"}}
+	return d
+}
+
+// BenchmarkDigest encodes and decodes a digest by the endpoints with work.
+func BenchmarkDigest(b *testing.B) {
+	for _, endpoints := range []int{4, 16, 64} {
+		b.Run(fmt.Sprintf("endpoints=%d", endpoints), func(b *testing.B) {
+			d := digestOf(endpoints)
+			size := 0
+			for b.Loop() {
+				data, err := proto.Marshal(loadToWire(d))
+				must.NoError(b, err)
+				var back peer.LoadDigest
+				must.NoError(b, proto.Unmarshal(data, &back))
+				loadFromWire(&back)
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "wire-B")
+		})
+	}
+}
+
+func TestDigestKeepsWhatItSays(t *testing.T) {
+	want := digestOf(3)
+	want.Reading, want.ReadFailing, want.ListChange = true, true, 7
+	got := loadFromWire(loadToWire(want))
+	must.Eq(t, want, got)
+}
