--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -39,9 +39,8 @@
 	Rank model.Tier
 	// Target is the time in which the answer or its first event should come.
 	Target time.Duration
-	// Arrived is when the caller sent it, Deadline when nobody waits any more.
-	Arrived  time.Time
-	Deadline time.Time
+	// Arrived is when the caller sent it.
+	Arrived time.Time
 	// Avoid lists the endpoints that failed or refused it.
 	Avoid []model.EndpointName
 	// Repeat says that an endpoint has received the request before, so that
@@ -68,8 +67,6 @@
 	ReasonNoEndpoint Reason = "no_endpoint"
 	// ReasonRetryBudget means that the hosts have no retries left.
 	ReasonRetryBudget Reason = "retry_budget"
-	// ReasonTooLate means that no endpoint can answer before the deadline.
-	ReasonTooLate Reason = "too_late"
 	// ReasonTooLarge means that the prompt fits into no endpoint's memory.
 	ReasonTooLarge Reason = "too_large"
 )
@@ -106,8 +103,6 @@
 type Result struct {
 	// Failure is what went wrong at the endpoint.
 	Failure Failure
-	// Elapsed is the time from the decision to the end.
-	Elapsed time.Duration
 }
 
 // Failure is what an endpoint did wrong.
--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -54,7 +54,6 @@
 	b.next++
 	req.ID = model.RequestID(fmt.Sprint(b.next))
 	req.Arrived = now
-	req.Deadline = now.Add(10 * time.Second)
 	return req.ID, b.Submit(now, req)
 }
 
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -38,7 +38,7 @@
 		"request": x.call.ID, "route": x.route.Name, "pool": x.ask.Pool, "account": x.account,
 		"config": x.version, "try": x.tries + x.unreachable + 1, "tier": x.ask.Tier, "rank": x.ask.Rank,
 		"prompt": x.ask.Prompt.InputTokens, "shared": x.ask.Prompt.SharedTokens(),
-		"left_ms": time.Until(x.ask.Deadline).Milliseconds(),
+		"left_ms": time.Until(x.deadline).Milliseconds(),
 	}
 	if d.Refused() {
 		f["reason"] = string(d.Reason)
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -38,7 +38,9 @@
 	version model.Version
 	route   *routing.Route
 	account model.AccountName
-	ask     balance.Request
+	// deadline is when nobody waits for the answer any more.
+	deadline time.Time
+	ask      balance.Request
 
 	// tries counts the attempts that arrived, runs those that may have run, and
 	// unreachable those that reached no endpoint.
@@ -75,7 +77,7 @@
 		g.logRefused(call, refusal)
 		return w.Refuse(refusal) == nil
 	}
-	ctx, cancel := context.WithDeadlineCause(ctx, x.ask.Deadline.Add(answerSlack), errDeadline)
+	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline.Add(answerSlack), errDeadline)
 	defer cancel()
 	return x.run(ctx)
 }
@@ -105,15 +107,15 @@
 		}
 	}
 	x.ask = balance.Request{
-		ID:       g.nextID(call.ID),
-		Pool:     route.PoolFor(g.draws.next()),
-		Prompt:   call.Prompt,
-		Tier:     tier,
-		Rank:     route.Tier,
-		Target:   route.Target,
-		Arrived:  call.Arrived,
-		Deadline: call.Arrived.Add(x.timeLimit()),
-	}
+		ID:      g.nextID(call.ID),
+		Pool:    route.PoolFor(g.draws.next()),
+		Prompt:  call.Prompt,
+		Tier:    tier,
+		Rank:    route.Tier,
+		Target:  route.Target,
+		Arrived: call.Arrived,
+	}
+	x.deadline = call.Arrived.Add(x.timeLimit())
 	return x, nil
 }
 
@@ -160,9 +162,8 @@
 		if decision.Refused() {
 			return x.stop(ctx, tryEnd{outcome: model.OutcomeNotRun, err: &refusalError{decision: decision}})
 		}
-		begun := time.Now()
 		end := x.try(ctx, decision)
-		x.gateway.finish(x.ask.ID, balance.Result{Failure: end.failure, Elapsed: time.Since(begun)})
+		x.gateway.finish(x.ask.ID, balance.Result{Failure: end.failure})
 		x.logTried(decision, end)
 		if end.answered {
 			x.logAnswered()
@@ -198,7 +199,7 @@
 		Outcome:    end.outcome,
 		Relayed:    x.events,
 		CanResume:  x.route.Resumable,
-		Deadline:   x.ask.Deadline,
+		Deadline:   x.deadline,
 	})
 }
 
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -23,7 +23,7 @@
 		Endpoint:  decision.Endpoint,
 		Address:   decision.Address,
 		Account:   x.account,
-		TimeLeft:  time.Until(x.ask.Deadline),
+		TimeLeft:  time.Until(x.deadline),
 		Priority:  decision.Priority,
 		FetchFrom: decision.FetchFrom,
 		LastEvent: x.lastEvent,
