Tell all peers of the others at the same time

Read-through: the addresses of other hosts went with the first digest that was due, which far peers often did not get where near ones are told more often.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -71,7 +71,6 @@
 	added   time.Time
 	host    model.HostID
 	domain  model.DomainName
-	version model.Version
 	readAge time.Duration
 	// reading and failing are what the host tells of its reads.
 	reading bool
@@ -113,10 +112,17 @@
 	}
 	near, far := t.intervals()
 	toNear, toFar := t.near.due(now, near), t.far.due(now, far)
+	// All peers are told of the others at the same time.
+	withKnown := toFar && now.Sub(t.toldKnown) >= knownEvery
+	toNear = toNear || withKnown
 	if len(t.peers) == 0 || !toNear && !toFar {
 		return
 	}
 	d := c.digest(now, far)
+	if withKnown {
+		t.toldKnown = now
+		d.Known = t.live(now)
+	}
 	t.tell(now, d, toNear, toFar)
 }
 
@@ -168,7 +174,7 @@
 // digest is what this host tells the others.
 func (c *control) digest(now time.Time, interval time.Duration) port.LoadDigest {
 	opts := &c.gateway.opts
-	d := port.LoadDigest{
+	return port.LoadDigest{
 		Host: opts.Host, Incarnation: opts.Incarnation, Domain: opts.Domain, Address: opts.PeerAddress,
 		Leaving: c.gateway.leaving.Load(), Version: c.version(),
 		ReadAge: min(now.Sub(c.listRead), maxReadAge), ListChange: c.listChange,
@@ -176,11 +182,6 @@
 		Loads: c.balancer.OwnLoad(now),
 		Marks: c.balancer.Marks(now, interval),
 	}
-	if now.Sub(c.peers.toldKnown) >= knownEvery {
-		c.peers.toldKnown = now
-		d.Known = c.peers.live(now)
-	}
-	return d
 }
 
 // live lists the addresses that were heard of late.
@@ -221,7 +222,7 @@
 	if p.heard.IsZero() {
 		c.gateway.opts.Log.WithFields(fields{"host": d.Host, "address": d.Address, "domain": d.Domain}).Info("peers: heard")
 	}
-	p.heard, p.host, p.domain, p.version = now, d.Host, d.Domain, d.Version
+	p.heard, p.host, p.domain = now, d.Host, d.Domain
 	p.readAge, p.reading, p.failing = d.ReadAge, d.Reading, d.ReadFailing
 	for _, address := range d.Known {
 		c.peers.learn(now, address, false)
