--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -8,8 +8,9 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
 
-// An engine as a request sees it. What an endpoint does faster or slower is
-// learned as its slowness.
+// An engine as a request sees it, from the published times of its steps, its
+// reading in chunks between the tokens of other requests, and its transfers.
+// What an endpoint does faster or slower is learned as its slowness.
 const (
 	// firstEventBase is the time to the first event of an idle engine for a
 	// prompt without tokens, in milliseconds.
@@ -33,7 +34,8 @@
 	serviceBase = 45.0
 )
 
-// The costs of a choice, as parts of what a request in time is worth.
+// The costs of a choice, as parts of what a request in time is worth. Those of
+// tokens, bytes and connections follow the platform's prices.
 const (
 	// movedTokens is the cost of moving 1,000 tokens between endpoints,
 	// reReadTokens that of reading them although another endpoint holds them.
