Read-through: one sum of an endpoint's work, and what nobody used

The sum of own and peers' work stood twice, an equality had a method of its own, pools kept a bound that nothing read, and each digest of a peer worked out the intervals that each tick knows already. Two comments said what no longer holds. Behaviour is the same; tests are unchanged.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -278,18 +278,18 @@
 	}
 	b.running[req.ID] = r
 	b.changed = true
+	total := e.total()
 	d := Decision{
 		Endpoint:  e.Name,
 		Address:   e.Address,
 		Priority:  req.priority(),
 		FetchFrom: c.fetchFrom,
 		Expected:  c.expected,
-		InFlight:  e.own.Count + e.peers.Count,
+		InFlight:  total.Count,
 		PeersAge:  b.peersAge(now),
+		Pending:   total.Pending,
+		Own:       c.read,
 	}
-	total := e.own
-	total.sum(e.peers)
-	d.Pending, d.Own = total.Pending, c.read
 	e.own.add(req.priority(), r.pending, r.memory, 1)
 	e.opened = max(e.opened, e.own.Count)
 	if key := req.Prompt.SharedKey(); key != 0 {
--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -205,8 +205,7 @@
 // first event in milliseconds.
 func (b *Balancer) priceEngine(now time.Time, p *pool, req *Request, c *choice, where whereabouts) float64 {
 	e := c.endpoint
-	total := e.own
-	total.sum(e.peers)
+	total := e.total()
 	fetch := b.priceShared(now, req, c, where)
 	each := readTime + readTimeEach*float64(total.Count)
 	before := total.pending(req.priority()) * each
--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -62,6 +62,13 @@
 	return &endpoint{Entry: entry, hash: xxhash.Sum64String(string(entry.Name)), slowness: 1}
 }
 
+// total is the known work of all hosts there.
+func (e *endpoint) total() Load {
+	all := e.own
+	all.sum(e.peers)
+	return all
+}
+
 // usable says that the endpoint may get requests.
 func (e *endpoint) usable(now time.Time) bool {
 	return !e.Draining && !now.Before(e.paused)
--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -23,9 +23,6 @@
 	Started int64
 }
 
-// same says that two entries tell the same.
-func (e Entry) same(other Entry) bool { return e == other }
-
 // Change is a difference to the directory before.
 type Change struct {
 	Entry Entry
@@ -83,7 +80,7 @@
 func (d *Directory) Put(e Entry) (Change, bool) {
 	delete(d.missing, e.Name)
 	before, known := d.entries[e.Name]
-	if known && before.same(e) {
+	if known && before == e {
 		return Change{}, false
 	}
 	d.entries[e.Name] = e
--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -96,8 +96,6 @@
 // Pool is a set of interchangeable endpoints.
 type Pool struct {
 	Name model.PoolName
-	// MaxConnections is what one endpoint accepts from all hosts together.
-	MaxConnections int
 	// Engine is nil for plain services.
 	Engine *Engine
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -171,7 +171,7 @@
 type endpointRecord struct {
 	name  model.EndpointName
 	entry directory.Entry
-	// removed says that the entry was deleted or cannot be read.
+	// removed says that the entry was deleted.
 	removed bool
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,7 +26,8 @@
 	Host        model.HostID
 	Domain      model.DomainName
 	Incarnation model.Incarnation
-	// Seed starts the random choices between the pools of a route.
+	// Seed starts the random choices between the pools of a route, and between
+	// many endpoints.
 	Seed uint64
 	// Endpoints sends requests.
 	Endpoints port.RoutedEndpoints
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -111,6 +111,7 @@
 		t.note()
 	}
 	near, far := t.intervals()
+	c.balancer.SetFarInterval(far)
 	toNear, toFar := t.near.due(now, near), t.far.due(now, far)
 	// All peers are told of the others at the same time.
 	withKnown := toFar && now.Sub(t.toldKnown) >= knownEvery
@@ -213,8 +214,6 @@
 		return
 	}
 	c.balancer.SetPeer(now, d.Host, d.Loads, d.Marks)
-	_, far := c.peers.intervals()
-	c.balancer.SetFarInterval(far)
 	p := c.peers.learn(now, d.Address, false)
 	if p == nil {
 		return
