Check in the background what is in reach

A pause after a failure ended by time, so the next caller tried again, and an endpoint's own 500 sent lookups on to endpoints behind the cut.

Ruled out: faster rules on overdue requests (each host has too few of them); silent hosts alone (a domain whose hosts were killed still has its endpoints).

Change: endpoints that could not be reached come back by a check, not by time. A domain is checked by three connections when it falls silent, and is the last resort once all fail. An endpoint that failed a request comes before one behind a cut.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -138,13 +138,13 @@
 	changed bool
 	// refreshed is when the pending tokens were last worked out.
 	refreshed time.Time
-	// cutOffSought is when cut domains were last looked for.
-	cutOffSought time.Time
 	// started is the time of the first request.
 	started time.Time
 	rng     *rand.Rand
-	// cutOff are the other failure domains that seem to be out of reach.
-	cutOff map[model.DomainName]bool
+	// domains are the failure domains, domainChanges those that were cut off or
+	// came back since they were last asked for.
+	domains       map[model.DomainName]*domain
+	domainChanges []DomainChange
 }
 
 type pool struct {
@@ -182,6 +182,7 @@
 		peers:     make(map[model.HostID]*peerLoad),
 		hosts:     make(map[model.HostID]time.Time),
 		holders:   newHolders(),
+		domains:   make(map[model.DomainName]*domain),
 		rng:       rand.New(rand.NewPCG(opts.Seed, opts.Seed^0x9e3779b97f4a7c15)),
 	}
 }
@@ -232,6 +233,9 @@
 func (b *Balancer) remove(e *endpoint) {
 	delete(b.endpoints, e.Name)
 	b.holders.forget(e.Name)
+	if e.inRound {
+		b.domain(e.Domain).open--
+	}
 	p := b.pool(e.Pool)
 	kept := p.endpoints[:0]
 	for _, other := range p.endpoints {
@@ -312,6 +316,7 @@
 		b.holders.read(now, key, r.endpoint.Name)
 	}
 	r.answered = true
+	b.reached(now, b.domain(r.endpoint.Domain))
 	r.setOverdue(false)
 	r.endpoint.learn(now, now.Sub(r.granted), r.expected)
 	b.changed = true
@@ -328,9 +333,26 @@
 	r.setOverdue(false)
 	r.setStalled(false)
 	r.endpoint.ended(now, res.Failure)
+	b.noteWay(now, r, res.Failure)
 	b.changed = true
 }
 
+// noteWay notes what the end of an attempt says of the way to its domain.
+func (b *Balancer) noteWay(now time.Time, r *running, failure Failure) {
+	d := b.domain(r.endpoint.Domain)
+	switch failure {
+	case FailureNone:
+		// The caller may have left.
+		if r.answered {
+			b.reached(now, d)
+		}
+	case FailureRefused, FailureError:
+		b.reached(now, d)
+	case FailureUnreachable:
+		d.suspect = now
+	}
+}
+
 // Usable says whether any endpoint takes requests.
 func (b *Balancer) Usable(now time.Time) bool {
 	for _, e := range b.endpoints {
--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -58,7 +58,7 @@
 	// failing is the cost of an attempt that fails.
 	failing = 1.0
 	// silentEndpoint is the cost of an endpoint at which requests have fallen
-	// silent, silentDomain that of one in a domain that seems cut off.
+	// silent, silentDomain that of one in a domain that may be cut off.
 	silentEndpoint = 0.5
 	silentDomain   = 0.7
 	// crowding is the cost of reading for a second before requests that have a
@@ -106,21 +106,26 @@
 		return choice{retryAfter: maxRetryAfter}, ReasonTooLarge
 	}
 	b.refresh(now)
-	best := b.cheapest(now, p, req, req.Avoid)
-	if best.endpoint == nil && len(req.Avoid) > 0 {
-		best = b.cheapest(now, p, req, nil)
-	}
-	if best.endpoint == nil {
-		return choice{retryAfter: p.pausedFor(now)}, ReasonNoEndpoint
+	where := b.locate(now, p, &req.Prompt)
+	candidates := b.candidates(p, req.Prompt.SharedKey(), where)
+	// An endpoint that has failed the request is better than one behind a cut.
+	for _, allowed := range []func(e *endpoint) bool{
+		func(e *endpoint) bool { return !b.domain(e.Domain).cutOff && !slices.Contains(req.Avoid, e.Name) },
+		func(e *endpoint) bool { return !b.domain(e.Domain).cutOff },
+		func(*endpoint) bool { return true },
+	} {
+		best := b.cheapest(now, p, req, where, candidates, allowed)
+		if best.endpoint != nil {
+			return best, ""
+		}
 	}
-	return best, ""
+	return choice{retryAfter: p.pausedFor(now)}, ReasonNoEndpoint
 }
 
-func (b *Balancer) cheapest(now time.Time, p *pool, req *Request, avoid []model.EndpointName) choice {
-	where := b.locate(now, p, &req.Prompt)
+func (b *Balancer) cheapest(now time.Time, p *pool, req *Request, where whereabouts, candidates []*endpoint, allowed func(*endpoint) bool) choice {
 	var best choice
-	for _, e := range b.candidates(p, req.Prompt.SharedKey(), where) {
-		if !e.usable(now) || slices.Contains(avoid, e.Name) {
+	for _, e := range candidates {
+		if !e.usable(now) || !allowed(e) {
 			continue
 		}
 		c := b.price(now, p, req, e, where)
@@ -176,7 +181,7 @@
 	if e.stalled > 0 || e.overdue > 0 {
 		c.cost += silentEndpoint
 	}
-	if b.cutOff[e.Domain] {
+	if b.domain(e.Domain).inDoubt() {
 		c.cost += silentDomain
 	}
 	return c
@@ -265,7 +270,7 @@
 	first := unknownPoolRetryAfter
 	for _, e := range p.endpoints {
 		if !e.Draining {
-			first = min(first, e.paused.Sub(now))
+			first = min(first, max(e.paused.Sub(now), e.checkAt.Sub(now)))
 		}
 	}
 	return first
--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -17,13 +17,10 @@
 	// forgetTime is the time in which half of what was learned of an endpoint's
 	// slowness and failures is forgotten, so that it is tried again.
 	forgetTime = 4 * time.Second
-	// firstPause is the time without requests after the first failure to
-	// connect; it doubles up to maxPause.
+	// firstPause is the time without requests, or until the next check, after
+	// the first failure; it doubles up to maxPause.
 	firstPause = 250 * time.Millisecond
-	maxPause   = 4 * time.Second
-	// suspectFor is how long an endpoint stays suspect after a pause, so that
-	// those of a cut domain are suspect together.
-	suspectFor = 1500 * time.Millisecond
+	maxPause   = 2 * time.Second
 	// breaksToPause is the number of broken answers in a row after which an
 	// endpoint is paused.
 	breaksToPause = 2
@@ -56,6 +53,14 @@
 	// breaks counts the failures to connect or answer in a row.
 	breaks int
 	paused time.Time
+	// unreachable says that the last connection could not be opened; checkAt is
+	// when that is checked again.
+	unreachable bool
+	checkAt     time.Time
+	// checking says that a check has no result yet, inRound that it is one of a
+	// round of its domain.
+	checking bool
+	inRound  bool
 }
 
 func newEndpoint(entry directory.Entry) *endpoint {
@@ -71,12 +76,7 @@
 
 // usable says that the endpoint may get requests.
 func (e *endpoint) usable(now time.Time) bool {
-	return !e.Draining && !now.Before(e.paused)
-}
-
-// suspect says that the endpoint, or the way to it, may be dead.
-func (e *endpoint) suspect(now time.Time) bool {
-	return e.stalled > 0 || e.overdue > 0 || now.Before(e.paused.Add(suspectFor))
+	return !e.Draining && !e.unreachable && !now.Before(e.paused)
 }
 
 // learn takes the time to a first answer.
@@ -111,17 +111,16 @@
 		}
 	case FailureUnreachable:
 		failed = 1
-		e.pause(now, e.breaks)
-		e.breaks++
+		e.lose(now)
 	}
 	e.failing += learnWeight * (failed - e.failing)
 }
 
 // pause keeps requests away after a failure.
-func (e *endpoint) pause(now time.Time, doublings int) {
-	length := firstPause << min(doublings, 8)
-	e.paused = now.Add(min(length, maxPause))
-}
+func (e *endpoint) pause(now time.Time, doublings int) { e.paused = now.Add(pauseAfter(doublings)) }
+
+// pauseAfter is the length of a pause that has doubled so often.
+func pauseAfter(doublings int) time.Duration { return min(firstPause<<min(doublings, 8), maxPause) }
 
 // fade lets what was learned go back to the expected value with time.
 func (e *endpoint) fade(now time.Time) {
--- a/internal/core/balance/refresh.go
+++ b/internal/core/balance/refresh.go
@@ -16,16 +16,10 @@
 	// against the expected time.
 	overdueFactor = 2
 	overdueSlack  = 200 * time.Millisecond
-	// cutOffPart is the part of a domain's endpoints that must be suspect, and
-	// cutOffLeast their least number, for the domain to count as cut off.
-	cutOffPart  = 0.5
-	cutOffLeast = 2
-	// cutOffEvery is the time between looks for cut domains.
-	cutOffEvery = 50 * time.Millisecond
 )
 
 // refresh estimates what is still to be read of this host's requests, and looks
-// for endpoints and domains that have fallen silent.
+// for endpoints that have fallen silent.
 func (b *Balancer) refresh(now time.Time) {
 	if now.Sub(b.refreshed) < refreshEvery {
 		return
@@ -44,10 +38,6 @@
 		r.endpoint.own.add(r.req.priority(), left-r.pending, 0, 0)
 		r.pending = left
 	}
-	if now.Sub(b.cutOffSought) >= cutOffEvery {
-		b.cutOffSought = now
-		b.findCutOff(now)
-	}
 }
 
 // left estimates the prompt tokens that the endpoint has not read yet: it reads
@@ -92,24 +82,3 @@
 		r.setStalled(stalled)
 	}
 }
-
-// findCutOff finds the domains of which many endpoints are silent at once: that
-// is likelier a cut of the network than many dead endpoints.
-func (b *Balancer) findCutOff(now time.Time) {
-	type count struct{ all, suspect int }
-	counts := make(map[model.DomainName]count)
-	for _, e := range b.endpoints {
-		c := counts[e.Domain]
-		c.all++
-		if e.suspect(now) {
-			c.suspect++
-		}
-		counts[e.Domain] = c
-	}
-	b.cutOff = make(map[model.DomainName]bool)
-	for domain, c := range counts {
-		if domain != b.opts.Domain && c.suspect >= cutOffLeast && float64(c.suspect) >= cutOffPart*float64(c.all) {
-			b.cutOff[domain] = true
-		}
-	}
-}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -44,6 +44,7 @@
 
 func (c *control) tick(now time.Time) {
 	c.balancer.Tick(now)
+	c.checkEndpoints(now)
 	c.apply(now, c.directory.Tick(now))
 	c.gateway.usable.Store(c.balancer.Usable(now))
 	c.chooseReaders(now)
@@ -51,6 +52,21 @@
 	c.peers.tick(now, c)
 }
 
+// checkEndpoints opens the connections that tell whether endpoints are in reach.
+func (c *control) checkEndpoints(now time.Time) {
+	g := c.gateway
+	for _, check := range c.balancer.Checks(now) {
+		g.background(func(ctx context.Context) {
+			err := g.opts.Endpoints.Check(ctx, check.Endpoint, check.Address)
+			logChecked(g.opts.Log, check, err)
+			g.loop.Post(loop.Func(func(now time.Time) { c.balancer.Checked(now, check.Endpoint, err == nil) }))
+		})
+	}
+	for _, change := range c.balancer.DomainChanges() {
+		logDomain(g.opts.Log, change)
+	}
+}
+
 // apply tells the balancer what changed in the list of endpoints.
 func (c *control) apply(now time.Time, changes []directory.Change) {
 	for _, change := range changes {
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -32,6 +32,26 @@
 	}
 }
 
+// logChecked logs whether a connection to an endpoint could be opened.
+func logChecked(logger log.Interface, check balance.Check, err error) {
+	entry := logger.WithFields(fields{"endpoint": check.Endpoint, "address": check.Address})
+	if err != nil {
+		entry.WithError(err).Info("endpoints: not in reach")
+		return
+	}
+	entry.Info("endpoints: in reach")
+}
+
+// logDomain logs that the way to a failure domain was lost or is back.
+func logDomain(logger log.Interface, change balance.DomainChange) {
+	entry := logger.WithField("domain", change.Domain)
+	if change.CutOff {
+		entry.Warn("domains: cut off")
+		return
+	}
+	entry.Info("domains: back")
+}
+
 // logPlaced logs where a request goes, and why.
 func (x *exchange) logPlaced(d balance.Decision) {
 	f := fields{
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -214,6 +214,7 @@
 		return
 	}
 	c.balancer.SetPeer(now, d.Host, d.Loads, d.Marks)
+	c.balancer.HeardDomain(now, d.Domain, d.Loads)
 	p := c.peers.learn(now, d.Address, false)
 	if p == nil {
 		return
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -88,6 +88,10 @@
 	// Distrust tells that an endpoint has fallen silent: connections that were
 	// open before are not used again.
 	Distrust(endpoint model.EndpointName, address string)
+	// Check opens a connection to an endpoint and keeps it for a request. It
+	// fails with an *EndpointError, and connections that were open before are
+	// not used again.
+	Check(ctx context.Context, endpoint model.EndpointName, address string) error
 }
 
 // RoutedReply is the answer of an endpoint. Close must be called.
