Keep engines for questions while drafts wait, and read late drafts last

Drafts that would be late anyway were read in turn and made the next ones late.

Change: by need, some engines are kept for requests of the first rank, the same at all hosts; requests of the last rank that will be late get the engines' last priority. The digest carries the number of urgent requests.

--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -158,7 +158,7 @@
 }
 
 func endpointLoadToWire(l balance.EndpointLoad) *peer.EndpointLoad {
-	out := &peer.EndpointLoad{Endpoint: string(l.Endpoint), Count: int64(l.Count), Memory: int64(l.Memory)}
+	out := &peer.EndpointLoad{Endpoint: string(l.Endpoint), Count: int64(l.Count), Memory: int64(l.Memory), Urgent: int64(l.Urgent)}
 	for i, n := range l.Pending {
 		if n == 0 {
 			continue
@@ -182,7 +182,7 @@
 func endpointLoadFromWire(l *peer.EndpointLoad) balance.EndpointLoad {
 	out := balance.EndpointLoad{
 		Endpoint: model.EndpointName(l.GetEndpoint()),
-		Load:     balance.Load{Count: int(l.GetCount()), Memory: int(l.GetMemory())},
+		Load:     balance.Load{Count: int(l.GetCount()), Memory: int(l.GetMemory()), Urgent: int(l.GetUrgent())},
 	}
 	for i, n := range l.GetPending() {
 		if i < len(out.Pending) {
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -51,11 +51,26 @@
 // ranksPerTier is the number of ranks that are told apart within a tier.
 const ranksPerTier = 3
 
-// priority is the engine's priority: by tier first, by rank within a tier.
+// priority is by tier first, by rank within a tier.
 func (r *Request) priority() int {
 	return min(max(int(r.Tier), 0)*ranksPerTier+r.rank(), Priorities-1)
 }
 
+// urgent says that the request is of the first rank, the one that callers wait
+// for moment by moment.
+func (r *Request) urgent() bool { return r.rank() == 0 }
+
+// enginePriority is the engine's priority. A request of the last rank that will
+// be late where it goes is read after all that can still be in time: it loses
+// little by waiting longer, and would make those behind it late too.
+func (r *Request) enginePriority(now time.Time, expected time.Duration) int {
+	last := r.rank() == ranksPerTier-1
+	if last && r.Target > 0 && now.Sub(r.Arrived)+expected > r.Target {
+		return Priorities - 1
+	}
+	return r.priority()
+}
+
 func (r *Request) rank() int { return min(max(int(r.Rank), 0), ranksPerTier-1) }
 
 // Reason tells why a request was refused.
@@ -151,6 +166,7 @@
 	engine    *routing.Engine
 	endpoints []*endpoint
 	budget    *attempt.Window
+	reserve   reserve
 }
 
 // running is a request at an endpoint.
@@ -164,6 +180,10 @@
 	read    int
 	pending int
 	memory  int
+	// own are the prompt tokens that the endpoint had to read at first, priority
+	// is the engine's.
+	own      int
+	priority int
 	// answered says that the first answer has come.
 	answered bool
 	// stalled says that the stream has stopped for longer than usual, overdue
@@ -221,8 +241,7 @@
 	if e == nil {
 		e = newEndpoint(c.Entry)
 		b.endpoints[e.Name] = e
-		p := b.pool(e.Pool)
-		p.endpoints = append(p.endpoints, e)
+		b.pool(e.Pool).add(e)
 		b.countPeers(e)
 		return
 	}
@@ -271,6 +290,7 @@
 
 func (b *Balancer) grant(now time.Time, req *Request, c choice) Decision {
 	e := c.endpoint
+	priority := req.enginePriority(now, c.expected)
 	r := &running{
 		req:      *req,
 		endpoint: e,
@@ -279,6 +299,8 @@
 		read:     c.read,
 		pending:  c.read,
 		memory:   memoryOf(&req.Prompt),
+		own:      c.read,
+		priority: priority,
 	}
 	b.running[req.ID] = r
 	b.changed = true
@@ -286,7 +308,7 @@
 	d := Decision{
 		Endpoint:  e.Name,
 		Address:   e.Address,
-		Priority:  req.priority(),
+		Priority:  priority,
 		FetchFrom: c.fetchFrom,
 		Expected:  c.expected,
 		InFlight:  total.Count,
@@ -294,7 +316,10 @@
 		Pending:   total.Pending,
 		Own:       c.read,
 	}
-	e.own.add(req.priority(), r.pending, r.memory, 1)
+	e.own.add(priority, r.pending, r.memory, 1)
+	if req.urgent() {
+		e.own.Urgent++
+	}
 	e.opened = max(e.opened, e.own.Count)
 	if key := req.Prompt.SharedKey(); key != 0 {
 		b.holders.granted(now, key, e.Name)
@@ -309,7 +334,7 @@
 	if r == nil || r.answered {
 		return
 	}
-	r.endpoint.own.add(r.req.priority(), -r.pending, 0, 0)
+	r.endpoint.own.add(r.priority, -r.pending, 0, 0)
 	r.pending = 0
 	r.read = 0
 	if key := r.req.Prompt.SharedKey(); key != 0 {
@@ -329,7 +354,13 @@
 		return
 	}
 	delete(b.running, id)
-	r.endpoint.own.add(r.req.priority(), -r.pending, -r.memory, -1)
+	r.endpoint.own.add(r.priority, -r.pending, -r.memory, -1)
+	if r.req.urgent() {
+		r.endpoint.own.Urgent--
+	}
+	if res.Failure == FailureNone {
+		b.pool(r.endpoint.Pool).reserve.learn(r, now)
+	}
 	r.setOverdue(false)
 	r.setStalled(false)
 	r.endpoint.ended(now, res.Failure)
--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -25,7 +25,7 @@
 	fetchTime = 0.0005
 	// lessUrgentShare is the part of less urgent prompts that is read first,
 	// since an engine goes on with what it has begun.
-	lessUrgentShare = 0.2
+	lessUrgentShare = 0.4
 	// outputPart is the part of the longest answer that a request is expected to
 	// hold in memory.
 	outputPart = 0.5
@@ -106,6 +106,7 @@
 		return choice{retryAfter: maxRetryAfter}, ReasonTooLarge
 	}
 	b.refresh(now)
+	p.updateReserve(now, b)
 	where := b.locate(now, p, &req.Prompt)
 	candidates := b.candidates(p, req.Prompt.SharedKey(), where)
 	// An endpoint that has failed the request is better than one behind a cut.
@@ -215,6 +216,7 @@
 	each := readTime + readTimeEach*float64(total.Count)
 	before := total.pending(req.priority()) * each
 	own := float64(c.read) * each
+	c.cost += p.reserve.price(req, e)
 	c.cost += crowding * own / 1000 * total.pending(Priorities-1) * each / 1000
 	if over := total.Count + 1 - p.engine.Slots; over > 0 {
 		c.cost += float64(over) * overSlots
--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -61,6 +61,8 @@
 	// round of its domain.
 	checking bool
 	inRound  bool
+	// reserved says that the endpoint is kept for urgent requests.
+	reserved bool
 }
 
 func newEndpoint(entry directory.Entry) *endpoint {
@@ -134,8 +136,9 @@
 
 // Load is work at an endpoint.
 type Load struct {
-	// Count is the number of requests.
-	Count int
+	// Count is the number of requests, Urgent that of those of rank 0.
+	Count  int
+	Urgent int
 	// Pending are the prompt tokens that are still to be read, by priority.
 	Pending [Priorities]int
 	// Memory is the number of tokens that the requests hold.
@@ -157,6 +160,7 @@
 
 func (l *Load) sumTimes(other Load, times int) {
 	l.Count += times * other.Count
+	l.Urgent += times * other.Urgent
 	l.Memory += times * other.Memory
 	for i, n := range other.Pending {
 		l.Pending[i] += times * n
--- a/internal/core/balance/refresh.go
+++ b/internal/core/balance/refresh.go
@@ -35,7 +35,7 @@
 			continue
 		}
 		left := r.left(now)
-		r.endpoint.own.add(r.req.priority(), left-r.pending, 0, 0)
+		r.endpoint.own.add(r.priority, left-r.pending, 0, 0)
 		r.pending = left
 	}
 }
--- a/internal/virtual/cluster.go
+++ b/internal/virtual/cluster.go
@@ -8,6 +8,7 @@
 
 	"github.com/wigeonsail/wigeonsail/internal/core/dispatch"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/virtual/eventclock"
 	"github.com/wigeonsail/wigeonsail/opconfig"
 )
 
@@ -44,7 +45,7 @@
 type cluster struct {
 	opts    Options
 	load    *workload
-	clock   *clock
+	clock   *eventclock.Clock
 	hosts   []*host
 	engines []*engine
 	byName  map[model.EndpointName]*engine
@@ -58,7 +59,7 @@
 
 func newCluster(opts Options, w *workload) *cluster {
 	c := &cluster{
-		opts: opts, load: w, clock: newClock(),
+		opts: opts, load: w, clock: eventclock.New(),
 		byName: map[model.EndpointName]*engine{},
 		byID:   map[model.RequestID]*job{},
 		rng:    rand.New(rand.NewPCG(opts.Seed, 2)),
@@ -73,7 +74,7 @@
 	rng := rand.New(rand.NewPCG(c.opts.Seed, c.load.stream+50+uint64(count)))
 	for i := range count {
 		e := &engine{
-			clock: c.clock, pool: pool, domain: i % c.load.domains, updated: c.clock.now,
+			clock: c.clock, pool: pool, domain: i % c.load.domains, updated: c.clock.Now(),
 			name:  model.EndpointName(fmt.Sprintf("%s-%d", pool, i)),
 			slots: 12 + rng.IntN(9),
 			speed: 0.7 + 0.6*rng.Float64(),
@@ -139,24 +140,24 @@
 		j := &job{arrival: a, id: model.RequestID(fmt.Sprintf("r%d", i))}
 		c.jobs = append(c.jobs, j)
 		c.byID[j.id] = j
-		c.clock.after(a.at, func() { c.arrive(j) })
+		c.clock.After(a.at, func() { c.arrive(j) })
 	}
 	c.open = c.jobs
 	slow := c.engines[0]
 	speed := slow.speed
 	part := func(p float64) time.Duration { return seconds(p * c.opts.Duration.Seconds()) }
-	c.clock.after(part(slowFrom), func() { slow.setSpeed(speed * slowTo) })
-	c.clock.after(part(slowUntil), func() { slow.setSpeed(speed) })
-	c.clock.drain()
+	c.clock.After(part(slowFrom), func() { slow.setSpeed(speed * slowTo) })
+	c.clock.After(part(slowUntil), func() { slow.setSpeed(speed) })
+	c.clock.Drain()
 }
 
 // arrive sends a new request to its entry host.
 func (c *cluster) arrive(j *job) {
-	j.arrived = c.clock.now
+	j.arrived = c.clock.Now()
 	j.deadline = j.arrived.Add(j.class.Deadline.Std())
 	j.waitFrom = j.arrived
-	c.clock.after(j.class.Deadline.Std(), func() { c.leave(j) })
-	c.clock.after(c.load.fromClient, func() { c.enter(j, c.hosts[j.arrival.host], false) })
+	c.clock.After(j.class.Deadline.Std(), func() { c.leave(j) })
+	c.clock.After(c.load.fromClient, func() { c.enter(j, c.hosts[j.arrival.host], false) })
 }
 
 // enter submits the request at a host.
@@ -167,7 +168,7 @@
 	h = c.owner(j, h)
 	j.host = h
 	c.stats.wait(j, h.domain)
-	c.apply(h, h.Submit(c.clock.now, model.Request{
+	c.apply(h, h.Submit(c.clock.Now(), model.Request{
 		ID: j.id, Class: j.class.Name, Account: j.account, Pool: j.class.pool, Prefix: j.prefix,
 		Arrived: j.arrived, Deadline: j.deadline, Attempt: 1, Forwarded: forwarded,
 	}))
@@ -197,14 +198,14 @@
 		job: j, attempt: a.Attempt, priority: a.Priority,
 		prefill: j.prefill + j.relayed*prefillCost, answer: j.answer - j.relayed,
 	}
-	granted := c.clock.now
+	granted := c.clock.Now()
 	if e.pool == servicePool {
 		t.priority = 0
 	}
 	t.onFirst = func() { c.first(j, t) }
 	t.onEnd = func() { c.finish(j, t, granted) }
 	j.task, j.engine, j.host = t, e, h
-	c.clock.after(toEndpoint, func() {
+	c.clock.After(toEndpoint, func() {
 		if j.task == t {
 			e.submit(t)
 		}
@@ -216,10 +217,10 @@
 		return
 	}
 	if j.firstAt.IsZero() {
-		j.firstAt = c.clock.now
+		j.firstAt = c.clock.Now()
 	}
 	if j.class.pool == enginePool {
-		j.host.Progress(c.clock.now, j.id, 1)
+		j.host.Progress(c.clock.Now(), j.id, 1)
 	}
 }
 
@@ -229,16 +230,16 @@
 	}
 	j.generated += t.answer
 	j.relayed += t.answer
-	j.doneAt = c.clock.now
+	j.doneAt = c.clock.Now()
 	j.task = nil
-	res := dispatch.Result{Outcome: model.OutcomeRan, Elapsed: c.clock.now.Sub(granted), Tokens: int(t.answer)}
-	c.apply(j.host, j.host.Finish(c.clock.now, j.id, t.attempt, res))
+	res := dispatch.Result{Outcome: model.OutcomeRan, Elapsed: c.clock.Now().Sub(granted), Tokens: int(t.answer)}
+	c.apply(j.host, j.host.Finish(c.clock.Now(), j.id, t.attempt, res))
 }
 
 func (c *cluster) refuse(j *job) {
 	j.shed = true
 	c.stats.stop(j)
-	j.stopWaiting(c.clock.now)
+	j.stopWaiting(c.clock.Now())
 }
 
 func (c *cluster) preempt(j *job) {
@@ -247,7 +248,7 @@
 	j.relayed += done
 	j.generated += done
 	j.task = nil
-	j.waitFrom = c.clock.now
+	j.waitFrom = c.clock.Now()
 	c.stats.wait(j, j.host.domain)
 }
 
@@ -258,7 +259,7 @@
 			continue
 		}
 		h := c.hosts[i*c.load.hostsPerDomain+c.rng.IntN(c.load.hostsPerDomain)]
-		c.clock.after(c.load.betweenDomains, func() { c.enter(j, h, true) })
+		c.clock.After(c.load.betweenDomains, func() { c.enter(j, h, true) })
 	}
 }
 
@@ -267,19 +268,19 @@
 	if j.ended() {
 		return
 	}
-	j.stopWaiting(c.clock.now)
-	j.doneAt = c.clock.now
+	j.stopWaiting(c.clock.Now())
+	j.doneAt = c.clock.Now()
 	c.stats.stop(j)
 	if j.host == nil {
 		return
 	}
 	if j.task == nil {
-		c.apply(j.host, j.host.Cancel(c.clock.now, j.id))
+		c.apply(j.host, j.host.Cancel(c.clock.Now(), j.id))
 		return
 	}
 	done := j.engine.cancel(j.task)
 	j.generated += done
 	n := j.task.attempt
 	j.task = nil
-	c.apply(j.host, j.host.Finish(c.clock.now, j.id, n, dispatch.Result{Canceled: true}))
+	c.apply(j.host, j.host.Finish(c.clock.Now(), j.id, n, dispatch.Result{Canceled: true}))
 }
--- a/internal/virtual/digests.go
+++ b/internal/virtual/digests.go
@@ -45,7 +45,7 @@
 			Host: h.id, Domain: domainName(h.domain), Seed: c.opts.Seed + uint64(i), Sharing: sharing,
 		})
 		h.policy = core
-		core.SetConfig(c.clock.now, cfg)
+		core.SetConfig(c.clock.Now(), cfg)
 		c.hosts = append(c.hosts, h)
 		peers = append(peers, &peer{
 			host: h, core: core, cluster: c,
@@ -62,19 +62,19 @@
 func (p *peer) schedule(all []*peer) {
 	c := p.cluster
 	offset := time.Duration(p.index) * time.Millisecond
-	c.clock.every(offset, tickEvery, c.idle, func() { c.apply(p.host, p.core.Tick(c.clock.now)) })
+	c.clock.Every(offset, tickEvery, c.idle, func() { c.apply(p.host, p.core.Tick(c.clock.Now())) })
 	period := digestEvery
 	if c.opts.DigestDelay == 0 {
 		period = freshDigestEvery
 	}
-	c.clock.every(offset, period, c.idle, func() { p.sendDigest(all) })
-	c.clock.every(offset, domainDigestEvery, c.idle, func() { p.sendDomainDigest(all) })
-	c.clock.every(offset, reportEvery, c.idle, func() { p.readReports() })
+	c.clock.Every(offset, period, c.idle, func() { p.sendDigest(all) })
+	c.clock.Every(offset, domainDigestEvery, c.idle, func() { p.sendDomainDigest(all) })
+	c.clock.Every(offset, reportEvery, c.idle, func() { p.readReports() })
 }
 
 // idle says that all requests have arrived and ended.
 func (c *cluster) idle() bool {
-	if c.clock.now.Sub(time.Unix(0, 0)) < c.opts.Duration {
+	if c.clock.Now().Sub(time.Unix(0, 0)) < c.opts.Duration {
 		return false
 	}
 	for len(c.open) > 0 && c.open[0].ended() {
@@ -88,31 +88,31 @@
 	c := p.cluster
 	first := p.index%c.load.hostsPerDomain == 0
 	from := seconds(cutFrom * c.opts.Duration.Seconds())
-	return c.opts.CutOff && first && c.clock.now.Sub(time.Unix(0, 0)) >= from
+	return c.opts.CutOff && first && c.clock.Now().Sub(time.Unix(0, 0)) >= from
 }
 
 func (p *peer) sendDigest(all []*peer) {
 	c := p.cluster
-	d := p.core.Digest(c.clock.now)
+	d := p.core.Digest(c.clock.Now())
 	for _, other := range all {
 		if other.domain != p.domain || other == p || p.cutOff() || other.cutOff() {
 			continue
 		}
-		c.clock.after(c.opts.DigestDelay, func() { other.takeDigest(p.index, d) })
+		c.clock.After(c.opts.DigestDelay, func() { other.takeDigest(p.index, d) })
 	}
 	if p.cutOff() {
-		c.apply(p.host, p.core.SetPeers(c.clock.now, p.view()))
+		c.apply(p.host, p.core.SetPeers(c.clock.Now(), p.view()))
 	}
 }
 
 func (p *peer) takeDigest(from int, d dispatch.PeerHost) {
 	c := p.cluster
 	p.digests[from%c.load.hostsPerDomain] = d
-	c.apply(p.host, p.core.SetPeers(c.clock.now, p.view()))
+	c.apply(p.host, p.core.SetPeers(c.clock.Now(), p.view()))
 }
 
 func (p *peer) view() dispatch.PeerView {
-	now := p.cluster.clock.now
+	now := p.cluster.clock.Now()
 	view := dispatch.PeerView{Hosts: []dispatch.PeerHost{{Host: p.id, At: now}}}
 	for _, d := range p.digests {
 		if d.Host != "" && now.Sub(d.At) < p.cluster.opts.DigestDelay+forgetAfter {
@@ -134,14 +134,14 @@
 	if p.index%c.load.hostsPerDomain != c.load.hostsPerDomain-1 {
 		return
 	}
-	d := dispatch.PeerDomain{Domain: domainName(p.domain), FreeRoom: p.core.FreeRoom(c.clock.now), At: c.clock.now}
+	d := dispatch.PeerDomain{Domain: domainName(p.domain), FreeRoom: p.core.FreeRoom(c.clock.Now()), At: c.clock.Now()}
 	for _, other := range all {
 		if other.domain == p.domain {
 			continue
 		}
 		copied := d
 		copied.FreeRoom = append([]dispatch.PoolRoom(nil), d.FreeRoom...)
-		c.clock.after(c.opts.DigestDelay+c.load.betweenDomains, func() { other.domains[p.domain] = copied })
+		c.clock.After(c.opts.DigestDelay+c.load.betweenDomains, func() { other.domains[p.domain] = copied })
 	}
 }
 
@@ -155,7 +155,7 @@
 			Endpoint: e.name, Running: len(e.running), Queued: len(e.waiting),
 			CanResume: true, Age: reportDelay,
 		}
-		c.clock.after(reportDelay, func() { c.apply(p.host, p.core.ReportLoad(c.clock.now, rep)) })
+		c.clock.After(reportDelay, func() { c.apply(p.host, p.core.ReportLoad(c.clock.Now(), rep)) })
 	}
 }
 
--- a/internal/virtual/engine.go
+++ b/internal/virtual/engine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/virtual/eventclock"
 )
 
 const (
@@ -21,7 +22,7 @@
 // engine is a fake of an endpoint that batches continuously: up to slots
 // requests run at the same speed, the others wait by priority.
 type engine struct {
-	clock   *clock
+	clock   *eventclock.Clock
 	name    model.EndpointName
 	pool    model.PoolName
 	domain  int
@@ -99,8 +100,8 @@
 }
 
 func (e *engine) advance() {
-	e.work += e.rate() * e.clock.now.Sub(e.updated).Seconds()
-	e.updated = e.clock.now
+	e.work += e.rate() * e.clock.Now().Sub(e.updated).Seconds()
+	e.updated = e.clock.Now()
 }
 
 func (e *engine) fill() {
@@ -109,7 +110,7 @@
 		e.waiting = e.waiting[1:]
 		t.started = true
 		t.startAt = e.work
-		t.job.started(e.clock.now)
+		t.job.started(e.clock.Now())
 		e.running = append(e.running, t)
 	}
 }
@@ -133,7 +134,7 @@
 		next = min(next, t.due())
 	}
 	generation := e.generation
-	e.clock.after(seconds(max(next-e.work, 0)/e.rate())+time.Nanosecond, func() {
+	e.clock.After(seconds(max(next-e.work, 0)/e.rate())+time.Nanosecond, func() {
 		if generation == e.generation {
 			e.step()
 		}
--- a/internal/virtual/clock.go
+++ b/internal/virtual/eventclock/eventclock.go
@@ -1,15 +1,13 @@
-// Package virtual compares the project's decisions with plain baselines on a
-// virtual clock: seeded arrivals, small fakes of engines and services, and the
-// same dispatcher that an entry host runs.
-package virtual
+// Package eventclock runs events on a virtual clock.
+package eventclock
 
 import (
 	"container/heap"
 	"time"
 )
 
-// clock runs events in the order of their time.
-type clock struct {
+// Clock runs events in the order of their time.
+type Clock struct {
 	now    time.Time
 	events eventHeap
 	order  uint64
@@ -21,26 +19,30 @@
 	run   func()
 }
 
-func newClock() *clock { return &clock{now: time.Unix(0, 0).UTC()} }
+// New returns a clock at the beginning of time.
+func New() *Clock { return &Clock{now: time.Unix(0, 0).UTC()} }
 
-// after runs an event once d has passed.
-func (c *clock) after(d time.Duration, run func()) {
+// Now returns the time of the current event.
+func (c *Clock) Now() time.Time { return c.now }
+
+// After runs an event once d has passed.
+func (c *Clock) After(d time.Duration, run func()) {
 	c.order++
 	heap.Push(&c.events, event{at: c.now.Add(max(d, 0)), order: c.order, run: run})
 }
 
-// every runs an event again and again until stop says so.
-func (c *clock) every(first, period time.Duration, stop func() bool, run func()) {
-	c.after(first, func() {
+// Every runs an event again and again until stop says so.
+func (c *Clock) Every(first, period time.Duration, stop func() bool, run func()) {
+	c.After(first, func() {
 		run()
 		if !stop() {
-			c.every(period, period, stop, run)
+			c.Every(period, period, stop, run)
 		}
 	})
 }
 
-// drain runs all events.
-func (c *clock) drain() {
+// Drain runs all events.
+func (c *Clock) Drain() {
 	for len(c.events) > 0 {
 		e := heap.Pop(&c.events).(event)
 		c.now = e.at
