Relays tell failure domains of each other's work

Cause: with 88 hosts each told 70 others every 470 ms.

Change: from 17 hosts in other domains on, two relays for each pair of domains tell the sum of their domain's work every 100 ms, and its marks; the receivers pass them on in their own domain. Others hear from a host every second, and of news. Marks are told once, and a digest that waits takes over those of the one that it replaces.

--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -136,6 +136,8 @@
 		Loads:       convert(d.Loads, endpointLoadToWire),
 		Known:       d.Known,
 		Marks:       convert(d.Marks, markToWire),
+		ByRelay:     d.ByRelay,
+		Domains:     convert(d.Domains, sumToWire),
 	}
 }
 
@@ -154,6 +156,24 @@
 		Loads:       convert(d.GetLoads(), endpointLoadFromWire),
 		Known:       d.GetKnown(),
 		Marks:       convert(d.GetMarks(), markFromWire),
+		ByRelay:     d.GetByRelay(),
+		Domains:     convert(d.GetDomains(), sumFromWire),
+	}
+}
+
+func sumToWire(d port.DomainLoad) *peer.DomainLoad {
+	return &peer.DomainLoad{
+		Domain: string(d.Domain),
+		Loads:  convert(d.Loads, endpointLoadToWire),
+		Marks:  convert(d.Marks, markToWire),
+	}
+}
+
+func sumFromWire(d *peer.DomainLoad) port.DomainLoad {
+	return port.DomainLoad{
+		Domain: model.DomainName(d.GetDomain()),
+		Loads:  convert(d.GetLoads(), endpointLoadFromWire),
+		Marks:  convert(d.GetMarks(), markFromWire),
 	}
 }
 
--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -146,7 +146,7 @@
 func TestPeersWorkCounts(t *testing.T) {
 	b := newBench(2)
 	loads := []balance.EndpointLoad{{Endpoint: "services-0", Load: balance.Load{Count: 8}}}
-	b.SetPeer(at(0), "h2", loads, nil)
+	b.SetPeer(at(0), "h2", "north", loads, nil)
 	for range 2 {
 		_, d := b.submit(at(0), balance.Request{Pool: "services", Target: 300 * time.Millisecond})
 		must.Eq(t, "services-1", d.Endpoint)
@@ -157,12 +157,17 @@
 
 func TestMarksOfPeersTellWhereAPartIs(t *testing.T) {
 	b := newBench(6)
-	b.SetPeer(at(0), "h2", nil, []balance.Mark{{Key: 7, Endpoint: "engines-4", Held: true}})
+	b.SetPeer(at(0), "h2", "north", nil, []balance.Mark{{Key: 7, Endpoint: "engines-4", Held: true}})
 	_, d := b.submit(at(0), draft(7))
 	must.Eq(t, "engines-4", d.Endpoint)
 	must.Eq(t, 3000, d.Own)
-	must.SliceContains(t, b.Marks(at(0), 0), balance.Mark{Key: 7, Endpoint: "engines-4", Held: true})
-	must.SliceEmpty(t, b.Marks(at(time.Second), 0), must.Sprint("marks are told for a short time"))
+	mark := balance.Mark{Key: 7, Endpoint: "engines-4", Held: true}
+	own, next := b.MarksSince(0)
+	must.Eq(t, []balance.Mark{mark}, own, must.Sprint("this host's use is told"))
+	own, _ = b.MarksSince(next)
+	must.SliceEmpty(t, own, must.Sprint("marks are told once"))
+	both, _ := b.DomainMarksSince(0)
+	must.Eq(t, []balance.Mark{mark, mark}, both, must.Sprint("a relay tells the marks of its domain"))
 }
 
 func TestDrainingAndGoneEndpointsGetNothing(t *testing.T) {
@@ -275,17 +280,17 @@
 		b.Finish(at(0), model.RequestID(fmt.Sprint(b.next)), balance.Result{})
 		return d.InFlight
 	}
-	b.SetPeer(at(0), "h2", load(3), nil)
-	b.SetPeer(at(0), "h3", load(4), nil)
+	b.SetPeer(at(0), "h2", "north", load(3), nil)
+	b.SetPeer(at(0), "h3", "north", load(4), nil)
 	must.Eq(t, 7, inFlight())
-	b.SetPeer(at(time.Second), "h2", load(1), nil)
+	b.SetPeer(at(time.Second), "h2", "north", load(1), nil)
 	must.Eq(t, 5, inFlight())
 	restarted := directory.Entry{Name: "services-0", Pool: "services", Address: "services-0", Domain: "north", Slots: 4, Started: 2}
 	b.Apply(directory.Change{Entry: restarted, Restarted: true})
 	must.Eq(t, 5, inFlight())
 	b.Tick(at(2500 * time.Millisecond))
 	must.Eq(t, 1, inFlight())
-	b.SetPeer(at(2500*time.Millisecond), "h2", nil, nil)
+	b.SetPeer(at(2500*time.Millisecond), "h2", "north", nil, nil)
 	must.Eq(t, 0, inFlight())
 }
 
--- a/internal/core/balance/holders.go
+++ b/internal/core/balance/holders.go
@@ -16,9 +16,8 @@
 	maxHolders = 6
 	// maxKeys bounds the remembered keys.
 	maxKeys = 8192
-	// markFor is how long a mark is repeated to the other hosts, since a digest
-	// may be replaced by the next one before it is sent.
-	markFor = 300 * time.Millisecond
+	// maxMarks bounds the marks that are kept to be told.
+	maxMarks = 4096
 )
 
 // Mark tells the other hosts that an endpoint holds the shared parts of a
@@ -34,7 +33,9 @@
 // requests of this host and the marks of the others.
 type holders struct {
 	byKey map[model.PartID][]holder
-	marks []timedMark
+	// marks are to be told, the first one has the number firstMark.
+	marks     []toldMark
+	firstMark int
 }
 
 type holder struct {
@@ -43,9 +44,10 @@
 	used     time.Time
 }
 
-type timedMark struct {
+// toldMark is a mark of this host, or of another one of its domain.
+type toldMark struct {
 	Mark
-	at time.Time
+	own bool
 }
 
 func newHolders() holders { return holders{byKey: make(map[model.PartID][]holder)} }
@@ -82,21 +84,29 @@
 
 func (h *holders) tell(now time.Time, m Mark) {
 	h.take(now, m)
-	h.marks = append(h.marks, timedMark{Mark: m, at: now})
+	h.keepToTell(m, true)
 }
 
-// recent returns the marks of the last moments.
-func (h *holders) recent(now time.Time, span time.Duration) []Mark {
-	first := 0
-	for first < len(h.marks) && now.Sub(h.marks[first].at) > span {
-		first++
+// keepToTell keeps a mark for those who have not been told yet.
+func (h *holders) keepToTell(m Mark, own bool) {
+	h.marks = append(h.marks, toldMark{Mark: m, own: own})
+	if len(h.marks) > maxMarks {
+		over := len(h.marks) - maxMarks/2
+		h.marks = append(h.marks[:0], h.marks[over:]...)
+		h.firstMark += over
 	}
-	h.marks = append(h.marks[:0], h.marks[first:]...)
+}
+
+// since returns the marks from a number on, and the number after them. Marks of
+// other hosts are left out on demand.
+func (h *holders) since(from int, ownOnly bool) ([]Mark, int) {
 	var out []Mark
-	for _, m := range h.marks {
-		out = append(out, m.Mark)
+	for _, m := range h.marks[min(max(from-h.firstMark, 0), len(h.marks)):] {
+		if m.own || !ownOnly {
+			out = append(out, m.Mark)
+		}
 	}
-	return out
+	return out, h.firstMark + len(h.marks)
 }
 
 // take notes a mark. One that an endpoint reads does not undo that it holds.
--- a/internal/core/balance/peers.go
+++ b/internal/core/balance/peers.go
@@ -23,7 +23,9 @@
 
 type peerLoad struct {
 	heard time.Time
-	loads []EndpointLoad
+	// domain is the failure domain of the host; empty for the sum of a domain.
+	domain model.DomainName
+	loads  []EndpointLoad
 }
 
 // OwnLoad returns this host's work.
@@ -42,24 +44,86 @@
 // Changed says that requests began or ended since the last OwnLoad.
 func (b *Balancer) Changed() bool { return b.changed }
 
-// Marks returns what the other hosts should know of held parts. They are told
-// every interval at most.
-func (b *Balancer) Marks(now time.Time, interval time.Duration) []Mark {
-	return b.holders.recent(now, max(markFor, 2*interval))
-}
+// MarksSince returns what the other hosts should know of held parts, from a
+// number on, and the number to go on with. The first number is 0.
+func (b *Balancer) MarksSince(from int) ([]Mark, int) { return b.holders.since(from, true) }
+
+// DomainMarksSince does the same for all hosts of this host's failure domain.
+func (b *Balancer) DomainMarksSince(from int) ([]Mark, int) { return b.holders.since(from, false) }
 
 // SetPeer takes what another host says of its work. The lists must not be
 // changed afterwards.
-func (b *Balancer) SetPeer(now time.Time, host model.HostID, loads []EndpointLoad, marks []Mark) {
+func (b *Balancer) SetPeer(now time.Time, host model.HostID, domain model.DomainName, loads []EndpointLoad, marks []Mark) {
+	b.takeMarks(now, marks, domain == b.opts.Domain)
+	b.hosts[host] = now
+	b.domain(domain).heardWith(now, loads)
+	b.setLoad(host, &peerLoad{heard: now, domain: domain, loads: loads})
+}
+
+// HeardPeer tells that another host was heard whose work is told by relays.
+func (b *Balancer) HeardPeer(now time.Time, host model.HostID, domain model.DomainName) {
+	b.hosts[host] = now
+	b.domain(domain).heard = now
+	if before := b.peers[host]; before != nil {
+		b.addPeer(before.loads, -1)
+		delete(b.peers, host)
+	}
+}
+
+// SetDomain takes the sum of the work of another failure domain, as its relay
+// says.
+func (b *Balancer) SetDomain(now time.Time, domain model.DomainName, loads []EndpointLoad, marks []Mark) {
+	b.takeMarks(now, marks, false)
+	b.domain(domain).heardWith(now, loads)
+	b.setLoad(sumOf(domain), &peerLoad{heard: now, loads: loads})
+}
+
+// sumOf is the name under which the sum of a domain is kept. Hosts have no such
+// names.
+func sumOf(domain model.DomainName) model.HostID { return model.HostID("/" + string(domain)) }
+
+func (b *Balancer) takeMarks(now time.Time, marks []Mark, near bool) {
 	for _, m := range marks {
 		b.holders.take(now, m)
+		if near {
+			b.holders.keepToTell(m, false)
+		}
 	}
-	if before := b.peers[host]; before != nil {
+}
+
+func (b *Balancer) setLoad(name model.HostID, load *peerLoad) {
+	if before := b.peers[name]; before != nil {
 		b.addPeer(before.loads, -1)
 	}
-	b.peers[host] = &peerLoad{heard: now, loads: loads}
-	b.hosts[host] = now
-	b.addPeer(loads, 1)
+	b.peers[name] = load
+	b.addPeer(load.loads, 1)
+}
+
+// DomainLoad returns the sum of the work of the hosts of this host's failure
+// domain.
+func (b *Balancer) DomainLoad(now time.Time) []EndpointLoad {
+	b.refresh(now)
+	sums := make(map[model.EndpointName]Load)
+	for name, e := range b.endpoints {
+		if e.own.Count > 0 {
+			sums[name] = e.own
+		}
+	}
+	for _, p := range b.peers {
+		if p.domain != b.opts.Domain {
+			continue
+		}
+		for _, l := range p.loads {
+			sum := sums[l.Endpoint]
+			sum.sum(l.Load)
+			sums[l.Endpoint] = sum
+		}
+	}
+	out := make([]EndpointLoad, 0, len(sums))
+	for name, sum := range sums {
+		out = append(out, EndpointLoad{Endpoint: name, Load: sum})
+	}
+	return out
 }
 
 // SetFarInterval tells how often hosts of different failure domains hear from
@@ -81,7 +145,7 @@
 	}
 }
 
-// Peers returns the number of hosts that were heard of late.
+// Peers returns the number of hosts and domains that were heard of late.
 func (b *Balancer) Peers() int { return len(b.peers) }
 
 // addPeer adds a peer's work to its endpoints, or takes it off with sign -1.
--- a/internal/core/balance/reach.go
+++ b/internal/core/balance/reach.go
@@ -84,13 +84,13 @@
 	return d
 }
 
-// HeardDomain tells that a host of a failure domain was heard, and its work.
-func (b *Balancer) HeardDomain(now time.Time, name model.DomainName, loads []EndpointLoad) {
+// heardWith notes that a host of the domain was heard, or its relay, and its
+// work.
+func (d *domain) heardWith(now time.Time, loads []EndpointLoad) {
 	count := 0
 	for _, l := range loads {
 		count += l.Count
 	}
-	d := b.domain(name)
 	d.heard = now
 	d.busy = count >= busyHost
 }
--- a/internal/core/balance/reach_test.go
+++ b/internal/core/balance/reach_test.go
@@ -54,7 +54,7 @@
 	id, d := b.submit(at(0), lookup())
 	b.Finish(at(0), id, balance.Result{Failure: balance.FailureUnreachable})
 	bad := d.Endpoint
-	b.HeardDomain(at(0), "north", busy)
+	b.SetPeer(at(0), "host-of-"+"north", "north", busy, nil)
 	must.Eq(t, 0, len(b.Checks(at(0))), must.Sprint("a check at once would tell the same"))
 	must.MapNotContainsKey(t, b.used(at(30*time.Second)), bad)
 	must.Eq(t, 1, b.answerChecks(at(30*time.Second), false))
@@ -68,10 +68,10 @@
 func TestSilentDomainsAreCheckedAndLeft(t *testing.T) {
 	b := newBench(1)
 	b.addDomain("south", 4)
-	b.HeardDomain(at(0), "north", busy)
-	b.HeardDomain(at(0), "south", busy)
+	b.SetPeer(at(0), "host-of-"+"north", "north", busy, nil)
+	b.SetPeer(at(0), "host-of-"+"south", "south", busy, nil)
 	must.Eq(t, 0, len(b.Checks(at(200*time.Millisecond))))
-	b.HeardDomain(at(300*time.Millisecond), "north", busy)
+	b.SetPeer(at(300*time.Millisecond), "host-of-"+"north", "north", busy, nil)
 	checks := b.Checks(at(300 * time.Millisecond))
 	must.Len(t, 3, checks)
 	for _, c := range checks {
@@ -80,7 +80,7 @@
 	}
 	must.Eq(t, []balance.DomainChange{{Domain: "south", CutOff: true}}, b.DomainChanges())
 	must.Eq(t, map[model.EndpointName]bool{"services-0": true}, b.used(at(500*time.Millisecond)))
-	b.HeardDomain(at(600*time.Millisecond), "north", busy)
+	b.SetPeer(at(600*time.Millisecond), "host-of-"+"north", "north", busy, nil)
 	must.Eq(t, 1, b.answerChecks(at(700*time.Millisecond), true), must.Sprint("one endpoint of a cut domain is checked"))
 	must.Eq(t, []balance.DomainChange{{Domain: "south"}}, b.DomainChanges())
 	b.answerChecks(at(700*time.Millisecond), true)
@@ -91,7 +91,7 @@
 func TestOneReachableEndpointIsEnough(t *testing.T) {
 	b := newBench(1)
 	b.addDomain("south", 4)
-	b.HeardDomain(at(0), "south", busy)
+	b.SetPeer(at(0), "host-of-"+"south", "south", busy, nil)
 	for i, c := range b.Checks(at(time.Second)) {
 		b.Checked(at(time.Second), c.Endpoint, i == 0)
 	}
@@ -106,8 +106,8 @@
 	for i := range 20 {
 		now := at(time.Duration(i) * time.Second)
 		must.Eq(t, 0, len(b.Checks(now)))
-		b.HeardDomain(now, "south", nil)
-		b.HeardDomain(now, "north", nil)
+		b.SetPeer(now, "host-of-"+"south", "south", nil, nil)
+		b.SetPeer(now, "host-of-"+"north", "north", nil, nil)
 	}
 }
 
@@ -117,8 +117,8 @@
 	b.addDomain("south", 2)
 	for i := range 100 {
 		now := at(time.Duration(i) * 100 * time.Millisecond)
-		b.HeardDomain(now, "south", busy)
-		b.HeardDomain(now, "north", busy)
+		b.SetPeer(now, "host-of-"+"south", "south", busy, nil)
+		b.SetPeer(now, "host-of-"+"north", "north", busy, nil)
 		must.Eq(t, 0, len(b.Checks(now)))
 	}
 	must.SliceEmpty(t, b.Checks(at(time.Minute)), must.Sprint("nothing is expected of a domain that is silent for long"))
@@ -129,7 +129,7 @@
 func TestRetriesStayOnThisSideOfACut(t *testing.T) {
 	b := newBench(1)
 	b.addDomain("south", 3)
-	b.HeardDomain(at(0), "south", busy)
+	b.SetPeer(at(0), "host-of-"+"south", "south", busy, nil)
 	b.answerChecks(at(time.Second), false)
 	req := lookup()
 	req.Avoid = []model.EndpointName{"services-0"}
@@ -142,7 +142,7 @@
 func TestCutDomainsAreTheLastResort(t *testing.T) {
 	b := newBench(0)
 	b.addDomain("south", 5)
-	b.HeardDomain(at(0), "south", busy)
+	b.SetPeer(at(0), "host-of-"+"south", "south", busy, nil)
 	must.Eq(t, 3, b.answerChecks(at(time.Second), false))
 	must.MapLen(t, 2, b.used(at(time.Second)))
 }
@@ -151,7 +151,7 @@
 func TestEndpointsMayLeaveWhileTheyAreChecked(t *testing.T) {
 	b := newBench(1)
 	b.addDomain("south", 1)
-	b.HeardDomain(at(0), "south", busy)
+	b.SetPeer(at(0), "host-of-"+"south", "south", busy, nil)
 	checks := b.Checks(at(time.Second))
 	must.Len(t, 1, checks)
 	gone := directory.Entry{Name: checks[0].Endpoint, Pool: "services", Domain: "south"}
--- a/internal/core/balance/reserve_test.go
+++ b/internal/core/balance/reserve_test.go
@@ -48,9 +48,9 @@
 	var kept []map[model.EndpointName]int
 	for range 2 {
 		b := newBench(8)
-		b.SetPeer(at(0), "h2", busyPeer(8, 6), nil)
+		b.SetPeer(at(0), "h2", "north", busyPeer(8, 6), nil)
 		b.placeMany(at(0), 50, question)
-		b.SetPeer(at(time.Second), "h2", busyPeer(8, 6), nil)
+		b.SetPeer(at(time.Second), "h2", "north", busyPeer(8, 6), nil)
 		questions := b.placeMany(at(time.Second), 50, question)
 		drafts := b.placeMany(at(1500*time.Millisecond), 50, draft)
 		must.Between(t, 1, len(questions), 4)
@@ -66,9 +66,9 @@
 func TestNoEnginesAreKeptWithoutNeed(t *testing.T) {
 	for _, load := range [][]balance.EndpointLoad{nil, busyPeer(8, 0)} {
 		b := newBench(8)
-		b.SetPeer(at(0), "h2", load, nil)
+		b.SetPeer(at(0), "h2", "north", load, nil)
 		b.placeMany(at(0), 20, draft)
-		b.SetPeer(at(time.Second), "h2", load, nil)
+		b.SetPeer(at(time.Second), "h2", "north", load, nil)
 		must.MapLen(t, 8, b.placeMany(at(time.Second), 200, draft))
 	}
 }
--- /dev/null
+++ b/internal/core/relay/relay_test.go
@@ -0,0 +1,92 @@
+package relay_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/relay"
+)
+
+// fleet returns hosts in domains.
+func fleet(domains, each int) []relay.Member {
+	var out []relay.Member
+	for d := range domains {
+		for i := range each {
+			name := fmt.Sprintf("host-%d-%d", d, i)
+			out = append(out, relay.Member{
+				Host: model.HostID(name), Domain: model.DomainName(fmt.Sprint("domain-", d)), Address: name,
+			})
+		}
+	}
+	return out
+}
+
+// edges returns who tells whom, over all hosts that are up.
+func edges(up []relay.Member) map[string][]string {
+	out := make(map[string][]string)
+	for i, self := range up {
+		others := slices.Delete(slices.Clone(up), i, i+1)
+		out[self.Address] = relay.Receivers(self, others)
+	}
+	return out
+}
+
+func TestFewHostsTellEachOther(t *testing.T) {
+	must.False(t, relay.Needed(8))
+	must.False(t, relay.Needed(16))
+	must.True(t, relay.Needed(70))
+	must.True(t, relay.Needed(1600))
+}
+
+// Whatever hosts are up, each domain hears of each other by two relays, or by
+// one where a domain has one host.
+func TestEachPairOfDomainsHasRelays(t *testing.T) {
+	for _, size := range []int{1, 2, 18, 40} {
+		up := fleet(5, size)
+		byAddress := make(map[string]relay.Member)
+		for _, m := range up {
+			byAddress[m.Address] = m
+		}
+		pairs := make(map[[2]model.DomainName]int)
+		for from, receivers := range edges(up) {
+			for _, to := range receivers {
+				pairs[[2]model.DomainName{byAddress[from].Domain, byAddress[to].Domain}]++
+			}
+		}
+		must.MapLen(t, 5*4, pairs)
+		for pair, n := range pairs {
+			must.NotEq(t, pair[0], pair[1])
+			must.Eq(t, min(size, 2), n, must.Sprint("domains of ", size))
+		}
+	}
+}
+
+// The hosts of a domain share the work: none relays to most of the others.
+func TestRelaysAreSpread(t *testing.T) {
+	for _, receivers := range edges(fleet(11, 30)) {
+		must.Less(t, 6, len(receivers))
+	}
+}
+
+// A host that vanishes is replaced, and the others keep their part.
+func TestLostRelaysAreReplaced(t *testing.T) {
+	up := fleet(5, 18)
+	before := edges(up)
+	at := slices.IndexFunc(up, func(m relay.Member) bool { return len(before[m.Address]) > 0 })
+	lost := up[at]
+	after := edges(slices.Delete(slices.Clone(up), at, at+1))
+	count := 0
+	changed := 0
+	for address, receivers := range after {
+		count += len(receivers)
+		if !slices.Equal(receivers, before[address]) {
+			changed++
+		}
+	}
+	must.Eq(t, 5*4*2, count)
+	must.LessEq(t, 2*len(before[lost.Address])+8, changed)
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -8,20 +8,15 @@
 	"github.com/wigeonsail/wigeonsail/internal/clock"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/readers"
+	"github.com/wigeonsail/wigeonsail/internal/core/relay"
 	"github.com/wigeonsail/wigeonsail/internal/loop"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
 const (
-	// heartbeatEvery is the longest time between two digests to a peer.
-	heartbeatEvery = time.Second
-	// nearDigests and farDigests bound the digests that a host sends in a second
-	// to its own failure domain and to the others: with many peers each hears
-	// from it less often.
-	nearDigests = 400
-	farDigests  = 150
-	// knownEvery is the time between digests that name the other hosts.
-	knownEvery = 2 * time.Second
+	// memberFor is the silence after which a host is no relay: two and a half of
+	// the longest times between two digests.
+	memberFor = 2500 * time.Millisecond
 	// forgetPeerAfter is how long a silent address that is no seed is tried.
 	forgetPeerAfter = 20 * time.Second
 	// firstReconnect and maxReconnect bound the time between tries to open a
@@ -39,24 +34,9 @@
 // peerTable keeps the addresses of the other hosts and a sender for each. The
 // control loop owns it.
 type peerTable struct {
-	gateway   *Gateway
-	peers     map[string]*peer
-	near, far round
-	toldKnown time.Time
-}
-
-// round is the state of the digests to the own failure domain, or to the
-// others.
-type round struct {
-	// changed asks for a digest when the least time has passed.
-	changed bool
-	told    time.Time
-}
-
-// due says that a digest is to be sent.
-func (r *round) due(now time.Time, interval time.Duration) bool {
-	passed := now.Sub(r.told)
-	return passed >= interval && r.changed || passed >= heartbeatEvery
+	gateway *Gateway
+	peers   map[string]*peer
+	digests digests
 }
 
 // peer is another host's address.
@@ -78,7 +58,9 @@
 }
 
 func newPeerTable(g *Gateway) *peerTable {
-	return &peerTable{gateway: g, peers: make(map[string]*peer)}
+	t := &peerTable{gateway: g, peers: make(map[string]*peer)}
+	t.digests = digests{table: t, received: make(map[model.DomainName]port.DomainLoad)}
+	return t
 }
 
 // learn adds an address.
@@ -93,12 +75,12 @@
 	p := &peer{seed: seed, mailbox: make(chan port.LoadDigest, 1), stop: stop, added: now}
 	t.peers[address] = p
 	t.note()
-	t.toldKnown = time.Time{}
+	t.digests.toldKnown = time.Time{}
 	t.gateway.workers.Go(func() { t.gateway.sendDigests(ctx, address, p.mailbox) })
 	return p
 }
 
-// tick forgets silent addresses and sends a digest when one is due.
+// tick forgets silent addresses and tells the others what is due.
 func (t *peerTable) tick(now time.Time, c *control) {
 	for address, p := range t.peers {
 		if !p.seed && now.Sub(later(p.heard, p.added)) > forgetPeerAfter {
@@ -107,82 +89,26 @@
 			t.gateway.opts.Log.WithField("address", address).Info("peers: forgotten")
 		}
 	}
-	if c.balancer.Changed() {
-		t.note()
-	}
-	near, far := t.intervals()
-	c.balancer.SetFarInterval(far)
-	toNear, toFar := t.near.due(now, near), t.far.due(now, far)
-	// All peers are told of the others at the same time.
-	withKnown := toFar && now.Sub(t.toldKnown) >= knownEvery
-	toNear = toNear || withKnown
-	if len(t.peers) == 0 || !toNear && !toFar {
-		return
-	}
-	d := c.digest(now, far)
-	if withKnown {
-		t.toldKnown = now
-		d.Known = t.live(now)
-	}
-	t.tell(now, d, toNear, toFar)
+	t.digests.tick(now, c)
 }
 
-// note asks for digests to all peers.
-func (t *peerTable) note() {
-	t.near.changed = true
-	t.far.changed = true
-}
+// note asks for digests to all peers, since this host knows something new.
+func (t *peerTable) note() { t.digests.note() }
 
 // isNear says that a peer is of the own failure domain, or not known yet.
 func (t *peerTable) isNear(p *peer) bool {
 	return p.domain == "" || p.domain == t.gateway.opts.Domain
 }
 
-// intervals are the least times between two digests to the own failure domain
-// and to the others.
-func (t *peerTable) intervals() (near, far time.Duration) {
-	count := 0
-	for _, p := range t.peers {
-		if t.isNear(p) {
-			count++
-		}
-	}
-	near = max(t.gateway.opts.ShareEvery, time.Duration(count)*time.Second/nearDigests)
-	far = max(t.gateway.opts.ShareEvery, time.Duration(len(t.peers)-count)*time.Second/farDigests)
-	return near, far
-}
-
-// tell puts the digest into the mailboxes, in place of one that was not sent.
-func (t *peerTable) tell(now time.Time, d port.LoadDigest, toNear, toFar bool) {
-	for _, p := range t.peers {
-		if t.isNear(p) && !toNear || !t.isNear(p) && !toFar {
-			continue
-		}
-		select {
-		case <-p.mailbox:
-		default:
+// members lists the hosts that were heard of late.
+func (t *peerTable) members(now time.Time) []relay.Member {
+	var out []relay.Member
+	for address, p := range t.peers {
+		if p.host != "" && now.Sub(p.heard) < memberFor {
+			out = append(out, relay.Member{Host: p.host, Domain: p.domain, Address: address})
 		}
-		p.mailbox <- d
-	}
-	if toNear {
-		t.near = round{told: now}
-	}
-	if toFar {
-		t.far = round{told: now}
-	}
-}
-
-// digest is what this host tells the others.
-func (c *control) digest(now time.Time, interval time.Duration) port.LoadDigest {
-	opts := &c.gateway.opts
-	return port.LoadDigest{
-		Host: opts.Host, Incarnation: opts.Incarnation, Domain: opts.Domain, Address: opts.PeerAddress,
-		Leaving: c.gateway.leaving.Load(), Version: c.version(),
-		ReadAge: min(now.Sub(c.listRead), maxReadAge), ListChange: c.listChange,
-		Reading: c.gateway.reading.Load(), ReadFailing: c.listFailing,
-		Loads: c.balancer.OwnLoad(now),
-		Marks: c.balancer.Marks(now, interval),
 	}
+	return out
 }
 
 // live lists the addresses that were heard of late.
@@ -213,8 +139,7 @@
 	if d.Host == c.gateway.opts.Host {
 		return
 	}
-	c.balancer.SetPeer(now, d.Host, d.Loads, d.Marks)
-	c.balancer.HeardDomain(now, d.Domain, d.Loads)
+	c.takeLoads(now, d)
 	p := c.peers.learn(now, d.Address, false)
 	if p == nil {
 		return
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -33,6 +33,18 @@
 	Marks []balance.Mark
 	// Known are addresses of other hosts; empty when they did not change.
 	Known []string
+	// ByRelay says that relays tell the receiver's failure domain of the sender's
+	// work: Loads and Marks are empty.
+	ByRelay bool
+	// Domains are the sums that a relay passes on.
+	Domains []DomainLoad
+}
+
+// DomainLoad is the work of all hosts of a failure domain.
+type DomainLoad struct {
+	Domain model.DomainName
+	Loads  []balance.EndpointLoad
+	Marks  []balance.Mark
 }
 
 // LoadPeers tells other hosts what this one does.
--- a/internal/virtual/fleet/fleet.go
+++ b/internal/virtual/fleet/fleet.go
@@ -152,7 +152,8 @@
 			}
 		}
 		first := every * time.Duration(i) / time.Duration(len(f.hosts))
-		f.clock.Every(first, every, f.over, func() { h.tell(peers, every) })
+		told := 0
+		f.clock.Every(first, every, f.over, func() { h.tell(peers, &told) })
 	}
 }
 
@@ -160,15 +161,15 @@
 func (f *Fleet) over() bool { return f.clock.Now().Sub(time.Unix(0, 0)) > f.opts.Duration }
 
 // tell sends a digest to peers.
-func (h *host) tell(peers []*host, every time.Duration) {
+func (h *host) tell(peers []*host, told *int) {
 	now := h.fleet.clock.Now()
 	h.balancer.Tick(now)
 	loads := h.balancer.OwnLoad(now)
-	marks := h.balancer.Marks(now, every)
+	marks, next := h.balancer.MarksSince(*told)
+	*told = next
 	for _, p := range peers {
 		h.fleet.clock.After(distance(h.domain, p.domain), func() {
-			p.balancer.SetPeer(h.fleet.clock.Now(), h.id, loads, marks)
-			p.balancer.HeardDomain(h.fleet.clock.Now(), h.domain, loads)
+			p.balancer.SetPeer(h.fleet.clock.Now(), h.id, h.domain, loads, marks)
 		})
 	}
 }
