Readers tell the others what has changed in the list of endpoints

Change: a digest carries the changes that its sender has read; hosts that miss some ask the peer after 400 ms.

--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -137,6 +137,8 @@
 		Known:       d.Known,
 		Marks:       convert(d.Marks, markToWire),
 		ByRelay:     d.ByRelay,
+		LinkMbps:    d.Link,
+		Changes:     changesToWire(d.Changes),
 		Domains:     convert(d.Domains, sumToWire),
 	}
 }
@@ -157,6 +159,8 @@
 		Known:       d.GetKnown(),
 		Marks:       convert(d.GetMarks(), markFromWire),
 		ByRelay:     d.GetByRelay(),
+		Link:        d.GetLinkMbps(),
+		Changes:     changesFromWire(d.GetChanges()),
 		Domains:     convert(d.GetDomains(), sumFromWire),
 	}
 }
@@ -212,6 +216,32 @@
 	return out
 }
 
+func changesToWire(c port.ListChanges) *peer.ListChanges {
+	if len(c.Records) == 0 {
+		return nil
+	}
+	return &peer.ListChanges{After: uint64(c.After), Upto: uint64(c.Upto), Entries: convert(c.Records, recordToWire)}
+}
+
+func changesFromWire(c *peer.ListChanges) port.ListChanges {
+	return port.ListChanges{
+		After:   model.Offset(c.GetAfter()),
+		Upto:    model.Offset(c.GetUpto()),
+		Records: convert(c.GetEntries(), recordFromWire),
+	}
+}
+
+func recordToWire(r port.ListRecord) *peer.EndpointEntry {
+	if r.Removed {
+		return &peer.EndpointEntry{Name: string(r.Name), Removed: true}
+	}
+	return entryToWire(r.Entry)
+}
+
+func recordFromWire(e *peer.EndpointEntry) port.ListRecord {
+	return port.ListRecord{Name: model.EndpointName(e.GetName()), Entry: entryFromWire(e), Removed: e.GetRemoved()}
+}
+
 func entryToWire(e directory.Entry) *peer.EndpointEntry {
 	return &peer.EndpointEntry{
 		Name: string(e.Name), Pool: string(e.Pool), Address: e.Address, Domain: string(e.Domain),
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -167,6 +167,9 @@
 	endpoints []*endpoint
 	budget    *attempt.Window
 	reserve   reserve
+	// wait is the mean of the time in queues by the expected one; 0 before any
+	// was seen.
+	wait float64
 }
 
 // running is a request at an endpoint.
@@ -184,6 +187,8 @@
 	// is the engine's.
 	own      int
 	priority int
+	// unqueued and queued are the parts of the expected time at first.
+	unqueued, queued float64
 	// answered says that the first answer has come.
 	answered bool
 	// stalled says that the stream has stopped for longer than usual, overdue
@@ -288,6 +293,30 @@
 	return b.grant(now, &req, choice)
 }
 
+const (
+	waitWeight = 0.03
+	minQueued  = 50
+	maxWait    = 4
+)
+
+// learnWait learns how long queues are against what is known of them: hosts
+// hear late of each other's requests.
+func (p *pool) learnWait(r *running, took time.Duration) {
+	if r.queued < minQueued || r.priority == Priorities-1 {
+		return
+	}
+	ratio := (float64(took.Milliseconds()) - r.unqueued) / r.queued
+	p.wait = p.waitFactor() + waitWeight*(min(max(ratio, 0), 2*maxWait)-p.waitFactor())
+	p.wait = min(max(p.wait, 0.5), maxWait)
+}
+
+func (p *pool) waitFactor() float64 {
+	if p.wait == 0 {
+		return 1
+	}
+	return p.wait
+}
+
 func (b *Balancer) grant(now time.Time, req *Request, c choice) Decision {
 	e := c.endpoint
 	priority := req.enginePriority(now, c.expected)
@@ -300,6 +329,8 @@
 		pending:  c.read,
 		memory:   memoryOf(&req.Prompt),
 		own:      c.read,
+		unqueued: c.unqueued * e.slowness,
+		queued:   c.queued * e.slowness,
 		priority: priority,
 	}
 	b.running[req.ID] = r
@@ -344,6 +375,7 @@
 	b.reached(now, b.domain(r.endpoint.Domain))
 	r.setOverdue(false)
 	r.endpoint.learn(now, now.Sub(r.granted), r.expected)
+	b.pool(r.endpoint.Pool).learnWait(r, now.Sub(r.granted))
 	b.changed = true
 }
 
--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -96,6 +96,9 @@
 	// read is the number of tokens that the endpoint has to read.
 	read      int
 	fetchFrom string
+	// unqueued and queued are the parts of the expected time without and with a
+	// queue, in milliseconds.
+	unqueued, queued float64
 	// retryAfter is when to come back when no endpoint was found.
 	retryAfter time.Duration
 }
@@ -224,7 +227,9 @@
 	if float64(total.Memory+memoryOf(&req.Prompt)) > memoryPart*float64(p.engine.CacheTokens) {
 		c.cost += overMemory
 	}
-	return firstEventBase + before + own + fetch
+	c.unqueued = firstEventBase + own + fetch
+	c.queued = before
+	return c.unqueued + before*p.waitFactor()
 }
 
 // priceShared decides how an endpoint gets the shared parts of the prompt. It
--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -64,6 +64,12 @@
 // Len returns the number of endpoints.
 func (d *Directory) Len() int { return len(d.entries) }
 
+// Knows says that the list has an endpoint.
+func (d *Directory) Knows(name model.EndpointName) bool {
+	_, known := d.entries[name]
+	return known
+}
+
 // Age returns the time since the last answer of the store.
 func (d *Directory) Age(now time.Time) time.Duration { return now.Sub(d.read) }
 
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -6,7 +6,9 @@
 //  2. While few hosts are in other domains, it tells each of them too.
 //  3. Else some hosts of a domain, its relays, tell hosts of the other domains
 //     the sum of the domain's work, and those pass it on in their own domain.
-//  4. All hosts choose the same relays from the hosts that they hear, without a
+//  4. Relays have the fastest links of their domain: what they pass on takes
+//     some Mbit/s.
+//  5. All hosts choose the same relays from the hosts that they hear, without a
 //     message. There are several for each pair of domains, so that one may
 //     vanish unnoticed for a while.
 package relay
@@ -26,6 +28,9 @@
 	directPeers = 16
 	// relaysPerPair is the number of relays from one domain to another.
 	relaysPerPair = 2
+	// fastPart is the part of the speed of a domain's fastest link that a relay
+	// must have.
+	fastPart = 0.5
 )
 
 // Member is a host that is heard.
@@ -33,6 +38,8 @@
 	Host    model.HostID
 	Domain  model.DomainName
 	Address string
+	// Link is the speed of the host's link in Mbit/s.
+	Link float64
 }
 
 // Needed says that domains tell each other by relays, for a number of hosts in
@@ -62,10 +69,19 @@
 	return out
 }
 
-// ranked orders the hosts of a domain for what they exchange with another, so
-// that the work is spread over them.
+// ranked orders the hosts of a domain with fast links for what they exchange
+// with another, so that the work is spread over them.
 func ranked(hosts []Member, other model.DomainName) []Member {
-	out := slices.Clone(hosts)
+	fastest := 0.0
+	for _, m := range hosts {
+		fastest = max(fastest, m.Link)
+	}
+	var out []Member
+	for _, m := range hosts {
+		if m.Link >= fastPart*fastest {
+			out = append(out, m)
+		}
+	}
 	score := func(m Member) uint64 { return xxhash.Sum64String(string(m.Host) + "|" + string(other)) }
 	slices.SortFunc(out, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(score(a), score(b)), cmp.Compare(a.Host, b.Host))
--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -72,6 +72,25 @@
 	}
 }
 
+// Load: two of a domain's hosts have links twenty times as fast as the others.
+func TestRelaysHaveFastLinks(t *testing.T) {
+	up := fleet(5, 18)
+	fast := make(map[string]bool)
+	for i := range up {
+		up[i].Link = 10
+		if i%18 < 2 {
+			up[i].Link = 200
+			fast[up[i].Address] = true
+		}
+	}
+	for from, receivers := range edges(up) {
+		for _, to := range receivers {
+			must.True(t, fast[from])
+			must.True(t, fast[to])
+		}
+	}
+}
+
 // A host that vanishes is replaced, and the others keep their part.
 func TestLostRelaysAreReplaced(t *testing.T) {
 	up := fleet(5, 18)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -30,6 +30,8 @@
 	listChange model.Offset
 	// listFailing says that this host's last read of the list failed.
 	listFailing bool
+	// news is what peers know of the list beyond that.
+	news listNews
 }
 
 func newControl(g *Gateway) *control {
@@ -49,6 +51,7 @@
 	c.gateway.usable.Store(c.balancer.Usable(now))
 	c.chooseReaders(now)
 	c.askPeersForList(now)
+	c.seekListNews(now)
 	c.peers.tick(now, c)
 }
 
--- a/internal/gateway/digests.go
+++ b/internal/gateway/digests.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
@@ -50,6 +51,9 @@
 	// received are the sums of other domains to be passed on in the own one.
 	received  map[model.DomainName]port.DomainLoad
 	toldKnown time.Time
+	// nearChanges and farChanges are changes of the list of endpoints that were
+	// not told yet.
+	nearChanges, farChanges port.ListChanges
 	// nearMarks, farMarks and relayMarks number the next marks to be told.
 	nearMarks, farMarks, relayMarks int
 }
@@ -73,6 +77,13 @@
 	s.far.changed = true
 }
 
+// tellChanges tells all peers of changes of the list of endpoints.
+func (s *digests) tellChanges(c port.ListChanges) {
+	s.nearChanges = joinChanges(s.nearChanges, c)
+	s.farChanges = joinChanges(s.farChanges, c)
+	s.note()
+}
+
 // tick sends the digests that are due.
 func (s *digests) tick(now time.Time, c *control) {
 	near, far := s.count()
@@ -133,6 +144,7 @@
 	d.Loads = c.balancer.OwnLoad(now)
 	d.Marks, s.nearMarks = c.balancer.MarksSince(s.nearMarks)
 	d.Known = known
+	d.Changes, s.nearChanges = s.nearChanges, port.ListChanges{}
 	for name, sum := range s.received {
 		d.Domains = append(d.Domains, sum)
 		delete(s.received, name)
@@ -149,6 +161,7 @@
 	s.far = round{told: now}
 	d := c.digest(now)
 	d.ByRelay = byRelay
+	d.Changes, s.farChanges = s.farChanges, port.ListChanges{}
 	if !byRelay {
 		d.Known = known
 		d.Loads = c.balancer.OwnLoad(now)
@@ -168,7 +181,7 @@
 	if now.Sub(s.chosen) >= chooseRelaysEvery {
 		s.chosen = now
 		opts := &s.table.gateway.opts
-		self := relay.Member{Host: opts.Host, Domain: opts.Domain, Address: opts.PeerAddress}
+		self := relay.Member{Host: opts.Host, Domain: opts.Domain, Address: opts.PeerAddress, Link: opts.Link}
 		s.receivers = relay.Receivers(self, s.table.members(now))
 	}
 	if len(s.receivers) == 0 {
@@ -199,7 +212,7 @@
 	opts := &c.gateway.opts
 	return port.LoadDigest{
 		Host: opts.Host, Incarnation: opts.Incarnation, Domain: opts.Domain, Address: opts.PeerAddress,
-		Leaving: c.gateway.leaving.Load(), Version: c.version(),
+		Link: opts.Link, Leaving: c.gateway.leaving.Load(), Version: c.version(),
 		ReadAge: min(now.Sub(c.listRead), maxReadAge), ListChange: c.listChange,
 		Reading: c.gateway.reading.Load(), ReadFailing: c.listFailing,
 	}
@@ -218,6 +231,7 @@
 // mergeDigests returns the newer digest with what must not be lost of the older.
 func mergeDigests(older, newer port.LoadDigest) port.LoadDigest {
 	newer.Marks = joinMarks(older.Marks, newer.Marks)
+	newer.Changes = joinChanges(older.Changes, newer.Changes)
 	if len(newer.Known) == 0 {
 		newer.Known = older.Known
 	}
@@ -235,6 +249,19 @@
 	return newer
 }
 
+// joinChanges returns the changes of both, or the newer ones when others are
+// missing between them: receivers ask for the list then.
+func joinChanges(older, newer port.ListChanges) port.ListChanges {
+	switch {
+	case len(newer.Records) == 0:
+		return older
+	case len(older.Records) == 0 || older.Upto != newer.After:
+		return newer
+	}
+	records := append(slices.Clone(older.Records), newer.Records...)
+	return port.ListChanges{After: older.After, Upto: newer.Upto, Records: records}
+}
+
 // mergeSums returns the newer sum of a domain with the marks of both.
 func mergeSums(older, newer port.DomainLoad) port.DomainLoad {
 	newer.Marks = joinMarks(older.Marks, newer.Marks)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/clock"
-	"github.com/wigeonsail/wigeonsail/internal/core/directory"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/loop"
 	"github.com/wigeonsail/wigeonsail/internal/port"
@@ -163,24 +162,17 @@
 type endpointUpdate struct {
 	// whole says that endpoints that are not in the list are gone.
 	whole bool
-	list  []endpointRecord
+	list  []port.ListRecord
 	// next is the offset after the records.
 	next model.Offset
 }
 
-type endpointRecord struct {
-	name  model.EndpointName
-	entry directory.Entry
-	// removed says that the entry was deleted.
-	removed bool
-}
-
 func (g *Gateway) decodeEndpoints(batch port.KeyedBatch, whole bool) endpointUpdate {
 	update := endpointUpdate{whole: whole, next: batch.Next}
 	for _, rec := range batch.Records {
-		item := endpointRecord{name: model.EndpointName(rec.Key)}
+		item := port.ListRecord{Name: model.EndpointName(rec.Key)}
 		if len(rec.Value) == 0 {
-			item.removed = true
+			item.Removed = true
 			update.list = append(update.list, item)
 			continue
 		}
@@ -189,58 +181,8 @@
 			g.opts.Log.WithError(err).WithField("endpoint", rec.Key).Warn("lists: entry skipped")
 			continue
 		}
-		item.entry = entry
+		item.Entry = entry
 		update.list = append(update.list, item)
 	}
 	return update
 }
-
-// endpointsFound takes a part of the list of endpoints.
-func (c *control) endpointsFound(now time.Time, update endpointUpdate) {
-	c.directory.Answered(now)
-	c.listRead = now
-	c.listFailing = false
-	c.listNext = max(c.listNext, update.next)
-	if update.whole {
-		var list []directory.Entry
-		for _, rec := range update.list {
-			if !rec.removed {
-				list = append(list, rec.entry)
-			}
-		}
-		c.listChanged(now, c.directory.Replace(now, list))
-		return
-	}
-	var changes []directory.Change
-	for _, rec := range update.list {
-		var change directory.Change
-		var changed bool
-		if rec.removed {
-			change, changed = c.directory.Remove(now, rec.name)
-		} else {
-			change, changed = c.directory.Put(rec.entry)
-		}
-		if changed {
-			changes = append(changes, change)
-		}
-	}
-	c.listChanged(now, changes)
-}
-
-// listFailed notes that this host could not read the list.
-func (c *control) listFailed() {
-	if !c.listFailing {
-		c.listFailing = true
-		c.peers.note()
-	}
-}
-
-// listChanged applies what a read has changed and tells the other hosts.
-func (c *control) listChanged(now time.Time, changes []directory.Change) {
-	if len(changes) == 0 {
-		return
-	}
-	c.listChange = c.listNext
-	c.peers.note()
-	c.apply(now, changes)
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,8 @@
 	Seeds       []string
 	// ShareEvery is the least time between two digests to a peer.
 	ShareEvery time.Duration
+	// Link is the speed of this host's link in Mbit/s.
+	Link float64
 	// Budget bounds the retries of all hosts together.
 	Budget attempt.WindowOptions
 	// Warm says that the endpoints have served other hosts before.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -51,6 +51,7 @@
 	added   time.Time
 	host    model.HostID
 	domain  model.DomainName
+	link    float64
 	readAge time.Duration
 	// reading and failing are what the host tells of its reads.
 	reading bool
@@ -105,7 +106,7 @@
 	var out []relay.Member
 	for address, p := range t.peers {
 		if p.host != "" && now.Sub(p.heard) < memberFor {
-			out = append(out, relay.Member{Host: p.host, Domain: p.domain, Address: address})
+			out = append(out, relay.Member{Host: p.host, Domain: p.domain, Address: address, Link: p.link})
 		}
 	}
 	return out
@@ -147,7 +148,7 @@
 	if p.heard.IsZero() {
 		c.gateway.opts.Log.WithFields(fields{"host": d.Host, "address": d.Address, "domain": d.Domain}).Info("peers: heard")
 	}
-	p.heard, p.host, p.domain = now, d.Host, d.Domain
+	p.heard, p.host, p.domain, p.link = now, d.Host, d.Domain, d.Link
 	p.readAge, p.reading, p.failing = d.ReadAge, d.Reading, d.ReadFailing
 	for _, address := range d.Known {
 		c.peers.learn(now, address, false)
@@ -155,21 +156,7 @@
 	if d.Version > c.version() {
 		c.askPeerForConfig(d.Address)
 	}
-	if d.ListChange <= c.listNext {
-		return
-	}
-	c.gateway.askForListNews()
-	if c.listFailing {
-		c.askPeerForList(now, d.Address)
-	}
-}
-
-// askForListNews lets the host read the list of endpoints at once.
-func (g *Gateway) askForListNews() {
-	select {
-	case g.listNews <- struct{}{}:
-	default:
-	}
+	c.listNewsCame(now, d)
 }
 
 // chooseReaders decides whether this host reads the platform's lists, and takes
@@ -218,7 +205,7 @@
 // askPeersForList fetches the list of endpoints from the peer with the newest
 // one while the platform does not answer this host.
 func (c *control) askPeersForList(now time.Time) {
-	if c.fetchingList || c.directory.Age(now) < staleList || now.Sub(c.listAsked) < askListEvery {
+	if c.fetchingList || c.directory.Age(now) < staleList {
 		return
 	}
 	best := ""
@@ -238,7 +225,7 @@
 
 // askPeerForList fetches a peer's list of endpoints.
 func (c *control) askPeerForList(now time.Time, address string) {
-	if c.fetchingList {
+	if c.fetchingList || now.Sub(c.listAsked) < askListEvery {
 		return
 	}
 	c.fetchingList = true
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -17,6 +17,8 @@
 	// Address is where the host serves its peers.
 	Address string
 	Leaving bool
+	// Link is the speed of the host's link in Mbit/s.
+	Link float64
 	// Version is the configuration in force at the host.
 	Version model.Version
 	// ReadAge is the age of the host's last own read of the list of endpoints,
@@ -31,6 +33,8 @@
 	Loads []balance.EndpointLoad
 	// Marks tell which endpoints hold the shared parts of prompts.
 	Marks []balance.Mark
+	// Changes are those that the host has read in the list of endpoints.
+	Changes ListChanges
 	// Known are addresses of other hosts; empty when they did not change.
 	Known []string
 	// ByRelay says that relays tell the receiver's failure domain of the sender's
@@ -47,6 +51,21 @@
 	Marks  []balance.Mark
 }
 
+// ListChanges are changes of the list of endpoints.
+type ListChanges struct {
+	// After is the offset after the changes before these, Upto that after these.
+	After, Upto model.Offset
+	Records     []ListRecord
+}
+
+// ListRecord is a change of an entry.
+type ListRecord struct {
+	Name  model.EndpointName
+	Entry directory.Entry
+	// Removed says that the entry was deleted.
+	Removed bool
+}
+
 // LoadPeers tells other hosts what this one does.
 type LoadPeers interface {
 	// Share opens a stream of digests to a peer.
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -77,6 +77,7 @@
 		PeerAddress: listeners[listenPeers].Addr().String(),
 		Seeds:       s.Peers.Seeds,
 		ShareEvery:  s.Peers.ShareEvery.Std(),
+		Link:        s.Limits.Link,
 		Budget: attempt.WindowOptions{
 			Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Std(),
 		},
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -77,6 +77,9 @@
 type GatewayLimits struct {
 	// Memory is the process's memory in MB.
 	Memory int `toml:"memory_mb" allowed:"a whole number of megabytes over 0"`
+	// Link is the speed of the machine's link to the network in Mbit/s. Hosts
+	// with slow links pass less on for others.
+	Link float64 `toml:"link_mbps" allowed:"a number over 0"`
 }
 
 // DefaultGateway returns the settings of a file that leaves all keys out.
@@ -89,7 +92,7 @@
 			Grace:  opconfig.Duration(8 * time.Second),
 			Linger: opconfig.Duration(3 * time.Second),
 		},
-		Limits: GatewayLimits{Memory: 256},
+		Limits: GatewayLimits{Memory: 256, Link: 1000},
 		Log:    Log{Level: "info", Format: "json"},
 	}
 }
@@ -168,5 +171,8 @@
 	if s.Limits.Memory <= 0 {
 		return &fault{key: "limits.memory_mb", problem: "not over 0"}
 	}
+	if s.Limits.Link <= 0 {
+		return &fault{key: "limits.link_mbps", problem: "not over 0"}
+	}
 	return nil
 }
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -22,7 +22,7 @@
 		"{{listen.front}}", "10.1.0.40:8227", "{{listen.ready}}", "10.1.0.40:8220", "{{listen.control}}", "10.1.0.40:8229",
 		"{{platform.address}}", "10.200.1.7:8223", "{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", `"10.1.0.40:8229","10.2.0.29:8229"`,
 		"{{bounds.budget_ratio}}", "0.2", "{{bounds.budget_slack}}", "58", "{{bounds.budget_window_s}}", "10",
-		"{{bounds.grace_s}}", "8", "{{limits.memory_mb}}", "134",
+		"{{bounds.grace_s}}", "8", "{{limits.memory_mb}}", "134", "{{limits.link_mbps}}", "1000.0",
 	).Replace(string(template))
 	must.Eq(t, "", placeholder.FindString(text), must.Sprint("a placeholder that the test does not fill in"))
 	return text
@@ -39,12 +39,13 @@
 
 func TestGatewayFaults(t *testing.T) {
 	cases := []struct{ name, from, to, want string }{
-		{"unknown key", "[limits]", "[limits]\nother = 1", "limits.other: unknown key; allowed: memory_mb"},
+		{"unknown key", "[limits]", "[limits]\nother = 1", "limits.other: unknown key; allowed: memory_mb, link_mbps"},
 		{"no name", `host = "front-a-1"`, "", "host: missing; allowed: a name that no other host has"},
 		{"no address", "10.200.1.7:8223", "store", `platform.address: "store" is no address; allowed: an address as ip:port`},
 		{"no unit", `grace = "8s"`, "grace = 8", "shutdown.grace: "},
 		{"bad seed", "10.2.0.29:8229", "10.2.0.29", "peers.seeds: "},
 		{"no memory", "memory_mb = 134", "memory_mb = 0", "limits.memory_mb: not over 0"},
+		{"no link", "link_mbps = 1000.0", "link_mbps = 0", "limits.link_mbps: not over 0"},
 		{"short secret", "wigeonsail-entry-hosts", "short", "peers.secret: shorter than 16 characters"},
 		{"negative budget", "ratio = 0.2", "ratio = -1", "retries: below 0"},
 	}
--- a/internal/virtual/fleet/fleet.go
+++ b/internal/virtual/fleet/fleet.go
@@ -77,11 +77,13 @@
 	engine  *engine
 	first   time.Time
 	// last is the time of the newest event, gap the longest pause.
-	last    time.Time
-	gap     time.Duration
-	done    time.Time
-	refused bool
-	left    bool
+	last time.Time
+	gap  time.Duration
+	done time.Time
+	// expected is the time to the first event as the host expected it.
+	expected time.Duration
+	refused  bool
+	left     bool
 }
 
 // Run plays the load to its end.
@@ -200,6 +202,7 @@
 		return
 	}
 	c.tries++
+	c.expected = now.Sub(c.arrived) + d.Expected
 	f.order++
 	e := f.engines[d.Endpoint]
 	s := &sequence{call: c, priority: d.Priority, order: f.order, fetch: f.engines[model.EndpointName(d.FetchFrom)]}
--- a/internal/virtual/fleet/report.go
+++ b/internal/virtual/fleet/report.go
@@ -48,12 +48,15 @@
 	// Gap is the median of the longest pauses in milliseconds.
 	Gap float64 `json:"gap_ms"`
 
+	// Error is the median of the times to the first event over the expected ones.
+	Error float64 `json:"error"`
 	// Windows is Worth by the windows of the arrivals.
 	Windows []float64 `json:"windows"`
 
 	earned, owed float64
 	byWindow     []window
 	firsts, gaps []time.Duration
+	errors       []float64
 }
 
 func (f *Fleet) report() Report {
@@ -96,6 +99,7 @@
 	if !c.first.IsZero() {
 		r.firsts = append(r.firsts, c.first.Sub(c.arrived))
 		r.gaps = append(r.gaps, c.gap)
+		r.errors = append(r.errors, c.first.Sub(c.arrived).Seconds()/c.expected.Seconds())
 	}
 }
 
@@ -127,6 +131,10 @@
 	slices.Sort(r.firsts)
 	r.Median = quantile(r.firsts, 0.5)
 	r.P95 = quantile(r.firsts, 0.95)
+	slices.Sort(r.errors)
+	if len(r.errors) > 0 {
+		r.Error = r.errors[len(r.errors)/2]
+	}
 	slices.Sort(r.gaps)
 	r.Gap = quantile(r.gaps, 0.5)
 }
