--- a/cmd/wigeonsail/gateway.go
+++ b/cmd/wigeonsail/gateway.go
@@ -27,6 +27,9 @@
 	// graceMargin is the time before the platform kills a leaving host in which
 	// it closes what is left.
 	graceMargin = 300 * time.Millisecond
+	// settingsEvery is the time between looks for changed settings: the platform
+	// may change them without a signal.
+	settingsEvery = 2 * time.Second
 )
 
 // Run serves until SIGINT or SIGTERM, then leaves gracefully. SIGHUP reads the
@@ -51,14 +54,7 @@
 		return &usageError{cause: err}
 	}
 	g.Start()
-	for waiting := true; waiting; {
-		select {
-		case <-stop:
-			waiting = false
-		case <-reload:
-			c.reload()
-		}
-	}
+	c.serve(g, stop, reload)
 	ctx, cancel := context.WithTimeout(context.Background(), s.Shutdown.Grace.Std()-graceMargin)
 	defer cancel()
 	err = g.Shutdown(ctx)
@@ -69,9 +65,40 @@
 	return err
 }
 
-// reload checks the settings again. What changed is used from the next start
-// on, apart from the level of the log.
-func (c gatewayCmd) reload() {
+// serve waits for the signal to stop. It takes changed settings on a signal, and
+// when it finds the file changed.
+func (c gatewayCmd) serve(g *server.Gateway, stop, reload <-chan os.Signal) {
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	seen := c.modified()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-reload:
+			c.reload(g)
+		case <-ticker.C:
+			if now := c.modified(); !now.IsZero() && !now.Equal(seen) {
+				seen = now
+				c.reload(g)
+			}
+		}
+	}
+}
+
+// modified is when the file of the settings was last written; zero when that
+// cannot be told, as while the file is replaced.
+func (c gatewayCmd) modified() time.Time {
+	info, err := os.Stat(c.Config)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// reload reads the settings again. The budget of retries, the seeds and the
+// level of the log are taken at once, the rest from the next start on.
+func (c gatewayCmd) reload(g *server.Gateway) {
 	s, err := settings.LoadGateway(c.Config)
 	if err != nil {
 		log.WithError(err).Error("host: settings not reloaded")
@@ -83,5 +110,6 @@
 		return
 	}
 	log.SetLevel(level)
+	g.Reload(s)
 	log.WithField("log_level", s.Log.Level).Info("host: settings reloaded")
 }
--- a/internal/core/attempt/window.go
+++ b/internal/core/attempt/window.go
@@ -33,6 +33,15 @@
 // NewWindow returns a budget.
 func NewWindow(opts WindowOptions) *Window { return &Window{opts: opts} }
 
+// SetOptions changes the budget. What was counted goes on counting unless the
+// window's length changes.
+func (w *Window) SetOptions(opts WindowOptions) {
+	if opts.Window != w.opts.Window {
+		*w = Window{}
+	}
+	w.opts = opts
+}
+
 // First counts a first try.
 func (w *Window) First(now time.Time) {
 	w.advance(now)
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -219,6 +219,14 @@
 	}
 }
 
+// SetBudget changes the budget of retries. What was taken stays taken.
+func (b *Balancer) SetBudget(opts attempt.WindowOptions) {
+	b.opts.Budget = opts
+	for _, p := range b.pools {
+		p.budget.SetOptions(opts)
+	}
+}
+
 // pool returns a pool. Endpoints may be listed before the configuration names
 // their pool.
 func (b *Balancer) pool(name model.PoolName) *pool {
--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -70,6 +70,12 @@
 	return known
 }
 
+// Missing says that an entry was removed and is waited for.
+func (d *Directory) Missing(name model.EndpointName) bool {
+	_, missing := d.missing[name]
+	return missing
+}
+
 // Age returns the time since the last answer of the store.
 func (d *Directory) Age(now time.Time) time.Duration { return now.Sub(d.read) }
 
@@ -131,22 +137,6 @@
 	return out
 }
 
-// Merge takes another host's list while the store does not answer: it adds and
-// replaces entries and removes none. An endpoint that is known to drain goes on
-// draining.
-func (d *Directory) Merge(list []Entry) []Change {
-	var out []Change
-	for _, e := range list {
-		if before, known := d.entries[e.Name]; known && before.Draining && before.Started == e.Started {
-			continue
-		}
-		if c, changed := d.Put(e); changed {
-			out = append(out, c)
-		}
-	}
-	return out
-}
-
 // Tick removes the entries that did not come back in time.
 func (d *Directory) Tick(now time.Time) []Change {
 	var out []Change
@@ -165,11 +155,14 @@
 	return Change{Entry: e, Gone: true}
 }
 
-// Entries returns a copy of the list.
+// Entries returns a copy of the list, without the entries that were removed and
+// are waited for.
 func (d *Directory) Entries() []Entry {
 	out := make([]Entry, 0, len(d.entries))
-	for _, e := range d.entries {
-		out = append(out, e)
+	for name, e := range d.entries {
+		if !d.Missing(name) {
+			out = append(out, e)
+		}
 	}
 	return out
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,9 +103,17 @@
 	g.workers.Go(func() { g.loop.Run(g.ctx, tickEvery, g.control.tick) })
 	g.workers.Go(func() { g.followConfig(g.ctx) })
 	g.workers.Go(func() { g.followEndpoints(g.ctx) })
-	for _, address := range g.opts.Seeds {
-		g.loop.Post(loop.Func(func(now time.Time) { g.control.peers.learn(now, address, true) }))
-	}
+	g.Configure(g.opts.Budget, g.opts.Seeds)
+}
+
+// Configure takes the settings that may change while the host serves.
+func (g *Gateway) Configure(budget attempt.WindowOptions, seeds []string) {
+	g.loop.Post(loop.Func(func(now time.Time) {
+		g.control.balancer.SetBudget(budget)
+		for _, address := range seeds {
+			g.control.peers.learn(now, address, true)
+		}
+	}))
 }
 
 // Close ends the control loop. Requests in progress fail, so callers are
--- a/internal/gateway/listnews.go
+++ b/internal/gateway/listnews.go
@@ -44,12 +44,10 @@
 				list = append(list, rec.Entry)
 			}
 		}
-		changes := c.directory.Replace(now, list)
-		if len(changes) > 0 {
-			c.listChange = c.listNext
-			c.peers.note()
-		}
-		c.apply(now, changes)
+		c.apply(now, c.directory.Replace(now, list))
+		// Others may know of changes that this host never saw.
+		c.listChange = c.listNext
+		c.peers.note()
 		return
 	}
 	told := c.applyRecords(now, update.list)
@@ -72,8 +70,12 @@
 				news = append(news, rec)
 			}
 			change, changed = c.directory.Remove(now, rec.Name)
-		} else if change, changed = c.directory.Put(rec.Entry); changed {
-			news = append(news, rec)
+		} else {
+			back := c.directory.Missing(rec.Name)
+			change, changed = c.directory.Put(rec.Entry)
+			if changed || back {
+				news = append(news, rec)
+			}
 		}
 		if changed {
 			changes = append(changes, change)
--- a/internal/gateway/listnews_test.go
+++ b/internal/gateway/listnews_test.go
@@ -78,6 +78,19 @@
 	must.Eq(t, 1, c.directory.Len())
 }
 
+// A peer's list that is not newer changes nothing: what drains goes on draining,
+// and what is gone stays gone.
+func TestOlderListsOfPeersChangeNothing(t *testing.T) {
+	c, _ := idleControl(t)
+	leaving := listed("a")
+	leaving.Entry.Draining = true
+	c.endpointsFound(at(0), endpointUpdate{whole: true, list: []port.ListRecord{leaving}, next: 10})
+	for _, next := range []model.Offset{0, 9, 10} {
+		c.takeList(at(0), port.EndpointList{Entries: []directory.Entry{listed("a").Entry, listed("b").Entry}, Next: next})
+		must.Eq(t, []directory.Entry{leaving.Entry}, c.directory.Entries())
+	}
+}
+
 // A host that the store turns away asks at once.
 func TestHostsThatCannotReadAskAtOnce(t *testing.T) {
 	c, peers := idleControl(t)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -245,14 +245,14 @@
 	})
 }
 
-// takeList takes a peer's list: as a whole when it is newer than what this host
-// has read itself, else only what it adds.
+// takeList takes a peer's list when it is newer than what this host knows.
 func (c *control) takeList(now time.Time, list port.EndpointList) {
-	if list.Next <= c.listNext || len(list.Entries) == 0 {
-		c.apply(now, c.directory.Merge(list.Entries))
+	if list.Next <= c.listNext {
 		return
 	}
 	c.listNext = list.Next
+	// What this host tells from now on begins after the list.
+	c.listChange = list.Next
 	c.apply(now, c.directory.Replace(now, list.Entries))
 }
 
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -107,7 +107,6 @@
 		}
 	}
 	x.ask = balance.Request{
-		ID:      g.nextID(call.ID),
 		Pool:    route.PoolFor(g.draws.next()),
 		Prompt:  call.Prompt,
 		Tier:    tier,
@@ -152,6 +151,8 @@
 // run tries endpoints until one answers or nothing more may be tried.
 func (x *exchange) run(ctx context.Context) bool {
 	for {
+		// What comes late from an attempt must not touch the next one.
+		x.ask.ID = x.gateway.nextID(x.call.ID)
 		decision, ok := x.gateway.place(ctx, x.ask)
 		if !ok {
 			// The decision may still have been made.
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -28,6 +28,7 @@
 // while another could do the work.
 type silenceWatch struct {
 	exchange *exchange
+	id       model.RequestID
 	endpoint model.EndpointName
 	address  string
 	// end ends the attempt; nil when it may not be repeated.
@@ -41,7 +42,7 @@
 // watch begins with the wait for the first answer. Requests that may not be
 // repeated wait until their time limit.
 func (x *exchange) watch(cancel context.CancelCauseFunc, decision balance.Decision) *silenceWatch {
-	w := &silenceWatch{exchange: x, endpoint: decision.Endpoint, address: decision.Address}
+	w := &silenceWatch{exchange: x, id: x.ask.ID, endpoint: decision.Endpoint, address: decision.Address}
 	if x.route.Repeatable() && x.runs+1 < x.route.MaxAttempts {
 		limit := max(silenceFactor*x.route.Target, minSilence)
 		w.end = time.AfterFunc(limit, func() { cancel(errSilent) })
@@ -84,7 +85,7 @@
 	if !changed {
 		return
 	}
-	w.exchange.gateway.stalled(w.exchange.ask.ID, stalled)
+	w.exchange.gateway.stalled(w.id, stalled)
 	if stalled {
 		w.exchange.gateway.opts.Endpoints.Distrust(w.endpoint, w.address)
 	}
--- a/internal/port/caller.go
+++ b/internal/port/caller.go
@@ -90,6 +90,7 @@
 	CodeUnknownModel    Code = "unknown_model"
 	CodeUnknownRoute    Code = "unknown_route"
 	CodeBodyTooLarge    Code = "body_too_large"
+	CodeHeaderTooLarge  Code = "header_too_large"
 	CodeOverloaded      Code = "overloaded"
 	CodeLimitReached    Code = "limit_reached"
 	CodeDeadline        Code = "deadline_exceeded"
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -78,12 +78,10 @@
 		Seeds:       s.Peers.Seeds,
 		ShareEvery:  s.Peers.ShareEvery.Std(),
 		Link:        s.Limits.Link,
-		Budget: attempt.WindowOptions{
-			Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Std(),
-		},
-		Warm:    !s.FirstStart,
-		Log:     logger,
-		Metrics: counts,
+		Budget:      budgetOf(s),
+		Warm:        !s.FirstStart,
+		Log:         logger,
+		Metrics:     counts,
 	})
 	g.ingress = platform.NewIngress(platform.IngressOptions{Router: g.gateway, Log: logger})
 	g.peers, err = peergrpc.NewLoadServer(auth, g.gateway)
@@ -126,6 +124,16 @@
 // settings.
 func (g *Gateway) Address(key string) string { return g.listeners[key].Addr().String() }
 
+// Reload takes changed settings: the budget of retries and the seeds. Others are
+// used from the next start on.
+func (g *Gateway) Reload(s *settings.Gateway) {
+	g.gateway.Configure(budgetOf(s), s.Peers.Seeds)
+}
+
+func budgetOf(s *settings.Gateway) attempt.WindowOptions {
+	return attempt.WindowOptions{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Std()}
+}
+
 // Ready says whether callers should come.
 func (g *Gateway) Ready() bool { return g.gateway.Ready() }
 
--- a/internal/server/gateway_test.go
+++ b/internal/server/gateway_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+	"github.com/wigeonsail/wigeonsail/internal/settings"
 	"github.com/wigeonsail/wigeonsail/internal/standin/logstore"
 	"github.com/wigeonsail/wigeonsail/internal/standin/replica"
 )
@@ -234,6 +239,56 @@
 	f.eventually(func() bool { return r.Canceled() == 1 })
 }
 
+// A header is bounded by the configuration, and its request is not run.
+func TestGatewayBoundsHeaders(t *testing.T) {
+	f := newFleet(t)
+	f.publish(fleetConfig(1))
+	r := f.add(servicePool, replica.Options{Instance: "i-1"})
+	g := f.readyHost("h1")
+	with := func(bytes int) int {
+		return f.send(g, http.MethodPost, "/confirm/1", "", func(r *http.Request) { r.Header.Set("X-Long", strings.Repeat("x", bytes)) }).status
+	}
+	must.Eq(t, http.StatusOK, with(15_000))
+	must.Eq(t, http.StatusRequestHeaderFieldsTooLarge, with(17_000))
+	must.Len(t, 1, r.Runs())
+}
+
+// A check opens a connection that the next request uses, and fails for an
+// endpoint that is gone.
+func TestChecksKeepTheirConnection(t *testing.T) {
+	f := newFleet(t)
+	f.publish(fleetConfig(1))
+	r := f.add(servicePool, replica.Options{Instance: "i-1"})
+	g := f.readyHost("h1")
+	must.NoError(t, g.replicas.Check(t.Context(), "i-1", r.Address()))
+	must.Eq(t, http.StatusOK, f.confirm(g).status)
+	must.Eq(t, 1, r.Connections())
+	r.Close()
+	var failure *port.EndpointError
+	must.True(t, errors.As(g.replicas.Check(t.Context(), "i-1", r.Address()), &failure))
+	must.Eq(t, model.OutcomeNotRun, failure.Outcome)
+}
+
+// The budget of retries follows the settings without a restart.
+func TestGatewayTakesChangedSettings(t *testing.T) {
+	f := newFleet(t)
+	f.publish(fleetConfig(1))
+	for _, name := range []string{"i-1", "i-2"} {
+		f.add(servicePool, replica.Options{Instance: name}).SetFaults(replica.Faults{Status: 500})
+	}
+	g := f.readyHost("h1")
+	runs := func() int {
+		before := len(f.replicas["i-1"].Runs()) + len(f.replicas["i-2"].Runs())
+		f.send(g, http.MethodGet, "/read/1", "", nil)
+		return len(f.replicas["i-1"].Runs()) + len(f.replicas["i-2"].Runs()) - before
+	}
+	must.Eq(t, 2, runs())
+	changed := settings.DefaultGateway()
+	changed.Retries.Ratio, changed.Retries.Slack = 0, 0
+	g.Reload(&changed)
+	f.eventually(func() bool { return runs() == 1 })
+}
+
 func TestGatewayAnswersAtTheTimeLimit(t *testing.T) {
 	f := newFleet(t)
 	f.publish(fleetConfig(1))
