Checks of domains by their usual pause, and fewer where endpoints hang

Change: a domain is checked after three of the usual times between its signs; rounds in which all were reached while requests stay overdue double the time to the next.

--- a/internal/core/balance/peers.go
+++ b/internal/core/balance/peers.go
@@ -56,14 +56,14 @@
 func (b *Balancer) SetPeer(now time.Time, host model.HostID, domain model.DomainName, loads []EndpointLoad, marks []Mark) {
 	b.takeMarks(now, marks, domain == b.opts.Domain)
 	b.hosts[host] = now
-	b.domain(domain).heardWith(now, loads)
+	b.domain(domain).sign(now)
 	b.setLoad(host, &peerLoad{heard: now, domain: domain, loads: loads})
 }
 
 // HeardPeer tells that another host was heard whose work is told by relays.
 func (b *Balancer) HeardPeer(now time.Time, host model.HostID, domain model.DomainName) {
 	b.hosts[host] = now
-	b.domain(domain).heard = now
+	b.domain(domain).sign(now)
 	if before := b.peers[host]; before != nil {
 		b.addPeer(before.loads, -1)
 		delete(b.peers, host)
@@ -74,7 +74,7 @@
 // says.
 func (b *Balancer) SetDomain(now time.Time, domain model.DomainName, loads []EndpointLoad, marks []Mark) {
 	b.takeMarks(now, marks, false)
-	b.domain(domain).heardWith(now, loads)
+	b.domain(domain).sign(now)
 	b.setLoad(sumOf(domain), &peerLoad{heard: now, loads: loads})
 }
 
--- a/internal/core/balance/reach.go
+++ b/internal/core/balance/reach.go
@@ -19,19 +19,27 @@
 //     are the last resort until a check has succeeded.
 
 const (
-	// quietFor is the silence of a domain after which it is checked, besides two
-	// of the intervals at which its hosts tell of themselves: hosts under load
-	// tell several times in that time. Others tell every second.
-	quietFor     = 250 * time.Millisecond
-	idleQuietFor = 1500 * time.Millisecond
-	// busyHost is the number of requests from which on a host is under load.
-	busyHost = 2
+	// quietFor is the least silence of a domain after which it is checked, besides
+	// two of the intervals at which its hosts tell of themselves.
+	quietFor = 250 * time.Millisecond
+	// quietFactor is that silence in usual times between two signs of the domain,
+	// which come at random: one in some hundred pauses is longer.
+	quietFactor = 3
+	// longerPause and shorterPause are the weights of the newest time between two
+	// signs in the usual one: when hosts have no requests any more, and tell every
+	// second only, that is no reason for checks for long.
+	longerPause  = 0.5
+	shorterPause = 0.05
+	maxSignPause = 1500 * time.Millisecond
 	// briefQuietFor is the same for a domain with overdue requests or failed
 	// connections.
 	briefQuietFor = 100 * time.Millisecond
-	// recheckEvery is the least time between two rounds of checks of a domain,
-	// cutCheckEvery that for a domain that is cut off.
+	// recheckEvery is the least time between two rounds of checks of a domain. It
+	// doubles maxDoublings times when endpoints are in reach and requests stay
+	// overdue: endpoints hang then. cutCheckEvery is that for a domain that is cut
+	// off.
 	recheckEvery  = time.Second
+	maxDoublings  = 4
 	cutCheckEvery = 300 * time.Millisecond
 	// checksPerRound is the number of endpoints of a domain that are checked at
 	// once: one or two may be dead by themselves.
@@ -60,13 +68,16 @@
 	name model.DomainName
 	// heard is the time of the last answer or word from there.
 	heard time.Time
-	// busy says that the host that was heard last is under load.
-	busy bool
+	// pause is the usual time between two signs.
+	pause time.Duration
 	// checked is the time of the last round of checks, open the number of its
 	// checks without a result, and failed that of those that failed.
 	checked time.Time
 	open    int
 	failed  int
+	// hanging counts the rounds in which all were in reach while requests were
+	// overdue.
+	hanging int
 	// suspect is when a connection last failed.
 	suspect time.Time
 	cutOff  bool
@@ -84,15 +95,17 @@
 	return d
 }
 
-// heardWith notes that a host of the domain was heard, or its relay, and its
-// work.
-func (d *domain) heardWith(now time.Time, loads []EndpointLoad) {
-	count := 0
-	for _, l := range loads {
-		count += l.Count
+// sign notes that something came from the domain.
+func (d *domain) sign(now time.Time) {
+	if !d.heard.IsZero() {
+		pause := min(now.Sub(d.heard), maxSignPause)
+		weight := shorterPause
+		if pause > d.pause {
+			weight = longerPause
+		}
+		d.pause += time.Duration(weight * float64(pause-d.pause))
 	}
 	d.heard = now
-	d.busy = count >= busyHost
 }
 
 // Checks returns the connections to open now. Each is answered by Checked.
@@ -124,7 +137,10 @@
 	if d.cutOff {
 		return now.Sub(d.checked) >= cutCheckEvery
 	}
-	if now.Sub(d.checked) < recheckEvery {
+	if !overdue {
+		d.hanging = 0
+	}
+	if now.Sub(d.checked) < recheckEvery<<min(d.hanging, maxDoublings) {
 		return false
 	}
 	silence := now.Sub(d.heard)
@@ -134,10 +150,8 @@
 		return silence >= briefQuietFor
 	case silence >= forgetDomain:
 		return false
-	case d.busy:
-		return silence >= quietFor+2*b.farInterval
 	default:
-		return silence >= idleQuietFor+2*b.farInterval
+		return silence >= max(quietFor+2*b.farInterval, quietFactor*d.pause)
 	}
 }
 
@@ -201,6 +215,9 @@
 	if reached {
 		e.unreachable = false
 		e.breaks = 0
+		if inRound && d.open == 0 && d.failed == 0 {
+			d.hanging++
+		}
 		b.reached(now, d)
 		return
 	}
@@ -228,7 +245,7 @@
 // reached notes a sign that the domain is in reach. Its endpoints that were not
 // are checked at once.
 func (b *Balancer) reached(now time.Time, d *domain) {
-	d.heard = now
+	d.sign(now)
 	if !d.cutOff {
 		return
 	}
