Large configurations come compressed, from several peers, else from the store

The last host had the version 6.4 s after its acknowledgement, 3 s are allowed. Ruled out: the cut hosts (those that broke the rule were in touch). Change: data are compressed once a version; hosts spread their questions over 250 ms and over the peers that have it, near ones first; one that gets no answer in 700 ms reads the store.

--- a/internal/adapter/peergrpc/client.go
+++ b/internal/adapter/peergrpc/client.go
@@ -121,7 +121,11 @@
 	if err != nil {
 		return port.ConfigRecord{}, err
 	}
-	return configFromWire(res), nil
+	rec, err := unpackConfig(res)
+	if err != nil {
+		return port.ConfigRecord{}, &port.PeerError{Op: "fetch config", Address: address, Sent: true, Cause: err}
+	}
+	return rec, nil
 }
 
 // AppendClaims implements port.Peers. When the batching host's append failed,
--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"google.golang.org/grpc"
+	grpcgzip "google.golang.org/grpc/encoding/gzip"
 
 	"github.com/wigeonsail/wigeonsail/api/peer"
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
@@ -70,7 +71,11 @@
 
 // FetchEndpoints implements port.LoadPeers.
 func (c *Client) FetchEndpoints(ctx context.Context, address string) (port.EndpointList, error) {
-	res, err := unary(ctx, c, "fetch endpoints", address, &peer.FetchEndpointsRequest{}, peer.PeerClient.FetchEndpoints)
+	// The entries repeat many words, which compress well.
+	fetch := func(client peer.PeerClient, ctx context.Context, req *peer.FetchEndpointsRequest, opts ...grpc.CallOption) (*peer.EndpointList, error) {
+		return client.FetchEndpoints(ctx, req, append(opts, grpc.UseCompressor(grpcgzip.Name))...)
+	}
+	res, err := unary(ctx, c, "fetch endpoints", address, &peer.FetchEndpointsRequest{}, fetch)
 	if err != nil {
 		return port.EndpointList{}, err
 	}
@@ -87,6 +92,7 @@
 type loadService struct {
 	peer.UnimplementedPeerServer
 	handler port.LoadHandler
+	packed  packedConfig
 }
 
 // Share implements peer.PeerServer.
@@ -109,7 +115,7 @@
 	if err != nil {
 		return nil, fail(ctx, err)
 	}
-	return configToWire(rec), nil
+	return s.packed.toWire(rec)
 }
 
 // FetchEndpoints implements peer.PeerServer.
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -52,6 +52,7 @@
 	c.chooseReaders(now)
 	c.askPeersForList(now)
 	c.seekListNews(now)
+	c.seekConfig(now)
 	c.peers.tick(now, c)
 }
 
@@ -115,11 +116,3 @@
 		"routes": len(cfg.Routes), "accounts": len(cfg.Accounts),
 	}).Info("config: in force")
 }
-
-// version returns the version in force; 0 for none.
-func (c *control) version() model.Version {
-	if rec := c.gateway.record.Load(); rec != nil {
-		return rec.Version
-	}
-	return 0
-}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -84,9 +84,7 @@
 func (g *Gateway) followConfig(ctx context.Context) {
 	f := follower{gateway: g, topic: port.TopicConfig, wait: configWait}
 	for ctx.Err() == nil {
-		if f.whole && !g.reading.Load() {
-			// Versions come from the hosts that read.
-			clock.Sleep(ctx, idleCheck)
+		if f.whole && !g.reading.Load() && !g.awaitConfigNews(ctx) {
 			continue
 		}
 		batch, _, err := f.read(ctx)
@@ -100,6 +98,20 @@
 	}
 }
 
+// awaitConfigNews waits a little and says whether this host should read although
+// others do: versions come from them, unless their hosts do not answer.
+func (g *Gateway) awaitConfigNews(ctx context.Context) bool {
+	timer := time.NewTimer(idleCheck)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-g.configNews:
+		return true
+	}
+	return false
+}
+
 // readConfig decodes a configuration and hands it to the control loop.
 func (g *Gateway) readConfig(rec port.KeyedRecord) {
 	if !g.opts.Decoder.IsConfig(rec.Key) || len(rec.Value) == 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,7 +70,9 @@
 	// asks it to read the list of endpoints at once.
 	reading  atomic.Bool
 	listNews chan struct{}
-	draws    draws
+	// configNews asks it to read the configuration.
+	configNews chan struct{}
+	draws      draws
 	// sequence numbers the requests.
 	sequence atomic.Uint64
 	ctx      context.Context
@@ -88,7 +90,7 @@
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.Discard()
 	}
-	g := &Gateway{opts: opts, loop: loop.New(), draws: newDraws(opts.Seed), listNews: make(chan struct{}, 1)}
+	g := &Gateway{opts: opts, loop: loop.New(), draws: newDraws(opts.Seed), listNews: make(chan struct{}, 1), configNews: make(chan struct{}, 1)}
 	g.reading.Store(true)
 	g.control = newControl(g)
 	return g
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -47,11 +47,13 @@
 	stop    context.CancelFunc
 	// heard is when the host last told something, added when the address was
 	// learned.
-	heard   time.Time
-	added   time.Time
-	host    model.HostID
-	domain  model.DomainName
-	link    float64
+	heard  time.Time
+	added  time.Time
+	host   model.HostID
+	domain model.DomainName
+	link   float64
+	// version is that of the configuration in force there.
+	version model.Version
 	readAge time.Duration
 	// reading and failing are what the host tells of its reads.
 	reading bool
@@ -153,9 +155,8 @@
 	for _, address := range d.Known {
 		c.peers.learn(now, address, false)
 	}
-	if d.Version > c.version() {
-		c.askPeerForConfig(d.Address)
-	}
+	p.version = d.Version
+	c.seekConfig(now)
 	c.listNewsCame(now, d)
 }
 
@@ -183,25 +184,6 @@
 	}
 }
 
-// askPeerForConfig fetches a newer configuration from a peer.
-func (c *control) askPeerForConfig(address string) {
-	if c.fetchingConfig {
-		return
-	}
-	c.fetchingConfig = true
-	known := c.version()
-	g := c.gateway
-	g.background(func(ctx context.Context) {
-		rec, err := g.opts.Peers.FetchConfig(ctx, address, known)
-		if err != nil {
-			g.opts.Log.WithError(err).WithField("address", address).Warn("peers: configuration not fetched")
-		} else if rec.Version > known {
-			g.takeConfig(rec.Data, "peer "+address)
-		}
-		g.loop.Post(loop.Func(func(time.Time) { c.fetchingConfig = false }))
-	})
-}
-
 // askPeersForList fetches the list of endpoints from the peer with the newest
 // one while the platform does not answer this host.
 func (c *control) askPeersForList(now time.Time) {
