Hosts of a large failure domain hear each other by relays

Cause: of 88 hosts each sent 400 digests a second to 17 others of its domain. Change: from 8 hosts a domain on, a host tells two relays of its domain (those with fast links); they tell each host the sum of the others' work every 60 ms, with the sums of other domains. Hosts of other domains hear from one that does not read every 3 s.

--- a/internal/core/balance/peers.go
+++ b/internal/core/balance/peers.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
@@ -60,10 +61,15 @@
 	b.setLoad(host, &peerLoad{heard: now, domain: domain, loads: loads})
 }
 
-// HeardPeer tells that another host was heard whose work is told by relays.
+// HeardPeer tells that another host was heard, which said nothing of its work.
 func (b *Balancer) HeardPeer(now time.Time, host model.HostID, domain model.DomainName) {
 	b.hosts[host] = now
 	b.domain(domain).sign(now)
+}
+
+// ForgetPeer forgets what another host said of its work itself, since relays
+// tell it from now on.
+func (b *Balancer) ForgetPeer(host model.HostID) {
 	if before := b.peers[host]; before != nil {
 		b.addPeer(before.loads, -1)
 		delete(b.peers, host)
@@ -99,11 +105,52 @@
 	b.addPeer(load.loads, 1)
 }
 
-// DomainLoad returns the sum of the work of the hosts of this host's failure
-// domain.
-func (b *Balancer) DomainLoad(now time.Time) []EndpointLoad {
+// ForgetDomain forgets the sum of a domain, whose hosts tell of their work
+// themselves from now on.
+func (b *Balancer) ForgetDomain(domain model.DomainName) {
+	if before := b.peers[sumOf(domain)]; before != nil {
+		b.addPeer(before.loads, -1)
+		delete(b.peers, sumOf(domain))
+	}
+}
+
+// DomainSum is the sum of the work of the hosts of a failure domain.
+type DomainSum map[model.EndpointName]Load
+
+// Loads returns the sum as a list.
+func (s DomainSum) Loads() []EndpointLoad {
+	out := make([]EndpointLoad, 0, len(s))
+	for name, sum := range s {
+		if sum != (Load{}) {
+			out = append(out, EndpointLoad{Endpoint: name, Load: sum})
+		}
+	}
+	return out
+}
+
+// Without returns the sum of the work of all hosts but one.
+func (s DomainSum) Without(loads []EndpointLoad) []EndpointLoad {
+	rest := maps.Clone(s)
+	for _, l := range loads {
+		sum := rest[l.Endpoint]
+		sum.sumTimes(l.Load, -1)
+		rest[l.Endpoint] = sum
+	}
+	return rest.Loads()
+}
+
+// PeerLoad returns what another host said of its work.
+func (b *Balancer) PeerLoad(host model.HostID) []EndpointLoad {
+	if p := b.peers[host]; p != nil {
+		return p.loads
+	}
+	return nil
+}
+
+// DomainSum returns the sum for this host's failure domain.
+func (b *Balancer) DomainSum(now time.Time) DomainSum {
 	b.refresh(now)
-	sums := make(map[model.EndpointName]Load)
+	sums := make(DomainSum)
 	for name, e := range b.endpoints {
 		if e.own.Count > 0 {
 			sums[name] = e.own
@@ -119,11 +166,7 @@
 			sums[l.Endpoint] = sum
 		}
 	}
-	out := make([]EndpointLoad, 0, len(sums))
-	for name, sum := range sums {
-		out = append(out, EndpointLoad{Endpoint: name, Load: sum})
-	}
-	return out
+	return sums
 }
 
 // SetFarInterval tells how often hosts of different failure domains hear from
--- a/internal/core/readers/readers.go
+++ b/internal/core/readers/readers.go
@@ -13,9 +13,11 @@
 	// wanted is the number of hosts that read while all is well: one may freeze
 	// or be turned away without a gap.
 	wanted = 2
-	// heardWithin is the age of a digest up to which its sender counts as live.
-	// It is above the longest time between two digests.
-	heardWithin = 1500 * time.Millisecond
+	// readerHeardWithin and heardWithin are the ages of a digest up to which its
+	// sender counts as live, if it reads and if not. They are above the longest
+	// times between two digests: 1 s and 3 s.
+	readerHeardWithin = 1500 * time.Millisecond
+	heardWithin       = 4 * time.Second
 	// lateRead is the age of its last read from which on a host that should read
 	// counts as failing. Hosts read every second.
 	lateRead = 1300 * time.Millisecond
@@ -36,10 +38,11 @@
 
 // able says that the peer is live and can read, as far as is known.
 func (p Peer) able(now time.Time) bool {
-	if now.Sub(p.Heard) > heardWithin || p.Failing {
-		return false
+	silence := now.Sub(p.Heard)
+	if !p.Reading {
+		return silence <= heardWithin && !p.Failing
 	}
-	return !p.Reading || p.ReadAge <= lateRead
+	return silence <= readerHeardWithin && !p.Failing && p.ReadAge <= lateRead
 }
 
 // ShouldRead says whether a host reads the store itself: it is one of the first
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -2,15 +2,15 @@
 // them processor time and bytes between failure domains, and grows with the
 // square of their number when each tells all:
 //
-//  1. Each host tells those of its own domain.
-//  2. While few hosts are in other domains, it tells each of them too.
-//  3. Else some hosts of a domain, its relays, tell hosts of the other domains
-//     the sum of the domain's work, and those pass it on in their own domain.
-//  4. Relays have the fastest links of their domain: what they pass on takes
+//  1. While few hosts are in its own domain a host tells each of them, and each
+//     host of other domains while these are few.
+//  2. Else it tells the relays of its domain. They tell the hosts of the domain
+//     the sum of the others' work, and the relays of the other domains the sum of
+//     their own, which those pass on.
+//  3. Relays have the fastest links of their domain: what they pass on takes
 //     some Mbit/s.
-//  5. All hosts choose the same relays from the hosts that they hear, without a
-//     message. There are several for each pair of domains, so that one may
-//     vanish unnoticed for a while.
+//  4. All hosts choose the same relays from the hosts that they hear, without a
+//     message. A domain has two, so that one may vanish unnoticed for a while.
 package relay
 
 import (
@@ -23,11 +23,13 @@
 )
 
 const (
-	// directPeers is the largest number of hosts in other domains that are told
-	// one by one: their digests take about a tenth of a millisecond each.
-	directPeers = 16
-	// relaysPerPair is the number of relays from one domain to another.
-	relaysPerPair = 2
+	// nearPeers and farPeers are the largest numbers of hosts, in the own domain
+	// and in others, that are told one by one: a digest takes about a tenth of a
+	// millisecond at both ends.
+	nearPeers = 6
+	farPeers  = 16
+	// perDomain is the number of relays of a domain.
+	perDomain = 2
 	// fastPart is the part of the speed of a domain's fastest link that a relay
 	// must have.
 	fastPart = 0.5
@@ -42,36 +44,16 @@
 	Link float64
 }
 
-// Needed says that domains tell each other by relays, for a number of hosts in
-// other domains.
-func Needed(others int) bool { return others > directPeers }
+// NeededNear says that the hosts of a domain tell each other by relays, for a
+// number of other hosts in it.
+func NeededNear(others int) bool { return others > nearPeers }
 
-// Receivers returns the addresses of the hosts in other domains to which a host
-// is a relay. The members are the other hosts that are heard.
-func Receivers(self Member, members []Member) []string {
-	byDomain := make(map[model.DomainName][]Member)
-	for _, m := range members {
-		byDomain[m.Domain] = append(byDomain[m.Domain], m)
-	}
-	own := append(slices.Clone(byDomain[self.Domain]), self)
-	delete(byDomain, self.Domain)
-	var out []string
-	for domain, others := range byDomain {
-		senders := ranked(own, domain)
-		receivers := ranked(others, self.Domain)
-		for i := range min(relaysPerPair, len(senders)) {
-			if senders[i].Host == self.Host {
-				out = append(out, receivers[i%len(receivers)].Address)
-			}
-		}
-	}
-	slices.Sort(out)
-	return out
-}
+// NeededFar says that domains tell each other by relays, for a number of hosts
+// in other domains.
+func NeededFar(others int) bool { return others > farPeers }
 
-// ranked orders the hosts of a domain with fast links for what they exchange
-// with another, so that the work is spread over them.
-func ranked(hosts []Member, other model.DomainName) []Member {
+// Of returns the relays among the hosts of a domain.
+func Of(hosts []Member) []Member {
 	fastest := 0.0
 	for _, m := range hosts {
 		fastest = max(fastest, m.Link)
@@ -82,9 +64,31 @@
 			out = append(out, m)
 		}
 	}
-	score := func(m Member) uint64 { return xxhash.Sum64String(string(m.Host) + "|" + string(other)) }
+	score := func(m Member) uint64 { return xxhash.Sum64String(string(m.Host)) }
 	slices.SortFunc(out, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(score(a), score(b)), cmp.Compare(a.Host, b.Host))
 	})
+	return out[:min(perDomain, len(out))]
+}
+
+// Receivers returns the addresses of the hosts in other domains to which a host
+// tells the sum of its own. The members are the other hosts that are heard.
+func Receivers(self Member, members []Member) []string {
+	byDomain := make(map[model.DomainName][]Member)
+	for _, m := range members {
+		byDomain[m.Domain] = append(byDomain[m.Domain], m)
+	}
+	own := Of(append(slices.Clone(byDomain[self.Domain]), self))
+	delete(byDomain, self.Domain)
+	at := slices.IndexFunc(own, func(m Member) bool { return m.Host == self.Host })
+	if at < 0 {
+		return nil
+	}
+	var out []string
+	for _, others := range byDomain {
+		relays := Of(others)
+		out = append(out, relays[at%len(relays)].Address)
+	}
+	slices.Sort(out)
 	return out
 }
--- a/internal/gateway/confignews.go
+++ b/internal/gateway/confignews.go
@@ -74,7 +74,7 @@
 func (c *control) configHolder(now time.Time) string {
 	var near, all []string
 	for address, p := range c.peers.peers {
-		if p.version <= c.version() || now.Sub(p.heard) > memberFor {
+		if p.version <= c.version() || !c.peers.isLive(now, p) {
 			continue
 		}
 		all = append(all, address)
--- a/internal/gateway/digests.go
+++ b/internal/gateway/digests.go
@@ -12,25 +12,30 @@
 
 // What a host tells the others, and when:
 //
-//  1. The hosts of its failure domain hear of its work soon after each change.
-//  2. The hosts of other domains do too while they are few. Else they hear from
-//     it at regular times and of news, and of its work by relays.
-//  3. A digest that was not sent yet is replaced by the next one, which takes
+//  1. Those that are told one by one hear of its work soon after each change:
+//     all hosts while they are few, else the relays of its failure domain.
+//  2. The others hear from it at regular times and of news.
+//  3. A relay tells the hosts of its domain the sum of the others' work and what
+//     other domains tell it, and the relays of other domains the sum of its own.
+//  4. A digest that was not sent yet is replaced by the next one, which takes
 //     over what must not be lost.
 
 const (
-	// heartbeatEvery is the longest time between two digests to a peer.
-	heartbeatEvery = time.Second
-	// nearDigests and farDigests bound the digests that a host sends in a second
-	// to its own failure domain and to the others: with many peers each hears
-	// from it less often.
-	nearDigests = 400
-	farDigests  = 400
-	// relayEvery is the time between two sums of a domain's work that a relay
-	// tells, newsEvery the least time between two digests to hosts that hear of
-	// the work by relays.
-	relayEvery = 100 * time.Millisecond
-	newsEvery  = 250 * time.Millisecond
+	// heartbeatEvery is the longest time between two digests to a peer,
+	// farHeartbeatEvery that to a host of another domain that hears of the work by
+	// relays, from a host that does not read the platform's lists.
+	heartbeatEvery    = time.Second
+	farHeartbeatEvery = 3 * time.Second
+	// directDigests bounds the digests that a host sends in a second to the hosts
+	// that it tells one by one: with many each hears from it less often.
+	directDigests = 400
+	// sumsEvery and farSumsEvery are the times between two sums that a relay tells
+	// the hosts of its domain, and other domains.
+	sumsEvery    = 60 * time.Millisecond
+	farSumsEvery = 100 * time.Millisecond
+	// newsEvery is the least time between two digests to hosts that hear of the
+	// work by relays.
+	newsEvery = 250 * time.Millisecond
 	// chooseRelaysEvery is the time between two choices of relays.
 	chooseRelaysEvery = 500 * time.Millisecond
 	// knownEvery is the time between digests that name the other hosts.
@@ -42,20 +47,27 @@
 // digests decides which digests are due. The control loop owns it.
 type digests struct {
 	table *peerTable
-	// near and far are the rounds of digests to the own failure domain and to the
-	// others, relayed that of the sums of the own domain.
-	near, far, relayed round
-	// receivers are the addresses to which this host is a relay.
+	// direct, near and far are the rounds of digests to those that are told of the
+	// work, and to the other hosts of the own domain and of others. sums and
+	// farSums are those of a relay.
+	direct, near, far, sums, farSums round
+	// nearByRelay and farByRelay say that relays tell the hosts of the own domain,
+	// and of others.
+	nearByRelay, farByRelay bool
+	chosen                  time.Time
+	// relays are the addresses of the own domain's relays but this host, relaying
+	// says that this host is one. receivers are the addresses in other domains
+	// that it tells.
+	relays    []string
+	relaying  bool
 	receivers []string
-	chosen    time.Time
 	// received are the sums of other domains to be passed on in the own one.
 	received  map[model.DomainName]port.DomainLoad
 	toldKnown time.Time
-	// nearChanges and farChanges are changes of the list of endpoints that were
-	// not told yet.
-	nearChanges, farChanges port.ListChanges
-	// nearMarks, farMarks and relayMarks number the next marks to be told.
-	nearMarks, farMarks, relayMarks int
+	// changes are those of the list of endpoints that were not told yet.
+	changes port.ListChanges
+	// directMarks, sumMarks and farSumMarks number the next marks to be told.
+	directMarks, sumMarks, farSumMarks int
 }
 
 // round is the state of the digests to some peers.
@@ -66,52 +78,106 @@
 }
 
 // due says that a digest is to be sent.
-func (r *round) due(now time.Time, interval time.Duration) bool {
+func (r *round) due(now time.Time, interval, longest time.Duration) bool {
 	passed := now.Sub(r.told)
-	return passed >= interval && r.changed || passed >= heartbeatEvery
+	return passed >= interval && r.changed || passed >= longest
 }
 
 // note asks for digests to all peers.
 func (s *digests) note() {
+	s.direct.changed = true
 	s.near.changed = true
 	s.far.changed = true
 }
 
 // tellChanges tells all peers of changes of the list of endpoints.
 func (s *digests) tellChanges(c port.ListChanges) {
-	s.nearChanges = joinChanges(s.nearChanges, c)
-	s.farChanges = joinChanges(s.farChanges, c)
+	s.changes = joinChanges(s.changes, c)
 	s.note()
 }
 
 // tick sends the digests that are due.
 func (s *digests) tick(now time.Time, c *control) {
-	near, far := s.count()
-	byRelay := relay.Needed(far)
+	s.choose(now, c)
+	if len(s.table.peers) == 0 {
+		return
+	}
 	if c.balancer.Changed() {
-		s.near.changed = true
-		s.far.changed = s.far.changed || !byRelay
+		s.direct.changed = true
+	}
+	if known := s.known(now); known != nil {
+		s.tellKnown(now, c, known)
+	}
+	if len(s.changes.Records) > 0 {
+		s.tellAll(now, c)
+	}
+	if s.direct.due(now, s.directEvery(), heartbeatEvery) {
+		s.tellWork(now, c)
 	}
-	farEvery := max(s.table.gateway.opts.ShareEvery, time.Duration(far)*time.Second/farDigests)
-	if byRelay {
-		farEvery = newsEvery
-		c.balancer.SetFarInterval(relayEvery)
-	} else {
-		c.balancer.SetFarInterval(farEvery)
+	if s.near.due(now, newsEvery, heartbeatEvery) {
+		s.near = round{told: now}
+		s.tellOthers(c.digest(now), true)
+	}
+	if s.far.due(now, newsEvery, s.farHeartbeat()) {
+		s.far = round{told: now}
+		s.tellOthers(c.digest(now), false)
+	}
+	if s.relaying {
+		s.relay(now, c)
+	}
+}
+
+// farHeartbeat is the longest time between two digests to hosts of other domains
+// that hear of the work by relays. Those that read are to be missed soon.
+func (s *digests) farHeartbeat() time.Duration {
+	if s.table.gateway.reading.Load() {
+		return heartbeatEvery
 	}
-	if near+far == 0 {
+	return farHeartbeatEvery
+}
+
+// choose finds out who is told what.
+func (s *digests) choose(now time.Time, c *control) {
+	if now.Sub(s.chosen) < chooseRelaysEvery {
 		return
 	}
-	known := s.known(now)
-	if s.near.due(now, max(s.table.gateway.opts.ShareEvery, time.Duration(near)*time.Second/nearDigests)) {
-		s.tellNear(now, c, known)
+	s.chosen = now
+	near, far := s.count()
+	s.nearByRelay = relay.NeededNear(near)
+	s.farByRelay = relay.NeededFar(far)
+	opts := &s.table.gateway.opts
+	self := relay.Member{Host: opts.Host, Domain: opts.Domain, Address: opts.PeerAddress, Link: opts.Link}
+	members := s.table.members(now)
+	own := []relay.Member{self}
+	for _, m := range members {
+		if m.Domain == self.Domain {
+			own = append(own, m)
+		}
+	}
+	s.relays, s.relaying = nil, false
+	for _, m := range relay.Of(own) {
+		if m.Host == self.Host {
+			s.relaying = s.nearByRelay || s.farByRelay
+		} else {
+			s.relays = append(s.relays, m.Address)
+		}
+	}
+	s.receivers = nil
+	if s.farByRelay {
+		s.receivers = relay.Receivers(self, members)
 	}
-	if s.far.due(now, farEvery) {
-		s.tellFar(now, c, byRelay, known)
+	if s.relaying || !s.nearByRelay {
+		c.balancer.ForgetDomain(self.Domain)
 	}
-	if byRelay && now.Sub(s.relayed.told) >= relayEvery {
-		s.tellSums(now, c, known)
+	c.balancer.SetFarInterval(s.farInterval())
+}
+
+// farInterval is the time between two words of another domain on its work.
+func (s *digests) farInterval() time.Duration {
+	if s.farByRelay {
+		return farSumsEvery
 	}
+	return s.directEvery()
 }
 
 // count returns the number of peers in the own failure domain and in others.
@@ -126,85 +192,164 @@
 	return near, far
 }
 
+// isDirect says that a peer is told of this host's work.
+func (s *digests) isDirect(address string, p *peer) bool {
+	switch {
+	case !s.table.isNear(p):
+		return !s.farByRelay
+	case s.nearByRelay:
+		return slices.Contains(s.relays, address)
+	default:
+		return true
+	}
+}
+
+// directEvery is the least time between two digests to those that are told of
+// this host's work.
+func (s *digests) directEvery() time.Duration {
+	count := 0
+	for address, p := range s.table.peers {
+		if s.isDirect(address, p) {
+			count++
+		}
+	}
+	return max(s.table.gateway.opts.ShareEvery, time.Duration(count)*time.Second/directDigests)
+}
+
 // known lists the other hosts when they are to be told again.
 func (s *digests) known(now time.Time) []string {
 	if now.Sub(s.toldKnown) < knownEvery {
 		return nil
 	}
 	s.toldKnown = now
-	s.near.told, s.far.told, s.relayed.told = time.Time{}, time.Time{}, time.Time{}
 	return s.table.live(now)
 }
 
-// tellNear tells the hosts of the own failure domain of this host's work, and of
-// other domains for which this host is a relay.
-func (s *digests) tellNear(now time.Time, c *control, known []string) {
-	s.near = round{told: now}
+// tellKnown names the other hosts to those of the own domain, to those that are
+// told one by one, and to relays of other domains.
+func (s *digests) tellKnown(now time.Time, c *control, known []string) {
 	d := c.digest(now)
-	d.Loads = c.balancer.OwnLoad(now)
-	d.Marks, s.nearMarks = c.balancer.MarksSince(s.nearMarks)
+	d.ByRelay = true
+	d.KeepLoads = true
 	d.Known = known
-	d.Changes, s.nearChanges = s.nearChanges, port.ListChanges{}
-	for name, sum := range s.received {
-		d.Domains = append(d.Domains, sum)
-		delete(s.received, name)
-	}
-	for _, p := range s.table.peers {
-		if s.table.isNear(p) {
+	for address, p := range s.table.peers {
+		if s.table.isNear(p) || s.isDirect(address, p) || slices.Contains(s.receivers, address) || p.heard.IsZero() {
 			p.tell(d)
 		}
 	}
 }
 
-// tellFar tells the hosts of other domains of this host.
-func (s *digests) tellFar(now time.Time, c *control, byRelay bool, known []string) {
-	s.far = round{told: now}
+// tellAll tells all peers of changes of the list of endpoints.
+func (s *digests) tellAll(now time.Time, c *control) {
 	d := c.digest(now)
-	d.ByRelay = byRelay
-	d.Changes, s.farChanges = s.farChanges, port.ListChanges{}
-	if !byRelay {
-		d.Known = known
-		d.Loads = c.balancer.OwnLoad(now)
-		d.Marks, s.farMarks = c.balancer.MarksSince(s.farMarks)
-	}
+	d.ByRelay = true
+	d.KeepLoads = true
+	d.Changes, s.changes = s.changes, port.ListChanges{}
 	for _, p := range s.table.peers {
-		if !s.table.isNear(p) {
+		p.tell(d)
+	}
+}
+
+// tellWork tells of this host's work.
+func (s *digests) tellWork(now time.Time, c *control) {
+	s.direct = round{told: now}
+	d := c.digest(now)
+	d.Loads = c.balancer.OwnLoad(now)
+	d.Marks, s.directMarks = c.balancer.MarksSince(s.directMarks)
+	for address, p := range s.table.peers {
+		if s.isDirect(address, p) {
 			p.tell(d)
 		}
 	}
 }
 
-// tellSums tells other domains of the work in the own one, if this host is a
-// relay.
-func (s *digests) tellSums(now time.Time, c *control, known []string) {
-	s.relayed = round{told: now}
-	if now.Sub(s.chosen) >= chooseRelaysEvery {
-		s.chosen = now
-		opts := &s.table.gateway.opts
-		self := relay.Member{Host: opts.Host, Domain: opts.Domain, Address: opts.PeerAddress, Link: opts.Link}
-		s.receivers = relay.Receivers(self, s.table.members(now))
-	}
-	if len(s.receivers) == 0 {
-		_, s.relayMarks = c.balancer.DomainMarksSince(s.relayMarks)
-		return
+// tellOthers tells those that hear of this host's work by relays of the rest.
+func (s *digests) tellOthers(d port.LoadDigest, near bool) {
+	d.ByRelay = true
+	for address, p := range s.table.peers {
+		if s.table.isNear(p) == near && !s.isDirect(address, p) {
+			p.tell(d)
+		}
 	}
-	sum := port.DomainLoad{Domain: s.table.gateway.opts.Domain, Loads: c.balancer.DomainLoad(now)}
-	sum.Marks, s.relayMarks = c.balancer.DomainMarksSince(s.relayMarks)
+}
+
+// relay tells the sums that are due.
+func (s *digests) relay(now time.Time, c *control) {
+	if s.nearByRelay && now.Sub(s.sums.told) >= sumsEvery {
+		s.sums = round{told: now}
+		s.tellSums(now, c)
+	}
+	if s.farByRelay && now.Sub(s.farSums.told) >= farSumsEvery {
+		s.farSums = round{told: now}
+		s.tellFarSums(now, c)
+	}
+}
+
+// tellSums tells the hosts of the own domain of the others' work there, and of
+// other domains.
+func (s *digests) tellSums(now time.Time, c *control) {
 	d := c.digest(now)
 	d.ByRelay = true
-	d.Known = known
-	d.Domains = []port.DomainLoad{sum}
+	others := s.takeReceived()
+	sum := c.balancer.DomainSum(now)
+	var marks []balance.Mark
+	marks, s.sumMarks = c.balancer.DomainMarksSince(s.sumMarks)
+	for address, p := range s.table.peers {
+		if !s.table.isNear(p) || p.host == "" {
+			continue
+		}
+		d.Domains = others
+		if !slices.Contains(s.relays, address) {
+			own := port.DomainLoad{Domain: d.Domain, Loads: sum.Without(c.balancer.PeerLoad(p.host)), Marks: marks}
+			d.Domains = append(slices.Clone(others), own)
+		} else if len(others) == 0 {
+			continue
+		} else {
+			d.KeepLoads = true
+		}
+		p.tell(d)
+		d.KeepLoads = false
+	}
+}
+
+// takeReceived returns the sums of other domains that were not passed on yet.
+func (s *digests) takeReceived() []port.DomainLoad {
+	var out []port.DomainLoad
+	for name, sum := range s.received {
+		out = append(out, sum)
+		delete(s.received, name)
+	}
+	return out
+}
+
+// tellFarSums tells other domains of the work in the own one. Where the hosts of
+// the own domain hear each other directly, it passes on what it received.
+func (s *digests) tellFarSums(now time.Time, c *control) {
+	d := c.digest(now)
+	d.ByRelay = true
+	own := port.DomainLoad{Domain: d.Domain, Loads: c.balancer.DomainSum(now).Loads()}
+	own.Marks, s.farSumMarks = c.balancer.DomainMarksSince(s.farSumMarks)
+	d.Domains = []port.DomainLoad{own}
 	for _, address := range s.receivers {
 		if p := s.table.peers[address]; p != nil {
 			p.tell(d)
 		}
 	}
+	if s.nearByRelay {
+		return
+	}
+	d.Domains = s.takeReceived()
+	d.KeepLoads = true
+	for _, p := range s.table.peers {
+		if s.table.isNear(p) && len(d.Domains) > 0 {
+			p.tell(d)
+		}
+	}
 }
 
 // passOn keeps the sum of another domain for the hosts of the own one.
 func (s *digests) passOn(sum port.DomainLoad) {
 	s.received[sum.Domain] = mergeSums(s.received[sum.Domain], sum)
-	s.near.changed = true
 }
 
 // digest is what this host tells of itself.
@@ -230,6 +375,9 @@
 
 // mergeDigests returns the newer digest with what must not be lost of the older.
 func mergeDigests(older, newer port.LoadDigest) port.LoadDigest {
+	if newer.ByRelay && newer.KeepLoads && !older.ByRelay {
+		newer.ByRelay, newer.KeepLoads, newer.Loads = false, false, older.Loads
+	}
 	newer.Marks = joinMarks(older.Marks, newer.Marks)
 	newer.Changes = joinChanges(older.Changes, newer.Changes)
 	if len(newer.Known) == 0 {
@@ -282,14 +430,18 @@
 
 // takeLoads takes what a digest says of the work of others.
 func (c *control) takeLoads(now time.Time, d port.LoadDigest) {
-	if d.ByRelay {
-		c.balancer.HeardPeer(now, d.Host, d.Domain)
-	} else {
+	switch {
+	case !d.ByRelay:
 		c.balancer.SetPeer(now, d.Host, d.Domain, d.Loads, d.Marks)
+	case d.KeepLoads:
+		c.balancer.HeardPeer(now, d.Host, d.Domain)
+	default:
+		c.balancer.HeardPeer(now, d.Host, d.Domain)
+		c.balancer.ForgetPeer(d.Host)
 	}
 	own := c.gateway.opts.Domain
 	for _, sum := range d.Domains {
-		if sum.Domain == own {
+		if sum.Domain == own && (c.peers.digests.relaying || d.Domain != own) {
 			continue
 		}
 		c.balancer.SetDomain(now, sum.Domain, sum.Loads, sum.Marks)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -14,9 +14,11 @@
 )
 
 const (
-	// memberFor is the silence after which a host is no relay: two and a half of
-	// the longest times between two digests.
-	memberFor = 2500 * time.Millisecond
+	// nearMemberFor and farMemberFor are the silences after which a host of the own
+	// failure domain, or of another one, is no relay and is not asked: above the
+	// longest times between two digests.
+	nearMemberFor = 2500 * time.Millisecond
+	farMemberFor  = 4500 * time.Millisecond
 	// forgetPeerAfter is how long a silent address that is no seed is tried.
 	forgetPeerAfter = 20 * time.Second
 	// firstReconnect and maxReconnect bound the time between tries to open a
@@ -103,11 +105,19 @@
 	return p.domain == "" || p.domain == t.gateway.opts.Domain
 }
 
+// isLive says that a peer was heard of late.
+func (t *peerTable) isLive(now time.Time, p *peer) bool {
+	if t.isNear(p) {
+		return now.Sub(p.heard) < nearMemberFor
+	}
+	return now.Sub(p.heard) < farMemberFor
+}
+
 // members lists the hosts that were heard of late.
 func (t *peerTable) members(now time.Time) []relay.Member {
 	var out []relay.Member
 	for address, p := range t.peers {
-		if p.host != "" && now.Sub(p.heard) < memberFor {
+		if p.host != "" && t.isLive(now, p) {
 			out = append(out, relay.Member{Host: p.host, Domain: p.domain, Address: address, Link: p.link})
 		}
 	}
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -40,6 +40,9 @@
 	// ByRelay says that relays tell the receiver's failure domain of the sender's
 	// work: Loads and Marks are empty.
 	ByRelay bool
+	// KeepLoads says that Loads and Marks are empty because nothing is said of
+	// the work: what was said before holds.
+	KeepLoads bool
 	// Domains are the sums that a relay passes on.
 	Domains []DomainLoad
 }
