--- a/cmd/wigeonsail/load_virtual.go
+++ b/cmd/wigeonsail/load_virtual.go
@@ -12,18 +12,26 @@
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/virtual"
+	"github.com/wigeonsail/wigeonsail/internal/virtual/fleet"
 )
 
 // virtualFlags are the flags of `load --virtual`.
 type virtualFlags struct {
 	Overload    float64       `default:"1" help:"Offered load against the capacity."`
 	DigestDelay time.Duration `default:"200ms" help:"Age of the hosts' digests of each other."`
+	Engines     int           `help:"Play gateways before so many engines of a large model instead, with surges, and compare how hosts learn of each other's work."`
 }
 
 func (f *virtualFlags) runVirtual(seed uint64, duration time.Duration, asJSON bool) error {
+	if f.Engines < 0 {
+		return &usageError{cause: errors.New("load: --engines must be at least 0")}
+	}
 	if f.Overload <= 0 || duration <= 0 || f.DigestDelay < 0 {
 		return &usageError{cause: errors.New("load: --overload and --duration must be above 0, --digest-delay at least 0")}
 	}
+	if f.Engines > 0 {
+		return f.runFleet(seed, duration, asJSON)
+	}
 	report := virtual.Compare(virtual.Options{
 		Seed:        seed,
 		Overload:    f.Overload,
@@ -36,6 +44,36 @@
 	return printVirtual(report)
 }
 
+// runFleet compares how gateways learn of each other's work.
+func (f *virtualFlags) runFleet(seed uint64, duration time.Duration, asJSON bool) error {
+	opts := fleet.Brittany(f.Engines)
+	opts.Seed = seed
+	opts.Duration = duration
+	reports := fleet.Compare(opts)
+	if asJSON {
+		return json.NewEncoder(os.Stdout).Encode(reports)
+	}
+	return printFleet(reports)
+}
+
+// printFleet writes the reports as a table. Worth is that of the answers against
+// answers in time to all, times are to the first event, and ERROR is the median
+// of those over the expected ones.
+func printFleet(reports map[string]fleet.Report) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "POLICY\tCLASS\tOFFERED\tIN TIME\tLATE\tLEFT\tREFUSED\tWORTH\tMEDIAN\tP95\tERROR")
+	for _, name := range slices.Sorted(maps.Keys(reports)) {
+		r := reports[name]
+		for _, class := range slices.SortedFunc(maps.Keys(r.Classes), cmp.Compare) {
+			c := r.Classes[class]
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.0fms\t%.0fms\t%.2f\n",
+				name, class, c.Offered, c.InTime, c.Late, c.Left, c.Refused, c.Worth, c.Median, c.P95, c.Error)
+		}
+		fmt.Fprintf(w, "%s\tworth %.3f\tread again %dk\tmoved %dk\trejected %d\n", name, r.Worth, r.ReadAgain, r.Moved, r.Rejected)
+	}
+	return w.Flush()
+}
+
 // printVirtual writes the report as a table. The column ALLOWED is the part of
 // the class that the capacity left by higher tiers would have served.
 func printVirtual(report virtual.Report) error {
--- a/internal/core/balance/reserve.go
+++ b/internal/core/balance/reserve.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
 
 // Room for urgent requests on engines that are busy with long prompts. An engine
@@ -87,6 +89,15 @@
 
 func (s *reserve) count() int { return int(math.Round(s.kept)) }
 
+// Kept returns the numbers of engines that are kept for urgent requests, by pool.
+func (b *Balancer) Kept() map[model.PoolName]int {
+	out := make(map[model.PoolName]int, len(b.pools))
+	for name, p := range b.pools {
+		out[name] = p.reserve.count()
+	}
+	return out
+}
+
 // add adds an endpoint in the order of the hashes.
 func (p *pool) add(e *endpoint) {
 	at, _ := slices.BinarySearchFunc(p.endpoints, e, func(a, b *endpoint) int { return cmp.Compare(a.hash, b.hash) })
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -30,6 +30,8 @@
 	listChange model.Offset
 	// listFailing says that this host's last read of the list failed.
 	listFailing bool
+	// kept is the last logged number of engines that are kept for urgent requests.
+	kept map[model.PoolName]int
 	// news is what peers know of the list beyond that.
 	news listNews
 }
@@ -39,6 +41,7 @@
 		gateway:   g,
 		balancer:  balance.New(balance.Options{Domain: g.opts.Domain, Budget: g.opts.Budget, Warm: g.opts.Warm, Seed: g.opts.Seed}),
 		directory: directory.New(),
+		kept:      make(map[model.PoolName]int),
 	}
 	c.peers = newPeerTable(g)
 	return c
@@ -54,6 +57,12 @@
 	c.seekListNews(now)
 	c.seekConfig(now)
 	c.peers.tick(now, c)
+	for pool, count := range c.balancer.Kept() {
+		if c.kept[pool] != count {
+			c.kept[pool] = count
+			logKept(c.gateway.opts.Log, pool, count)
+		}
+	}
 }
 
 // checkEndpoints opens the connections that tell whether endpoints are in reach.
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -52,6 +52,11 @@
 	entry.Info("domains: back")
 }
 
+// logKept logs how many engines of a pool are kept for urgent requests.
+func logKept(logger log.Interface, pool model.PoolName, count int) {
+	logger.WithFields(fields{"pool": pool, "count": count}).Info("engines: kept for urgent requests")
+}
+
 // logPlaced logs where a request goes, and why.
 func (x *exchange) logPlaced(d balance.Decision) {
 	f := fields{
@@ -73,6 +78,7 @@
 	f["in_flight"] = d.InFlight
 	f["pending"] = d.Pending
 	f["own"] = d.Own
+	f["priority"] = d.Priority
 	f["peers_age_ms"] = d.PeersAge.Milliseconds()
 	x.gateway.opts.Log.WithFields(f).Info("request: placed")
 }
