--- a/cmd/wigeonsail/cli.go
+++ b/cmd/wigeonsail/cli.go
@@ -27,6 +27,7 @@
 	Report     reportCmd     `cmd:"" help:"Report on service levels."`
 	Handover   handoverCmd   `cmd:"" help:"Tell the next shift what changed, what is in force, what burns and what drains."`
 	Load       loadCmd       `cmd:"" help:"Drive traffic and report what became of it."`
+	Soak       soakCmd       `cmd:"" help:"Run gateway processes under faults and check what callers get."`
 	Demo       demoCmd       `cmd:"" help:"Run a small fleet in one process on embedded stand-ins."`
 	Check      checkCmd      `cmd:"" help:"Check the settings of a host without starting it."`
 	Completion completionCmd `cmd:"" help:"Print completion for a shell."`
--- /dev/null
+++ b/cmd/wigeonsail/soak.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/soak"
+)
+
+// soakCmd runs gateway processes under faults.
+type soakCmd struct {
+	Seed     uint64        `default:"1" help:"First seed."`
+	Runs     int           `default:"1" help:"Number of seeds, one after another."`
+	Duration time.Duration `default:"10s" help:"Time with faults of a run."`
+	Hosts    int           `default:"3" help:"Gateway processes."`
+	Dir      string        `help:"Directory for settings and logs; a temporary one if empty."`
+	Quiet    bool          `help:"No line for each fault."`
+}
+
+var errPromiseBroken = errors.New("soak: a promise was broken")
+
+// Run plays the seeds and prints a JSON line for each.
+func (c soakCmd) Run() error {
+	if c.Runs < 1 || c.Hosts < 1 || c.Duration <= 0 {
+		return &usageError{cause: errors.New("soak: --runs, --hosts and --duration must be above 0")}
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	dir := c.Dir
+	if dir == "" {
+		made, err := os.MkdirTemp("", "wigeonsail-soak-")
+		if err != nil {
+			return err
+		}
+		dir = made
+	}
+	binary, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	broken := false
+	for i := range c.Runs {
+		report, err := c.one(ctx, binary, dir, c.Seed+uint64(i))
+		if err != nil {
+			return err
+		}
+		broken = broken || len(report.Broken) > 0
+	}
+	if broken {
+		return fmt.Errorf("%w; logs are in %s", errPromiseBroken, dir)
+	}
+	if c.Dir == "" {
+		return os.RemoveAll(dir)
+	}
+	return nil
+}
+
+// one plays one seed.
+func (c soakCmd) one(ctx context.Context, binary, dir string, seed uint64) (soak.Report, error) {
+	opts := soak.DefaultOptions()
+	opts.Seed, opts.Duration, opts.Hosts, opts.Binary = seed, c.Duration, c.Hosts, binary
+	opts.Dir = filepath.Join(dir, strconv.FormatUint(seed, 10))
+	if err := os.MkdirAll(opts.Dir, 0o700); err != nil {
+		return soak.Report{}, err
+	}
+	if !c.Quiet {
+		opts.Trace = os.Stderr
+	}
+	report, err := soak.Run(ctx, opts)
+	if err != nil {
+		return report, err
+	}
+	return report, json.NewEncoder(os.Stdout).Encode(report)
+}
--- /dev/null
+++ b/internal/soak/host.go
@@ -0,0 +1,199 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/standin/cut"
+)
+
+const (
+	// grace is the time that a host has to end after SIGTERM, linger that in which
+	// it goes on taking requests.
+	grace  = 3 * time.Second
+	linger = 300 * time.Millisecond
+)
+
+// hostProcess is one gateway process.
+type hostProcess struct {
+	world    *world
+	name     string
+	settings string
+	callers  string
+	probe    string
+	store    *cut.Relay
+	// restarting says that the process was told to end and is to be started
+	// again. Only the goroutine that injects faults uses it.
+	restarting bool
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	log     *os.File
+	// exited is closed when the process has ended.
+	exited chan struct{}
+}
+
+// newHostProcess writes the settings of a host.
+func newHostProcess(w *world, index int, storeAddress string, store *cut.Relay) (*hostProcess, error) {
+	var ports []string
+	for range 4 {
+		address, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		ports = append(ports, address)
+	}
+	h := &hostProcess{
+		world: w, name: fmt.Sprintf("host-%d", index), callers: ports[0], probe: ports[1], store: store,
+		settings: filepath.Join(w.opts.Dir, fmt.Sprintf("host-%d.toml", index)),
+	}
+	seeds := ""
+	if index > 0 {
+		first, err := os.ReadFile(w.hosts[0].settings)
+		if err != nil {
+			return nil, err
+		}
+		seeds = peersOf(string(first))
+	}
+	text := fmt.Sprintf(`host = %q
+domain = "north"
+first_start = true
+
+[listen]
+callers = %q
+readiness = %q
+peers = %q
+metrics = %q
+
+[platform]
+address = %q
+
+[peers]
+secret = "secret-of-the-soak"
+seeds = [%s]
+
+[shutdown]
+grace = %q
+linger = %q
+`, h.name, ports[0], ports[1], ports[2], ports[3], storeAddress, seeds, grace, linger)
+	return h, os.WriteFile(h.settings, []byte(text), 0o600)
+}
+
+// peersOf returns the peer address in a file of settings, quoted.
+func peersOf(settings string) string {
+	for line := range strings.Lines(settings) {
+		if address, found := strings.CutPrefix(strings.TrimSpace(line), "peers = "); found {
+			return address
+		}
+	}
+	return ""
+}
+
+// freeAddress returns a loopback address that nobody uses now, so that a host
+// keeps its address over restarts.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+// start starts the process.
+func (h *hostProcess) start() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	log, err := os.OpenFile(filepath.Join(h.world.opts.Dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	command := exec.Command(h.world.opts.Binary, "gateway", "-c", h.settings)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	h.command, h.log, h.exited = command, log, exited
+	go func() {
+		// How a process ends is the soak's own doing, or is found by the checks.
+		_ = command.Wait()
+		_ = log.Close()
+		close(exited)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process if it lives.
+func (h *hostProcess) signal(s syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.command == nil {
+		return
+	}
+	select {
+	case <-h.exited:
+	default:
+		// The process may end at this moment.
+		_ = h.command.Process.Signal(s)
+	}
+}
+
+// wait waits until the process has ended.
+func (h *hostProcess) wait() {
+	h.mu.Lock()
+	exited := h.exited
+	h.mu.Unlock()
+	if exited != nil {
+		<-exited
+	}
+}
+
+// running says that the process lives.
+func (h *hostProcess) running() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.exited == nil {
+		return false
+	}
+	select {
+	case <-h.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// end kills the process.
+func (h *hostProcess) end() error {
+	if !h.running() {
+		return nil
+	}
+	h.signal(syscall.SIGCONT)
+	h.signal(syscall.SIGKILL)
+	h.wait()
+	return nil
+}
+
+// ready asks the host whether it is ready.
+func (h *hostProcess) ready(ctx context.Context) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.probe+"/v1/ready", nil)
+	if err != nil {
+		return false
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,34 @@
+package soak_test
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wigeonsail/wigeonsail/internal/soak"
+)
+
+// seeds are played in each run of the tests: the first is any, the others once
+// broke a promise.
+var seeds = []uint64{1}
+
+// Real processes under faults keep the promises.
+func TestShortSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "wigeonsail")
+	build := exec.Command("go", "build", "-o", binary, "github.com/wigeonsail/wigeonsail/cmd/wigeonsail")
+	build.Stderr = os.Stderr
+	must.NoError(t, build.Run())
+	for _, seed := range seeds {
+		opts := soak.DefaultOptions()
+		opts.Seed, opts.Duration, opts.Hosts = seed, 3*time.Second, 2
+		opts.Binary, opts.Dir = binary, t.TempDir()
+		report, err := soak.Run(t.Context(), opts)
+		must.NoError(t, err)
+		must.SliceEmpty(t, report.Broken)
+		must.Positive(t, report.Answered)
+	}
+}
--- /dev/null
+++ b/internal/soak/world.go
@@ -0,0 +1,260 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/standin/cut"
+	"github.com/wigeonsail/wigeonsail/internal/standin/logstore"
+	"github.com/wigeonsail/wigeonsail/internal/standin/replica"
+)
+
+// Names of the configuration.
+const (
+	servicePool = "orders"
+	enginePool  = "drafts"
+	callerHost  = "club.example"
+	firstKey    = "key-of-club"
+	// streamEvents is the number of events of a stream.
+	streamEvents = 12
+	// readyTimeout bounds the start of all hosts.
+	readyTimeout = 15 * time.Second
+)
+
+// world is the processes and the stand-ins around them.
+type world struct {
+	opts     Options
+	began    time.Time
+	store    *logstore.Server
+	hosts    []*hostProcess
+	servers  []*http.Server
+	relays   []*cut.Relay
+	closers  []net.Listener
+	mu       sync.Mutex
+	replicas []*endpoint
+	version  int
+	// keys are the callers' keys, by the version that added them.
+	keys     []string
+	sequence int
+}
+
+// endpoint is a replica with the link to it.
+type endpoint struct {
+	*replica.Server
+	pool string
+	link *cut.Relay
+	// address is the link's, listed in the store.
+	address string
+	// drained is when the store listed it as draining; zero before.
+	drained time.Time
+}
+
+func newWorld(opts Options) (*world, error) {
+	w := &world{opts: opts, began: time.Now(), store: logstore.New(), keys: []string{firstKey}}
+	storeAddress, err := w.serve(w.store)
+	if err != nil {
+		return nil, err
+	}
+	for i := range opts.Services + opts.Engines {
+		pool := servicePool
+		if i >= opts.Services {
+			pool = enginePool
+		}
+		if _, err := w.addEndpoint(pool); err != nil {
+			return nil, errors.Join(err, w.closeErr())
+		}
+	}
+	w.publish()
+	for i := range opts.Hosts {
+		link, address, err := w.relay(storeAddress)
+		if err != nil {
+			return nil, errors.Join(err, w.closeErr())
+		}
+		h, err := newHostProcess(w, i, address, link)
+		if err != nil {
+			return nil, errors.Join(err, w.closeErr())
+		}
+		w.hosts = append(w.hosts, h)
+	}
+	return w, nil
+}
+
+// serve serves a handler on a loopback address.
+func (w *world) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	w.servers = append(w.servers, server)
+	go func() {
+		// Serve ends when the server is closed.
+		_ = server.Serve(listener)
+	}()
+	return listener.Addr().String(), nil
+}
+
+// relay opens a link to an address.
+func (w *world) relay(to string) (*cut.Relay, string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	r := cut.New(to)
+	w.relays = append(w.relays, r)
+	w.closers = append(w.closers, listener)
+	go func() {
+		// Serve ends when the listener is closed.
+		_ = r.Serve(listener)
+	}()
+	return r, listener.Addr().String(), nil
+}
+
+// addEndpoint starts a replica and lists it.
+func (w *world) addEndpoint(pool string) (*endpoint, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sequence++
+	opts := replica.Options{Instance: fmt.Sprintf("i-%d", w.sequence), Slots: 8, Queue: 16, Work: 3 * time.Millisecond}
+	if pool == enginePool {
+		opts.Events = streamEvents
+	}
+	server, err := replica.Start(opts)
+	if err != nil {
+		return nil, err
+	}
+	link, address, err := w.relay(server.Address())
+	if err != nil {
+		server.Close()
+		return nil, err
+	}
+	e := &endpoint{Server: server, pool: pool, link: link, address: address}
+	w.replicas = append(w.replicas, e)
+	w.list(e, "ready")
+	return e, nil
+}
+
+// list writes an endpoint's entry. The caller holds mu or no one else lists.
+func (w *world) list(e *endpoint, state string) {
+	w.store.Put("keyed.servers", e.Instance(), encode(map[string]any{
+		"service": e.pool, "address": e.address, "zone": "north", "slots": 8, "state": state, "sequence": w.sequence, "born": 1,
+	}))
+}
+
+// drain lists an endpoint as draining, and a new one in its place.
+func (w *world) drain(e *endpoint) error {
+	w.mu.Lock()
+	e.drained = time.Now()
+	w.list(e, "draining")
+	w.mu.Unlock()
+	_, err := w.addEndpoint(e.pool)
+	return err
+}
+
+// endpoints returns those that were ever listed.
+func (w *world) endpoints() []*endpoint {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]*endpoint(nil), w.replicas...)
+}
+
+// publish writes the next configuration, which adds a key.
+func (w *world) publish() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version++
+	if w.version > 1 {
+		w.keys = append(w.keys, fmt.Sprintf("key-of-version-%d", w.version))
+	}
+	route := func(name, kind, pool string, attempts int) map[string]any {
+		return map[string]any{
+			"name": name, "host": callerHost, "path_prefix": "/" + name + "/", "kind": kind, "service": pool,
+			"timeout_ms": 3000, "target_latency_ms": 300, "priority": 1, "max_attempts": attempts,
+			"resumable": name == "brief", "gap_aim_ms": 250,
+		}
+	}
+	w.store.Put("keyed.op", "config", encode(map[string]any{
+		"version": w.version,
+		"routes": []any{
+			route("confirm", "unsafe", servicePool, 1),
+			route("read", "safe", servicePool, 2),
+			route("draft", "streaming", enginePool, 1),
+			route("brief", "streaming", enginePool, 2),
+		},
+		"services": []any{
+			map[string]any{"name": servicePool, "max_connections": 100},
+			map[string]any{"name": enginePool, "max_connections": 100, "engine": map[string]any{"slots": 8, "kv_capacity_tokens": 100000}},
+		},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "idle_timeout_ms": 15000},
+		"tenants": []any{map[string]any{"name": "club", "api_keys": w.keys}},
+	}))
+}
+
+// newestKey returns the key that the newest configuration added.
+func (w *world) newestKey() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.keys[len(w.keys)-1]
+}
+
+// encode writes a record as the operator and the replicas do.
+func encode(value map[string]any) []byte {
+	out, err := json.Marshal(value)
+	if err != nil {
+		// The values are made of strings, numbers and lists of them.
+		panic(err)
+	}
+	return out
+}
+
+// start starts all hosts and waits until they are ready.
+func (w *world) start(ctx context.Context) error {
+	for _, h := range w.hosts {
+		if err := h.start(); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, h := range w.hosts {
+		for !h.ready(ctx) {
+			if ctx.Err() != nil {
+				return fmt.Errorf("host %s is not ready: %w", h.name, ctx.Err())
+			}
+			sleep(ctx, 20*time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func (w *world) close() {
+	if err := w.closeErr(); err != nil {
+		w.trace("close: %v", err)
+	}
+}
+
+func (w *world) closeErr() error {
+	var failed error
+	for _, h := range w.hosts {
+		failed = errors.Join(failed, h.end())
+	}
+	for _, r := range w.relays {
+		r.Close()
+	}
+	for _, l := range w.closers {
+		failed = errors.Join(failed, l.Close())
+	}
+	for _, e := range w.endpoints() {
+		e.Close()
+	}
+	for _, s := range w.servers {
+		failed = errors.Join(failed, s.Close())
+	}
+	return failed
+}
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -57,6 +57,8 @@
 	Header http.Header
 	// First is the first event of a stream that the replica made.
 	First int
+	// At is when the replica began it.
+	At time.Time
 }
 
 // Server is the stand-in.
@@ -168,7 +170,7 @@
 		return
 	}
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	s.note(Run{ID: id, Method: r.Method, URI: r.RequestURI, Body: body, Header: r.Header.Clone(), First: first + 1})
+	s.note(Run{ID: id, Method: r.Method, URI: r.RequestURI, Body: body, Header: r.Header.Clone(), First: first + 1, At: time.Now()})
 	if !faults.Unsigned {
 		w.Header().Set("X-Wigeonsail-Response-Signature", "sig."+id)
 	}
