--- a/cmd/wigeonsail/gateway.go
+++ b/cmd/wigeonsail/gateway.go
@@ -104,12 +104,10 @@
 		log.WithError(err).Error("host: settings not reloaded")
 		return
 	}
-	level, err := log.ParseLevel(s.Log.Level)
-	if err != nil {
+	if err := logging.SetLevel(s.Log.Level); err != nil {
 		log.WithError(err).Error("host: settings not reloaded")
 		return
 	}
-	log.SetLevel(level)
 	g.Reload(s)
 	log.WithField("log_level", s.Log.Level).Info("host: settings reloaded")
 }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"sync/atomic"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
@@ -29,18 +30,50 @@
 	if err != nil {
 		return &Error{Setting: "level", Value: s.Level}
 	}
+	var handler log.Handler
 	switch s.Format {
 	case "text":
-		log.SetHandler(newTextHandler(w))
+		handler = newTextHandler(w)
 	case "json":
-		log.SetHandler(json.New(w))
+		handler = json.New(w)
 	default:
 		return &Error{Setting: "format", Value: s.Format}
 	}
-	log.SetLevel(level)
+	current.Store(int64(level))
+	log.SetHandler(&levelHandler{next: handler, level: &current})
+	log.SetLevel(log.DebugLevel)
 	return nil
 }
 
+// current is the level of the process's log.
+var current atomic.Int64
+
+// SetLevel changes the level while other goroutines log. It fails with an
+// *Error.
+func SetLevel(name string) error {
+	level, err := log.ParseLevel(name)
+	if err != nil {
+		return &Error{Setting: "level", Value: name}
+	}
+	current.Store(int64(level))
+	return nil
+}
+
+// levelHandler drops entries below a level that may change at any time, which
+// the level of package log must not.
+type levelHandler struct {
+	next  log.Handler
+	level *atomic.Int64
+}
+
+// HandleLog implements log.Handler.
+func (h *levelHandler) HandleLog(e *log.Entry) error {
+	if int64(e.Level) < h.level.Load() {
+		return nil
+	}
+	return h.next.HandleLog(e)
+}
+
 // Logger logs for one part of the program. Each message starts with the
 // part's prefix.
 type Logger struct {
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"regexp"
+	"sync"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -34,3 +35,26 @@
 	must.EqError(t, Setup(nil, settings.Log{Level: "loud", Format: "text"}), `unknown log level "loud"`)
 	must.EqError(t, Setup(nil, settings.Log{Level: "info", Format: "xml"}), `unknown log format "xml"`)
 }
+
+// The level changes while others log, as on SIGHUP; the race detector looks on.
+func TestLevelChangesWhileOthersLog(t *testing.T) {
+	var out bytes.Buffer
+	must.NoError(t, Setup(&out, settings.Log{Level: "error", Format: "json"}))
+	var others sync.WaitGroup
+	for range 4 {
+		others.Go(func() {
+			for range 200 {
+				For("peers").Info("not shown")
+			}
+		})
+	}
+	for range 100 {
+		must.NoError(t, SetLevel("warn"))
+	}
+	others.Wait()
+	must.Eq(t, 0, out.Len())
+	must.NoError(t, SetLevel("info"))
+	For("peers").Info("shown")
+	must.StrContains(t, out.String(), "shown")
+	must.EqError(t, SetLevel("loud"), `unknown log level "loud"`)
+}
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -44,16 +46,16 @@
 
 // newHostProcess writes the settings of a host.
 func newHostProcess(w *world, index int, storeAddress string, store *cut.Relay) (*hostProcess, error) {
-	var ports []string
+	var listen []string
 	for range 4 {
 		address, err := freeAddress()
 		if err != nil {
 			return nil, err
 		}
-		ports = append(ports, address)
+		listen = append(listen, address)
 	}
 	h := &hostProcess{
-		world: w, name: fmt.Sprintf("host-%d", index), callers: ports[0], probe: ports[1], store: store,
+		world: w, name: fmt.Sprintf("host-%d", index), callers: listen[0], probe: listen[1], store: store,
 		settings: filepath.Join(w.opts.Dir, fmt.Sprintf("host-%d.toml", index)),
 	}
 	seeds := ""
@@ -84,7 +86,7 @@
 [shutdown]
 grace = %q
 linger = %q
-`, h.name, ports[0], ports[1], ports[2], ports[3], storeAddress, seeds, grace, linger)
+`, h.name, listen[0], listen[1], listen[2], listen[3], storeAddress, seeds, grace, linger)
 	return h, os.WriteFile(h.settings, []byte(text), 0o600)
 }
 
@@ -98,15 +100,31 @@
 	return ""
 }
 
+const (
+	// firstPort and ports bound the hosts' ports. They lie below those that the
+	// system gives to outgoing connections, which would take a host's port while
+	// it is down.
+	firstPort = 12000
+	ports     = 20000
+	// portTries bounds the search for a free port.
+	portTries = 100
+)
+
+var errNoPort = errors.New("no free port was found")
+
 // freeAddress returns a loopback address that nobody uses now, so that a host
 // keeps its address over restarts.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range portTries {
+		// Soaks that run beside this one draw others.
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		return address, listener.Close()
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", errNoPort
 }
 
 // start starts the process.
