Fetch parts where the chosen engine may have dropped them

Hosts expect a part to be held for 20 s; under load it is dropped sooner, and the engine that was chosen for it read it anew. Change: another likely holder is always named as the one to fetch from; what the engine still holds is not moved. What makes a draft late is the time in the queue, not its own size.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -60,17 +60,6 @@
 // for moment by moment.
 func (r *Request) urgent() bool { return r.rank() == 0 }
 
-// enginePriority is the engine's priority. A request of the last rank that will
-// be late where it goes is read after all that can still be in time: it loses
-// little by waiting longer, and would make those behind it late too.
-func (r *Request) enginePriority(now time.Time, expected time.Duration) int {
-	last := r.rank() == ranksPerTier-1
-	if last && r.Target > 0 && now.Sub(r.Arrived)+expected > r.Target {
-		return Priorities - 1
-	}
-	return r.priority()
-}
-
 func (r *Request) rank() int { return min(max(int(r.Rank), 0), ranksPerTier-1) }
 
 // Reason tells why a request was refused.
@@ -327,7 +316,7 @@
 
 func (b *Balancer) grant(now time.Time, req *Request, c choice) Decision {
 	e := c.endpoint
-	priority := req.enginePriority(now, c.expected)
+	priority := c.priority
 	r := &running{
 		req:      *req,
 		endpoint: e,
--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -114,6 +114,19 @@
 	must.Greater(t, 3, len(spread))
 }
 
+// Load: parts are dropped by engines under load, sooner than hosts expect. Where
+// a second engine holds them too, it is named as the one to fetch from.
+func TestPartsThatMayHaveBeenDroppedAreFetched(t *testing.T) {
+	b := newBench(6)
+	marks := []balance.Mark{{Key: 7, Endpoint: "engines-1", Held: true}, {Key: 7, Endpoint: "engines-4", Held: true}}
+	b.SetPeer(at(0), "h2", "north", nil, marks)
+	_, d := b.submit(at(0), draft(7))
+	other := map[model.EndpointName]string{"engines-1": "engines-4", "engines-4": "engines-1"}
+	must.MapContainsKey(t, other, d.Endpoint)
+	must.Eq(t, other[d.Endpoint], d.FetchFrom)
+	must.Eq(t, 3000, d.Own)
+}
+
 // Load: drafts fill the engines unevenly; questions go where they are answered
 // in time and before the drafts.
 func TestQuestionsAvoidBusyEngines(t *testing.T) {
--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -99,6 +99,8 @@
 	// unqueued and queued are the parts of the expected time without and with a
 	// queue, in milliseconds.
 	unqueued, queued float64
+	// priority is the engine's.
+	priority int
 	// retryAfter is when to come back when no endpoint was found.
 	retryAfter time.Duration
 }
@@ -120,6 +122,7 @@
 	} {
 		best := b.cheapest(now, p, req, where, candidates, allowed)
 		if best.endpoint != nil {
+			best.priority = best.enginePriority(now, req)
 			return best, ""
 		}
 	}
@@ -243,6 +246,11 @@
 	held, reading := b.holders.state(now, req.Prompt.SharedKey(), c.endpoint.Name)
 	switch {
 	case held || reading:
+		// Under load an endpoint may have dropped them. Fetching what it still holds
+		// moves nothing.
+		if other := where.besides(c.endpoint); other != nil {
+			c.fetchFrom = other.Address
+		}
 		return 0
 	case where.source != nil:
 		c.fetchFrom = where.source.Address
--- a/internal/core/balance/holders.go
+++ b/internal/core/balance/holders.go
@@ -165,8 +165,9 @@
 	// home is where the parts belong by rendezvous hashing, so that all hosts
 	// agree without a message.
 	home *endpoint
-	// source is an endpoint that holds them and can hand them on; nil for none.
-	source *endpoint
+	// source is the endpoint that used them last of those that hold them and can
+	// hand them on, other the one before; nil for none.
+	source, other *endpoint
 	// reading says that an endpoint is about to hold them.
 	reading bool
 	// assumed says that the home likely holds them, although nobody told so.
@@ -187,7 +188,7 @@
 		}
 	}
 	w.assumed = b.opts.Warm && now.Sub(b.started) < holdFor
-	var used time.Time
+	var used, otherUsed time.Time
 	for _, entry := range b.holders.byKey[key] {
 		e := b.endpoints[entry.endpoint]
 		if e == nil || now.Before(e.paused) || !entry.current(now) {
@@ -198,13 +199,28 @@
 			continue
 		}
 		// A draining endpoint still hands on what it holds.
-		if w.source == nil || entry.used.After(used) {
+		switch {
+		case w.source == nil || entry.used.After(used):
+			w.other, otherUsed = w.source, used
 			w.source, used = e, entry.used
+		case w.other == nil || entry.used.After(otherUsed):
+			w.other, otherUsed = e, entry.used
 		}
 	}
 	return w
 }
 
+// besides returns an endpoint that likely holds the parts, other than the given
+// one: its home for want of a better one. It returns nil for none.
+func (w *whereabouts) besides(e *endpoint) *endpoint {
+	for _, other := range []*endpoint{w.source, w.other, w.home} {
+		if other != nil && other != e {
+			return other
+		}
+	}
+	return nil
+}
+
 // rendezvous is the score of an endpoint for a key; the largest wins.
 func rendezvous(key model.PartID, e *endpoint) uint64 {
 	x := uint64(key) ^ e.hash
--- a/internal/core/balance/reserve_test.go
+++ b/internal/core/balance/reserve_test.go
@@ -87,3 +87,14 @@
 	_, asked := b.submit(at(0), question(8))
 	must.Eq(t, 0, asked.Priority)
 }
+
+// A large draft on an idle engine is late by its own size, and delays nobody
+// more than others do.
+func TestLargeDraftsAreNotPutLast(t *testing.T) {
+	b := newBench(2)
+	large := draft(7)
+	large.Prompt = prompt(7, 13_000, 80_000)
+	_, d := b.submit(at(0), large)
+	must.Greater(t, large.Target, d.Expected)
+	must.Less(t, balance.Priorities-1, d.Priority)
+}
--- a/internal/virtual/fleet/fleet.go
+++ b/internal/virtual/fleet/fleet.go
@@ -21,6 +21,9 @@
 	fromCaller = time.Millisecond
 	// retries is the number of endpoints that are asked besides the first.
 	retries = 3
+	// patiencePart is the part of the time left after which a caller comes back
+	// at the latest.
+	patiencePart = 3
 )
 
 // Sharing is how hosts learn of each other's work.
@@ -83,6 +86,7 @@
 	// expected is the time to the first event as the host expected it.
 	expected time.Duration
 	refused  bool
+	cameBack bool
 	left     bool
 }
 
@@ -198,7 +202,7 @@
 		Target: c.class.Target, Arrived: c.arrived, Avoid: c.avoid, Repeat: c.tries > 0,
 	})
 	if d.Refused() {
-		c.refused = true
+		f.refuse(c, d.RetryAfter)
 		return
 	}
 	c.tries++
@@ -216,6 +220,24 @@
 	})
 }
 
+// refuse lets a caller come back once, after a part of the time that it has left
+// at most.
+func (f *Fleet) refuse(c *call, after time.Duration) {
+	if c.cameBack {
+		c.refused = true
+		return
+	}
+	c.cameBack = true
+	now := f.clock.Now()
+	left := c.arrived.Add(c.class.Patience).Sub(now)
+	f.clock.After(min(after, left/patiencePart)+fromCaller, func() {
+		if !c.left {
+			c.id += "-again"
+			f.place(c)
+		}
+	})
+}
+
 // rejected takes the request elsewhere, or refuses it.
 func (f *Fleet) rejected(c *call, e *engine) {
 	c.host.balancer.Finish(f.clock.Now(), c.id, balance.Result{Failure: balance.FailureRefused})
