--- a/internal/gateway/digests.go
+++ b/internal/gateway/digests.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/wigeonsail/wigeonsail/internal/core/balance"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/relay"
 	"github.com/wigeonsail/wigeonsail/internal/port"
@@ -40,8 +39,6 @@
 	chooseRelaysEvery = 500 * time.Millisecond
 	// knownEvery is the time between digests that name the other hosts.
 	knownEvery = 2 * time.Second
-	// maxWaitingMarks bounds the marks in a digest that waits for its receiver.
-	maxWaitingMarks = 2048
 )
 
 // digests decides which digests are due. The control loop owns it.
@@ -273,85 +270,6 @@
 	}
 }
 
-// relay tells the sums that are due.
-func (s *digests) relay(now time.Time, c *control) {
-	if s.nearByRelay && now.Sub(s.sums.told) >= sumsEvery {
-		s.sums = round{told: now}
-		s.tellSums(now, c)
-	}
-	if s.farByRelay && now.Sub(s.farSums.told) >= farSumsEvery {
-		s.farSums = round{told: now}
-		s.tellFarSums(now, c)
-	}
-}
-
-// tellSums tells the hosts of the own domain of the others' work there, and of
-// other domains.
-func (s *digests) tellSums(now time.Time, c *control) {
-	d := c.digest(now)
-	d.ByRelay = true
-	others := s.takeReceived()
-	sum := c.balancer.DomainSum(now)
-	var marks []balance.Mark
-	marks, s.sumMarks = c.balancer.DomainMarksSince(s.sumMarks)
-	for address, p := range s.table.peers {
-		if !s.table.isNear(p) || p.host == "" {
-			continue
-		}
-		d.Domains = others
-		if !slices.Contains(s.relays, address) {
-			own := port.DomainLoad{Domain: d.Domain, Loads: sum.Without(c.balancer.PeerLoad(p.host)), Marks: marks}
-			d.Domains = append(slices.Clone(others), own)
-		} else if len(others) == 0 {
-			continue
-		} else {
-			d.KeepLoads = true
-		}
-		p.tell(d)
-		d.KeepLoads = false
-	}
-}
-
-// takeReceived returns the sums of other domains that were not passed on yet.
-func (s *digests) takeReceived() []port.DomainLoad {
-	var out []port.DomainLoad
-	for name, sum := range s.received {
-		out = append(out, sum)
-		delete(s.received, name)
-	}
-	return out
-}
-
-// tellFarSums tells other domains of the work in the own one. Where the hosts of
-// the own domain hear each other directly, it passes on what it received.
-func (s *digests) tellFarSums(now time.Time, c *control) {
-	d := c.digest(now)
-	d.ByRelay = true
-	own := port.DomainLoad{Domain: d.Domain, Loads: c.balancer.DomainSum(now).Loads()}
-	own.Marks, s.farSumMarks = c.balancer.DomainMarksSince(s.farSumMarks)
-	d.Domains = []port.DomainLoad{own}
-	for _, address := range s.receivers {
-		if p := s.table.peers[address]; p != nil {
-			p.tell(d)
-		}
-	}
-	if s.nearByRelay {
-		return
-	}
-	d.Domains = s.takeReceived()
-	d.KeepLoads = true
-	for _, p := range s.table.peers {
-		if s.table.isNear(p) && len(d.Domains) > 0 {
-			p.tell(d)
-		}
-	}
-}
-
-// passOn keeps the sum of another domain for the hosts of the own one.
-func (s *digests) passOn(sum port.DomainLoad) {
-	s.received[sum.Domain] = mergeSums(s.received[sum.Domain], sum)
-}
-
 // digest is what this host tells of itself.
 func (c *control) digest(now time.Time) port.LoadDigest {
 	opts := &c.gateway.opts
@@ -363,71 +281,6 @@
 	}
 }
 
-// tell puts a digest into the mailbox, in place of one that was not sent.
-func (p *peer) tell(d port.LoadDigest) {
-	select {
-	case before := <-p.mailbox:
-		d = mergeDigests(before, d)
-	default:
-	}
-	p.mailbox <- d
-}
-
-// mergeDigests returns the newer digest with what must not be lost of the older.
-func mergeDigests(older, newer port.LoadDigest) port.LoadDigest {
-	if newer.ByRelay && newer.KeepLoads && !older.ByRelay {
-		newer.ByRelay, newer.KeepLoads, newer.Loads = false, false, older.Loads
-	}
-	newer.Marks = joinMarks(older.Marks, newer.Marks)
-	newer.Changes = joinChanges(older.Changes, newer.Changes)
-	if len(newer.Known) == 0 {
-		newer.Known = older.Known
-	}
-	sums := make(map[model.DomainName]port.DomainLoad)
-	for _, sum := range older.Domains {
-		sums[sum.Domain] = sum
-	}
-	for _, sum := range newer.Domains {
-		sums[sum.Domain] = mergeSums(sums[sum.Domain], sum)
-	}
-	newer.Domains = nil
-	for _, sum := range sums {
-		newer.Domains = append(newer.Domains, sum)
-	}
-	return newer
-}
-
-// joinChanges returns the changes of both, or the newer ones when others are
-// missing between them: receivers ask for the list then.
-func joinChanges(older, newer port.ListChanges) port.ListChanges {
-	switch {
-	case len(newer.Records) == 0:
-		return older
-	case len(older.Records) == 0 || older.Upto != newer.After:
-		return newer
-	}
-	records := append(slices.Clone(older.Records), newer.Records...)
-	return port.ListChanges{After: older.After, Upto: newer.Upto, Records: records}
-}
-
-// mergeSums returns the newer sum of a domain with the marks of both.
-func mergeSums(older, newer port.DomainLoad) port.DomainLoad {
-	newer.Marks = joinMarks(older.Marks, newer.Marks)
-	return newer
-}
-
-// joinMarks returns the newest marks of both lists. It changes neither, since
-// several mailboxes hold them.
-func joinMarks(older, newer []balance.Mark) []balance.Mark {
-	if len(older) == 0 {
-		return newer
-	}
-	out := make([]balance.Mark, 0, len(older)+len(newer))
-	out = append(out, older...)
-	out = append(out, newer...)
-	return out[max(len(out)-maxWaitingMarks, 0):]
-}
-
 // takeLoads takes what a digest says of the work of others.
 func (c *control) takeLoads(now time.Time, d port.LoadDigest) {
 	switch {
