--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -192,14 +192,10 @@
 }
 
 // end kills the process.
-func (h *hostProcess) end() error {
-	if !h.running() {
-		return nil
-	}
+func (h *hostProcess) end() {
 	h.signal(syscall.SIGCONT)
 	h.signal(syscall.SIGKILL)
 	h.wait()
-	return nil
 }
 
 // ready asks the host whether it is ready.
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -66,7 +66,7 @@
 		if i >= opts.Services {
 			pool = enginePool
 		}
-		if _, err := w.addEndpoint(pool); err != nil {
+		if err := w.addEndpoint(pool); err != nil {
 			return nil, errors.Join(err, w.closeErr())
 		}
 	}
@@ -117,7 +117,7 @@
 }
 
 // addEndpoint starts a replica and lists it.
-func (w *world) addEndpoint(pool string) (*endpoint, error) {
+func (w *world) addEndpoint(pool string) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sequence++
@@ -127,17 +127,17 @@
 	}
 	server, err := replica.Start(opts)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	link, address, err := w.relay(server.Address())
 	if err != nil {
 		server.Close()
-		return nil, err
+		return err
 	}
 	e := &endpoint{Server: server, pool: pool, link: link, address: address}
 	w.replicas = append(w.replicas, e)
 	w.list(e, "ready")
-	return e, nil
+	return nil
 }
 
 // list writes an endpoint's entry. The caller holds mu or no one else lists.
@@ -153,8 +153,7 @@
 	e.drained = time.Now()
 	w.list(e, "draining")
 	w.mu.Unlock()
-	_, err := w.addEndpoint(e.pool)
-	return err
+	return w.addEndpoint(e.pool)
 }
 
 // endpoints returns those that were ever listed.
@@ -242,7 +241,7 @@
 func (w *world) closeErr() error {
 	var failed error
 	for _, h := range w.hosts {
-		failed = errors.Join(failed, h.end())
+		h.end()
 	}
 	for _, r := range w.relays {
 		r.Close()
