--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -124,6 +124,8 @@
 	FailureBroken
 	// FailureUnreachable means that no connection could be opened.
 	FailureUnreachable
+	// FailureReplaced means that another endpoint has the address now.
+	FailureReplaced
 )
 
 // Balancer is the state machine. The control loop owns it.
@@ -406,7 +408,7 @@
 		if r.answered {
 			b.reached(now, d)
 		}
-	case FailureRefused, FailureError:
+	case FailureRefused, FailureError, FailureReplaced:
 		b.reached(now, d)
 	case FailureUnreachable:
 		d.suspect = now
--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -21,6 +21,9 @@
 	// the first failure; it doubles up to maxPause.
 	firstPause = 250 * time.Millisecond
 	maxPause   = 2 * time.Second
+	// replacedPause is the time without requests after another endpoint was found
+	// at the address: the list shows it within about that time.
+	replacedPause = 2 * time.Second
 	// breaksToPause is the number of broken answers in a row after which an
 	// endpoint is paused.
 	breaksToPause = 2
@@ -114,6 +117,9 @@
 	case FailureUnreachable:
 		failed = 1
 		e.lose(now)
+	case FailureReplaced:
+		failed = 1
+		e.paused = now.Add(replacedPause)
 	}
 	e.failing += learnWeight * (failed - e.failing)
 }
--- a/internal/core/balance/reach_test.go
+++ b/internal/core/balance/reach_test.go
@@ -60,6 +60,16 @@
 	must.MapContainsKey(t, b.used(at(32*time.Second)), bad)
 }
 
+// Load: an endpoint has restarted under another name at its address, idle, so
+// that it looks best until the list shows it.
+func TestReplacedEndpointsWaitForTheList(t *testing.T) {
+	b := newBench(2)
+	id, d := b.submit(at(0), lookup())
+	b.Finish(at(0), id, balance.Result{Failure: balance.FailureReplaced})
+	must.MapNotContainsKey(t, b.used(at(time.Second)), d.Endpoint)
+	must.MapLen(t, 2, b.used(at(20*time.Second)))
+}
+
 // Load: nothing comes from a domain any more while its endpoints still have
 // connections. Requests stay away from it before any of them has failed there.
 func TestSilentDomainsAreCheckedAndLeft(t *testing.T) {
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -37,7 +37,7 @@
 	defer reply.Close()
 	switch {
 	case reply.Refused():
-		return tryEnd{outcome: model.OutcomeNotRun, arrived: true, failure: balance.FailureRefused, err: statusError(reply.Status())}
+		return tryEnd{outcome: model.OutcomeNotRun, arrived: true, failure: refusalOf(reply.Status()), err: statusError(reply.Status())}
 	case reply.Status()/100 != 2:
 		return x.takeFailure(ctx, reply)
 	case !reply.Authentic():
@@ -191,6 +191,15 @@
 // Error implements error.
 func (e statusError) Error() string { return "the endpoint answered " + http.StatusText(int(e)) }
 
+// refusalOf tells an endpoint without room from one at an address that another
+// has taken over.
+func refusalOf(status int) balance.Failure {
+	if status == http.StatusMisdirectedRequest {
+		return balance.FailureReplaced
+	}
+	return balance.FailureRefused
+}
+
 // failureName names a failure in metrics and logs.
 func failureName(f balance.Failure) string {
 	switch f {
@@ -202,6 +211,8 @@
 		return "broken"
 	case balance.FailureUnreachable:
 		return "unreachable"
+	case balance.FailureReplaced:
+		return "replaced"
 	default:
 		return "none"
 	}
