Tests: dead endpoints keep their ports

Cause: TestGatewayFindsTheOneEndpointInReach failed once in a run of three packages and once in 42 runs of the package beside seven others, with 502 for 200: its dead endpoints were closed servers, whose ports the system gives to the next one that asks, also of another process. That process then answers, and the request may have run.

--- a/internal/server/gateway_fixture_test.go
+++ b/internal/server/gateway_fixture_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -103,12 +104,29 @@
 
 // list writes a replica's entry.
 func (f *fleet) list(pool string, r *replica.Server, state string) {
+	f.listAt(pool, r.Instance(), r.Address(), state)
+}
+
+// listAt writes an entry of an endpoint at an address.
+func (f *fleet) listAt(pool, instance, address, state string) {
 	f.sequence++
 	value, err := json.Marshal(map[string]any{
-		"service": pool, "address": r.Address(), "zone": "north", "slots": 8, "state": state, "sequence": f.sequence, "born": 1,
+		"service": pool, "address": address, "zone": "north", "slots": 8, "state": state, "sequence": f.sequence, "born": 1,
 	})
 	must.NoError(f.t, err)
-	f.store.Put("keyed.servers", r.Instance(), value)
+	f.store.Put("keyed.servers", instance, value)
+}
+
+// deadAddress returns an address that refuses connections. Its port stays taken
+// until the test ends, so that no other process serves there meanwhile.
+func deadAddress(t *testing.T) string {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, syscall.Close(fd)) })
+	must.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	name, err := syscall.Getsockname(fd)
+	must.NoError(t, err)
+	return fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
 }
 
 // host starts a host.
--- a/internal/server/gateway_test.go
+++ b/internal/server/gateway_test.go
@@ -135,10 +135,7 @@
 	f := newFleet(t)
 	f.publish(fleetConfig(1))
 	for i := range 8 {
-		dead, err := replica.Start(replica.Options{Instance: fmt.Sprintf("i-dead-%d", i)})
-		must.NoError(t, err)
-		dead.Close()
-		f.list(servicePool, dead, "ready")
+		f.listAt(servicePool, fmt.Sprintf("i-dead-%d", i), deadAddress(t), "ready")
 	}
 	f.add(servicePool, replica.Options{Instance: "z-1", Work: 20 * time.Millisecond})
 	g := f.readyHost("h1")
@@ -263,9 +260,8 @@
 	must.NoError(t, g.replicas.Check(t.Context(), "i-1", r.Address()))
 	must.Eq(t, http.StatusOK, f.confirm(g).status)
 	must.Eq(t, 1, r.Connections())
-	r.Close()
 	var failure *port.EndpointError
-	must.True(t, errors.As(g.replicas.Check(t.Context(), "i-1", r.Address()), &failure))
+	must.True(t, errors.As(g.replicas.Check(t.Context(), "i-2", deadAddress(t)), &failure))
 	must.Eq(t, model.OutcomeNotRun, failure.Outcome)
 }
 
