One stand-in for the platform's users; one seed; one way to drop a load

Read-through of the whole change. Behaviour is as before. - The soak and the tests of the gateway each wrote configurations, entries, callers' requests and expected answers by the platform's names.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -7,6 +7,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/attempt"
@@ -258,13 +259,7 @@
 		b.domain(e.Domain).open--
 	}
 	p := b.pool(e.Pool)
-	kept := p.endpoints[:0]
-	for _, other := range p.endpoints {
-		if other != e {
-			kept = append(kept, other)
-		}
-	}
-	p.endpoints = kept
+	p.endpoints = slices.DeleteFunc(p.endpoints, func(other *endpoint) bool { return other == e })
 }
 
 // Submit decides where a request goes. A granted request is accounted until
@@ -292,7 +287,6 @@
 
 func (b *Balancer) grant(now time.Time, req *Request, c choice) Decision {
 	e := c.endpoint
-	priority := c.priority
 	r := &running{
 		req:      *req,
 		endpoint: e,
@@ -304,7 +298,7 @@
 		own:      c.read,
 		unqueued: c.unqueued * e.slowness,
 		queued:   c.queued * e.slowness,
-		priority: priority,
+		priority: c.priority,
 	}
 	b.running[req.ID] = r
 	b.changed = true
@@ -312,7 +306,7 @@
 	d := Decision{
 		Endpoint:  e.Name,
 		Address:   e.Address,
-		Priority:  priority,
+		Priority:  c.priority,
 		FetchFrom: c.fetchFrom,
 		Expected:  c.expected,
 		InFlight:  total.Count,
@@ -320,7 +314,7 @@
 		Pending:   total.Pending,
 		Own:       c.read,
 	}
-	e.own.add(priority, r.pending, r.memory, 1)
+	e.own.add(c.priority, r.pending, r.memory, 1)
 	if req.urgent() {
 		e.own.Urgent++
 	}
--- a/internal/core/balance/holders.go
+++ b/internal/core/balance/holders.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
@@ -149,13 +150,7 @@
 // forget drops an endpoint.
 func (h *holders) forget(name model.EndpointName) {
 	for key, list := range h.byKey {
-		kept := list[:0]
-		for _, entry := range list {
-			if entry.endpoint != name {
-				kept = append(kept, entry)
-			}
-		}
-		h.byKey[key] = kept
+		h.byKey[key] = slices.DeleteFunc(list, func(entry holder) bool { return entry.endpoint == name })
 	}
 }
 
--- a/internal/core/balance/peers.go
+++ b/internal/core/balance/peers.go
@@ -69,12 +69,7 @@
 
 // ForgetPeer forgets what another host said of its work itself, since relays
 // tell it from now on.
-func (b *Balancer) ForgetPeer(host model.HostID) {
-	if before := b.peers[host]; before != nil {
-		b.addPeer(before.loads, -1)
-		delete(b.peers, host)
-	}
-}
+func (b *Balancer) ForgetPeer(host model.HostID) { b.dropLoad(host) }
 
 // SetDomain takes the sum of the work of another failure domain, as its relay
 // says.
@@ -98,22 +93,23 @@
 }
 
 func (b *Balancer) setLoad(name model.HostID, load *peerLoad) {
-	if before := b.peers[name]; before != nil {
-		b.addPeer(before.loads, -1)
-	}
+	b.dropLoad(name)
 	b.peers[name] = load
 	b.addPeer(load.loads, 1)
 }
 
-// ForgetDomain forgets the sum of a domain, whose hosts tell of their work
-// themselves from now on.
-func (b *Balancer) ForgetDomain(domain model.DomainName) {
-	if before := b.peers[sumOf(domain)]; before != nil {
+// dropLoad forgets what a host or a domain has said.
+func (b *Balancer) dropLoad(name model.HostID) {
+	if before := b.peers[name]; before != nil {
 		b.addPeer(before.loads, -1)
-		delete(b.peers, sumOf(domain))
+		delete(b.peers, name)
 	}
 }
 
+// ForgetDomain forgets the sum of a domain, whose hosts tell of their work
+// themselves from now on.
+func (b *Balancer) ForgetDomain(domain model.DomainName) { b.dropLoad(sumOf(domain)) }
+
 // DomainSum is the sum of the work of the hosts of a failure domain.
 type DomainSum map[model.EndpointName]Load
 
@@ -177,8 +173,7 @@
 func (b *Balancer) Tick(now time.Time) {
 	for host, p := range b.peers {
 		if now.Sub(p.heard) > peerMaxAge {
-			b.addPeer(p.loads, -1)
-			delete(b.peers, host)
+			b.dropLoad(host)
 		}
 	}
 	for host, heard := range b.hosts {
--- a/internal/core/balance/reach.go
+++ b/internal/core/balance/reach.go
@@ -257,6 +257,11 @@
 	}
 }
 
+// inReach says that an endpoint may get requests and is not behind a cut.
+func (b *Balancer) inReach(now time.Time, e *endpoint) bool {
+	return e.usable(now) && !b.domain(e.Domain).cutOff
+}
+
 func (b *Balancer) setCutOff(d *domain, cutOff bool) {
 	if d.cutOff == cutOff {
 		return
--- a/internal/core/balance/reserve.go
+++ b/internal/core/balance/reserve.go
@@ -119,7 +119,7 @@
 	s.kept += rate * (need - s.kept)
 	left := s.count()
 	for _, e := range p.endpoints {
-		e.reserved = left > 0 && e.usable(now) && !b.domain(e.Domain).cutOff
+		e.reserved = left > 0 && b.inReach(now, e)
 		if e.reserved {
 			left--
 		}
@@ -133,7 +133,7 @@
 		total := e.total()
 		urgent += total.Urgent
 		waiting += total.lessUrgent()
-		if e.usable(now) && !b.domain(e.Domain).cutOff {
+		if b.inReach(now, e) {
 			usable++
 		}
 	}
--- a/internal/core/configstate/agreement_test.go
+++ b/internal/core/configstate/agreement_test.go
@@ -1,7 +1,6 @@
 package configstate
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -10,15 +9,11 @@
 	"pgregory.net/rapid"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/seedtest"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "2000", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
+	seedtest.Fix("2000", nil)
 	os.Exit(m.Run())
 }
 
--- a/internal/core/effect/main_test.go
+++ b/internal/core/effect/main_test.go
@@ -1,19 +1,13 @@
 package effect
 
 import (
-	"flag"
 	"os"
 	"testing"
+
+	"github.com/wigeonsail/wigeonsail/internal/seedtest"
 )
 
-// TestMain fixes the seed of the randomized tests, so that every run gives the
-// same verdict.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "300", "rapid.steps": "250", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
+	seedtest.Fix("300", map[string]string{"rapid.steps": "250"})
 	os.Exit(m.Run())
 }
--- a/internal/server/gateway_fixture_test.go
+++ b/internal/server/gateway_fixture_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -20,14 +19,15 @@
 	"github.com/wigeonsail/wigeonsail/internal/settings"
 	"github.com/wigeonsail/wigeonsail/internal/standin/logstore"
 	"github.com/wigeonsail/wigeonsail/internal/standin/replica"
+	"github.com/wigeonsail/wigeonsail/internal/standin/users"
 	"github.com/wigeonsail/wigeonsail/opconfig"
 )
 
 // Names of the fixture's configuration.
 const (
 	fleetKey    = "key-of-club"
-	servicePool = "appointments"
-	enginePool  = "drafts"
+	servicePool = users.ServicePool
+	enginePool  = users.EnginePool
 )
 
 // fleet is a store, replicas and one or more hosts.
@@ -62,34 +62,11 @@
 
 // fleetConfig is a configuration of a service and an engine pool.
 func fleetConfig(version int, keys ...string) map[string]any {
-	route := func(name, kind, pool string, attempts int) map[string]any {
-		return map[string]any{
-			"name": name, "host": "club.example", "path_prefix": "/" + name + "/", "kind": kind, "service": pool,
-			"timeout_ms": 3000, "target_latency_ms": 300, "priority": 1, "max_attempts": attempts,
-			"resumable": name == "brief", "gap_aim_ms": 250,
-		}
-	}
-	return map[string]any{
-		"version": version,
-		"routes": []any{
-			route("confirm", "unsafe", servicePool, 1),
-			route("read", "safe", servicePool, 2),
-			route("draft", "streaming", enginePool, 1),
-			route("brief", "streaming", enginePool, 2),
-		},
-		"services": []any{
-			map[string]any{"name": servicePool, "max_connections": 100},
-			map[string]any{"name": enginePool, "max_connections": 100, "engine": map[string]any{"slots": 8, "kv_capacity_tokens": 100000}},
-		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "club", "api_keys": append([]string{fleetKey}, keys...)}},
-	}
+	return users.Config(version, append([]string{fleetKey}, keys...)...)
 }
 
 func (f *fleet) publish(cfg map[string]any) {
-	value, err := json.Marshal(cfg)
-	must.NoError(f.t, err)
-	f.store.Put("keyed.op", "config", value)
+	users.Publish(f.store, cfg)
 }
 
 // add starts a replica and lists it.
@@ -110,11 +87,7 @@
 // listAt writes an entry of an endpoint at an address.
 func (f *fleet) listAt(pool, instance, address, state string) {
 	f.sequence++
-	value, err := json.Marshal(map[string]any{
-		"service": pool, "address": address, "zone": "north", "slots": 8, "state": state, "sequence": f.sequence, "born": 1,
-	})
-	must.NoError(f.t, err)
-	f.store.Put("keyed.servers", instance, value)
+	users.List(f.store, pool, instance, address, state, f.sequence)
 }
 
 // deadAddress returns an address that refuses connections. Its port stays taken
@@ -184,12 +157,8 @@
 // sendAs sends a request with an attempt id.
 func (f *fleet) sendAs(g *Gateway, id, method, path, body string, change func(*http.Request)) fleetAnswer {
 	f.t.Helper()
-	req, err := http.NewRequest(method, "http://"+g.Address("callers")+path, strings.NewReader(body))
+	req, err := users.NewRequest(f.t.Context(), method, g.Address("callers"), path, body, id, fleetKey)
 	must.NoError(f.t, err)
-	req.Host = "club.example"
-	req.Header.Set("X-Wigeonsail-Attempt-Id", id)
-	req.Header.Set("X-Wigeonsail-Deadline-Ms", "2000")
-	req.Header.Set("X-Wigeonsail-Key", fleetKey)
 	if change != nil {
 		change(req)
 	}
@@ -210,11 +179,7 @@
 // stream asks for a stream on a route.
 func (f *fleet) stream(g *Gateway, route string) fleetAnswer {
 	f.t.Helper()
-	return f.send(g, http.MethodPost, "/"+route+"/1", "prompt", func(r *http.Request) {
-		r.Header.Set("X-Wigeonsail-Model", "m")
-		r.Header.Set("X-Wigeonsail-Token-Usage", "300,20")
-		r.Header.Set("X-Wigeonsail-Prompt-Prefix", "a1:200,b2:100")
-	})
+	return f.send(g, http.MethodPost, "/"+route+"/1", "prompt", users.SetPrompt)
 }
 
 // runs counts what all replicas ran.
@@ -225,12 +190,3 @@
 	}
 	return n
 }
-
-// pieces is the body of a whole stream of n events.
-func pieces(n int) string {
-	var out strings.Builder
-	for i := 1; i <= n; i++ {
-		fmt.Fprintf(&out, "id: %d\ndata: piece %d\n\n", i, i)
-	}
-	return out.String()
-}
--- a/internal/server/gateway_test.go
+++ b/internal/server/gateway_test.go
@@ -196,7 +196,7 @@
 		got := f.stream(g, "brief")
 		must.Eq(t, http.StatusOK, got.status)
 		must.False(t, got.broken)
-		must.Eq(t, pieces(6), got.body)
+		must.Eq(t, replica.StreamOf(6), got.body)
 	}
 	must.Positive(t, len(good.Runs()))
 }
@@ -213,10 +213,10 @@
 		got := f.stream(g, "draft")
 		if got.broken {
 			broken++
-			must.Eq(t, pieces(3), got.body, must.Sprint("whole events only"))
+			must.Eq(t, replica.StreamOf(3), got.body, must.Sprint("whole events only"))
 			continue
 		}
-		must.Eq(t, pieces(6), got.body)
+		must.Eq(t, replica.StreamOf(6), got.body)
 	}
 	must.Eq(t, len(bad.Runs()), broken)
 	must.Eq(t, 10, f.runs(), must.Sprint("one run for each request"))
@@ -422,5 +422,5 @@
 	must.NoError(t, g.Shutdown(ctx))
 	got := <-done
 	must.False(t, got.broken)
-	must.Eq(t, pieces(20), got.body)
+	must.Eq(t, replica.StreamOf(20), got.body)
 }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -6,9 +6,11 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/standin/replica"
+	"github.com/wigeonsail/wigeonsail/internal/standin/users"
 )
 
 // routes are the paths that callers ask, by how often.
@@ -106,18 +108,12 @@
 	if route == "read" {
 		method = http.MethodGet
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.callers+"/"+route+"/1", strings.NewReader(""))
+	req, err := users.NewRequest(ctx, method, h.callers, "/"+route+"/1", "", id, key)
 	if err != nil {
 		return a
 	}
-	req.Host = callerHost
-	req.Header.Set("X-Wigeonsail-Attempt-Id", id)
-	req.Header.Set("X-Wigeonsail-Deadline-Ms", "2000")
-	req.Header.Set("X-Wigeonsail-Key", key)
 	if route == "draft" || route == "brief" {
-		req.Header.Set("X-Wigeonsail-Model", "m")
-		req.Header.Set("X-Wigeonsail-Token-Usage", "300,20")
-		req.Header.Set("X-Wigeonsail-Prompt-Prefix", "a1:200,b2:100")
+		users.SetPrompt(req)
 	}
 	res, err := client.Do(req)
 	if err != nil {
@@ -126,7 +122,7 @@
 	defer res.Body.Close()
 	body, err := io.ReadAll(res.Body)
 	a.status, a.body, a.whole = res.StatusCode, string(body), err == nil
-	a.signed = res.Header.Get("X-Wigeonsail-Response-Signature") == "sig."+id
+	a.signed = replica.Signed(res.Header, id)
 	return a
 }
 
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/standin/replica"
+	"github.com/wigeonsail/wigeonsail/internal/standin/users"
 )
 
 const (
@@ -77,7 +78,7 @@
 	if !c.callers.knows(run.ID) && !strings.HasPrefix(run.ID, "probe-") {
 		c.fail("%s ran %s, which nobody sent", e.Instance(), run.ID)
 	}
-	if run.Header.Get("X-Wigeonsail-Tenant") != "club" || run.Header.Get("X-Wigeonsail-Key") != "" {
+	if run.Account() != users.Account || run.Key() != "" {
 		c.fail("%s ran %s with headers of others", e.Instance(), run.ID)
 	}
 	late := run.At.Sub(e.drained)
@@ -108,13 +109,9 @@
 // expected is the answer of an endpoint to a request.
 func expected(a *answer) string {
 	if a.route == "confirm" || a.route == "read" {
-		return "answer to " + a.id
+		return replica.AnswerTo(a.id)
 	}
-	var out strings.Builder
-	for i := 1; i <= streamEvents; i++ {
-		fmt.Fprintf(&out, "id: %d\ndata: piece %d\n\n", i, i)
-	}
-	return out.String()
+	return replica.StreamOf(streamEvents)
 }
 
 // recovered checks that each host serves all routes after the faults, with the
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -16,6 +15,7 @@
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/standin/cut"
+	"github.com/wigeonsail/wigeonsail/internal/standin/users"
 )
 
 const (
@@ -199,15 +199,4 @@
 }
 
 // ready asks the host whether it is ready.
-func (h *hostProcess) ready(ctx context.Context) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.probe+"/v1/ready", nil)
-	if err != nil {
-		return false
-	}
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return false
-	}
-	defer res.Body.Close()
-	return res.StatusCode == http.StatusOK
-}
+func (h *hostProcess) ready(ctx context.Context) bool { return users.Ready(ctx, h.probe) }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -13,14 +12,12 @@
 	"github.com/wigeonsail/wigeonsail/internal/standin/cut"
 	"github.com/wigeonsail/wigeonsail/internal/standin/logstore"
 	"github.com/wigeonsail/wigeonsail/internal/standin/replica"
+	"github.com/wigeonsail/wigeonsail/internal/standin/users"
 )
 
-// Names of the configuration.
 const (
-	servicePool = "orders"
-	enginePool  = "drafts"
-	callerHost  = "club.example"
-	firstKey    = "key-of-club"
+	// firstKey is the callers' key.
+	firstKey = "key-of-club"
 	// streamEvents is the number of events of a stream.
 	streamEvents = 12
 	// readyTimeout bounds the start of all hosts.
@@ -62,9 +59,9 @@
 		return nil, err
 	}
 	for i := range opts.Services + opts.Engines {
-		pool := servicePool
+		pool := users.ServicePool
 		if i >= opts.Services {
-			pool = enginePool
+			pool = users.EnginePool
 		}
 		if err := w.addEndpoint(pool); err != nil {
 			return nil, errors.Join(err, w.closeErr())
@@ -122,7 +119,7 @@
 	defer w.mu.Unlock()
 	w.sequence++
 	opts := replica.Options{Instance: fmt.Sprintf("i-%d", w.sequence), Slots: 8, Queue: 16, Work: 3 * time.Millisecond}
-	if pool == enginePool {
+	if pool == users.EnginePool {
 		opts.Events = streamEvents
 	}
 	server, err := replica.Start(opts)
@@ -136,22 +133,20 @@
 	}
 	e := &endpoint{Server: server, pool: pool, link: link, address: address}
 	w.replicas = append(w.replicas, e)
-	w.list(e, "ready")
+	w.list(e, users.StateReady)
 	return nil
 }
 
 // list writes an endpoint's entry. The caller holds mu or no one else lists.
 func (w *world) list(e *endpoint, state string) {
-	w.store.Put("keyed.servers", e.Instance(), encode(map[string]any{
-		"service": e.pool, "address": e.address, "zone": "north", "slots": 8, "state": state, "sequence": w.sequence, "born": 1,
-	}))
+	users.List(w.store, e.pool, e.Instance(), e.address, state, w.sequence)
 }
 
 // drain lists an endpoint as draining, and a new one in its place.
 func (w *world) drain(e *endpoint) error {
 	w.mu.Lock()
 	e.drained = time.Now()
-	w.list(e, "draining")
+	w.list(e, users.StateDraining)
 	w.mu.Unlock()
 	return w.addEndpoint(e.pool)
 }
@@ -171,28 +166,7 @@
 	if w.version > 1 {
 		w.keys = append(w.keys, fmt.Sprintf("key-of-version-%d", w.version))
 	}
-	route := func(name, kind, pool string, attempts int) map[string]any {
-		return map[string]any{
-			"name": name, "host": callerHost, "path_prefix": "/" + name + "/", "kind": kind, "service": pool,
-			"timeout_ms": 3000, "target_latency_ms": 300, "priority": 1, "max_attempts": attempts,
-			"resumable": name == "brief", "gap_aim_ms": 250,
-		}
-	}
-	w.store.Put("keyed.op", "config", encode(map[string]any{
-		"version": w.version,
-		"routes": []any{
-			route("confirm", "unsafe", servicePool, 1),
-			route("read", "safe", servicePool, 2),
-			route("draft", "streaming", enginePool, 1),
-			route("brief", "streaming", enginePool, 2),
-		},
-		"services": []any{
-			map[string]any{"name": servicePool, "max_connections": 100},
-			map[string]any{"name": enginePool, "max_connections": 100, "engine": map[string]any{"slots": 8, "kv_capacity_tokens": 100000}},
-		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "club", "api_keys": w.keys}},
-	}))
+	users.Publish(w.store, users.Config(w.version, w.keys...))
 }
 
 // newestKey returns the key that the newest configuration added.
@@ -202,16 +176,6 @@
 	return w.keys[len(w.keys)-1]
 }
 
-// encode writes a record as the operator and the replicas do.
-func encode(value map[string]any) []byte {
-	out, err := json.Marshal(value)
-	if err != nil {
-		// The values are made of strings, numbers and lists of them.
-		panic(err)
-	}
-	return out
-}
-
 // start starts all hosts and waits until they are ready.
 func (w *world) start(ctx context.Context) error {
 	for _, h := range w.hosts {
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -61,6 +61,35 @@
 	At time.Time
 }
 
+// Account is the client account that the host told; empty for none.
+func (r *Run) Account() string { return r.Header.Get("X-Wigeonsail-Tenant") }
+
+// Key is the caller's key, which a host must not pass on.
+func (r *Run) Key() string { return r.Header.Get("X-Wigeonsail-Key") }
+
+const headerSignature = "X-Wigeonsail-Response-Signature"
+
+func signatureOf(id string) string { return "sig." + id }
+
+// Signed says that an answer carries a replica's signature for a request.
+func Signed(header http.Header, id string) bool {
+	return header.Get(headerSignature) == signatureOf(id)
+}
+
+// AnswerTo is the body of a plain service's answer to a request.
+func AnswerTo(id string) string { return "answer to " + id }
+
+// StreamOf is the body of a whole stream of so many events.
+func StreamOf(events int) string {
+	var out strings.Builder
+	for i := 1; i <= events; i++ {
+		out.WriteString(event(i))
+	}
+	return out.String()
+}
+
+func event(i int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i) }
+
 // Server is the stand-in.
 type Server struct {
 	opts     Options
@@ -172,7 +201,7 @@
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	s.note(Run{ID: id, Method: r.Method, URI: r.RequestURI, Body: body, Header: r.Header.Clone(), First: first + 1, At: time.Now()})
 	if !faults.Unsigned {
-		w.Header().Set("X-Wigeonsail-Response-Signature", "sig."+id)
+		w.Header().Set(headerSignature, signatureOf(id))
 	}
 	if faults.Lose {
 		panic(http.ErrAbortHandler)
@@ -237,7 +266,7 @@
 	if !s.work(r) {
 		return
 	}
-	body := "answer to " + w.Header().Get("X-Wigeonsail-Attempt-Id")
+	body := AnswerTo(w.Header().Get("X-Wigeonsail-Attempt-Id"))
 	status := http.StatusOK
 	if faults.Status != 0 {
 		status = faults.Status
@@ -287,7 +316,7 @@
 		if !s.work(r) {
 			return
 		}
-		writeText(w, fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i))
+		writeText(w, event(i))
 		flush(w)
 	}
 }
