--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return port.EndpointList{}, err
 	}
-	return port.EndpointList{Entries: convert(res.GetEntries(), entryFromWire), NextOffset: model.Offset(res.GetNext())}, nil
+	return port.EndpointList{Entries: convert(res.GetEntries(), entryFromWire), Next: position(res.GetEra(), res.GetNext())}, nil
 }
 
 // NewLoadServer returns a Server for hosts that exchange their load. It fails with
@@ -126,29 +126,31 @@
 	if err != nil {
 		return nil, callError(ctx, err)
 	}
-	return &peer.EndpointList{Entries: convert(list.Entries, entryToWire), Next: uint64(list.NextOffset)}, nil
+	return &peer.EndpointList{Entries: convert(list.Entries, entryToWire), Next: uint64(list.Next.Offset), Era: uint64(list.Next.Era)}, nil
 }
 
 func loadDigestToWire(d port.LoadDigest) *peer.LoadDigest {
 	return &peer.LoadDigest{
-		Host:        string(d.Host),
-		Incarnation: uint64(d.Incarnation),
-		Domain:      string(d.Domain),
-		Address:     d.Address,
-		Leaving:     d.Leaving,
-		Version:     uint64(d.Version),
-		ReadAgeMs:   d.ListReadAge.Milliseconds(),
-		ListChange:  uint64(d.ListChangeOffset),
-		Reading:     d.ReadsList,
-		ReadFailing: d.ListReadFailing,
-		Loads:       convert(d.Loads, endpointLoadToWire),
-		Known:       d.KnownAddresses,
-		Marks:       convert(d.CacheUpdates, cacheUpdateToWire),
-		ByRelay:     d.ViaRelay,
-		KeepLoads:   d.LoadsUnchanged,
-		LinkMbps:    d.LinkSpeedMbps,
-		Changes:     changesToWire(d.Changes),
-		Domains:     convert(d.Domains, domainLoadToWire),
+		Host:             string(d.Host),
+		Incarnation:      uint64(d.Incarnation),
+		Domain:           string(d.Domain),
+		Address:          d.Address,
+		Leaving:          d.Leaving,
+		Version:          uint64(d.Version),
+		ReadAgeMs:        d.ListReadAge.Milliseconds(),
+		ListChange:       uint64(d.ListChange.Offset),
+		ListEra:          uint64(d.ListChange.Era),
+		LeavingEndpoints: convert(d.LeavingEndpoints, instanceToWire),
+		Reading:          d.ReadsList,
+		ReadFailing:      d.ListReadFailing,
+		Loads:            convert(d.Loads, endpointLoadToWire),
+		Known:            d.KnownAddresses,
+		Marks:            convert(d.CacheUpdates, cacheUpdateToWire),
+		ByRelay:          d.ViaRelay,
+		KeepLoads:        d.LoadsUnchanged,
+		LinkMbps:         d.LinkSpeedMbps,
+		Changes:          changesToWire(d.Changes),
+		Domains:          convert(d.Domains, domainLoadToWire),
 	}
 }
 
@@ -161,7 +163,8 @@
 		Leaving:          d.GetLeaving(),
 		Version:          model.Version(d.GetVersion()),
 		ListReadAge:      time.Duration(d.GetReadAgeMs()) * time.Millisecond,
-		ListChangeOffset: model.Offset(d.GetListChange()),
+		ListChange:       position(d.GetListEra(), d.GetListChange()),
+		LeavingEndpoints: convert(d.GetLeavingEndpoints(), instanceFromWire),
 		ReadsList:        d.GetReading(),
 		ListReadFailing:  d.GetReadFailing(),
 		Loads:            convert(d.GetLoads(), endpointLoadFromWire),
@@ -230,13 +233,16 @@
 	if len(c.Records) == 0 {
 		return nil
 	}
-	return &peer.ListChanges{After: uint64(c.After), Upto: uint64(c.UpTo), Entries: convert(c.Records, recordToWire)}
+	return &peer.ListChanges{
+		After: uint64(c.After.Offset), Upto: uint64(c.UpTo.Offset), Era: uint64(c.UpTo.Era),
+		Entries: convert(c.Records, recordToWire),
+	}
 }
 
 func changesFromWire(c *peer.ListChanges) port.ListChanges {
 	return port.ListChanges{
-		After:   model.Offset(c.GetAfter()),
-		UpTo:    model.Offset(c.GetUpto()),
+		After:   position(c.GetEra(), c.GetAfter()),
+		UpTo:    position(c.GetEra(), c.GetUpto()),
 		Records: convert(c.GetEntries(), recordFromWire),
 	}
 }
@@ -255,13 +261,25 @@
 func entryToWire(e directory.Entry) *peer.EndpointEntry {
 	return &peer.EndpointEntry{
 		Name: string(e.Name), Pool: string(e.Pool), Address: e.Address, Domain: string(e.Domain),
-		Slots: int64(e.Slots), Draining: e.Draining, Started: e.Started,
+		Slots: int64(e.Slots), Draining: e.Draining, Started: e.Started, Sequence: e.Sequence,
 	}
 }
 
 func entryFromWire(e *peer.EndpointEntry) directory.Entry {
 	return directory.Entry{
 		Name: model.EndpointName(e.GetName()), Pool: model.PoolName(e.GetPool()), Address: e.GetAddress(),
-		Domain: model.DomainName(e.GetDomain()), Slots: int(e.GetSlots()), Draining: e.GetDraining(), Started: e.GetStarted(),
+		Domain: model.DomainName(e.GetDomain()), Slots: int(e.GetSlots()), Draining: e.GetDraining(), Started: e.GetStarted(), Sequence: e.GetSequence(),
 	}
 }
+
+func position(era, offset uint64) model.Position {
+	return model.Position{Era: model.Era(era), Offset: model.Offset(offset)}
+}
+
+func instanceToWire(i model.Instance) *peer.EndpointInstance {
+	return &peer.EndpointInstance{Name: string(i.Name), Started: i.Started}
+}
+
+func instanceFromWire(i *peer.EndpointInstance) model.Instance {
+	return model.Instance{Name: model.EndpointName(i.GetName()), Started: i.GetStarted()}
+}
--- a/internal/adapter/peergrpc/share_bench_test.go
+++ b/internal/adapter/peergrpc/share_bench_test.go
@@ -47,7 +47,7 @@
 
 func TestLoadDigestRoundTrips(t *testing.T) {
 	want := digestOf(3)
-	want.ReadsList, want.ListReadFailing, want.ListChangeOffset = true, true, 7
+	want.ReadsList, want.ListReadFailing, want.ListChange = true, true, model.Position{Era: 2, Offset: 7}
 	got := loadDigestFromWire(loadDigestToWire(want))
 	must.Eq(t, want, got)
 }
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -79,6 +79,9 @@
 	ReasonNoEndpoint Reason = "no_endpoint"
 	// ReasonRetryBudget means that the retry budget is used up.
 	ReasonRetryBudget Reason = "retry_budget"
+	// ReasonBackoff means that all endpoints that could take the request have
+	// asked this host to send nothing for some time.
+	ReasonBackoff Reason = "backoff"
 	// ReasonTooLarge means that the prompt exceeds the cache of every endpoint.
 	ReasonTooLarge Reason = "too_large"
 )
@@ -89,6 +92,8 @@
 	// refusal.
 	Endpoint model.EndpointName
 	Address  string
+	// Started identifies the start of the endpoint.
+	Started int64
 	// Priority is the priority to send to the engine; smaller is served first.
 	Priority int
 	// FetchFrom is the address of an endpoint that likely caches the shared
@@ -118,6 +123,9 @@
 type Result struct {
 	// Failure is how the endpoint failed; FailureNone if it did not.
 	Failure Failure
+	// RetryAfter is the time for which an endpoint that refused the request wants
+	// no more requests from this host; 0 for none.
+	RetryAfter time.Duration
 }
 
 // Failure is the way in which an endpoint failed an attempt.
@@ -338,6 +346,7 @@
 	d := Decision{
 		Endpoint:      e.Name,
 		Address:       e.Address,
+		Started:       e.Started,
 		Priority:      c.priority,
 		FetchFrom:     c.fetchFrom,
 		Expected:      c.expected,
@@ -398,6 +407,11 @@
 	r.setOverdue(false)
 	r.setStalled(false)
 	r.endpoint.recordResult(now, res.Failure)
+	if res.RetryAfter > 0 {
+		r.endpoint.startBackoff(now, res.RetryAfter)
+	} else if r.answered {
+		r.endpoint.endBackoff(now)
+	}
 	b.recordReachability(now, r, res.Failure)
 	b.localLoadChanged = true
 }
@@ -420,11 +434,12 @@
 	}
 }
 
-// HasUsableEndpoint reports whether any endpoint is usable: not draining,
-// unreachable or paused. The reachability of its failure domain does not count.
+// HasUsableEndpoint reports whether any endpoint is in service: not draining,
+// unreachable or paused. The reachability of its failure domain does not count,
+// and neither does a backoff, which ends by itself.
 func (b *Balancer) HasUsableEndpoint(now time.Time) bool {
 	for _, e := range b.endpoints {
-		if e.isUsable(now) {
+		if e.isInService(now) {
 			return true
 		}
 	}
@@ -432,9 +447,13 @@
 }
 
 // refuse returns a refusal with a retry time within minRetryAfter and
-// maxRetryAfter.
+// maxRetryAfter. The time that endpoints have stated themselves is not limited:
+// before it, no retry can succeed.
 func refuse(reason Reason, after time.Duration) Decision {
-	return Decision{Reason: reason, RetryAfter: min(max(after, minRetryAfter), maxRetryAfter)}
+	if reason != ReasonBackoff {
+		after = min(after, maxRetryAfter)
+	}
+	return Decision{Reason: reason, RetryAfter: max(after, minRetryAfter)}
 }
 
 const (
--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -143,6 +143,9 @@
 			return best, ""
 		}
 	}
+	if wait, backingOff := b.timeToBackoffEnd(now, p); backingOff {
+		return choice{retryAfter: wait}, ReasonBackoff
+	}
 	return choice{retryAfter: p.timeToNextEndpoint(now)}, ReasonNoEndpoint
 }
 
--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -63,6 +63,7 @@
 	// a row. Until pausedUntil, the endpoint gets no requests.
 	consecutiveFailures int
 	pausedUntil         time.Time
+	backoff             backoff
 	// unreachable reports whether the last connection could not be opened.
 	// nextCheck is when that is checked again.
 	unreachable bool
@@ -88,12 +89,18 @@
 	return all
 }
 
-// isUsable reports whether the endpoint may get requests: it is not draining,
-// unreachable or paused.
-func (e *endpoint) isUsable(now time.Time) bool {
+// isInService reports whether the endpoint is not draining, unreachable or
+// paused.
+func (e *endpoint) isInService(now time.Time) bool {
 	return !e.Draining && !e.unreachable && !now.Before(e.pausedUntil)
 }
 
+// isUsable reports whether the endpoint may get requests: it is in service and its
+// backoff allows them.
+func (e *endpoint) isUsable(now time.Time) bool {
+	return e.isInService(now) && e.allowsRequest(now)
+}
+
 // recordLatency updates the latency ratio with the time to a first response and
 // resets the consecutive failures.
 func (e *endpoint) recordLatency(now time.Time, took, expected time.Duration) {
--- a/internal/core/balance/reachability.go
+++ b/internal/core/balance/reachability.go
@@ -130,7 +130,7 @@
 		if e.stalled > 0 || e.overdue > 0 {
 			overdue[d] = true
 		}
-		if e.unreachable && !e.Draining && !d.unreachable && !now.Before(e.nextCheck) {
+		if e.unreachable && !e.Draining && !d.unreachable && !now.Before(e.nextCheck) && !e.isBackingOff(now) {
 			out = e.appendCheck(out)
 		}
 	}
@@ -185,7 +185,7 @@
 		if d.openChecks >= wanted {
 			break
 		}
-		if !e.Draining && !e.checkOpen && (d.unreachable || !e.unreachable) {
+		if !e.Draining && !e.checkOpen && !e.isBackingOff(now) && (d.unreachable || !e.unreachable) {
 			e.inDomainRound = true
 			d.openChecks++
 			out = e.appendCheck(out)
--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -1,9 +1,12 @@
 // Package directory holds the list of endpoints that the platform publishes. It
 // decides which endpoints may get new requests while entries arrive late,
-// expire during an outage of the platform's store, or are deleted.
+// expire during an outage of the platform's store, are deleted, or return to an
+// older state because the store was restored from a copy.
 package directory
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
@@ -20,8 +23,22 @@
 	// Draining endpoints finish their requests and accept no more.
 	Draining bool
 	// Started distinguishes a restarted endpoint from its predecessor with the
-	// same name.
+	// same name. It is the Unix time of the start in milliseconds.
 	Started int64
+	// Sequence counts the entries that this start of the endpoint has published.
+	Sequence int64
+}
+
+// isOlderThan reports whether the endpoint published e before other.
+func (e Entry) isOlderThan(other Entry) bool {
+	return cmp.Or(cmp.Compare(e.Started, other.Started), cmp.Compare(e.Sequence, other.Sequence)) < 0
+}
+
+// equalsExceptSequence reports whether the entries say the same about the
+// endpoint.
+func (e Entry) equalsExceptSequence(other Entry) bool {
+	e.Sequence = other.Sequence
+	return e == other
 }
 
 // Change is a change of one entry.
@@ -35,8 +52,8 @@
 	Restarted bool
 }
 
-// returnGrace is the time after an outage of the store within which entries
-// that expired during the outage return: the platform states about 2 s.
+// returnGrace is the time after an outage or a restoration of the store within
+// which the entries of live endpoints return: the platform states about 2 s.
 const returnGrace = 2 * time.Second
 
 // outageAfter is the time without a response from the store after which entries
@@ -55,13 +72,19 @@
 	lastRead time.Time
 	// graceUntil is the time until which removals are delayed.
 	graceUntil time.Time
+	// restored is the state that protects the list after the store was restored.
+	restored restoredState
+	// leaving are the endpoints that have reported that they are leaving.
+	leaving map[model.EndpointName]leavingMark
 }
 
 // New returns an empty directory.
 func New() *Directory {
 	return &Directory{
-		entries: make(map[model.EndpointName]Entry),
-		missing: make(map[model.EndpointName]time.Time),
+		entries:  make(map[model.EndpointName]Entry),
+		missing:  make(map[model.EndpointName]time.Time),
+		restored: newRestoredState(),
+		leaving:  make(map[model.EndpointName]leavingMark),
 	}
 }
 
@@ -87,38 +110,52 @@
 // the changes in the response are applied.
 func (d *Directory) RecordStoreRead(now time.Time) {
 	if !d.lastRead.IsZero() && now.Sub(d.lastRead) > outageAfter {
-		d.graceUntil = now.Add(returnGrace)
+		d.delayRemovals(now)
 	}
 	d.lastRead = now
 }
 
-// Put adds or replaces an entry. It returns false if nothing has changed.
-func (d *Directory) Put(e Entry) (Change, bool) {
+// delayRemovals delays removals until returnGrace from now.
+func (d *Directory) delayRemovals(now time.Time) { d.graceUntil = now.Add(returnGrace) }
+
+// Put adds or replaces an entry. It returns false if nothing has changed, or if
+// the entry may be outdated since the store was restored.
+func (d *Directory) Put(now time.Time, e Entry) (Change, bool) {
+	if d.isOutdated(now, e) {
+		return Change{}, false
+	}
+	return d.store(e)
+}
+
+// store adds or replaces an entry. It returns false if nothing has changed.
+func (d *Directory) store(e Entry) (Change, bool) {
 	delete(d.missing, e.Name)
+	d.restored.forget(e.Name)
 	before, known := d.entries[e.Name]
-	if known && before == e {
+	d.entries[e.Name] = e
+	if known && before.equalsExceptSequence(e) {
 		return Change{}, false
 	}
-	d.entries[e.Name] = e
 	restarted := known && (before.Started != e.Started || before.Address != e.Address)
-	return Change{Entry: e, Restarted: restarted}, true
+	return Change{Entry: d.withLeaving(e), Restarted: restarted}, true
 }
 
 // Remove removes an entry. Shortly after an outage, entries that are not
 // draining become missing instead, in case they return; it returns false then
 // and for unknown names.
 func (d *Directory) Remove(now time.Time, name model.EndpointName) (Change, bool) {
+	delete(d.restored.withheld, name)
 	e, known := d.entries[name]
 	if !known {
 		return Change{}, false
 	}
-	if now.Before(d.graceUntil) && !e.Draining {
+	if now.Before(d.graceUntil) && !d.withLeaving(e).Draining {
 		if _, waiting := d.missing[name]; !waiting {
 			d.missing[name] = d.graceUntil
 		}
 		return Change{}, false
 	}
-	return d.drop(e), true
+	return d.drop(now, e), true
 }
 
 // Replace applies a complete list: entries that are not in it are removed.
@@ -127,7 +164,7 @@
 	seen := make(map[model.EndpointName]bool, len(list))
 	for _, e := range list {
 		seen[e.Name] = true
-		if c, changed := d.Put(e); changed {
+		if c, changed := d.Put(now, e); changed {
 			out = append(out, c)
 		}
 	}
@@ -142,26 +179,29 @@
 	return out
 }
 
-// ExpireMissing removes the missing entries that have not returned in time.
-func (d *Directory) ExpireMissing(now time.Time) []Change {
+// Expire applies the changes that are due by time: it removes missing entries
+// that have not returned, and accepts withheld entries that are still listed.
+func (d *Directory) Expire(now time.Time) []Change {
 	var out []Change
 	for name, at := range d.missing {
-		if now.Before(at) {
-			continue
+		if !now.Before(at) {
+			out = append(out, d.drop(now, d.entries[name]))
 		}
-		out = append(out, d.drop(d.entries[name]))
 	}
-	return out
+	d.expireLeaving(now)
+	return append(out, d.expireRestored(now)...)
 }
 
 // drop removes an entry at once.
-func (d *Directory) drop(e Entry) Change {
+func (d *Directory) drop(now time.Time, e Entry) Change {
 	delete(d.entries, e.Name)
 	delete(d.missing, e.Name)
+	d.restored.recordRemoval(now, e)
 	return Change{Entry: e, Removed: true}
 }
 
-// Entries returns a copy of the list without the missing entries.
+// Entries returns a copy of the list without the missing entries, sorted by
+// name.
 func (d *Directory) Entries() []Entry {
 	out := make([]Entry, 0, len(d.entries))
 	for name, e := range d.entries {
@@ -169,5 +209,6 @@
 			out = append(out, e)
 		}
 	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
--- a/internal/core/directory/directory_test.go
+++ b/internal/core/directory/directory_test.go
@@ -23,22 +23,22 @@
 	d := directory.New()
 	d.RecordStoreRead(now)
 	for _, name := range names {
-		d.Put(entry(name))
+		d.Put(now, entry(name))
 	}
 	return d
 }
 
 func TestPutReturnsChangesOnly(t *testing.T) {
 	d := filled(at(0), "a")
-	_, changed := d.Put(entry("a"))
+	_, changed := d.Put(at(0), entry("a"))
 	must.False(t, changed)
 	restarted := entry("a")
 	restarted.Started = 2
-	change, changed := d.Put(restarted)
+	change, changed := d.Put(at(0), restarted)
 	must.True(t, changed)
 	must.True(t, change.Restarted)
 	restarted.Draining = true
-	change, _ = d.Put(restarted)
+	change, _ = d.Put(at(0), restarted)
 	must.False(t, change.Restarted)
 }
 
@@ -57,7 +57,7 @@
 	d := filled(at(0), "returning", "dead", "draining")
 	leaving := entry("draining")
 	leaving.Draining = true
-	d.Put(leaving)
+	d.Put(at(0), leaving)
 	d.RecordStoreRead(at(10 * time.Second))
 	for _, name := range []model.EndpointName{"returning", "dead"} {
 		_, changed := d.Remove(at(10*time.Second), name)
@@ -65,9 +65,9 @@
 	}
 	_, changed := d.Remove(at(10*time.Second), "draining")
 	must.True(t, changed, must.Sprint("a draining endpoint does not return"))
-	d.Put(entry("returning"))
-	must.SliceEmpty(t, d.ExpireMissing(at(11*time.Second)))
-	gone := d.ExpireMissing(at(12 * time.Second))
+	d.Put(at(10*time.Second), entry("returning"))
+	must.SliceEmpty(t, d.Expire(at(11*time.Second)))
+	gone := d.Expire(at(12 * time.Second))
 	must.Len(t, 1, gone)
 	must.Eq(t, "dead", gone[0].Entry.Name)
 	must.Eq(t, 1, d.Len())
@@ -94,16 +94,16 @@
 			name := model.EndpointName(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"))
 			d.RecordStoreRead(now)
 			if rapid.Bool().Draw(t, "put") {
-				d.Put(entry(string(name)))
+				d.Put(now, entry(string(name)))
 				last[name] = "put"
 			} else {
 				d.Remove(now, name)
 				last[name] = "removed"
 			}
-			d.ExpireMissing(now)
+			d.Expire(now)
 		}
 		now = now.Add(3 * time.Second)
-		d.ExpireMissing(now)
+		d.Expire(now)
 		want := 0
 		for _, change := range last {
 			if change == "put" {
--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -2,7 +2,10 @@
 // names, outcomes and priorities of requests, hosts and endpoints.
 package model
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // HostID names an entry host. It is unique among all hosts that are live.
 type HostID string
@@ -47,6 +50,42 @@
 // Offset is a position in a stream of the platform's log.
 type Offset uint64
 
+// Era numbers the histories of the platform's store. It rises when the store was
+// restored from an older copy: records that it had acknowledged may be lost, and
+// their offsets are assigned again.
+type Era uint64
+
+// Position is a position in a stream of the platform's log. An offset identifies a
+// record only within its era.
+type Position struct {
+	Era    Era
+	Offset Offset
+}
+
+// Compare returns a negative number, 0 or a positive number if p is before other,
+// equal to it or after it. All positions of an era are before those of the next.
+func (p Position) Compare(other Position) int {
+	return cmp.Or(cmp.Compare(p.Era, other.Era), cmp.Compare(p.Offset, other.Offset))
+}
+
+// IsAfter reports whether p is after other.
+func (p Position) IsAfter(other Position) bool { return p.Compare(other) > 0 }
+
+// LaterPosition returns the later one of two positions.
+func LaterPosition(a, b Position) Position {
+	if b.IsAfter(a) {
+		return b
+	}
+	return a
+}
+
+// Instance identifies one start of an endpoint. A restart under the same name has
+// another Started.
+type Instance struct {
+	Name    EndpointName
+	Started int64
+}
+
 // Outcome states whether a request is known to have been executed.
 type Outcome uint8
 
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -24,12 +24,12 @@
 	fetchingList   bool
 	lastListFetch  time.Time
 	// lastListRead is when this host last read the list of endpoints from the
-	// store. nextListOffset is the offset after the records that this host has
-	// applied, and listChangeOffset the offset after the last record that
-	// changed the list.
-	lastListRead     time.Time
-	nextListOffset   model.Offset
-	listChangeOffset model.Offset
+	// store. nextInList is the position after the records that this host has
+	// applied, and lastListChange the position after the last record that changed
+	// the list.
+	lastListRead   time.Time
+	nextInList     model.Position
+	lastListChange model.Position
 	// listReadFailing reports whether this host's last read of the list failed.
 	listReadFailing bool
 	// loggedReserved is the last logged number of engines reserved for urgent
@@ -54,7 +54,7 @@
 func (c *control) tick(now time.Time) {
 	c.balancer.ExpirePeers(now)
 	c.checkEndpoints(now)
-	c.applyEndpointChanges(now, c.directory.ExpireMissing(now))
+	c.applyEndpointChanges(now, c.directory.Expire(now))
 	c.gateway.usable.Store(c.balancer.HasUsableEndpoint(now))
 	c.updateReading(now)
 	c.refreshStaleList(now)
@@ -85,6 +85,27 @@
 	}
 }
 
+// markLeaving records that an endpoint has reported that it is leaving, and
+// reports it to the peers.
+func (g *Gateway) markLeaving(instance model.Instance) {
+	g.loop.Post(loop.Func(func(now time.Time) { g.control.applyLeaving(now, []model.Instance{instance}) }))
+}
+
+// applyLeaving marks endpoints as leaving. If any was not known to leave, it
+// requests digests, which report all such endpoints.
+func (c *control) applyLeaving(now time.Time, instances []model.Instance) {
+	var changes []directory.Change
+	for _, instance := range instances {
+		if change, changed := c.directory.MarkLeaving(instance); changed {
+			changes = append(changes, change)
+		}
+	}
+	if len(changes) > 0 {
+		c.applyEndpointChanges(now, changes)
+		c.peers.requestDigests()
+	}
+}
+
 // applyEndpointChanges passes changes of the list of endpoints to the balancer
 // and logs them.
 func (c *control) applyEndpointChanges(now time.Time, changes []directory.Change) {
--- a/internal/gateway/digests.go
+++ b/internal/gateway/digests.go
@@ -297,7 +297,7 @@
 	return port.LoadDigest{
 		Host: opts.Host, Incarnation: opts.Incarnation, Domain: opts.Domain, Address: opts.PeerAddress,
 		LinkSpeedMbps: opts.LinkMbps, Leaving: c.gateway.leaving.Load(), Version: c.version(),
-		ListReadAge: min(now.Sub(c.lastListRead), maxReadAge), ListChangeOffset: c.listChangeOffset,
+		ListReadAge: min(now.Sub(c.lastListRead), maxReadAge), ListChange: c.lastListChange, LeavingEndpoints: c.directory.Leaving(),
 		ReadsList: c.gateway.reading.Load(), ListReadFailing: c.listReadFailing,
 	}
 }
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -30,7 +30,7 @@
 	topic   port.Topic
 	// wait is how long a read waits for changes.
 	wait time.Duration
-	next model.Offset
+	next model.Position
 	// synced reports that the full list has been read and next is set.
 	synced     bool
 	retryDelay time.Duration
@@ -39,7 +39,7 @@
 }
 
 // read returns the records since the last read. The first read, and the one
-// after records have expired, returns the full list.
+// after records have expired or the store was restored, returns the full list.
 func (f *follower) read(ctx context.Context) (batch port.KeyedBatch, full bool, err error) {
 	if !f.synced {
 		batch, err = f.gateway.opts.Lists.LatestValues(ctx, f.topic)
@@ -47,10 +47,8 @@
 	} else {
 		batch, err = f.gateway.opts.Lists.Changes(ctx, f.topic, f.next, f.wait)
 	}
-	var expired *port.ExpiredError
-	if errors.As(err, &expired) {
+	if f.mustReadAll(err) {
 		f.synced = false
-		f.gateway.opts.Log.WithFields(fields{"topic": f.topic.String(), "from": f.next}).Warn("lists: records expired, reading the full list")
 		return f.read(ctx)
 	}
 	f.recordResult(err)
@@ -58,10 +56,27 @@
 		return batch, full, err
 	}
 	f.synced = true
-	f.next = batch.NextOffset
+	f.next = batch.Next
 	return batch, full, nil
 }
 
+// mustReadAll reports whether a read of changes failed because the position has no
+// meaning to the store any more, and logs it.
+func (f *follower) mustReadAll(err error) bool {
+	entry := f.gateway.opts.Log.WithFields(fields{"topic": f.topic.String(), "from": f.next.Offset, "era": f.next.Era})
+	var expired *port.ExpiredError
+	if errors.As(err, &expired) {
+		entry.Warn("lists: records expired, reading the full list")
+		return true
+	}
+	var restored *port.RestoredError
+	if errors.As(err, &restored) {
+		entry.WithField("new_era", restored.Era).Warn("lists: store was restored, reading the full list")
+		return true
+	}
+	return false
+}
+
 // recordResult logs the first failed read and the recovery, and sets the delay
 // before the next try.
 func (f *follower) recordResult(err error) {
@@ -185,14 +200,14 @@
 	// full reports that records is the full list: other endpoints are gone.
 	full    bool
 	records []port.ListRecord
-	// next is the offset after the records.
-	next model.Offset
+	// next is the position after the records.
+	next model.Position
 }
 
 // decodeEndpoints decodes records of the list of endpoints. It skips entries that
 // cannot be decoded.
 func (g *Gateway) decodeEndpoints(batch port.KeyedBatch, full bool) listUpdate {
-	update := listUpdate{full: full, next: batch.NextOffset}
+	update := listUpdate{full: full, next: batch.Next}
 	for _, rec := range batch.Records {
 		item := port.ListRecord{Name: model.EndpointName(rec.Key)}
 		if len(rec.Value) == 0 {
--- a/internal/gateway/listchanges.go
+++ b/internal/gateway/listchanges.go
@@ -26,20 +26,24 @@
 // missingChanges describes changes of the list of endpoints that a peer has and
 // this host lacks.
 type missingChanges struct {
-	// upto is the offset after the newest change known at a peer, peer the
+	// upto is the position after the newest change known at a peer, peer the
 	// peer's address, and since the time when this host began to lack changes.
-	upto  model.Offset
+	upto  model.Position
 	peer  string
 	since time.Time
 }
 
 // applyListRead applies the result of this host's read of the list of
-// endpoints, and queues the changes for its peers.
+// endpoints, and queues the changes for its peers. It ignores a late response from
+// before the store was restored.
 func (c *control) applyListRead(now time.Time, update listUpdate) {
+	if update.next.Era < c.nextInList.Era {
+		c.gateway.opts.Log.WithFields(fields{"era": update.next.Era, "known": c.nextInList.Era}).Warn("lists: response from before the restoration ignored")
+		return
+	}
 	c.directory.RecordStoreRead(now)
 	c.lastListRead = now
 	c.listReadFailing = false
-	c.nextListOffset = max(c.nextListOffset, update.next)
 	if update.full {
 		var entries []directory.Entry
 		for _, rec := range update.records {
@@ -47,18 +51,32 @@
 				entries = append(entries, rec.Entry)
 			}
 		}
-		c.applyEndpointChanges(now, c.directory.Replace(now, entries))
+		c.replaceList(now, entries, update.next)
 		// Peers may have changes that this host never received.
-		c.listChangeOffset = c.nextListOffset
+		c.lastListChange = c.nextInList
 		c.peers.requestDigests()
 		return
 	}
+	c.nextInList = model.LaterPosition(c.nextInList, update.next)
 	applied := c.applyRecords(now, update.records)
 	if len(applied) == 0 {
 		return
 	}
-	c.peers.digests.queueChanges(port.ListChanges{After: c.listChangeOffset, UpTo: c.nextListOffset, Records: applied})
-	c.listChangeOffset = c.nextListOffset
+	c.peers.digests.queueChanges(port.ListChanges{After: c.lastListChange, UpTo: c.nextInList, Records: applied})
+	c.lastListChange = c.nextInList
+}
+
+// replaceList replaces the list of endpoints by a complete one that ends at next.
+// If it is the first one of a new era of the store, what is known to be newer is
+// kept.
+func (c *control) replaceList(now time.Time, entries []directory.Entry, next model.Position) {
+	replace := c.directory.Replace
+	if next.Era > c.nextInList.Era && c.nextInList != (model.Position{}) {
+		replace = c.directory.Restore
+		c.gateway.opts.Log.WithFields(fields{"era": next.Era, "before": c.nextInList.Era}).Warn("lists: store was restored, keeping newer entries")
+	}
+	c.nextInList = model.LaterPosition(c.nextInList, next)
+	c.applyEndpointChanges(now, replace(now, entries))
 }
 
 // applyRecords applies changes of the list and returns the records that changed
@@ -76,7 +94,7 @@
 			change, changed = c.directory.Remove(now, rec.Name)
 		} else {
 			wasMissing := c.directory.IsMissing(rec.Name)
-			change, changed = c.directory.Put(rec.Entry)
+			change, changed = c.directory.Put(now, rec.Entry)
 			if changed || wasMissing {
 				applied = append(applied, rec)
 			}
@@ -101,18 +119,25 @@
 // receiveListChanges applies the list changes in a digest. If changes are
 // missing, it records the peer from which to fetch them.
 func (c *control) receiveListChanges(now time.Time, d port.LoadDigest) {
-	if len(d.Changes.Records) > 0 && d.Changes.After <= c.nextListOffset && d.Changes.UpTo > c.nextListOffset {
+	if c.continuesList(d.Changes) {
 		c.applyRecords(now, d.Changes.Records)
-		c.nextListOffset = d.Changes.UpTo
-		c.listChangeOffset = max(c.listChangeOffset, d.Changes.UpTo)
+		c.nextInList = d.Changes.UpTo
+		c.lastListChange = model.LaterPosition(c.lastListChange, d.Changes.UpTo)
 	}
-	if d.ListChangeOffset <= c.nextListOffset || d.ListChangeOffset <= c.missing.upto {
+	if !d.ListChange.IsAfter(c.nextInList) || !d.ListChange.IsAfter(c.missing.upto) {
 		return
 	}
-	if c.missing.upto <= c.nextListOffset {
+	if !c.missing.upto.IsAfter(c.nextInList) {
 		c.missing.since = now
 	}
-	c.missing.upto, c.missing.peer = d.ListChangeOffset, d.Address
+	c.missing.upto, c.missing.peer = d.ListChange, d.Address
+}
+
+// continuesList reports whether changes contain new records and none are missing
+// before them. Changes of another era do not: only a complete list starts an era.
+func (c *control) continuesList(changes port.ListChanges) bool {
+	return len(changes.Records) > 0 && changes.After.Era == c.nextInList.Era &&
+		!changes.After.IsAfter(c.nextInList) && changes.UpTo.IsAfter(c.nextInList)
 }
 
 // fetchMissingChanges obtains list changes that peers have and this host lacks,
@@ -120,7 +145,7 @@
 // reads of the store fail, else after listFetchDelay; a reader whose reads
 // succeed reads the store at once instead.
 func (c *control) fetchMissingChanges(now time.Time) {
-	if c.missing.upto <= c.nextListOffset {
+	if !c.missing.upto.IsAfter(c.nextInList) {
 		return
 	}
 	switch {
--- a/internal/gateway/listchanges_test.go
+++ b/internal/gateway/listchanges_test.go
@@ -39,6 +39,9 @@
 // at returns the simulated time after d.
 func at(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
 
+// offset returns a position in the first era of the store.
+func offset(o model.Offset) model.Position { return model.Position{Era: 1, Offset: o} }
+
 // listRecord returns the record of an endpoint that is added to the list.
 func listRecord(name model.EndpointName) port.ListRecord {
 	return port.ListRecord{Name: name, Entry: directory.Entry{Name: name, Pool: "p", Address: string(name), Domain: "north"}}
@@ -46,37 +49,37 @@
 
 // changesDigest returns a digest of the host h2 with the list changes between two
 // offsets.
-func changesDigest(after, upto model.Offset, records ...port.ListRecord) port.LoadDigest {
+func changesDigest(after, upto model.Position, records ...port.ListRecord) port.LoadDigest {
 	return port.LoadDigest{
-		Host: "h2", Address: "peer", ListChangeOffset: upto,
+		Host: "h2", Address: "peer", ListChange: upto,
 		Changes: port.ListChanges{After: after, UpTo: upto, Records: records},
 	}
 }
 
 func TestListChangesFromPeersAreApplied(t *testing.T) {
 	c, _ := newTestControl(t)
-	c.nextListOffset = 10
-	c.receiveListChanges(at(0), changesDigest(8, 12, listRecord("a"), listRecord("b")))
+	c.nextInList = offset(10)
+	c.receiveListChanges(at(0), changesDigest(offset(8), offset(12), listRecord("a"), listRecord("b")))
 	must.Eq(t, 2, c.directory.Len())
-	c.receiveListChanges(at(0), changesDigest(12, 14, port.ListRecord{Name: "a", Removed: true}))
+	c.receiveListChanges(at(0), changesDigest(offset(12), offset(14), port.ListRecord{Name: "a", Removed: true}))
 	must.Eq(t, 1, c.directory.Len())
-	c.receiveListChanges(at(0), changesDigest(8, 12, listRecord("a"), listRecord("b")))
+	c.receiveListChanges(at(0), changesDigest(offset(8), offset(12), listRecord("a"), listRecord("b")))
 	must.Eq(t, 1, c.directory.Len(), must.Sprint("older changes arrive late"))
-	must.Eq(t, 14, c.nextListOffset)
+	must.Eq(t, offset(14), c.nextInList)
 }
 
 // A host that misses changes waits for them, and then fetches the full list
 // from the peer.
 func TestMissedListChangesAreFetchedAfterDelay(t *testing.T) {
 	c, peers := newTestControl(t)
-	c.nextListOffset = 10
-	c.receiveListChanges(at(0), changesDigest(20, 25, listRecord("a")))
+	c.nextInList = offset(10)
+	c.receiveListChanges(at(0), changesDigest(offset(20), offset(25), listRecord("a")))
 	must.Eq(t, 0, c.directory.Len())
 	c.fetchMissingChanges(at(listFetchDelay - time.Millisecond))
 	must.Eq(t, 0, len(peers.fetches))
 	c.fetchMissingChanges(at(listFetchDelay))
 	must.Eq(t, "peer", <-peers.fetches)
-	c.adoptList(at(listFetchDelay), port.EndpointList{Entries: []directory.Entry{listRecord("a").Entry}, NextOffset: 25})
+	c.adoptList(at(listFetchDelay), port.EndpointList{Entries: []directory.Entry{listRecord("a").Entry}, Next: offset(25)})
 	c.fetchingList = false
 	c.fetchMissingChanges(at(time.Minute))
 	must.Eq(t, 0, len(peers.fetches))
@@ -89,9 +92,9 @@
 	c, _ := newTestControl(t)
 	leaving := listRecord("a")
 	leaving.Entry.Draining = true
-	c.applyListRead(at(0), listUpdate{full: true, records: []port.ListRecord{leaving}, next: 10})
+	c.applyListRead(at(0), listUpdate{full: true, records: []port.ListRecord{leaving}, next: offset(10)})
 	for _, next := range []model.Offset{0, 9, 10} {
-		c.adoptList(at(0), port.EndpointList{Entries: []directory.Entry{listRecord("a").Entry, listRecord("b").Entry}, NextOffset: next})
+		c.adoptList(at(0), port.EndpointList{Entries: []directory.Entry{listRecord("a").Entry, listRecord("b").Entry}, Next: offset(next)})
 		must.Eq(t, []directory.Entry{leaving.Entry}, c.directory.Entries())
 	}
 }
@@ -100,7 +103,7 @@
 func TestHostWithFailingReadsFetchesListAtOnce(t *testing.T) {
 	c, peers := newTestControl(t)
 	c.listReadFailing = true
-	c.receiveListChanges(at(0), changesDigest(20, 25, listRecord("a")))
+	c.receiveListChanges(at(0), changesDigest(offset(20), offset(25), listRecord("a")))
 	c.fetchMissingChanges(at(0))
 	must.Eq(t, "peer", <-peers.fetches)
 }
@@ -108,12 +111,12 @@
 // A reader publishes only records that changed its list, merged into one batch.
 func TestReaderPublishesOnlyEffectiveChanges(t *testing.T) {
 	c, _ := newTestControl(t)
-	c.applyListRead(at(0), listUpdate{full: true, records: []port.ListRecord{listRecord("a")}, next: 5})
+	c.applyListRead(at(0), listUpdate{full: true, records: []port.ListRecord{listRecord("a")}, next: offset(5)})
 	must.SliceEmpty(t, c.peers.digests.unsentChanges.Records, must.Sprint("a full list is not published as changes"))
-	c.applyListRead(at(0), listUpdate{records: []port.ListRecord{listRecord("a"), listRecord("b")}, next: 7})
-	c.applyListRead(at(0), listUpdate{records: []port.ListRecord{listRecord("a")}, next: 8})
-	c.applyListRead(at(0), listUpdate{records: []port.ListRecord{{Name: "a", Removed: true}}, next: 9})
-	want := port.ListChanges{After: 5, UpTo: 9, Records: []port.ListRecord{listRecord("b"), {Name: "a", Removed: true}}}
+	c.applyListRead(at(0), listUpdate{records: []port.ListRecord{listRecord("a"), listRecord("b")}, next: offset(7)})
+	c.applyListRead(at(0), listUpdate{records: []port.ListRecord{listRecord("a")}, next: offset(8)})
+	c.applyListRead(at(0), listUpdate{records: []port.ListRecord{{Name: "a", Removed: true}}, next: offset(9)})
+	want := port.ListChanges{After: offset(5), UpTo: offset(9), Records: []port.ListRecord{listRecord("b"), {Name: "a", Removed: true}}}
 	must.Eq(t, want, c.peers.digests.unsentChanges)
 }
 
@@ -126,19 +129,19 @@
 	}
 	older := port.LoadDigest{
 		Version: 1, KnownAddresses: []string{"x"}, CacheUpdates: []balance.CacheUpdate{cacheUpdate(1)}, Domains: []port.DomainLoad{domainLoad(1, 3)},
-		Changes: port.ListChanges{After: 1, UpTo: 3, Records: []port.ListRecord{listRecord("a")}},
+		Changes: port.ListChanges{After: offset(1), UpTo: offset(3), Records: []port.ListRecord{listRecord("a")}},
 	}
 	newer := port.LoadDigest{
 		Version: 2, CacheUpdates: []balance.CacheUpdate{cacheUpdate(2)}, Domains: []port.DomainLoad{domainLoad(2, 4)},
-		Changes: port.ListChanges{After: 3, UpTo: 4, Records: []port.ListRecord{listRecord("b")}},
+		Changes: port.ListChanges{After: offset(3), UpTo: offset(4), Records: []port.ListRecord{listRecord("b")}},
 	}
 	want := newer
 	want.KnownAddresses = []string{"x"}
 	want.CacheUpdates = []balance.CacheUpdate{cacheUpdate(1), cacheUpdate(2)}
 	want.Domains = []port.DomainLoad{domainLoad(2, 3)}
 	want.Domains[0].CacheUpdates = append(want.Domains[0].CacheUpdates, cacheUpdate(4))
-	want.Changes = port.ListChanges{After: 1, UpTo: 4, Records: []port.ListRecord{listRecord("a"), listRecord("b")}}
+	want.Changes = port.ListChanges{After: offset(1), UpTo: offset(4), Records: []port.ListRecord{listRecord("a"), listRecord("b")}}
 	must.Eq(t, want, mergeDigests(older, newer))
-	newer.Changes.After = 7
+	newer.Changes.After = offset(7)
 	must.Eq(t, newer.Changes, mergeDigests(older, newer).Changes, must.Sprint("changes are missing between the two"))
 }
--- a/internal/gateway/model_test.go
+++ b/internal/gateway/model_test.go
@@ -21,48 +21,82 @@
 )
 
 // fleetModel is a model of hosts and the platform's store. Its steps run in any
-// order. Hosts exchange digests that may be late, lost or merged.
+// order. Hosts exchange digests that may be late, lost or merged. The store may be
+// restored from an older copy; endpoints then publish their entries again.
 type fleetModel struct {
 	t     *rapid.T
 	now   time.Time
-	log   []port.ListRecord
+	store modelStore
 	hosts []*modelHost
-	// drained are the start numbers of endpoints that the store has listed as
-	// draining or removed, by name.
-	drained map[model.EndpointName]int64
-	starts  int64
+	// endpoints are the endpoints that run, by name, as they last published
+	// themselves. The store may not list all of them.
+	endpoints map[model.EndpointName]directory.Entry
+	// ended are the endpoints that have ended, and lapsed those whose entries the
+	// store has removed although they run.
+	ended  map[model.Instance]bool
+	lapsed map[model.EndpointName]bool
+	starts int64
+	writes int64
 }
 
+// modelStore is the store's log and its history.
+type modelStore struct {
+	era     model.Era
+	log     []port.ListRecord
+	written []time.Time
+	// republishAt is when all endpoints publish again after a restoration, and
+	// expireAt when the store removes the entries of those that have ended; zero
+	// when there is nothing to do.
+	republishAt, expireAt time.Time
+}
+
+const (
+	// modelRepublishDelay is the time within which endpoints publish again after a
+	// restoration of the store, modelExpireDelay the time after which it removes
+	// the entries of silent endpoints.
+	modelRepublishDelay = 1500 * time.Millisecond
+	modelExpireDelay    = 3600 * time.Millisecond
+	// modelCopyAge is the highest age of the copy from which the store is restored.
+	modelCopyAge = 10 * time.Second
+)
+
 // modelHost is a host with its position in the store's log.
 type modelHost struct {
 	*control
 	next         int
+	era          model.Era
 	synced       bool
 	reading      bool
 	storeDown    bool
 	mailbox      map[*modelHost]port.LoadDigest
 	seenDraining map[model.EndpointName]int64
+	// late is a response of the store that has not arrived yet; nil for none.
+	late *listUpdate
+	// listed are the entries at the last check.
+	listed map[model.EndpointName]directory.Entry
 }
 
 // newFleetModel returns a model of hosts without lists, of which the first two read
 // the store.
 func newFleetModel(t *rapid.T, hosts int) *fleetModel {
-	m := &fleetModel{t: t, now: at(0), drained: make(map[model.EndpointName]int64)}
+	m := &fleetModel{
+		t: t, now: at(0), store: modelStore{era: 1}, endpoints: make(map[model.EndpointName]directory.Entry),
+		ended: make(map[model.Instance]bool), lapsed: make(map[model.EndpointName]bool),
+	}
 	for i := range hosts {
-		g := New(Options{Host: model.HostID(fmt.Sprint("h", i)), Domain: "north", Log: &log.Logger{Handler: discard.New()}})
-		h := &modelHost{
-			control: g.control, reading: i < 2,
-			mailbox: make(map[*modelHost]port.LoadDigest), seenDraining: make(map[model.EndpointName]int64),
-		}
+		h := &modelHost{reading: i < 2}
 		m.hosts = append(m.hosts, h)
+		m.restart(i)
 	}
 	return m
 }
 
-// listEntries returns the list that the host serves to other hosts, by name.
+// listEntries returns the list that the host serves to other hosts, by name and
+// without the counts of writes.
 func (h *modelHost) listEntries() map[model.EndpointName]directory.Entry {
 	out := make(map[model.EndpointName]directory.Entry)
 	for _, e := range h.directory.Entries() {
+		e.Sequence = 0
 		out[e.Name] = e
 	}
 	return out
@@ -71,60 +105,141 @@
 // host draws one of the hosts.
 func (m *fleetModel) host() *modelHost { return rapid.SampledFrom(m.hosts).Draw(m.t, "host") }
 
-// write appends a record to the store's log: an endpoint that starts, is
-// unchanged, drains or is removed.
+// append appends a record to the store's log.
+func (m *fleetModel) append(rec port.ListRecord) {
+	m.store.log = append(m.store.log, rec)
+	m.store.written = append(m.store.written, m.now)
+}
+
+// publish writes the entry of an endpoint to the store.
+func (m *fleetModel) publishEntry(e directory.Entry) {
+	m.writes++
+	e.Sequence = m.writes
+	m.endpoints[e.Name] = e
+	m.append(port.ListRecord{Name: e.Name, Entry: e})
+}
+
+// write lets an endpoint start, restart, drain or end, or its entry lapse.
 func (m *fleetModel) write() {
 	name := model.EndpointName(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(m.t, "endpoint"))
-	state := m.storeList()
-	before, listed := state[name]
-	rec := port.ListRecord{Name: name, Entry: before}
+	e, runs := m.endpoints[name]
+	what := rapid.IntRange(0, 5).Draw(m.t, "change")
 	switch {
-	case !listed:
+	case !runs || what == 0:
+		m.ended[model.Instance{Name: name, Started: e.Started}] = runs
 		m.starts++
-		rec.Entry = directory.Entry{Name: name, Pool: "p", Address: string(name), Domain: "north", Started: m.starts}
-	case rapid.Bool().Draw(m.t, "remove"):
-		rec = port.ListRecord{Name: name, Removed: true}
-		m.drained[name] = before.Started
+		m.publishEntry(directory.Entry{Name: name, Pool: "p", Address: string(name), Domain: "north", Started: m.starts})
+	case what <= 2:
+		m.ended[model.Instance{Name: name, Started: e.Started}] = true
+		delete(m.endpoints, name)
+		m.append(port.ListRecord{Name: name, Removed: true})
+	case what == 3:
+		m.lapsed[name] = true
+		m.append(port.ListRecord{Name: name, Removed: true})
+		m.publishEntry(e)
 	default:
-		rec.Entry.Draining = true
-		m.drained[name] = before.Started
+		e.Draining = true
+		m.publishEntry(e)
 	}
-	m.log = append(m.log, rec)
 }
 
-// storeList returns the list that results from the store's log.
-func (m *fleetModel) storeList() map[model.EndpointName]directory.Entry { return fold(m.log) }
+// restore replaces the store's log by an older copy of it.
+func (m *fleetModel) restore() {
+	first := len(m.store.log)
+	for first > 0 && m.now.Sub(m.store.written[first-1]) <= modelCopyAge {
+		first--
+	}
+	kept := rapid.IntRange(first, len(m.store.log)).Draw(m.t, "kept")
+	m.store.log = slices.Clone(m.store.log[:kept])
+	m.store.written = slices.Clone(m.store.written[:kept])
+	m.store.era++
+	m.store.republishAt = m.now.Add(modelRepublishDelay)
+	m.store.expireAt = m.now.Add(modelExpireDelay)
+}
 
-// fold returns the list that results from the records, by name.
-func fold(records []port.ListRecord) map[model.EndpointName]directory.Entry {
+// advance lets time pass, in which endpoints publish again and the store removes
+// the entries of those that have ended. Like the store's, an entry that differs
+// only in its count makes no record.
+func (m *fleetModel) advance(d time.Duration) {
+	m.now = m.now.Add(d)
+	if at := m.store.republishAt; !at.IsZero() && !m.now.Before(at) {
+		m.store.republishAt = time.Time{}
+		listed := m.storeList()
+		for _, name := range slices.Sorted(maps.Keys(m.endpoints)) {
+			e := m.endpoints[name]
+			e.Sequence = 0
+			if listed[name] != e {
+				m.publishEntry(m.endpoints[name])
+			}
+		}
+	}
+	if at := m.store.expireAt; !at.IsZero() && !m.now.Before(at) {
+		m.store.expireAt = time.Time{}
+		for _, name := range slices.Sorted(maps.Keys(m.storeList())) {
+			if _, runs := m.endpoints[name]; !runs {
+				m.append(port.ListRecord{Name: name, Removed: true})
+			}
+		}
+	}
+}
+
+// storeList returns the list that results from the store's log, without the
+// counts of writes.
+func (m *fleetModel) storeList() map[model.EndpointName]directory.Entry {
 	out := make(map[model.EndpointName]directory.Entry)
-	for _, rec := range records {
+	for _, rec := range m.store.log {
 		if rec.Removed {
 			delete(out, rec.Name)
-		} else {
-			out[rec.Name] = rec.Entry
+			continue
 		}
+		e := rec.Entry
+		e.Sequence = 0
+		out[rec.Name] = e
 	}
 	return out
 }
 
-// read lets a host read the store, if the store answers this host.
-func (m *fleetModel) read(h *modelHost) {
+// read returns what a host reads from the store.
+func (m *fleetModel) read(h *modelHost) listUpdate {
+	update := listUpdate{next: model.Position{Era: m.store.era, Offset: model.Offset(len(m.store.log))}}
+	if h.synced && h.era == m.store.era {
+		update.records = m.store.log[h.next:]
+	} else {
+		update.full = true
+		last := make(map[model.EndpointName]port.ListRecord)
+		for _, rec := range m.store.log {
+			last[rec.Name] = rec
+		}
+		for _, rec := range last {
+			if !rec.Removed {
+				update.records = append(update.records, rec)
+			}
+		}
+	}
+	h.synced, h.next, h.era = true, len(m.store.log), m.store.era
+	return update
+}
+
+// readNow lets a host read the store, if the store answers this host. A response
+// that is still under way arrives first.
+func (m *fleetModel) readNow(h *modelHost) {
+	if h.late != nil {
+		h.applyListRead(m.now, *h.late)
+		h.late = nil
+	}
 	if h.storeDown {
 		h.recordListFailure()
 		return
 	}
-	update := listUpdate{next: model.Offset(len(m.log))}
-	if h.synced {
-		update.records = m.log[h.next:]
-	} else {
-		update.full = true
-		for name, e := range m.storeList() {
-			update.records = append(update.records, port.ListRecord{Name: name, Entry: e})
-		}
+	h.applyListRead(m.now, m.read(h))
+}
+
+// readLate lets a host read the store, with a response that arrives later.
+func (m *fleetModel) readLate(h *modelHost) {
+	if h.late == nil && !h.storeDown {
+		update := m.read(h)
+		h.late = &update
 	}
-	h.synced, h.next = true, len(m.log)
-	h.applyListRead(m.now, update)
 }
 
 // publish puts a host's digest into the mailboxes of the others.
@@ -154,6 +269,9 @@
 		delete(h.mailbox, from)
 		if !lost {
 			h.receiveListChanges(m.now, d)
+			if d.ListReadAge < h.directory.Age(m.now) {
+				h.directory.RecordStoreRead(m.now.Add(-d.ListReadAge))
+			}
 		}
 		return
 	}
@@ -161,23 +279,24 @@
 
 // fetchList lets a host fetch the list of another one.
 func (m *fleetModel) fetchList(h, from *modelHost) {
-	h.adoptList(m.now, port.EndpointList{Entries: from.directory.Entries(), NextOffset: from.nextListOffset})
+	h.adoptList(m.now, port.EndpointList{Entries: from.directory.Entries(), Next: from.nextInList})
 }
 
 // restart replaces a host by one with empty state.
 func (m *fleetModel) restart(i int) {
-	g := New(Options{Host: m.hosts[i].gateway.opts.Host, Domain: "north", Log: &log.Logger{Handler: discard.New()}})
+	g := New(Options{Host: model.HostID(fmt.Sprint("h", i)), Domain: "north", Log: &log.Logger{Handler: discard.New()}})
 	h := m.hosts[i]
-	h.control, h.next, h.synced = g.control, 0, false
-	h.mailbox = make(map[*modelHost]port.LoadDigest)
-	h.seenDraining = make(map[model.EndpointName]int64)
+	*h = modelHost{
+		control: g.control, reading: h.reading, storeDown: h.storeDown,
+		mailbox: make(map[*modelHost]port.LoadDigest), seenDraining: make(map[model.EndpointName]int64),
+	}
 	for _, other := range m.hosts {
 		delete(other.mailbox, h)
 	}
 }
 
-// check runs after each step. A host that has seen an endpoint drain must not
-// use the same start of it again, also after its removal.
+// check runs after each step. A host that has seen an endpoint drain or end must
+// not use the same start of it again, and it must not drop an endpoint that runs.
 func (m *fleetModel) check() {
 	for _, h := range m.hosts {
 		entries := h.listEntries()
@@ -191,18 +310,29 @@
 				h.seenDraining[name] = e.Started
 			}
 		}
+		for name, e := range h.listed {
+			if h.directory.Has(name) {
+				continue
+			}
+			if m.ended[model.Instance{Name: name, Started: e.Started}] {
+				h.seenDraining[name] = e.Started
+			} else if !m.lapsed[name] && !e.Draining {
+				m.t.Fatalf("host %s dropped endpoint %s, which runs", h.gateway.opts.Host, name)
+			}
+		}
+		h.listed = entries
 	}
 }
 
 // settle brings the store back and lets all hosts read and exchange digests
 // until nothing changes.
 func (m *fleetModel) settle() {
-	for range 4 {
-		m.now = m.now.Add(3 * time.Second)
+	for range 5 {
+		m.advance(3 * time.Second)
 		for _, h := range m.hosts {
 			h.storeDown = false
 			if h.reading {
-				m.read(h)
+				m.readNow(h)
 			}
 		}
 		for _, h := range m.hosts {
@@ -212,45 +342,25 @@
 			for len(h.mailbox) > 0 {
 				m.deliver(h, false)
 			}
-			if h.missing.upto > h.nextListOffset {
+			if h.missing.upto.IsAfter(h.nextInList) {
 				m.fetchList(h, m.hosts[0])
 			}
-			h.applyEndpointChanges(m.now, h.directory.ExpireMissing(m.now))
+			h.applyEndpointChanges(m.now, h.directory.Expire(m.now))
 		}
+		m.check()
 	}
 }
 
-// For any order of writes, reads, digests, losses, outages and restarts: no
-// host returns to an endpoint that it has seen leave, and all hosts end with
-// the store's list.
+// For any order of writes, reads, digests, losses, outages, restarts and
+// restorations of the store: no host returns to an endpoint that it has seen
+// leave, no host drops an endpoint that runs, and all hosts end with the store's
+// list.
 func TestListsConvergeUnderAnyInterleaving(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newFleetModel(t, 4)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			m.now = m.now.Add(time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond)
-			switch rapid.IntRange(0, 7).Draw(t, "step") {
-			case 0, 1:
-				m.write()
-			case 2:
-				m.read(m.host())
-			case 3:
-				m.publish(m.host())
-			case 4, 5:
-				m.deliver(m.host(), rapid.IntRange(0, 3).Draw(t, "lost") == 0)
-			case 6:
-				h := m.host()
-				if rapid.Bool().Draw(t, "expired") {
-					h.synced = false
-				} else {
-					h.storeDown = !h.storeDown
-				}
-			default:
-				if rapid.Bool().Draw(t, "restart") {
-					m.restart(rapid.IntRange(0, len(m.hosts)-1).Draw(t, "which"))
-				} else if h, from := m.host(), m.host(); h != from {
-					m.fetchList(h, from)
-				}
-			}
+			m.advance(time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond)
+			m.step()
 			m.check()
 		}
 		m.settle()
@@ -264,6 +374,37 @@
 	})
 }
 
+// step does one random step.
+func (m *fleetModel) step() {
+	switch rapid.IntRange(0, 9).Draw(m.t, "step") {
+	case 0, 1:
+		m.write()
+	case 2:
+		m.readNow(m.host())
+	case 3:
+		m.publish(m.host())
+	case 4, 5:
+		m.deliver(m.host(), rapid.IntRange(0, 3).Draw(m.t, "lost") == 0)
+	case 6:
+		h := m.host()
+		if rapid.Bool().Draw(m.t, "expired") {
+			h.synced = false
+		} else {
+			h.storeDown = !h.storeDown
+		}
+	case 7:
+		m.readLate(m.host())
+	case 8:
+		m.restore()
+	default:
+		if rapid.Bool().Draw(m.t, "restart") {
+			m.restart(rapid.IntRange(0, len(m.hosts)-1).Draw(m.t, "which"))
+		} else if h, from := m.host(), m.host(); h != from {
+			m.fetchList(h, from)
+		}
+	}
+}
+
 // For any order of configurations from the store and from peers, the version in
 // force never decreases, and the highest one stays in force.
 func TestConfigVersionNeverDecreases(t *testing.T) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -184,6 +184,7 @@
 		c.peers.add(now, address, false)
 	}
 	p.version = d.Version
+	c.applyLeaving(now, d.LeavingEndpoints)
 	c.fetchNewerConfig(now)
 	c.receiveListChanges(now, d)
 }
@@ -259,13 +260,12 @@
 
 // adoptList applies a peer's list if it is newer than this host's.
 func (c *control) adoptList(now time.Time, list port.EndpointList) {
-	if list.NextOffset <= c.nextListOffset {
+	if !list.Next.IsAfter(c.nextInList) {
 		return
 	}
-	c.nextListOffset = list.NextOffset
+	c.replaceList(now, list.Entries, list.Next)
 	// Changes that this host publishes from now on follow the adopted list.
-	c.listChangeOffset = list.NextOffset
-	c.applyEndpointChanges(now, c.directory.Replace(now, list.Entries))
+	c.lastListChange = list.Next
 }
 
 // HandleFetchConfig returns the configuration in force if it is newer than
@@ -282,7 +282,7 @@
 // port.LoadHandler.
 func (g *Gateway) HandleFetchEndpoints(ctx context.Context) (port.EndpointList, error) {
 	list, ok := queryLoop(ctx, g, func(time.Time) port.EndpointList {
-		return port.EndpointList{Entries: g.control.directory.Entries(), NextOffset: g.control.nextListOffset}
+		return port.EndpointList{Entries: g.control.directory.Entries(), Next: g.control.nextInList}
 	})
 	if !ok {
 		return port.EndpointList{}, errStopped
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -151,6 +151,9 @@
 	// delivered reports that the endpoint received the request.
 	delivered bool
 	failure   balance.Failure
+	// retryAfter is the time for which the endpoint wants no more requests from
+	// this host; 0 for none.
+	retryAfter time.Duration
 	// final reports that another endpoint would give the same response.
 	final bool
 	err   error
@@ -174,7 +177,7 @@
 			return x.fail(ctx, attemptResult{outcome: model.OutcomeNotRun, err: &noEndpointError{decision: decision}})
 		}
 		result := x.tryEndpoint(ctx, decision)
-		x.gateway.finish(x.req.ID, balance.Result{Failure: result.failure})
+		x.gateway.finish(x.req.ID, balance.Result{Failure: result.failure, RetryAfter: result.retryAfter})
 		x.logAttemptFailed(decision, result)
 		if result.answered {
 			x.logAnswered()
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
@@ -36,11 +38,19 @@
 		return classifyError(ctx, err)
 	}
 	defer reply.Close()
+	if reply.IsLeaving() {
+		x.gateway.markLeaving(model.Instance{Name: decision.Endpoint, Started: decision.Started})
+	}
 	switch {
 	case reply.NotExecuted():
-		return attemptResult{outcome: model.OutcomeNotRun, delivered: true, failure: refusalFailure(reply.Status()), err: statusError(reply.Status())}
+		return attemptResult{
+			outcome: model.OutcomeNotRun, delivered: true, failure: refusalFailure(reply.Status()),
+			retryAfter: reply.RetryAfter(), err: statusError(reply.Status()),
+		}
 	case reply.Status()/100 != 2:
-		return x.handleFailure(ctx, reply)
+		result := x.handleFailure(ctx, reply)
+		result.retryAfter = reply.RetryAfter()
+		return result
 	case !reply.HasSignature():
 		return attemptResult{outcome: model.OutcomeUnknown, delivered: true, failure: balance.FailureBroken, err: errUnsigned}
 	case reply.IsEventStream():
@@ -201,7 +211,7 @@
 
 // Error implements error.
 func (e statusError) Error() string {
-	return "the endpoint answered with status " + http.StatusText(int(e))
+	return strings.TrimSpace(fmt.Sprintf("the endpoint answered with status %d %s", int(e), http.StatusText(int(e))))
 }
 
 // refusalFailure distinguishes an endpoint without free capacity from one whose
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -106,6 +107,12 @@
 	// NotExecuted reports whether the endpoint states that it has not executed
 	// the request.
 	NotExecuted() bool
+	// IsLeaving reports whether the endpoint states that it is about to shut down
+	// and accepts no new requests.
+	IsLeaving() bool
+	// RetryAfter is the time for which an endpoint that refused the request wants
+	// no more requests from this host; 0 for none.
+	RetryAfter() time.Duration
 	// IsEventStream reports whether the response is a stream of events.
 	IsEventStream() bool
 	// Body returns the whole body, or an *EndpointError if it is incomplete.
@@ -157,17 +164,18 @@
 // KeyedBatch is the result of a read of a list.
 type KeyedBatch struct {
 	Records []KeyedRecord
-	// NextOffset is the offset at which to continue reading.
-	NextOffset model.Offset
+	// Next is the position at which to continue reading.
+	Next model.Position
 }
 
 // ListReader reads the platform's lists.
 type ListReader interface {
 	// LatestValues returns all keys with their latest values.
 	LatestValues(ctx context.Context, topic Topic) (KeyedBatch, error)
-	// Changes returns the records from an offset on. It waits up to wait for the
-	// first one. It fails with an *ExpiredError if the records are no longer kept.
-	Changes(ctx context.Context, topic Topic, from model.Offset, wait time.Duration) (KeyedBatch, error)
+	// Changes returns the records from a position on. It waits up to wait for the
+	// first one. It fails with an *ExpiredError if the records are no longer kept,
+	// and with a *RestoredError if the store is in another era.
+	Changes(ctx context.Context, topic Topic, from model.Position, wait time.Duration) (KeyedBatch, error)
 }
 
 // ListDecoder decodes the values of the platform's lists.
@@ -184,8 +192,24 @@
 // their retention and are no longer kept.
 type ExpiredError struct {
 	Topic Topic
-	From  model.Offset
+	From  model.Position
 }
 
 // Error implements error.
 func (e *ExpiredError) Error() string { return "records of " + e.Topic.String() + " have expired" }
+
+// RestoredError reports that the store was restored from an older copy since the
+// position from which to read was obtained, so that the offset has no meaning any
+// more.
+type RestoredError struct {
+	Topic Topic
+	// From is the position from which the read was requested, Era the era of the
+	// store.
+	From model.Position
+	Era  model.Era
+}
+
+// Error implements error.
+func (e *RestoredError) Error() string {
+	return fmt.Sprintf("the store was restored: %s was read in era %d, the store is in era %d", e.Topic, e.From.Era, e.Era)
+}
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -23,10 +23,13 @@
 	// Version is the version of the configuration in force at the host.
 	Version model.Version
 	// ListReadAge is the time since the host itself last read the list of
-	// endpoints from the platform. ListChangeOffset is the offset after the last
+	// endpoints from the platform. ListChange is the position after the last
 	// record that changed the list.
-	ListReadAge      time.Duration
-	ListChangeOffset model.Offset
+	ListReadAge time.Duration
+	ListChange  model.Position
+	// LeavingEndpoints are the endpoints that have reported, to this host or to
+	// others, that they are leaving.
+	LeavingEndpoints []model.Instance
 	// ReadsList reports whether the host polls the list at regular intervals,
 	// and ListReadFailing whether its last read failed.
 	ReadsList       bool
@@ -65,9 +68,9 @@
 
 // ListChanges is a range of consecutive changes of the list of endpoints.
 type ListChanges struct {
-	// After is the offset after the changes that precede this range, and UpTo the
-	// offset after the last change of this range.
-	After, UpTo model.Offset
+	// After is the position after the changes that precede this range, and UpTo
+	// the position after the last change of this range. Both are of one era.
+	After, UpTo model.Position
 	Records     []ListRecord
 }
 
@@ -108,6 +111,6 @@
 // EndpointList is a host's list of endpoints.
 type EndpointList struct {
 	Entries []directory.Entry
-	// NextOffset is the offset after the last record included in the list.
-	NextOffset model.Offset
+	// Next is the position after the last record included in the list.
+	Next model.Position
 }
--- a/internal/server/gateway_test.go
+++ b/internal/server/gateway_test.go
@@ -125,12 +125,18 @@
 	r.SetFaults(replica.Faults{QueueFull: true})
 	got := f.postConfirm(g)
 	must.Eq(t, http.StatusServiceUnavailable, got.status)
-	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
-	must.NoError(t, err)
-	must.Positive(t, after)
+	must.Positive(t, retryAfterSeconds(t, got))
 	must.SliceEmpty(t, r.Executions())
 }
 
+// retryAfterSeconds returns the Retry-After of a response in seconds.
+func retryAfterSeconds(t *testing.T, res fleetResponse) float64 {
+	t.Helper()
+	after, err := strconv.ParseFloat(res.header.Get("Retry-After"), 64)
+	must.NoError(t, err)
+	return after
+}
+
 // A partition leaves one endpoint reachable. Connections to the others are
 // refused immediately, which must not fail the request.
 func TestGatewayFindsOnlyReachableEndpoint(t *testing.T) {
--- a/internal/standin/logstore/logstore.go
+++ b/internal/standin/logstore/logstore.go
@@ -58,6 +58,8 @@
 	fault      Fault
 	delay      time.Duration
 	calls      map[string]int
+	// era is sent with all responses. It rises with each restoration.
+	era uint64
 	// changed is closed and replaced on each append, trim and fault change.
 	changed chan struct{}
 }
@@ -74,6 +76,7 @@
 		partitions: make(map[partitionKey]*partition),
 		groups:     make(map[string]*group),
 		calls:      make(map[string]int),
+		era:        1,
 		changed:    make(chan struct{}),
 	}
 	s.mux.HandleFunc("POST /v1/log-append", s.append)
@@ -92,6 +95,7 @@
 	s.mu.Lock()
 	s.calls[r.URL.Path]++
 	fault, delay := s.fault, s.delay
+	s.setEraHeader(w)
 	s.mu.Unlock()
 	if delay > 0 && !sleepRequest(r, delay) {
 		return
--- a/internal/standin/logstore/records.go
+++ b/internal/standin/logstore/records.go
@@ -207,7 +207,8 @@
 	for {
 		s.mu.Lock()
 		p := s.getPartition(query.Get("topic"), int(part))
-		if uint64(from) < p.first {
+		s.setEraHeader(w)
+		if uint64(from) < p.first || uint64(from) > p.end {
 			first := p.first
 			s.mu.Unlock()
 			writeJSON(w, http.StatusGone, map[string]uint64{"first": first})
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -40,6 +40,10 @@
 	LoseResponse bool
 	// QueueFull refuses requests as if the queue were full.
 	QueueFull bool
+	// RetryAfter is sent with refusals as the Retry-After header, unless empty.
+	RetryAfter string
+	// Leaving marks all responses as those of a replica that is leaving.
+	Leaving bool
 	// NoResponse reads requests and never responds.
 	NoResponse bool
 	// DuplicateResponse sends each plain response twice.
@@ -195,6 +199,9 @@
 	w.Header().Set("X-Wigeonsail-Attempt-Id", id)
 	w.Header().Set("X-Wigeonsail-Instance-Id", s.opts.Instance)
 	faults, admitted := s.admit()
+	if faults.Leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	switch {
 	case r.Header.Get("X-Wigeonsail-Expect-Instance") != s.opts.Instance:
 		s.release(admitted)
@@ -202,6 +209,9 @@
 		return
 	case !admitted:
 		w.Header().Set("X-Wigeonsail-Not-Executed", "1")
+		if faults.RetryAfter != "" {
+			w.Header().Set("Retry-After", faults.RetryAfter)
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
