Keep claims, leases and configurations through a restored log

Cause: offsets of the log go back when the platform's store is restored from a copy. Readers of streams missed what was written under offsets that they had read, a lost claim could be made again by another host, a recorded response could be replayed from an offset that holds another record by then, and fencing numbers could repeat.

Change: the client maps offsets so that they rise through all eras, which keeps fencing numbers rising. Claims are refused for a window after a restoration, at hosts that start later too, by a record on the log. A lease is not claimed before a lost renewal must have expired. The version in force stays and is appended again. A recorded response is checked against its key.

Not covered: a configuration published on a fresh host in the moment before it knows of the version that the others carried forward.

--- a/bench/log_test.go
+++ b/bench/log_test.go
@@ -110,7 +110,7 @@
 		Window: time.Hour, ClaimTimeout: 2 * time.Second, MaxTickets: 2, CacheBytes: 1 << 20,
 	})
 	for i, data := range batches {
-		_, err := m.ApplyRecords(start, 0, 0, []effect.LogRecord{{Offset: model.Offset(i), Data: data}})
+		_, err := m.ApplyRecords(start, 0, effect.Extent{}, []effect.LogRecord{{Offset: model.Offset(i), Data: data}})
 		must.NoError(b, err)
 	}
 	return m
--- a/internal/core/configstate/state.go
+++ b/internal/core/configstate/state.go
@@ -139,6 +139,23 @@
 	return []Change{s.evaluate(offset, rec, data)}
 }
 
+// BeginEra continues at start, the lowest offset of the log's era. It returns true
+// if the log was restored from a copy since it was read. The version in force stays
+// in force then, although its record may be lost, and is due to be carried forward;
+// records of the copy up to that version have no effect.
+func (s *State) BeginEra(start model.Offset) bool {
+	if s.stopped != nil || start <= s.next {
+		return false
+	}
+	restored := s.next > 0 || s.current != nil
+	s.next = start
+	s.endGap()
+	if s.current != nil {
+		s.current.CarriedForwardAt = time.Time{}
+	}
+	return restored
+}
+
 // SkipTo sets the offset of the log's earliest record. If records were missed,
 // the State waits for a copy, or a peer's record, that shows the current
 // version.
--- a/internal/core/configstate/state_test.go
+++ b/internal/core/configstate/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -123,3 +124,29 @@
 	must.True(t, s.Settled())
 	must.Eq(t, 5, s.Version())
 }
+
+// The log was restored from a copy that lacks the version in force. The version
+// stays in force, its older records have no effect again, and it is due to be
+// appended again, which shows it to hosts that start later.
+func TestRestoredLogKeepsVersionInForce(t *testing.T) {
+	const eraStart = 1 << 40
+	s := &State{}
+	must.False(t, s.BeginEra(0))
+	applyRecord(s, 0, newRecord(t, "a", 0))
+	applyRecord(s, 1, newRecord(t, "b", 1))
+	must.True(t, s.BeginEra(eraStart))
+	must.True(t, s.Settled())
+	must.Eq(t, 2, s.Version())
+	must.Eq(t, ChangeConflict, applyRecord(s, eraStart, newRecord(t, "a", 0)))
+	must.Eq(t, 2, s.Version())
+	due, ok := s.CarryForwardDue(time.Hour, 0.5)
+	must.True(t, ok)
+	must.True(t, due.Before(time.Unix(0, 0)))
+
+	late := &State{}
+	must.False(t, late.BeginEra(eraStart), must.Sprint("a host that starts now has lost nothing"))
+	must.Eq(t, ChangeAccepted, applyRecord(late, eraStart, newRecord(t, "a", 0)))
+	must.Eq(t, ChangeAccepted, applyRecord(late, eraStart+1, carriedRecord(t, s.Current(), s.Next())))
+	must.Eq(t, 2, late.Version())
+	must.Eq(t, ChangeAccepted, applyRecord(late, eraStart+2, newRecord(t, "c", 2)))
+}
--- a/internal/core/effect/action.go
+++ b/internal/core/effect/action.go
@@ -58,6 +58,8 @@
 	Result    Result
 	Partition int
 	Position  Position
+	// Key is the key whose outcome record is at Position, for ActionFetch.
+	Key Key
 	// Host and Address identify the issuer of the ticket, for ActionForward.
 	Host    model.HostID
 	Address string
--- a/internal/core/effect/bench_test.go
+++ b/internal/core/effect/bench_test.go
@@ -17,7 +17,7 @@
 	appendRecord := func(rec Record) []Action {
 		entry, _ := EncodeRecord(rec)
 		data, _ := EncodeBatch([][]byte{entry})
-		out, _ := m.ApplyRecords(start, 0, 0, []LogRecord{{Offset: offset, Data: data}})
+		out, _ := m.ApplyRecords(start, 0, Extent{}, []LogRecord{{Offset: offset, Data: data}})
 		offset++
 		return out
 	}
--- a/internal/core/effect/finish.go
+++ b/internal/core/effect/finish.go
@@ -93,6 +93,7 @@
 	m.emit(Action{
 		Kind:      ActionFetch,
 		Try:       try.ID,
+		Key:       key,
 		Partition: key.Partition(m.opts.Partitions),
 		Position:  e.position,
 		Result:    Result{Outcome: e.outcome},
--- a/internal/core/effect/machine_test.go
+++ b/internal/core/effect/machine_test.go
@@ -21,7 +21,7 @@
 		Window: time.Hour, ClaimTimeout: 2 * time.Second, MaxTickets: 2, CacheBytes: 1000,
 	})
 	m.SetLogAvailable(start, true)
-	_, _ = m.ApplyRecords(start, 0, 0, nil)
+	_, _ = m.ApplyRecords(start, 0, Extent{}, nil)
 	return m
 }
 
@@ -55,7 +55,7 @@
 // read applies all records that m has not read yet and returns its actions.
 func (l *testLog) read(t *testing.T, m *Machine, now time.Time) []Action {
 	t.Helper()
-	actions, err := m.ApplyRecords(now, 0, 0, l.records[m.NextOffset(0):])
+	actions, err := m.ApplyRecords(now, 0, Extent{}, l.records[m.NextOffset(0):])
 	must.NoError(t, err)
 	return actions
 }
@@ -228,7 +228,7 @@
 		{[]LogRecord{{Offset: 7, Data: data}}, start.Add(time.Hour - time.Minute)},
 	} {
 		m := testMachine("a")
-		_, err := m.ApplyRecords(start, 0, 7, c.records)
+		_, err := m.ApplyRecords(start, 0, Extent{Earliest: 7}, c.records)
 		must.NoError(t, err)
 		at := c.until.Add(-time.Second)
 		must.Eq(t, CodeLogUnavailable, onlyAction(t, m.Begin(at, testTry(1, "x")), ActionRefuse).Refusal.Code)
@@ -240,7 +240,7 @@
 	m, log := testMachine("a"), &testLog{}
 	log.add(t, onlyAction(t, m.Begin(start, testTry(1, "x")), ActionAppend).Record)
 	log.records[0].Offset = 3
-	out, err := m.ApplyRecords(start, 0, 3, log.records)
+	out, err := m.ApplyRecords(start, 0, Extent{Earliest: 3}, log.records)
 	must.NoError(t, err)
 	must.Len(t, 2, out)
 	must.Eq(t, KindRelease, out[0].Record.Kind)
@@ -259,7 +259,7 @@
 func TestUnknownSchemaHaltsPartition(t *testing.T) {
 	m := testMachine("a")
 	onlyAction(t, m.Begin(start, testTry(1, "x")), ActionAppend)
-	out, err := m.ApplyRecords(start, 0, 0, []LogRecord{{Offset: 0, Data: []byte(`{"schema":2}`)}})
+	out, err := m.ApplyRecords(start, 0, Extent{}, []LogRecord{{Offset: 0, Data: []byte(`{"schema":2}`)}})
 	var schema *SchemaError
 	must.True(t, errors.As(err, &schema))
 	must.Eq(t, 2, schema.Schema)
@@ -343,3 +343,66 @@
 	must.Eq(t, KindTimestamp, timestamp.Kind)
 	must.Len(t, 0, m.Tick(quiet.Add(time.Second)))
 }
+
+// restored returns the records of a log that was restored from its first n records,
+// with the offsets of a new era.
+func (l *testLog) restored(n int, eraStart model.Offset) *testLog {
+	out := &testLog{}
+	for _, rec := range l.records[:n] {
+		out.records = append(out.records, LogRecord{Offset: eraStart + rec.Offset, Data: rec.Data})
+	}
+	return out
+}
+
+// The log was restored from a copy that lacks a claim. No host that has read the log
+// before decides a claim until every lost claim is out of its window, and neither
+// does one that starts then and reads that the log was restored.
+func TestRestoredLogBlocksClaimsForTheirWindow(t *testing.T) {
+	const eraStart = 1 << 40
+	extent := Extent{EraStart: eraStart, Earliest: eraStart}
+	known := testMachine("known")
+	actions, err := known.ApplyRecords(start, 0, extent, nil)
+	must.NoError(t, err)
+	must.Eq(t, eraStart, known.NextOffset(0))
+	rec := onlyAction(t, actions, ActionAppend).Record
+	must.True(t, rec.Restored)
+
+	fresh := New(testMachine("fresh").opts)
+	fresh.SetLogAvailable(start, true)
+	log := &testLog{}
+	log.add(t, rec)
+	_, err = fresh.ApplyRecords(start, 0, extent, log.restored(1, eraStart).records)
+	must.NoError(t, err)
+	for _, m := range []*Machine{known, fresh} {
+		refused := onlyAction(t, m.Begin(start.Add(time.Hour-time.Second), testTry(2, "x")), ActionRefuse)
+		must.Eq(t, CodeLogUnavailable, refused.Refusal.Code)
+		onlyAction(t, m.Begin(start.Add(time.Hour), testTry(3, "x")), ActionAppend)
+	}
+}
+
+// A claim that was read before the log was restored stays in force.
+func TestRestoredLogKeepsClaimsThatWereRead(t *testing.T) {
+	const eraStart = 1 << 40
+	a, b := testMachine("a"), testMachine("b")
+	log := &testLog{}
+	log.add(t, onlyAction(t, a.Begin(start, testTry(1, "x")), ActionAppend).Record)
+	send := onlyAction(t, log.read(t, a, start), ActionSend)
+	log.read(t, b, start)
+	log.add(t, onlyAction(t, a.Finish(start, send.Permit, Result{Outcome: model.OutcomeRan, Status: 200}), ActionAppend).Record)
+	log.read(t, b, start)
+	_, err := b.ApplyRecords(start, 0, Extent{EraStart: eraStart, Earliest: eraStart}, nil)
+	must.NoError(t, err)
+	fetch := onlyAction(t, b.Begin(start.Add(time.Second), testTry(2, "x")), ActionFetch)
+	must.Eq(t, send.Permit.Key, fetch.Key)
+}
+
+// A host that starts in a later era has missed nothing.
+func TestFirstReadInLaterEraBlocksNothing(t *testing.T) {
+	const eraStart = 3 << 40
+	m := New(testMachine("a").opts)
+	m.SetLogAvailable(start, true)
+	actions, err := m.ApplyRecords(start, 0, Extent{EraStart: eraStart, Earliest: eraStart}, nil)
+	must.NoError(t, err)
+	must.SliceEmpty(t, actions)
+	onlyAction(t, m.Begin(start, testTry(1, "x")), ActionAppend)
+}
--- a/internal/core/effect/random_test.go
+++ b/internal/core/effect/random_test.go
@@ -206,7 +206,7 @@
 	for i := from; i < to; i++ {
 		records = append(records, LogRecord{Offset: model.Offset(i), Data: s.log[i]})
 	}
-	actions, err := h.m.ApplyRecords(s.now, 0, model.Offset(s.earliest), records)
+	actions, err := h.m.ApplyRecords(s.now, 0, Extent{Earliest: model.Offset(s.earliest)}, records)
 	must.NoError(s.t, err)
 	s.execute(h, actions)
 }
--- a/internal/core/effect/record.go
+++ b/internal/core/effect/record.go
@@ -46,6 +46,9 @@
 	UnixMilli int64 `json:"unix_ms"`
 	// Ticket reports whether the key is a ticket, which needs no claim.
 	Ticket bool `json:"ticket,omitempty"`
+	// Restored reports, in a timestamp record, that the host has seen the log
+	// being restored from a copy, which may have lost records.
+	Restored bool `json:"restored,omitempty"`
 	// Result is the result of the request; set in outcome records only.
 	Result *Result `json:"result,omitempty"`
 }
--- a/internal/core/lease/keeper.go
+++ b/internal/core/lease/keeper.go
@@ -34,6 +34,9 @@
 	// lastValidAt the time when it was read or, before that, the start time.
 	lastValid   *Record
 	lastValidAt time.Time
+	// restoredAt is when the stream was last found to have been restored; zero for
+	// never.
+	restoredAt time.Time
 	// pending is the record whose append has not been read back yet, and
 	// pendingSince the time before that append.
 	pending      *Record
@@ -57,6 +60,20 @@
 // the stream still has.
 func (k *Keeper) SkipTo(earliest model.Offset) { k.next = max(k.next, earliest) }
 
+// BeginEra continues at start, the lowest offset of the stream's era, if the stream
+// was restored from a copy since it was read. Records that were acknowledged may be
+// lost, also a claim that this host has not read, so the lease is not claimed until
+// it must have expired.
+func (k *Keeper) BeginEra(now time.Time, start model.Offset) {
+	if start <= k.next {
+		return
+	}
+	if k.next > 0 || k.lastValid != nil {
+		k.restoredAt = now
+	}
+	k.next = start
+}
+
 // Apply processes the record at the offset, read at the time now. It ignores
 // records that were already applied and invalid records.
 func (k *Keeper) Apply(now time.Time, offset model.Offset, data []byte) {
@@ -153,6 +170,16 @@
 // counts the wait from after that append.
 func (k *Keeper) claimableAt() time.Time {
 	wait := k.opts.OrderTimeout + k.opts.Margin
+	at := k.lastHolderEndsAt(wait)
+	if lost := k.restoredAt.Add(k.opts.Duration + wait); !k.restoredAt.IsZero() && lost.After(at) {
+		return lost
+	}
+	return at
+}
+
+// lastHolderEndsAt returns the end of the last known lease, plus the wait for the
+// last order.
+func (k *Keeper) lastHolderEndsAt(wait time.Duration) time.Time {
 	if k.lastValid == nil {
 		return k.lastValidAt.Add(k.opts.Duration + wait)
 	}
--- a/internal/core/lease/keeper_test.go
+++ b/internal/core/lease/keeper_test.go
@@ -152,3 +152,28 @@
 	_, due = b.DueRecord(at(16), 3)
 	must.True(t, due)
 }
+
+// The stream was restored from a copy that lacks a renewal which the holder has
+// read. Another host claims only once that renewal must have expired as well, and
+// its fencing number is above the earlier ones.
+func TestRestoredStreamDelaysClaims(t *testing.T) {
+	const eraStart = 1 << 40
+	s, a, b := newHeldLease(t)
+	renewal, due := a.DueRecord(at(15), 2)
+	must.True(t, due)
+	s.append(renewal)
+	s.read(at(15.1), a)
+	must.True(t, isPermitted(a, at(22.9)))
+	b.BeginEra(at(15.2), eraStart)
+	_, due = b.DueRecord(at(24.5), 3)
+	must.False(t, due, must.Sprint("without the restoration the claim would be due"))
+	claim, due := b.DueRecord(at(27.2), 3)
+	must.True(t, due)
+	must.Eq(t, eraStart, claim.Expected)
+	data, err := claim.Encode()
+	must.NoError(t, err)
+	b.Apply(at(27.3), eraStart, data)
+	fencing, ok := b.FencingNumber(at(27.3))
+	must.True(t, ok)
+	must.Eq(t, eraStart, fencing)
+}
--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -79,6 +79,18 @@
 	return a
 }
 
+// eraShift is the number of bits of a stream offset below its era.
+const eraShift = 40
+
+// StreamOffset returns the position as a single offset that rises through all
+// eras: those of an era are above all of the eras before.
+func (p Position) StreamOffset() Offset { return Offset(p.Era)<<eraShift | p.Offset }
+
+// Position returns the position of an offset that StreamOffset returned.
+func (o Offset) Position() Position {
+	return Position{Era: Era(o >> eraShift), Offset: o & (1<<eraShift - 1)}
+}
+
 // Instance identifies one start of an endpoint. A restart under the same name has
 // another Started.
 type Instance struct {
--- a/internal/effects/control.go
+++ b/internal/effects/control.go
@@ -162,7 +162,7 @@
 	for i, rec := range e.batch.Records {
 		records[i] = effect.LogRecord{Offset: rec.Offset, Data: rec.Data}
 	}
-	actions, err := c.machine.ApplyRecords(now, e.partition, e.batch.Earliest, records)
+	actions, err := c.machine.ApplyRecords(now, e.partition, effect.Extent{EraStart: e.batch.EraStart, Earliest: e.batch.Earliest}, records)
 	if err != nil {
 		c.guard.opts.Logger.Errorf("effects: partition %d halted, requests with its idempotency keys are refused: %v", e.partition, err)
 	}
--- a/internal/effects/guard.go
+++ b/internal/effects/guard.go
@@ -239,7 +239,11 @@
 		return Decision{}, unavailable
 	}
 	records, err := effect.DecodeBatch(batch.Records[0].Data)
-	if err != nil || a.Position.Index >= len(records) || records[a.Position.Index].Result == nil {
+	if err != nil || a.Position.Index >= len(records) {
+		return Decision{}, unavailable
+	}
+	rec := records[a.Position.Index]
+	if rec.Result == nil || rec.Key != a.Key {
 		return Decision{}, unavailable
 	}
 	replay := effect.Replay(a.Try, *records[a.Position.Index].Result)
--- a/internal/host/config.go
+++ b/internal/host/config.go
@@ -62,7 +62,7 @@
 		if len(batch.Records) > 0 {
 			next = batch.Records[len(batch.Records)-1].Offset + 1
 		}
-		next = max(next, batch.Earliest)
+		next = max(next, batch.EraStart, batch.Earliest)
 		h.loop.post(configBatchEvent{batch: batch, atEnd: next >= batch.NextOffset})
 	}
 }
@@ -82,6 +82,10 @@
 
 func (e configBatchEvent) apply(now time.Time, c *control) {
 	c.config.logReachable = true
+	if c.config.state.BeginEra(e.batch.EraStart) {
+		c.host.opts.Log.Warnf("config: the log was restored from a copy, version %d stays in force", c.config.state.Version())
+		c.config.nextCarryForward = time.Time{}
+	}
 	c.config.state.SkipTo(e.batch.Earliest)
 	for _, rec := range e.batch.Records {
 		for _, change := range c.config.state.Apply(rec.Offset, rec.Data) {
--- a/internal/orders/stream.go
+++ b/internal/orders/stream.go
@@ -43,6 +43,7 @@
 // applyBatch applies records of the lease stream and returns the offset of the
 // next read.
 func (c *Controller) applyBatch(now time.Time, batch port.Batch) model.Offset {
+	c.keeper.BeginEra(now, batch.EraStart)
 	c.keeper.SkipTo(batch.Earliest)
 	for _, rec := range batch.Records {
 		c.keeper.Apply(now, rec.Offset, rec.Data)
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -29,6 +29,10 @@
 type Batch struct {
 	// Records are in offset order, without gaps.
 	Records []Record
+	// EraStart is the lowest offset of the log's era. Records before it are void,
+	// because the log was restored from a copy: some of them are lost, and the
+	// others appear again from EraStart on.
+	EraStart model.Offset
 	// Earliest is the lowest offset that the log still retains.
 	Earliest model.Offset
 	// NextOffset is the offset that the next append will get.
@@ -37,7 +41,8 @@
 
 // Log is the platform's append-only log service. It accepts several hundred
 // appends per second in total, retains records for a limited time, and has
-// outages.
+// outages. After it was restored from a copy, offsets continue above all earlier
+// ones.
 type Log interface {
 	// Append appends one record and returns its offset. After an error the
 	// record may or may not be in the log, unless the error is a PlatformError
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -29,6 +29,8 @@
 	id, route string
 	host      *hostProcess
 	sent      time.Time
+	// finished is when the response was complete or had failed.
+	finished time.Time
 	// status is the response status; 0 if there was no response.
 	status int
 	body   string
@@ -126,6 +128,7 @@
 	}
 	defer res.Body.Close()
 	body, err := io.ReadAll(res.Body)
+	r.finished = time.Now()
 	r.status, r.body, r.complete = res.StatusCode, string(body), err == nil
 	r.signed = replica.HasSignature(res.Header, id)
 	return r
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -67,10 +67,12 @@
 	results := c.callers.allResults()
 	executions := make(map[string][]replica.Execution)
 	for _, e := range c.environment.endpoints() {
-		for _, exec := range e.Executions() {
+		own := e.Executions()
+		for _, exec := range own {
 			executions[exec.ID] = append(executions[exec.ID], exec)
 			c.checkExecution(e, exec)
 		}
+		c.checkLeaving(e, own, results)
 	}
 	for _, res := range results {
 		c.checkResult(res, executions[res.id])
@@ -91,6 +93,34 @@
 	}
 }
 
+// checkLeaving checks that a host that has passed on a response of an endpoint that
+// states that it is leaving sends no more requests there.
+func (c *checker) checkLeaving(e *endpoint, executions []replica.Execution, results []*result) {
+	since := c.environment.leavingSince(e)
+	if since.IsZero() {
+		return
+	}
+	byID := make(map[string]*result, len(results))
+	for _, res := range results {
+		byID[res.id] = res
+	}
+	seen := make(map[*hostProcess]time.Time)
+	for _, exec := range executions {
+		res := byID[exec.ID]
+		if res == nil || exec.StartedAt.Before(since) {
+			continue
+		}
+		known, found := seen[res.host]
+		late := exec.StartedAt.Sub(known)
+		if found && late > maxDrainDelay && c.faults.isUndisturbed(known, exec.StartedAt) {
+			c.recordViolation("%s executed %s %s after %s had passed on that it is leaving", e.Instance(), exec.ID, late.Round(time.Millisecond), res.host.name)
+		}
+		if !found && res.complete && res.status == http.StatusOK {
+			seen[res.host] = res.finished
+		}
+	}
+}
+
 // checkResult checks a result against the executions of its request.
 func (c *checker) checkResult(res *result, executions []replica.Execution) {
 	if res.runsAtMostOnce() && len(executions) > 1 {
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -40,8 +40,7 @@
 	version   int
 	// keys are the caller keys, in the order of the versions that added them.
 	keys []string
-	// sequence is the number of replicas started so far. It is used for their
-	// names, and as the sequence of their entries in the store.
+	// sequence is the sequence of the entries that endpoints write to the store.
 	sequence int
 }
 
@@ -54,6 +53,9 @@
 	address string
 	// drained is when the endpoint was listed as draining; zero before that.
 	drained time.Time
+	// leavingSince is when the endpoint began to state in its responses that it is
+	// leaving; zero before that.
+	leavingSince time.Time
 }
 
 // newEnvironment starts the store and the endpoints, publishes the first
@@ -123,8 +125,7 @@
 func (env *environment) addEndpoint(pool string) error {
 	env.mu.Lock()
 	defer env.mu.Unlock()
-	env.sequence++
-	opts := replica.Options{Instance: fmt.Sprintf("i-%d", env.sequence), Slots: 8, Queue: 16, ServiceTime: 3 * time.Millisecond}
+	opts := replica.Options{Instance: fmt.Sprintf("i-%d", len(env.replicas)+1), Slots: 8, Queue: 16, ServiceTime: 3 * time.Millisecond}
 	if pool == users.EnginePool {
 		opts.Events = streamEvents
 	}
@@ -143,8 +144,17 @@
 	return nil
 }
 
+// leavingSince returns when the endpoint began to state that it is leaving; zero if
+// it has not.
+func (env *environment) leavingSince(e *endpoint) time.Time {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	return e.leavingSince
+}
+
 // listEndpoint writes an endpoint's entry to the store. The caller holds mu.
 func (env *environment) listEndpoint(e *endpoint, state string) {
+	env.sequence++
 	users.PutEndpoint(env.store, e.pool, e.Instance(), e.address, state, env.sequence)
 }
 
@@ -177,6 +187,22 @@
 	users.PublishConfig(env.store, users.NewConfig(env.version, env.keys...))
 }
 
+// republish writes the configuration and all entries again, as the operator and the
+// endpoints do after the store was restored.
+func (env *environment) republish() {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	users.PublishConfig(env.store, users.NewConfig(env.version, env.keys...))
+	env.sequence++
+	for _, e := range env.replicas {
+		state := users.StateReady
+		if !e.drained.IsZero() {
+			state = users.StateDraining
+		}
+		env.listEndpoint(e, state)
+	}
+}
+
 // newestKey returns the caller key that the newest configuration added.
 func (env *environment) newestKey() string {
 	env.mu.Lock()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -29,6 +29,10 @@
 	rng         *rand.Rand
 	nextStart   time.Time
 	count       int
+	// platformRNG and nextPlatformFault schedule the platformFaults, which have
+	// random numbers of their own.
+	platformRNG       *rand.Rand
+	nextPlatformFault time.Time
 
 	mu sync.Mutex
 	// scheduledEnds holds the ends of the active faults.
@@ -47,8 +51,12 @@
 
 type span struct{ from, until time.Time }
 
-func newFaultInjector(env *environment, rng *rand.Rand) *faultInjector {
-	return &faultInjector{environment: env, rng: rng, nextStart: time.Now().Add(maxPause)}
+func newFaultInjector(env *environment, rng, platformRNG *rand.Rand) *faultInjector {
+	now := time.Now()
+	return &faultInjector{
+		environment: env, rng: rng, nextStart: now.Add(maxPause),
+		platformRNG: platformRNG, nextPlatformFault: now.Add(platformFaultPause),
+	}
 }
 
 // randomDuration returns a random duration from shortest up to, but excluding,
@@ -61,6 +69,7 @@
 // it is due.
 func (f *faultInjector) tick(now time.Time) {
 	f.endDue(now)
+	f.tickPlatform(now)
 	if now.Before(f.nextStart) {
 		return
 	}
--- a/internal/standin/platform/admin.go
+++ b/internal/standin/platform/admin.go
@@ -25,6 +25,12 @@
 	if change.DropRecords {
 		s.streams.dropAll()
 	}
+	if change.TakeCopy {
+		s.streams.copyAll()
+	}
+	if change.RestoreCopy {
+		s.streams.restore()
+	}
 	writeJSON(w, s.faults.apply(change))
 }
 
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -22,6 +22,10 @@
 	// DropRecords drops all records of the log at once, as if their retention
 	// had ended.
 	DropRecords bool `json:"drop_records,omitempty"`
+	// TakeCopy takes a copy of the log. RestoreCopy replaces the log by that copy,
+	// as after a loss of the platform's store, and begins a new era.
+	TakeCopy    bool `json:"take_copy,omitempty"`
+	RestoreCopy bool `json:"restore_copy,omitempty"`
 	// Partitioned lists the hosts whose calls fail: their connection is closed
 	// without a response, and the call has no effect.
 	Partitioned *[]string `json:"partitioned,omitempty"`
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"golang.org/x/time/rate"
 
@@ -66,7 +67,9 @@
 // injected faults apply.
 func (s *Server) handleWithFaults(pattern string, handle http.HandlerFunc) {
 	s.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		s.setEraHeader(w)
 		if s.injectFaults(w, r) {
+			s.setEraHeader(w)
 			handle(w, r)
 		}
 	})
@@ -99,6 +102,13 @@
 	return false
 }
 
+// eraHeader holds the era of the log, in all responses.
+const eraHeader = "Store-Era"
+
+func (s *Server) setEraHeader(w http.ResponseWriter) {
+	w.Header().Set(eraHeader, strconv.FormatUint(s.streams.currentEra(), 10))
+}
+
 // closeConnection aborts the handler and closes the connection without a
 // response.
 func closeConnection() { panic(http.ErrAbortHandler) }
--- a/internal/standin/platform/services.go
+++ b/internal/standin/platform/services.go
@@ -93,10 +93,11 @@
 		}
 	}()
 	res := s.streams.readWait(ctx, r.URL.Query().Get("topic"), from, wait)
+	w.Header().Set(eraHeader, strconv.FormatUint(res.era, 10))
 	if !s.checkAvailable(w, r) {
 		return
 	}
-	if from < res.earliest {
+	if from < res.earliest || from > res.next {
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(http.StatusGone)
 		_ = json.NewEncoder(w).Encode(map[string]uint64{"first": res.earliest})
--- a/internal/standin/platform/streams.go
+++ b/internal/standin/platform/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 )
@@ -41,6 +42,10 @@
 
 	mu     sync.Mutex
 	byName map[string]*stream
+	// era rises with each restoration. copied holds the copy from which the next
+	// one restores.
+	era    uint64
+	copied map[string]*stream
 }
 
 func newStreams(opts Options) *streams {
@@ -51,6 +56,42 @@
 	}
 }
 
+// copyAll takes the copy from which restore restores.
+func (s *streams) copyAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied = cloneStreams(s.byName)
+}
+
+// restore replaces all streams by their copy and begins a new era. The records
+// appended since the copy are lost.
+func (s *streams) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, st := range s.byName {
+		close(st.changed)
+	}
+	s.byName = cloneStreams(s.copied)
+	s.era++
+}
+
+// currentEra returns the current era.
+func (s *streams) currentEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+func cloneStreams(from map[string]*stream) map[string]*stream {
+	out := make(map[string]*stream, len(from))
+	for name, st := range from {
+		out[name] = &stream{
+			earliest: st.earliest, records: slices.Clone(st.records), appends: st.appends, changed: make(chan struct{}),
+		}
+	}
+	return out
+}
+
 // retainedStream returns the named stream after dropping the records whose
 // retention has ended. It creates the stream on first use. The caller holds mu.
 func (s *streams) retainedStream(name string) *stream {
@@ -112,6 +153,7 @@
 type batch struct {
 	records        [][]byte
 	earliest, next uint64
+	era            uint64
 }
 
 // read returns the records from an offset on, up to maxReadBytes, and a channel
@@ -120,7 +162,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.retainedStream(name)
-	res := batch{earliest: st.earliest, next: st.next()}
+	res := batch{earliest: st.earliest, next: st.next(), era: s.era}
 	size := 0
 	for offset := max(from, st.earliest); offset < st.next(); offset++ {
 		data := st.records[offset-st.earliest].data
@@ -134,13 +176,13 @@
 }
 
 // readWait is like read, but waits up to wait for a first record. It returns at
-// once if records from the offset on have been dropped.
+// once if records from the offset on have been dropped or were never appended.
 func (s *streams) readWait(ctx context.Context, name string, from uint64, wait time.Duration) batch {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
 		res, changed := s.read(name, from)
-		if len(res.records) > 0 || from < res.earliest || wait <= 0 {
+		if len(res.records) > 0 || from < res.earliest || from > res.next || wait <= 0 {
 			return res
 		}
 		select {
