Tests of failures that operators of similar systems met; mends where they could happen here

Cause and change: a late copy of a response could reach the next caller of serve's clients, which trusted the order on a connection; connections are now reused only for endpoints that return the request ID, and another ID is an error. A host that started without the store took its configuration from the first peer that answered, which may have been cut off; it now waits 300 ms for the digests of all and takes the highest version.

--- a/internal/adapter/endpointhttp/transport.go
+++ b/internal/adapter/endpointhttp/transport.go
@@ -32,11 +32,13 @@
 	connectionBufferBytes = 4 << 10
 )
 
-// NewTransport returns a transport that pools connections to endpoints. It does
-// not request compression and ignores the proxy settings of the environment.
-func NewTransport() *http.Transport {
+// NewTransport returns a transport that pools connections to endpoints that return
+// the request ID in their responses. It fails with a *MismatchError if a response
+// has another ID. It does not request compression and ignores the proxy settings of
+// the environment.
+func NewTransport() http.RoundTripper {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return &echoTransport{base: &http.Transport{
 		DialContext:            dialer.DialContext,
 		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
 		IdleConnTimeout:        idleTimeout,
@@ -44,7 +46,7 @@
 		ReadBufferSize:         connectionBufferBytes,
 		WriteBufferSize:        connectionBufferBytes,
 		DisableCompression:     true,
-	}
+	}}
 }
 
 // Trace records whether a request was assigned a connection, after which bytes of
--- a/internal/gateway/configfetch.go
+++ b/internal/gateway/configfetch.go
@@ -26,13 +26,18 @@
 	// configFetchTimeout limits a fetch. A host must apply a configuration
 	// within about 2 s, and needs time for two tries.
 	configFetchTimeout = 700 * time.Millisecond
+	// firstConfigWait is the time from a host's first digest within which it
+	// receives digests of all peers that it can reach. A host that starts fetches
+	// its first configuration from a peer only after it: a peer that was cut off
+	// may have an old one, with keys that were withdrawn since.
+	firstConfigWait = 300 * time.Millisecond
 )
 
 // fetchNewerConfig starts to fetch the configuration from a peer that has a newer
 // version, if there is one and no fetch is in progress. After a failed fetch the
 // host reads the store.
 func (c *control) fetchNewerConfig(now time.Time) {
-	if c.fetchingConfig {
+	if c.fetchingConfig || c.version() == 0 && !c.hasWaitedForPeers(now) {
 		return
 	}
 	address := c.pickConfigPeer(now)
@@ -73,13 +78,28 @@
 	}
 }
 
+// hasWaitedForPeers reports whether firstConfigWait has passed since the first
+// digest.
+func (c *control) hasWaitedForPeers(now time.Time) bool {
+	return !c.firstDigestAt.IsZero() && now.Sub(c.firstDigestAt) >= firstConfigWait
+}
+
 // pickConfigPeer returns the address of a random live peer with a newer
-// configuration than this host's, preferring its own failure domain. It returns
-// "" when there is none.
+// configuration than this host's, preferring its own failure domain. A host without
+// a configuration picks among the peers with the highest version. It returns "" when
+// there is none.
 func (c *control) pickConfigPeer(now time.Time) string {
+	lowest := c.version() + 1
+	if c.version() == 0 {
+		for _, p := range c.peers.peers {
+			if c.peers.isLive(now, p) {
+				lowest = max(lowest, p.version)
+			}
+		}
+	}
 	var local, candidates []string
 	for address, p := range c.peers.peers {
-		if p.version <= c.version() || !c.peers.isLive(now, p) {
+		if p.version < lowest || !c.peers.isLive(now, p) {
 			continue
 		}
 		candidates = append(candidates, address)
--- a/internal/gateway/configfetch_test.go
+++ b/internal/gateway/configfetch_test.go
@@ -12,23 +12,46 @@
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
-// failingPeers fail every fetch of their configuration.
+// failingPeers are unreachable.
 type failingPeers struct{ port.LoadShareClient }
 
 func (failingPeers) FetchConfig(context.Context, string, model.Version) (port.ConfigRecord, error) {
 	return port.ConfigRecord{}, errors.New("too slow")
 }
 
+func (failingPeers) OpenLoadStream(context.Context, string) (port.LoadStream, error) {
+	return nil, errors.New("unreachable")
+}
+
 // addPeer adds a live peer that has a version of the configuration.
 func addPeer(c *control, address string, domain model.DomainName, version model.Version) {
 	c.peers.peers[address] = &peer{host: model.HostID(address), domain: domain, version: version, lastSeen: at(0)}
 }
 
+// A host that starts fetches the highest version that its peers have, once it has
+// received digests from all of them. One of them may have been cut off for long.
+func TestFirstConfigIsTheNewestOfAllPeers(t *testing.T) {
+	c, _ := newTestControl(t)
+	c.gateway.opts.Peers = failingPeers{}
+	c.receiveDigest(at(0), port.LoadDigest{Host: "stale", Domain: "north", Address: "stale", Version: 1})
+	must.False(t, c.fetchingConfig)
+	c.receiveDigest(at(firstConfigWait-time.Millisecond), port.LoadDigest{Host: "fresh", Domain: "south", Address: "fresh", Version: 2})
+	must.False(t, c.fetchingConfig)
+	for range 20 {
+		must.Eq(t, "fresh", c.pickConfigPeer(at(firstConfigWait)))
+	}
+	c.fetchNewerConfig(at(firstConfigWait))
+	must.True(t, c.fetchingConfig)
+	c.gateway.stop()
+	c.gateway.workers.Wait()
+}
+
 // A host fetches from a peer of its own failure domain if it can, and only from
 // peers that have a newer version and sent a digest recently.
 func TestConfigIsFetchedFromLocalPeerFirst(t *testing.T) {
 	c, _ := newTestControl(t)
-	addPeer(c, "old", "north", 0)
+	c.gateway.record.Store(&port.ConfigRecord{Version: 1})
+	addPeer(c, "old", "north", 1)
 	must.Eq(t, "", c.pickConfigPeer(at(0)))
 	addPeer(c, "far", "south", 3)
 	must.Eq(t, "far", c.pickConfigPeer(at(0)))
@@ -45,6 +68,7 @@
 	c, _ := newTestControl(t)
 	c.gateway.opts.Peers = failingPeers{}
 	addPeer(c, "peer", "north", 3)
+	c.firstDigestAt = at(-firstConfigWait)
 	c.fetchNewerConfig(at(0))
 	select {
 	case <-c.gateway.readConfigNow:
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -22,7 +22,9 @@
 	// progress.
 	fetchingConfig bool
 	fetchingList   bool
-	lastListFetch  time.Time
+	// firstDigestAt is when the first digest of a peer was received.
+	firstDigestAt time.Time
+	lastListFetch time.Time
 	// lastListRead is when this host last read the list of endpoints from the
 	// store. nextInList is the position after the records that this host has
 	// applied, and lastListChange the position after the last record that changed
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -178,6 +178,9 @@
 	if p.lastSeen.IsZero() {
 		c.gateway.opts.Log.WithFields(fields{"host": d.Host, "address": d.Address, "domain": d.Domain}).Info("peers: first digest received")
 	}
+	if c.firstDigestAt.IsZero() {
+		c.firstDigestAt = now
+	}
 	p.lastSeen, p.host, p.domain, p.linkMbps = now, d.Host, d.Domain, d.LinkSpeedMbps
 	p.readAge, p.reading, p.failing = d.ListReadAge, d.ReadsList, d.ListReadFailing
 	for _, address := range d.KnownAddresses {
--- a/internal/standin/engine/complete.go
+++ b/internal/standin/engine/complete.go
@@ -19,6 +19,9 @@
 // maxTagRunes is the maximum length of contentTag's result.
 const maxTagRunes = 48
 
+// headerRequestID identifies a request; responses return it.
+const headerRequestID = "X-Request-Id"
+
 // completionRequest holds the fields of a completion request that the engine
 // uses.
 type completionRequest struct {
@@ -59,6 +62,7 @@
 // serveCompletion serves the completion endpoints. It waits for a slot before
 // it generates.
 func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
 	faults := e.currentFaults()
 	if faults.Refuse {
 		w.Header().Set("Retry-After", "1")
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -48,6 +48,9 @@
 	NoResponse bool
 	// DuplicateResponse sends each plain response twice.
 	DuplicateResponse bool
+	// DripAfter, unless 0, sends this number of events of a stream and then one
+	// byte of the next event at a time, for ever.
+	DripAfter int
 	// Unsigned omits the signature of responses.
 	Unsigned bool
 	// TruncateStreamAfter closes the connection of streams after this number of
@@ -337,6 +340,10 @@
 			flush(w)
 			panic(http.ErrAbortHandler)
 		}
+		if faults.DripAfter > 0 && i-from > faults.DripAfter {
+			s.drip(w, r)
+			return
+		}
 		if !s.simulateWork(r) {
 			return
 		}
@@ -345,6 +352,24 @@
 	}
 }
 
+// dripInterval is the time between the bytes of an event that never ends.
+const dripInterval = 50 * time.Millisecond
+
+// drip sends one byte of an event at a time until the client disconnects.
+func (s *Server) drip(w http.ResponseWriter, r *http.Request) {
+	ticker := time.NewTicker(dripInterval)
+	defer ticker.Stop()
+	for {
+		writeText(w, "x")
+		flush(w)
+		select {
+		case <-ticker.C:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
 // writeText writes text and ignores errors: a client that has disconnected is
 // detected by its request context.
 func writeText(w io.Writer, text string) {
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -105,6 +105,9 @@
 	return &Service{opts: opts}
 }
 
+// headerRequestID identifies a request; responses return it.
+const headerRequestID = "X-Request-Id"
+
 // Handler returns the handler of calls, of the readiness check and of the admin
 // endpoints.
 func (s *Service) Handler() http.Handler {
@@ -135,6 +138,7 @@
 // serveCall serves one call. Calls with methods other than GET and HEAD have an
 // effect.
 func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
 	if err != nil {
 		return
