--- a/cmd/wigeonsail/hosts.go
+++ b/cmd/wigeonsail/hosts.go
@@ -9,6 +9,7 @@
 type hostsCmd struct {
 	List  hostsListCmd  `cmd:"" default:"withargs" help:"List the hosts in the failure domains of the queried hosts, and the other domains."`
 	Drain hostsDrainCmd `cmd:"" help:"Drain the addressed hosts and stop them."`
+	Peers hostsPeersCmd `cmd:"" help:"Show what gateways know of the other hosts: relays, links, ages."`
 }
 
 type hostsListCmd struct {
--- a/internal/adapter/peergrpc/connections.go
+++ b/internal/adapter/peergrpc/connections.go
@@ -60,6 +60,27 @@
 	defer c.mu.Unlock()
 	entry.calls--
 	entry.lastUsed = time.Now()
+	if entry.calls == 0 {
+		time.AfterFunc(c.idleTime, c.closeIdle)
+	}
+}
+
+// closeUnused closes the connection to an address unless calls are in progress.
+func (c *connections) closeUnused(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if entry := c.byAddress[address]; entry != nil && entry.calls == 0 {
+		_ = entry.conn.Close()
+		delete(c.byAddress, address)
+	}
+}
+
+// closeIdle closes the connections that have been idle for idleTime.
+func (c *connections) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastSweep = time.Time{}
+	c.sweep(time.Now())
 }
 
 // sweep closes idle connections, at most twice per idleTime. The caller must hold
--- a/internal/adapter/peergrpc/server.go
+++ b/internal/adapter/peergrpc/server.go
@@ -23,7 +23,7 @@
 	// maxStreamsPerPeer bounds the calls in progress of one connection.
 	maxStreamsPerPeer = 10_000
 	// connectionIdleTime is the time after which an unused connection is closed.
-	connectionIdleTime = 2 * time.Minute
+	connectionIdleTime = 10 * time.Second
 	// pingAfter and pingTimeout are the keepalive settings that detect
 	// connections to unreachable hosts.
 	pingAfter   = 10 * time.Second
--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -129,6 +129,41 @@
 	return &peer.EndpointList{Entries: convert(list.Entries, entryToWire), Next: uint64(list.Next.Offset), Era: uint64(list.Next.Era)}, nil
 }
 
+// FetchHosts implements port.LoadShareClient.
+func (c *Client) FetchHosts(ctx context.Context, address string, self port.HostInfo) ([]port.HostInfo, error) {
+	// All hosts of a fleet may ask the same few seeds when they start, so no
+	// connection stays open.
+	defer c.connections.closeUnused(address)
+	req := &peer.FetchHostsRequest{Caller: hostInfoToWire(self)}
+	res, err := unary(ctx, c, "fetch hosts", address, req, peer.PeerClient.FetchHosts)
+	if err != nil {
+		return nil, err
+	}
+	return convert(res.GetHosts(), hostInfoFromWire), nil
+}
+
+// FetchHosts implements peer.PeerServer.
+func (s *loadService) FetchHosts(ctx context.Context, req *peer.FetchHostsRequest) (*peer.HostList, error) {
+	hosts, err := s.handler.HandleFetchHosts(ctx, hostInfoFromWire(req.GetCaller()))
+	if err != nil {
+		return nil, callError(ctx, err)
+	}
+	return &peer.HostList{Hosts: convert(hosts, hostInfoToWire)}, nil
+}
+
+func hostInfoToWire(h port.HostInfo) *peer.HostInfo {
+	return &peer.HostInfo{
+		Host: string(h.Host), Domain: string(h.Domain), Address: h.Address, LinkMbps: h.LinkSpeedMbps, AgeMs: h.Age.Milliseconds(),
+	}
+}
+
+func hostInfoFromWire(h *peer.HostInfo) port.HostInfo {
+	return port.HostInfo{
+		Host: model.HostID(h.GetHost()), Domain: model.DomainName(h.GetDomain()), Address: h.GetAddress(),
+		LinkSpeedMbps: h.GetLinkMbps(), Age: time.Duration(h.GetAgeMs()) * time.Millisecond,
+	}
+}
+
 func loadDigestToWire(d port.LoadDigest) *peer.LoadDigest {
 	return &peer.LoadDigest{
 		Host:             string(d.Host),
@@ -144,7 +179,9 @@
 		Reading:          d.ReadsList,
 		ReadFailing:      d.ListReadFailing,
 		Loads:            convert(d.Loads, endpointLoadToWire),
-		Known:            d.KnownAddresses,
+		Hosts:            convert(d.Hosts, hostInfoToWire),
+		Subscribes:       d.Subscribes,
+		KnownReadAgeMs:   d.ListKnownAge.Milliseconds(),
 		Marks:            convert(d.CacheUpdates, cacheUpdateToWire),
 		ByRelay:          d.ViaRelay,
 		KeepLoads:        d.LoadsUnchanged,
@@ -168,7 +205,9 @@
 		ReadsList:        d.GetReading(),
 		ListReadFailing:  d.GetReadFailing(),
 		Loads:            convert(d.GetLoads(), endpointLoadFromWire),
-		KnownAddresses:   d.GetKnown(),
+		Hosts:            convert(d.GetHosts(), hostInfoFromWire),
+		Subscribes:       d.GetSubscribes(),
+		ListKnownAge:     time.Duration(d.GetKnownReadAgeMs()) * time.Millisecond,
 		CacheUpdates:     convert(d.GetMarks(), cacheUpdateFromWire),
 		ViaRelay:         d.GetByRelay(),
 		LoadsUnchanged:   d.GetKeepLoads(),
@@ -181,6 +220,7 @@
 func domainLoadToWire(d port.DomainLoad) *peer.DomainLoad {
 	return &peer.DomainLoad{
 		Domain: string(d.Domain),
+		Hosts:  int64(d.Hosts),
 		Loads:  convert(d.Loads, endpointLoadToWire),
 		Marks:  convert(d.CacheUpdates, cacheUpdateToWire),
 	}
@@ -189,6 +229,7 @@
 func domainLoadFromWire(d *peer.DomainLoad) port.DomainLoad {
 	return port.DomainLoad{
 		Domain:       model.DomainName(d.GetDomain()),
+		Hosts:        int(d.GetHosts()),
 		Loads:        convert(d.GetLoads(), endpointLoadFromWire),
 		CacheUpdates: convert(d.GetMarks(), cacheUpdateFromWire),
 	}
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -159,9 +159,12 @@
 	// peers holds the latest load report of each other host, and of each other
 	// failure domain under domainLoadID.
 	peers map[model.HostID]*peerLoad
-	// lastHeard is when each other host was last heard from.
-	lastHeard  map[model.HostID]time.Time
-	cacheIndex cacheIndex
+	// lastHeard is when each other host was last heard from, and its failure
+	// domain. domainHosts is the number of hosts of each failure domain as last
+	// reported by a relay.
+	lastHeard   map[model.HostID]hostContact
+	domainHosts map[model.DomainName]hostCount
+	cacheIndex  cacheIndex
 	// crossDomainInterval is the time between two digests from a host of
 	// another failure domain.
 	crossDomainInterval time.Duration
@@ -223,15 +226,16 @@
 // New returns a Balancer without pools or endpoints.
 func New(opts Options) *Balancer {
 	return &Balancer{
-		opts:       opts,
-		pools:      make(map[model.PoolName]*pool),
-		endpoints:  make(map[model.EndpointName]*endpoint),
-		running:    make(map[model.RequestID]*runningRequest),
-		peers:      make(map[model.HostID]*peerLoad),
-		lastHeard:  make(map[model.HostID]time.Time),
-		cacheIndex: newCacheIndex(),
-		domains:    make(map[model.DomainName]*domain),
-		rng:        rand.New(rand.NewPCG(opts.Seed, opts.Seed^0x9e3779b97f4a7c15)),
+		opts:        opts,
+		pools:       make(map[model.PoolName]*pool),
+		endpoints:   make(map[model.EndpointName]*endpoint),
+		running:     make(map[model.RequestID]*runningRequest),
+		peers:       make(map[model.HostID]*peerLoad),
+		lastHeard:   make(map[model.HostID]hostContact),
+		domainHosts: make(map[model.DomainName]hostCount),
+		cacheIndex:  newCacheIndex(),
+		domains:     make(map[model.DomainName]*domain),
+		rng:         rand.New(rand.NewPCG(opts.Seed, opts.Seed^0x9e3779b97f4a7c15)),
 	}
 }
 
@@ -328,7 +332,7 @@
 	if choice.endpoint == nil {
 		return refuse(reason, choice.retryAfter)
 	}
-	if req.Retry && !p.budget.TakeRetry(now, len(b.lastHeard)+1) {
+	if req.Retry && !p.budget.TakeRetry(now, b.CountHosts(now)) {
 		return refuse(ReasonRetryBudget, choice.expected)
 	}
 	return b.grant(now, &req, choice)
--- a/internal/core/balance/peers.go
+++ b/internal/core/balance/peers.go
@@ -66,7 +66,7 @@
 // updates. The slices must not be modified afterwards.
 func (b *Balancer) SetPeerLoad(now time.Time, host model.HostID, domain model.DomainName, loads []EndpointLoad, updates []CacheUpdate) {
 	b.applyCacheUpdates(now, updates, domain == b.opts.Domain)
-	b.lastHeard[host] = now
+	b.lastHeard[host] = hostContact{at: now, domain: domain}
 	b.domain(domain).recordContact(now)
 	b.replaceLoad(host, &peerLoad{receivedAt: now, domain: domain, loads: loads})
 }
@@ -76,7 +76,7 @@
 // its failure domain is in contact.
 func (b *Balancer) RecordPeerHeartbeat(now time.Time, host model.HostID, domain model.DomainName, updates []CacheUpdate) {
 	b.applyCacheUpdates(now, updates, domain == b.opts.Domain)
-	b.lastHeard[host] = now
+	b.lastHeard[host] = hostContact{at: now, domain: domain}
 	b.domain(domain).recordContact(now)
 }
 
@@ -200,10 +200,77 @@
 		}
 	}
 	for host, heard := range b.lastHeard {
-		if now.Sub(heard) > hostTTL {
+		if now.Sub(heard.at) > hostTTL {
 			delete(b.lastHeard, host)
 		}
 	}
+	for domain, count := range b.domainHosts {
+		if now.Sub(count.at) > hostTTL {
+			delete(b.domainHosts, domain)
+		}
+	}
+}
+
+// hostContact is when a host was last heard from, and its failure domain.
+type hostContact struct {
+	at     time.Time
+	domain model.DomainName
+}
+
+// hostCount is a reported number of hosts and the time of the report.
+type hostCount struct {
+	hosts int
+	at    time.Time
+}
+
+// SetDomainHosts records the number of hosts of a failure domain, as reported by a
+// relay. 0 means that it reported none.
+func (b *Balancer) SetDomainHosts(now time.Time, domain model.DomainName, hosts int) {
+	if hosts > 0 {
+		b.domainHosts[domain] = hostCount{hosts: hosts, at: now}
+	}
+}
+
+// CountLocalHosts returns the number of hosts of this host's failure domain that were
+// heard from within hostTTL, including this one.
+func (b *Balancer) CountLocalHosts() int {
+	count := 1
+	for _, heard := range b.lastHeard {
+		if heard.domain == b.opts.Domain {
+			count++
+		}
+	}
+	return count
+}
+
+// DomainHosts returns the number of hosts of each failure domain as reported by
+// relays within hostTTL.
+func (b *Balancer) DomainHosts(now time.Time) map[model.DomainName]int {
+	out := make(map[model.DomainName]int, len(b.domainHosts))
+	for domain, count := range b.domainHosts {
+		if now.Sub(count.at) <= hostTTL {
+			out[domain] = count.hosts
+		}
+	}
+	return out
+}
+
+// CountHosts returns the number of hosts that share the retry budgets, including this
+// one: of each failure domain those heard from, or as many as a relay has reported.
+func (b *Balancer) CountHosts(now time.Time) int {
+	byDomain := b.DomainHosts(now)
+	heard := map[model.DomainName]int{b.opts.Domain: 1}
+	for _, contact := range b.lastHeard {
+		heard[contact.domain]++
+	}
+	total := 0
+	for domain, count := range heard {
+		byDomain[domain] = max(byDomain[domain], count)
+	}
+	for _, count := range byDomain {
+		total += count
+	}
+	return total
 }
 
 // CountPeers returns the number of load reports in use, from hosts and for
--- a/internal/core/readers/readers.go
+++ b/internal/core/readers/readers.go
@@ -64,13 +64,3 @@
 	}
 	return capableBefore < targetReaders || !otherReads
 }
-
-// NewestReadAge returns the age of the newest read by this host or a peer. own
-// is the age of this host's last read.
-func NewestReadAge(now time.Time, own time.Duration, peers []Peer) time.Duration {
-	age := own
-	for _, p := range peers {
-		age = min(age, p.ReadAge+now.Sub(p.LastSeen))
-	}
-	return age
-}
--- a/internal/core/readers/readers_test.go
+++ b/internal/core/readers/readers_test.go
@@ -77,9 +77,3 @@
 	must.Eq(t, map[string]bool{"h1": true, "h2": true, "h3": true, "h4": true, "h5": false, "h6": false}, reading)
 	must.LessEq(t, 12, changes)
 }
-
-func TestNewestReadAge(t *testing.T) {
-	peers := []readers.Peer{peer("h1", time.Second, 300*time.Millisecond), peer("h2", 0, 5*time.Second)}
-	must.Eq(t, 1300*time.Millisecond, readers.NewestReadAge(now, time.Minute, peers))
-	must.Eq(t, time.Millisecond, readers.NewestReadAge(now, time.Millisecond, peers))
-}
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -58,23 +58,40 @@
 // Select returns the relays among the hosts of a failure domain. The result
 // does not depend on the order of hosts.
 func Select(hosts []Member) []Member {
-	fastest := 0.0
-	for _, m := range hosts {
-		fastest = max(fastest, m.LinkMbps)
+	selected := SelectN(hosts, relaysPerDomain)
+	for len(selected) > 0 && !isFast(selected[len(selected)-1], selected[0]) {
+		selected = selected[:len(selected)-1]
 	}
-	var out []Member
+	return selected
+}
+
+// SelectN returns the first count hosts of a failure domain in the order in which
+// they become relays: those with fast links first.
+func SelectN(hosts []Member, count int) []Member {
+	var fastest Member
 	for _, m := range hosts {
-		if m.LinkMbps >= minLinkFraction*fastest {
-			out = append(out, m)
+		if m.LinkMbps > fastest.LinkMbps {
+			fastest = m
 		}
 	}
+	out := slices.Clone(hosts)
+	slow := func(m Member) int {
+		if isFast(m, fastest) {
+			return 0
+		}
+		return 1
+	}
 	score := func(m Member) uint64 { return xxhash.Sum64String(string(m.Host)) }
 	slices.SortFunc(out, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(score(a), score(b)), cmp.Compare(a.Host, b.Host))
+		return cmp.Or(cmp.Compare(slow(a), slow(b)), cmp.Compare(score(a), score(b)), cmp.Compare(a.Host, b.Host))
 	})
-	return out[:min(relaysPerDomain, len(out))]
+	return out[:min(count, len(out))]
 }
 
+// isFast reports whether a host's link is fast enough for a relay, given the fastest
+// link or that of another relay.
+func isFast(m, fastest Member) bool { return m.LinkMbps >= minLinkFraction*fastest.LinkMbps }
+
 // Receivers returns the sorted addresses of the hosts in other failure domains
 // to which self sends the total of its own domain, one per domain. It returns
 // nil if self is no relay. members are the other live hosts.
--- a/internal/gateway/configfetch_test.go
+++ b/internal/gateway/configfetch_test.go
@@ -23,6 +23,10 @@
 	return nil, errors.New("unreachable")
 }
 
+func (failingPeers) FetchEndpoints(context.Context, string) (port.EndpointList, error) {
+	return port.EndpointList{}, errors.New("unreachable")
+}
+
 // addPeer adds a live peer that has a version of the configuration.
 func addPeer(c *control, address string, domain model.DomainName, version model.Version) {
 	c.peers.peers[address] = &peer{host: model.HostID(address), domain: domain, version: version, lastSeen: at(0)}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -37,6 +37,10 @@
 	// loggedReserved is the last logged number of engines reserved for urgent
 	// requests, by pool.
 	loggedReserved map[model.PoolName]int
+	// metricsAt is when the gauges were last set, reviewedAt when the states of all
+	// peers were last reviewed.
+	metricsAt  time.Time
+	reviewedAt time.Time
 	// missing describes list changes that peers have and this host lacks.
 	missing missingChanges
 }
@@ -58,11 +62,10 @@
 	c.checkEndpoints(now)
 	c.applyEndpointChanges(now, c.directory.Expire(now))
 	c.gateway.usable.Store(c.balancer.HasUsableEndpoint(now))
-	c.updateReading(now)
-	c.refreshStaleList(now)
 	c.fetchMissingChanges(now)
-	c.fetchNewerConfig(now)
+	c.reviewPeers(now)
 	c.peers.tick(now, c)
+	c.updateMetrics(now)
 	for pool, count := range c.balancer.ReservedEngines() {
 		if c.loggedReserved[pool] != count {
 			c.loggedReserved[pool] = count
@@ -71,6 +74,21 @@
 	}
 }
 
+// reviewInterval is the time between two reviews of the states of all peers.
+const reviewInterval = 100 * time.Millisecond
+
+// reviewPeers decides, at most once per reviewInterval, what follows from the states
+// of all peers: whether this host reads the platform's lists, and what it fetches.
+func (c *control) reviewPeers(now time.Time) {
+	if now.Sub(c.reviewedAt) < reviewInterval {
+		return
+	}
+	c.reviewedAt = now
+	c.updateReading(now)
+	c.refreshStaleList(now)
+	c.fetchNewerConfig(now)
+}
+
 // checkEndpoints opens the connections that test whether endpoints are
 // reachable, and logs which failure domains became unreachable or reachable.
 func (c *control) checkEndpoints(now time.Time) {
--- a/internal/gateway/digests.go
+++ b/internal/gateway/digests.go
@@ -13,12 +13,17 @@
 //
 //  1. Direct peers receive this host's load soon after each change. These are
 //     all hosts while there are few, else the relays of its failure domain.
-//  2. The other hosts receive digests without load at regular times and after
-//     other changes.
-//  3. A relay sends the hosts of its failure domain the total load of the
-//     others there and the totals of other domains. It sends its own domain's
-//     total to the relays of other domains.
-//  4. A digest that is still queued is replaced by the next one, which takes
+//  2. A host has links only to direct peers, and to hosts that have requested its
+//     digests. A relay also has one to a relay of each other domain. So the number
+//     of links depends on the size of a failure domain and the number of domains,
+//     and for most hosts on neither.
+//  3. Linked hosts that receive no load receive digests without it at regular times
+//     and after other changes.
+//  4. A relay sends the hosts of its failure domain that request it the total load
+//     of the others there and the totals of other domains. It sends its own
+//     domain's total to the relays of other domains. It passes on changes of the
+//     list of endpoints.
+//  5. A digest that is still queued is replaced by the next one, which takes
 //     over the content that is sent only once.
 
 const (
@@ -42,9 +47,13 @@
 	minStatusInterval = 250 * time.Millisecond
 	// relaySelectionInterval is the time between two selections of relays.
 	relaySelectionInterval = 500 * time.Millisecond
-	// addressInterval is the time between digests that contain the addresses of
-	// the other hosts.
-	addressInterval = 2 * time.Second
+	// hostsInterval is the time between digests that list other hosts. It is
+	// minHostsInterval after the known hosts have changed.
+	hostsInterval    = 3 * time.Second
+	minHostsInterval = 500 * time.Millisecond
+	// memberReadAge is the age of the newest known read of the list at which a
+	// host that is no relay reads the store itself.
+	memberReadAge = 3 * time.Second
 )
 
 // digestScheduler decides when to send which digest to which peer. The control
@@ -69,8 +78,9 @@
 	remoteReceivers []string
 	// unforwarded are the totals of other failure domains that are still to be
 	// forwarded in the local one.
-	unforwarded     map[model.DomainName]port.DomainLoad
-	addressesSentAt time.Time
+	unforwarded map[model.DomainName]port.DomainLoad
+	// hosts is the state of the digests that list hosts.
+	hosts sendState
 	// unsentChanges are the changes of the list of endpoints still to be sent.
 	unsentChanges port.ListChanges
 	// nextDirectCacheUpdate, nextLocalCacheUpdate and nextRemoteCacheUpdate are
@@ -115,8 +125,8 @@
 	if c.balancer.LocalLoadChanged() {
 		s.direct.requested = true
 	}
-	if addresses := s.dueAddresses(now); addresses != nil {
-		s.sendAddresses(now, c, addresses)
+	if s.hosts.isDue(now, minHostsInterval, hostsInterval) {
+		s.sendHosts(now, c)
 	}
 	if len(s.unsentChanges.Records) > 0 {
 		s.sendChanges(now, c)
@@ -156,7 +166,8 @@
 		return
 	}
 	s.relaysSelectedAt = now
-	local, remote := s.countPeers()
+	s.markSilentLinks(now)
+	local, remote := s.countPeers(now, c)
 	s.relayLocal = relay.NeededWithinDomain(local)
 	s.relayRemote = relay.NeededBetweenDomains(remote)
 	opts := &s.table.gateway.opts
@@ -168,6 +179,7 @@
 			localHosts = append(localHosts, m)
 		}
 	}
+	wasRelay := s.isRelay
 	s.localRelays, s.isRelay = nil, false
 	for _, m := range relay.Select(localHosts) {
 		if m.Host == self.Host {
@@ -180,6 +192,12 @@
 	if s.relayRemote {
 		s.remoteReceivers = relay.Receivers(self, members)
 	}
+	// Hosts that have selected this one rely on it, although it may know others.
+	s.isRelay = s.isRelay || s.relayLocal && s.hasLocalSubscriber(now)
+	if s.isRelay != wasRelay {
+		logRelay(opts.Log, s.isRelay, s.localRelays, s.remoteReceivers)
+	}
+	s.updateLinks(now)
 	if s.isRelay || !s.relayLocal {
 		c.balancer.DropDomainLoad(self.Domain)
 	}
@@ -195,19 +213,97 @@
 	return s.directInterval()
 }
 
-// countPeers returns the number of peers in the local failure domain and in
-// other domains.
-func (s *digestScheduler) countPeers() (local, remote int) {
+// countPeers returns the number of other hosts in the local failure domain and in
+// other domains: those known, or as many as relays have reported.
+func (s *digestScheduler) countPeers(now time.Time, c *control) (local, remote int) {
+	known := make(map[model.DomainName]int)
 	for _, p := range s.table.peers {
-		if s.table.isLocal(p) {
-			local++
+		if p.host != "" {
+			known[p.domain]++
+		}
+	}
+	own := s.table.gateway.opts.Domain
+	for domain, count := range c.balancer.DomainHosts(now) {
+		if domain == own {
+			count--
+		}
+		known[domain] = max(known[domain], count)
+	}
+	for domain, count := range known {
+		if domain == own {
+			local += count
 		} else {
-			remote++
+			remote += count
 		}
 	}
 	return local, remote
 }
 
+// membersChanged makes the relays and links be determined anew, and the known hosts
+// be listed soon.
+func (s *digestScheduler) membersChanged() {
+	s.relaysSelectedAt = time.Time{}
+	s.hosts.requested = true
+}
+
+// markSilentLinks records which linked hosts send nothing.
+func (s *digestScheduler) markSilentLinks(now time.Time) {
+	for _, p := range s.table.peers {
+		if p.isLinked() && !s.table.isLive(now, p) {
+			p.silentAt = now
+		}
+	}
+}
+
+// hasLocalSubscriber reports whether a host of the local failure domain requests this
+// host's digests.
+func (s *digestScheduler) hasLocalSubscriber(now time.Time) bool {
+	for _, p := range s.table.peers {
+		if s.table.isLocal(p) && now.Before(p.subscribedUntil) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayRead reports whether a peer is one of those that may read the platform's lists:
+// any one while all hosts exchange digests directly, else the relays.
+func (s *digestScheduler) mayRead(now time.Time, p *peer) bool {
+	if !s.relayLocal && !s.relayRemote {
+		return true
+	}
+	return p.subscribes || !s.table.isLocal(p) && now.Before(p.subscribedUntil)
+}
+
+// isMember reports whether this host relies on relays of its failure domain and hears
+// from one.
+func (s *digestScheduler) isMember(now time.Time) bool {
+	if !s.relayLocal && !s.relayRemote || s.isRelay {
+		return false
+	}
+	return slices.ContainsFunc(s.localRelays, func(address string) bool {
+		p := s.table.peers[address]
+		return p != nil && s.table.hearsFrom(now, p)
+	})
+}
+
+// updateLinks opens and closes links, so that there is one to each host that should
+// receive digests, and requests digests from those that this host relies on.
+func (s *digestScheduler) updateLinks(now time.Time) {
+	for address, p := range s.table.peers {
+		viaRelay := s.relayLocal || s.relayRemote
+		p.subscribes = viaRelay && slices.Contains(s.localRelays, address) || slices.Contains(s.remoteReceivers, address)
+		wanted := p.host != "" && (s.isDirect(address, p) || p.subscribes || now.Before(p.subscribedUntil))
+		switch {
+		case wanted && !p.isLinked():
+			s.table.link(now, address, p)
+			s.requestDigests()
+		case !wanted && p.isLinked() && now.Sub(p.linkedAt) >= localPeerTimeout:
+			p.unlink()
+		}
+	}
+}
+
 // isDirect reports whether this host sends its load directly to a peer.
 func (s *digestScheduler) isDirect(address string, p *peer) bool {
 	switch {
@@ -231,32 +327,31 @@
 	return max(s.table.gateway.opts.MinDigestInterval, time.Duration(count)*time.Second/maxDirectDigestsPerSecond)
 }
 
-// dueAddresses returns the addresses of the other hosts when they are due to be
-// sent, and counts them as sent; else nil.
-func (s *digestScheduler) dueAddresses(now time.Time) []string {
-	if now.Sub(s.addressesSentAt) < addressInterval {
-		return nil
-	}
-	s.addressesSentAt = now
-	return s.table.knownAddresses(now)
-}
-
-// sendAddresses sends the addresses of the other hosts to the peers of the
-// local failure domain, to direct peers, to relays of other domains, and to
-// addresses from which nothing was received yet.
-func (s *digestScheduler) sendAddresses(now time.Time, c *control, addresses []string) {
+// sendHosts lists the hosts that this host knows to the linked peers. A host that
+// relies on relays knows nothing that they do not.
+func (s *digestScheduler) sendHosts(now time.Time, c *control) {
+	s.hosts = sendState{sentAt: now}
+	if s.isMember(now) {
+		return
+	}
 	d := c.digest(now)
 	d.ViaRelay = true
 	d.LoadsUnchanged = true
-	d.KnownAddresses = addresses
-	for address, p := range s.table.peers {
-		if s.table.isLocal(p) || s.isDirect(address, p) || slices.Contains(s.remoteReceivers, address) || p.lastSeen.IsZero() {
-			p.enqueue(d)
+	byDomain := make(map[model.DomainName][]port.HostInfo)
+	for _, p := range s.table.peers {
+		if !p.isLinked() {
+			continue
 		}
+		if byDomain[p.domain] == nil {
+			byDomain[p.domain] = s.table.hostsFor(now, p.domain)
+		}
+		d.Hosts = byDomain[p.domain]
+		p.enqueue(d)
 	}
 }
 
-// sendChanges sends the queued changes of the list of endpoints to all peers.
+// sendChanges sends the queued changes of the list of endpoints to all linked
+// peers.
 func (s *digestScheduler) sendChanges(now time.Time, c *control) {
 	d := c.digest(now)
 	d.ViaRelay = true
@@ -298,7 +393,8 @@
 		Host: opts.Host, Incarnation: opts.Incarnation, Domain: opts.Domain, Address: opts.PeerAddress,
 		LinkSpeedMbps: opts.LinkMbps, Leaving: c.gateway.leaving.Load(), Version: c.version(),
 		ListReadAge: min(now.Sub(c.lastListRead), maxReadAge), ListChange: c.lastListChange, LeavingEndpoints: c.directory.Leaving(),
-		ReadsList: c.gateway.reading.Load(), ListReadFailing: c.listReadFailing,
+		ListKnownAge: c.knownReadAge(now),
+		ReadsList:    c.gateway.reading.Load(), ListReadFailing: c.listReadFailing,
 	}
 }
 
@@ -325,6 +421,7 @@
 			continue
 		}
 		c.balancer.SetDomainLoad(now, total.Domain, total.Loads, total.CacheUpdates)
+		c.balancer.SetDomainHosts(now, total.Domain, total.Hosts)
 		if d.Domain != own {
 			c.peers.digests.queueTotal(total)
 		}
--- a/internal/gateway/listchanges.go
+++ b/internal/gateway/listchanges.go
@@ -121,6 +121,9 @@
 func (c *control) receiveListChanges(now time.Time, d port.LoadDigest) {
 	if c.continuesList(d.Changes) {
 		c.applyRecords(now, d.Changes.Records)
+		if c.peers.digests.isRelay {
+			c.peers.digests.queueChanges(d.Changes)
+		}
 		c.nextInList = d.Changes.UpTo
 		c.lastListChange = model.LaterPosition(c.lastListChange, d.Changes.UpTo)
 	}
--- a/internal/gateway/listchanges_test.go
+++ b/internal/gateway/listchanges_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"testing"
@@ -29,6 +30,14 @@
 	return port.EndpointList{}, nil
 }
 
+func (p *recordingPeers) OpenLoadStream(context.Context, string) (port.LoadStream, error) {
+	return nil, errors.New("unreachable")
+}
+
+func (p *recordingPeers) FetchHosts(context.Context, string, port.HostInfo) ([]port.HostInfo, error) {
+	return nil, errors.New("unreachable")
+}
+
 // newTestControl returns the control state of a host that was never started.
 func newTestControl(t *testing.T) (*control, *recordingPeers) {
 	peers := &recordingPeers{fetches: make(chan string, 10)}
@@ -131,7 +140,7 @@
 		return port.DomainLoad{Domain: "south", Loads: []balance.EndpointLoad{load}, CacheUpdates: []balance.CacheUpdate{cacheUpdate(key)}}
 	}
 	older := port.LoadDigest{
-		Version: 1, KnownAddresses: []string{"x"}, CacheUpdates: []balance.CacheUpdate{cacheUpdate(1)}, Domains: []port.DomainLoad{domainLoad(1, 3)},
+		Version: 1, Hosts: []port.HostInfo{{Host: "x"}}, CacheUpdates: []balance.CacheUpdate{cacheUpdate(1)}, Domains: []port.DomainLoad{domainLoad(1, 3)},
 		Changes: port.ListChanges{After: offset(1), UpTo: offset(3), Records: []port.ListRecord{listRecord("a")}},
 	}
 	newer := port.LoadDigest{
@@ -139,7 +148,7 @@
 		Changes: port.ListChanges{After: offset(3), UpTo: offset(4), Records: []port.ListRecord{listRecord("b")}},
 	}
 	want := newer
-	want.KnownAddresses = []string{"x"}
+	want.Hosts = []port.HostInfo{{Host: "x"}}
 	want.CacheUpdates = []balance.CacheUpdate{cacheUpdate(1), cacheUpdate(2)}
 	want.Domains = []port.DomainLoad{domainLoad(2, 3)}
 	want.Domains[0].CacheUpdates = append(want.Domains[0].CacheUpdates, cacheUpdate(4))
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -161,3 +161,9 @@
 		"request": call.ID, "status": response.Status, "code": string(response.Code), "config": version,
 	}).Info("request: rejected")
 }
+
+// logRelay logs that this host has become a relay or has ceased to be one, and the
+// hosts that it relies on.
+func logRelay(entry log.Interface, isRelay bool, localRelays, receivers []string) {
+	entry.WithFields(fields{"relay": isRelay, "local_relays": localRelays, "receivers": receivers}).Info("peers: relay role changed")
+}
--- a/internal/gateway/mailbox.go
+++ b/internal/gateway/mailbox.go
@@ -12,8 +12,12 @@
 const maxQueuedCacheUpdates = 2048
 
 // enqueue puts a digest into the mailbox, merged with the one queued there, if
-// any.
+// any. It does nothing without a link to the peer.
 func (p *peer) enqueue(d port.LoadDigest) {
+	if !p.isLinked() {
+		return
+	}
+	d.Subscribes = p.subscribes
 	select {
 	case queued := <-p.mailbox:
 		d = mergeDigests(queued, d)
@@ -34,8 +38,8 @@
 	}
 	newer.CacheUpdates = mergeCacheUpdates(older.CacheUpdates, newer.CacheUpdates)
 	newer.Changes = mergeChanges(older.Changes, newer.Changes)
-	if len(newer.KnownAddresses) == 0 {
-		newer.KnownAddresses = older.KnownAddresses
+	if len(newer.Hosts) == 0 {
+		newer.Hosts = older.Hosts
 	}
 	totals := make(map[model.DomainName]port.DomainLoad)
 	for _, total := range older.Domains {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/clock"
@@ -15,11 +14,14 @@
 
 const (
 	// localPeerTimeout and remotePeerTimeout are the times without a digest
-	// after which a host of the local failure domain, or of another one, is no
-	// longer selected as a relay or as the source of a configuration. They
+	// after which a linked host of the local failure domain, or of another one,
+	// is no longer selected as a relay or as the source of a configuration. They
 	// exceed the longest times between two digests.
 	localPeerTimeout  = 2500 * time.Millisecond
 	remotePeerTimeout = 4500 * time.Millisecond
+	// reportedPeerTimeout is the corresponding time for a host of which only other
+	// hosts have reported that they hear from it. They report every few seconds.
+	reportedPeerTimeout = 9 * time.Second
 	// forgetPeerAfter is how long an address that sends nothing is kept, unless
 	// it is a seed.
 	forgetPeerAfter = 20 * time.Second
@@ -27,6 +29,9 @@
 	// to open a stream.
 	minReconnectDelay = 100 * time.Millisecond
 	maxReconnectDelay = 2 * time.Second
+	// subscriptionTimeout is how long a host sends digests to one that has
+	// requested them. Requests are repeated with each digest.
+	subscriptionTimeout = 3500 * time.Millisecond
 	// staleListAge is the age of the list of endpoints at which a host starts
 	// to fetch it from a peer. listFetchInterval is the minimum time between
 	// two fetches.
@@ -35,48 +40,76 @@
 	// maxReadAge is the read age reported by hosts that have never read the
 	// list.
 	maxReadAge = time.Hour
+	// readAgePerHop is added to the age of a read that another host has reported.
+	// It exceeds the time that the report takes, so that a read does not seem the
+	// newer the more often hosts report it to each other.
+	readAgePerHop = 150 * time.Millisecond
 )
 
-// peerTable keeps the addresses of the other hosts and a digest sender for
-// each. The control loop owns it.
+// peerTable keeps the known addresses of other hosts, and a digest sender for each
+// of those that this host sends digests to. The control loop owns it.
 type peerTable struct {
 	gateway *Gateway
 	peers   map[string]*peer
 	digests digestScheduler
+	joiner  joiner
+	// startSender starts a goroutine that sends the digests of a mailbox to an
+	// address until the context ends.
+	startSender func(ctx context.Context, address string, mailbox <-chan port.LoadDigest)
 }
 
 // peer is the state kept for another host's address.
 type peer struct {
 	seed bool
-	// mailbox holds the digest that the sender sends next.
-	mailbox chan port.LoadDigest
-	stop    context.CancelFunc
+	// mailbox holds the digest that the sender sends next, stop ends the sender;
+	// both are nil without a link. linkedAt is when the link was opened.
+	mailbox  chan port.LoadDigest
+	stop     context.CancelFunc
+	linkedAt time.Time
+	// subscribes reports whether digests to the host request its digests.
+	// subscribedUntil is until when the host has requested digests.
+	subscribes      bool
+	subscribedUntil time.Time
 	// lastSeen is when the host's last digest was received, added when the
-	// address was added.
-	lastSeen time.Time
-	added    time.Time
-	host     model.HostID
-	domain   model.DomainName
-	linkMbps float64
+	// address was added. reportedAt is when another host last heard from it, as
+	// far as reported. silentAt is when a link to it was found silent.
+	lastSeen   time.Time
+	added      time.Time
+	reportedAt time.Time
+	silentAt   time.Time
+	host       model.HostID
+	domain     model.DomainName
+	linkMbps   float64
 	// version is the version of the configuration in force at the host.
 	version model.Version
-	// readAge is the age of the host's last own read of the list, as of its
-	// last digest. reading reports whether it reads at regular times, failing
-	// whether its last read failed.
-	readAge time.Duration
-	reading bool
-	failing bool
+	// readAge is the age of the host's last own read of the list, knownReadAge that
+	// of the last read of any host that it knows of, as of its last digest. reading
+	// reports whether it reads at regular times, failing whether its last read
+	// failed.
+	readAge      time.Duration
+	knownReadAge time.Duration
+	reading      bool
+	failing      bool
 }
 
+// isLinked reports whether this host sends digests to the peer.
+func (p *peer) isLinked() bool { return p.stop != nil }
+
+// heardAt returns when this host or another one last heard from the peer.
+func (p *peer) heardAt() time.Time { return later(p.lastSeen, p.reportedAt) }
+
 func newPeerTable(g *Gateway) *peerTable {
 	t := &peerTable{gateway: g, peers: make(map[string]*peer)}
 	t.digests = digestScheduler{table: t, unforwarded: make(map[model.DomainName]port.DomainLoad)}
+	t.joiner = joiner{ask: t.askForHosts}
+	t.startSender = func(ctx context.Context, address string, mailbox <-chan port.LoadDigest) {
+		g.workers.Go(func() { g.sendDigests(ctx, address, mailbox) })
+	}
 	return t
 }
 
-// add adds an address, unless it is known already, starts its digest sender, and
-// requests digests to all peers. It returns the address's entry, or nil when the
-// address is empty or this host's own, or this host sends no digests.
+// add adds an address unless it is known already. It returns the address's entry, or
+// nil when the address is empty or this host's own, or this host sends no digests.
 func (t *peerTable) add(now time.Time, address string, seed bool) *peer {
 	if address == "" || address == t.gateway.opts.PeerAddress || t.gateway.opts.Peers == nil {
 		return nil
@@ -85,25 +118,38 @@
 		p.seed = p.seed || seed
 		return p
 	}
-	ctx, stop := context.WithCancel(t.gateway.ctx)
-	p := &peer{seed: seed, mailbox: make(chan port.LoadDigest, 1), stop: stop, added: now}
+	p := &peer{seed: seed, added: now}
 	t.peers[address] = p
-	t.requestDigests()
-	t.digests.addressesSentAt = time.Time{}
-	t.gateway.workers.Go(func() { t.gateway.sendDigests(ctx, address, p.mailbox) })
+	t.digests.membersChanged()
 	return p
 }
 
-// tick drops addresses that have been silent for too long and sends the digests
-// that are due.
+// link starts to send digests to a peer.
+func (t *peerTable) link(now time.Time, address string, p *peer) {
+	ctx, stop := context.WithCancel(t.gateway.ctx)
+	p.mailbox, p.stop, p.linkedAt = make(chan port.LoadDigest, 1), stop, now
+	t.startSender(ctx, address, p.mailbox)
+}
+
+// unlink ends sending digests to a peer.
+func (p *peer) unlink() {
+	if p.isLinked() {
+		p.stop()
+		p.mailbox, p.stop = nil, nil
+	}
+}
+
+// tick drops addresses that have been silent for too long, finds more hosts, and
+// sends the digests that are due.
 func (t *peerTable) tick(now time.Time, c *control) {
 	for address, p := range t.peers {
-		if !p.seed && now.Sub(later(p.lastSeen, p.added)) > forgetPeerAfter {
-			p.stop()
+		if !p.seed && now.Sub(later(p.heardAt(), p.added)) > forgetPeerAfter {
+			p.unlink()
 			delete(t.peers, address)
 			t.gateway.opts.Log.WithField("address", address).Info("peers: silent address dropped")
 		}
 	}
+	t.joiner.tick(now, t)
 	t.digests.tick(now, c)
 }
 
@@ -111,22 +157,35 @@
 // changed.
 func (t *peerTable) requestDigests() { t.digests.requestDigests() }
 
-// isLocal reports whether a peer is in the local failure domain, or in one that
-// is not known yet.
-func (t *peerTable) isLocal(p *peer) bool {
-	return p.domain == "" || p.domain == t.gateway.opts.Domain
-}
+// isLocal reports whether a peer is in the local failure domain.
+func (t *peerTable) isLocal(p *peer) bool { return p.domain == t.gateway.opts.Domain }
 
-// isLive reports whether a peer's last digest is recent enough for its
-// distance.
+// isLive reports whether a peer counts as live: its digests arrive or, without a link
+// to it, other hosts hear from it. A new link gets time for the first digest.
 func (t *peerTable) isLive(now time.Time, p *peer) bool {
+	limit := remotePeerTimeout
 	if t.isLocal(p) {
-		return now.Sub(p.lastSeen) < localPeerTimeout
+		limit = localPeerTimeout
+	}
+	if now.Sub(p.lastSeen) < limit {
+		return true
 	}
-	return now.Sub(p.lastSeen) < remotePeerTimeout
+	if p.isLinked() && now.Sub(p.linkedAt) >= limit {
+		return false
+	}
+	return p.reportedAt.After(p.silentAt) && now.Sub(p.reportedAt) < reportedPeerTimeout
 }
 
-// liveMembers returns the hosts whose last digests are recent.
+// hearsFrom reports whether this host receives digests from a peer.
+func (t *peerTable) hearsFrom(now time.Time, p *peer) bool {
+	limit := remotePeerTimeout
+	if t.isLocal(p) {
+		limit = localPeerTimeout
+	}
+	return now.Sub(p.lastSeen) < limit
+}
+
+// liveMembers returns the other hosts that count as live.
 func (t *peerTable) liveMembers(now time.Time) []relay.Member {
 	var out []relay.Member
 	for address, p := range t.peers {
@@ -137,19 +196,6 @@
 	return out
 }
 
-// knownAddresses returns the sorted addresses of all hosts that sent a digest
-// within forgetPeerAfter.
-func (t *peerTable) knownAddresses(now time.Time) []string {
-	var out []string
-	for address, p := range t.peers {
-		if now.Sub(p.lastSeen) < forgetPeerAfter {
-			out = append(out, address)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
 // later returns the later one of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
@@ -182,14 +228,26 @@
 	if c.firstDigestAt.IsZero() {
 		c.firstDigestAt = now
 	}
+	if p.host != d.Host || p.domain != d.Domain {
+		c.peers.digests.membersChanged()
+	}
 	p.lastSeen, p.host, p.domain, p.linkMbps = now, d.Host, d.Domain, d.LinkSpeedMbps
 	p.readAge, p.reading, p.failing = d.ListReadAge, d.ReadsList, d.ListReadFailing
-	for _, address := range d.KnownAddresses {
-		c.peers.add(now, address, false)
+	p.knownReadAge = min(d.ListKnownAge, d.ListReadAge)
+	if d.Subscribes {
+		if !now.Before(p.subscribedUntil) {
+			c.peers.digests.membersChanged()
+		}
+		p.subscribedUntil = now.Add(subscriptionTimeout)
+	}
+	for _, info := range d.Hosts {
+		c.peers.learn(now, info)
 	}
 	p.version = d.Version
 	c.applyLeaving(now, d.LeavingEndpoints)
-	c.fetchNewerConfig(now)
+	if d.Version > c.version() {
+		c.fetchNewerConfig(now)
+	}
 	c.receiveListChanges(now, d)
 }
 
@@ -198,13 +256,17 @@
 func (c *control) updateReading(now time.Time) {
 	var peers []readers.Peer
 	for _, p := range c.peers.peers {
-		if !p.lastSeen.IsZero() {
+		if !p.lastSeen.IsZero() && c.peers.digests.mayRead(now, p) {
 			peers = append(peers, readers.Peer{
 				Host: p.host, LastSeen: p.lastSeen, ReadAge: p.readAge, Reading: p.reading, Failing: p.failing,
 			})
 		}
 	}
 	reading := readers.ShouldRead(now, c.gateway.opts.Host, peers)
+	if c.peers.digests.isMember(now) {
+		// The relays read for the other hosts.
+		reading = c.knownReadAge(now) > memberReadAge
+	}
 	if reading != c.gateway.reading.Swap(reading) {
 		c.gateway.opts.Log.WithFields(fields{"reading": reading, "peers": len(peers)}).Info("lists: reader role changed")
 		c.peers.requestDigests()
@@ -212,11 +274,23 @@
 			c.gateway.requestListRead()
 		}
 	}
-	if age := readers.NewestReadAge(now, now.Sub(c.lastListRead), peers); age < c.directory.Age(now) && !c.lastListRead.IsZero() {
+	if age := c.knownReadAge(now); age < c.directory.Age(now) && !c.lastListRead.IsZero() {
 		c.directory.RecordStoreRead(now.Add(-age))
 	}
 }
 
+// knownReadAge returns the age of the newest read of the list by any host, as far as
+// this host knows.
+func (c *control) knownReadAge(now time.Time) time.Duration {
+	age := min(now.Sub(c.lastListRead), maxReadAge)
+	for _, p := range c.peers.peers {
+		if !p.lastSeen.IsZero() {
+			age = min(age, p.knownReadAge+readAgePerHop+now.Sub(p.lastSeen))
+		}
+	}
+	return age
+}
+
 // refreshStaleList fetches the list of endpoints from the peer with the newest
 // copy while the platform's store does not answer this host.
 func (c *control) refreshStaleList(now time.Time) {
@@ -228,11 +302,11 @@
 		if p.lastSeen.IsZero() || now.Sub(p.lastSeen) > heartbeatInterval*2 {
 			continue
 		}
-		if best == "" || p.readAge < c.peers.peers[best].readAge {
+		if best == "" || p.knownReadAge < c.peers.peers[best].knownReadAge {
 			best = address
 		}
 	}
-	if best == "" || c.directory.Len() > 0 && c.peers.peers[best].readAge > staleListAge {
+	if best == "" || c.directory.Len() > 0 && c.peers.peers[best].knownReadAge > staleListAge {
 		return
 	}
 	c.fetchList(now, best)
--- /dev/null
+++ b/internal/gateway/status.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+)
+
+// PeerStatus is what a host knows of the other hosts and of the platform's lists. Ages
+// are in seconds.
+type PeerStatus struct {
+	Host   model.HostID     `json:"host"`
+	Domain model.DomainName `json:"domain"`
+	// Relay reports whether the host is a relay of its failure domain.
+	Relay bool `json:"relay"`
+	// LocalRelays are the peer addresses of the other relays of its domain, and
+	// Receivers those of the relays of other domains that it sends totals to.
+	LocalRelays []string `json:"local_relays"`
+	Receivers   []string `json:"receivers"`
+	// FleetHosts is the number of hosts of the fleet as far as it knows.
+	FleetHosts int `json:"fleet_hosts"`
+	// Reading reports whether it reads the platform's lists itself. ListAge is the
+	// age of the newest read by any host, as far as it knows.
+	Reading bool    `json:"reading"`
+	ListAge float64 `json:"list_age_s"`
+	// Era and Offset are its position in the list of endpoints.
+	Era     model.Era     `json:"era"`
+	Offset  model.Offset  `json:"offset"`
+	Version model.Version `json:"version"`
+	// LeavingEndpoints are the endpoints that have reported that they are leaving.
+	LeavingEndpoints []model.EndpointName `json:"leaving_endpoints"`
+	Peers            []PeerView           `json:"peers"`
+}
+
+// PeerView is what a host knows of another one.
+type PeerView struct {
+	Host    model.HostID     `json:"host"`
+	Domain  model.DomainName `json:"domain"`
+	Address string           `json:"address"`
+	// Linked reports whether digests are sent to it, Live whether it counts as
+	// live.
+	Linked bool `json:"linked"`
+	Live   bool `json:"live"`
+	// Path is how this host hears of it: "direct", "reported" by another host, or
+	// "none". Age is the time since it was last heard from on that path.
+	Path    string        `json:"path"`
+	Age     float64       `json:"age_s"`
+	Version model.Version `json:"version"`
+}
+
+// Paths on which a host hears of another one.
+const (
+	pathDirect   = "direct"
+	pathReported = "reported"
+	pathNone     = "none"
+)
+
+// PeerStatus returns what this host knows of the other hosts. It returns false if the
+// control loop did not answer.
+func (g *Gateway) PeerStatus(ctx context.Context) (PeerStatus, bool) {
+	return queryLoop(ctx, g, func(now time.Time) PeerStatus { return g.control.status(now) })
+}
+
+// status returns what this host knows of the other hosts.
+func (c *control) status(now time.Time) PeerStatus {
+	opts := &c.gateway.opts
+	digests := &c.peers.digests
+	out := PeerStatus{
+		Host: opts.Host, Domain: opts.Domain, Relay: digests.isRelay,
+		LocalRelays: slices.Clone(digests.localRelays), Receivers: slices.Clone(digests.remoteReceivers),
+		FleetHosts: c.balancer.CountHosts(now), Reading: c.gateway.reading.Load(),
+		ListAge: c.knownReadAge(now).Seconds(), Era: c.nextInList.Era, Offset: c.nextInList.Offset, Version: c.version(),
+	}
+	for _, instance := range c.directory.Leaving() {
+		out.LeavingEndpoints = append(out.LeavingEndpoints, instance.Name)
+	}
+	for address, p := range c.peers.peers {
+		out.Peers = append(out.Peers, c.peers.view(now, address, p))
+	}
+	slices.SortFunc(out.Peers, func(a, b PeerView) int {
+		return strings.Compare(string(a.Domain)+"/"+a.Address, string(b.Domain)+"/"+b.Address)
+	})
+	return out
+}
+
+// view returns what this host knows of another one.
+func (t *peerTable) view(now time.Time, address string, p *peer) PeerView {
+	v := PeerView{
+		Host: p.host, Domain: p.domain, Address: address, Linked: p.isLinked(), Live: p.host != "" && t.isLive(now, p),
+		Path: pathNone, Version: p.version,
+	}
+	switch {
+	case t.hearsFrom(now, p):
+		v.Path, v.Age = pathDirect, now.Sub(p.lastSeen).Seconds()
+	case !p.reportedAt.IsZero():
+		v.Path, v.Age = pathReported, now.Sub(p.reportedAt).Seconds()
+	}
+	return v
+}
+
+// ServePeers serves PeerStatus as JSON.
+func (g *Gateway) ServePeers(w http.ResponseWriter, r *http.Request) {
+	status, ok := g.PeerStatus(r.Context())
+	if !ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A write error means that the client has disconnected.
+	_ = json.NewEncoder(w).Encode(status)
+}
+
+// metricsInterval is the time between updates of the gauges.
+const metricsInterval = time.Second
+
+// updateMetrics sets the gauges about other hosts and the platform's lists.
+func (c *control) updateMetrics(now time.Time) {
+	if now.Sub(c.metricsAt) < metricsInterval {
+		return
+	}
+	c.metricsAt = now
+	links := 0
+	for _, p := range c.peers.peers {
+		if p.isLinked() {
+			links++
+		}
+	}
+	m := c.gateway.opts.Metrics
+	m.SetPeers(len(c.peers.peers), links, c.peers.digests.isRelay)
+	m.SetListAge(c.knownReadAge(now), uint64(c.nextInList.Era))
+}
--- a/internal/gateway/totals.go
+++ b/internal/gateway/totals.go
@@ -30,13 +30,14 @@
 	d.ViaRelay = true
 	remoteTotals := s.takeUnforwarded()
 	totals := c.balancer.LocalDomainLoad(now)
+	hosts := c.balancer.CountLocalHosts()
 	var updates []balance.CacheUpdate
 	updates, s.nextLocalCacheUpdate = c.balancer.DomainCacheUpdatesSince(s.nextLocalCacheUpdate)
 	for address, p := range s.table.peers {
-		if !s.table.isLocal(p) || p.host == "" || slices.Contains(s.localRelays, address) {
+		if !s.table.isLocal(p) || !now.Before(p.subscribedUntil) || slices.Contains(s.localRelays, address) {
 			continue
 		}
-		total := port.DomainLoad{Domain: d.Domain, Loads: totals.Without(c.balancer.PeerLoad(p.host)), CacheUpdates: updates}
+		total := port.DomainLoad{Domain: d.Domain, Hosts: hosts, Loads: totals.Without(c.balancer.PeerLoad(p.host)), CacheUpdates: updates}
 		d.Domains = append(slices.Clone(remoteTotals), total)
 		p.enqueue(d)
 	}
@@ -75,11 +76,12 @@
 func (s *digestScheduler) sendRemoteTotals(now time.Time, c *control) {
 	d := c.digest(now)
 	d.ViaRelay = true
-	total := port.DomainLoad{Domain: d.Domain, Loads: c.balancer.LocalDomainLoad(now).List()}
+	total := port.DomainLoad{Domain: d.Domain, Hosts: c.balancer.CountLocalHosts(), Loads: c.balancer.LocalDomainLoad(now).List()}
 	total.CacheUpdates, s.nextRemoteCacheUpdate = c.balancer.DomainCacheUpdatesSince(s.nextRemoteCacheUpdate)
 	d.Domains = []port.DomainLoad{total}
-	for _, address := range s.remoteReceivers {
-		if p := s.table.peers[address]; p != nil {
+	for address, p := range s.table.peers {
+		subscribed := !s.table.isLocal(p) && now.Before(p.subscribedUntil)
+		if subscribed || slices.Contains(s.remoteReceivers, address) {
 			p.enqueue(d)
 		}
 	}
--- a/internal/metrics/events.go
+++ b/internal/metrics/events.go
@@ -71,3 +71,21 @@
 func (m *Metrics) PlatformError(op string, outcome model.Outcome) {
 	m.platformErrors.with(op, outcome.String()).Inc(1)
 }
+
+// SetPeers sets the numbers of other hosts that are known and that digests are sent
+// to, and whether this host is a relay.
+func (m *Metrics) SetPeers(known, links int, relay bool) {
+	m.knownHosts.Update(float64(known))
+	m.peerLinks.Update(float64(links))
+	m.relay.Update(0)
+	if relay {
+		m.relay.Update(1)
+	}
+}
+
+// SetListAge sets the age of the newest known read of the list of endpoints, and the
+// era of the platform's store.
+func (m *Metrics) SetListAge(age time.Duration, era uint64) {
+	m.listAge.Update(age.Seconds())
+	m.storeEra.Update(float64(era))
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -57,6 +57,12 @@
 
 	firstToken    *vec[tally.Histogram]
 	betweenTokens *vec[tally.Histogram]
+
+	knownHosts tally.Gauge
+	peerLinks  tally.Gauge
+	relay      tally.Gauge
+	listAge    tally.Gauge
+	storeEra   tally.Gauge
 }
 
 // Error is returned if the metrics cannot be set up.
@@ -89,6 +95,7 @@
 	m := &Metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler()}
 	m.addCounters(opts.MaxValues)
 	m.addHistograms(opts.MaxValues)
+	m.addGauges()
 	return m, nil
 }
 
@@ -120,6 +127,14 @@
 	m.betweenTokens = histogram("between_tokens_seconds", betweenTokensBuckets)
 }
 
+func (m *Metrics) addGauges() {
+	m.knownHosts = m.scope.Gauge("known_hosts")
+	m.peerLinks = m.scope.Gauge("peer_links")
+	m.relay = m.scope.Gauge("relay")
+	m.listAge = m.scope.Gauge("list_age_seconds")
+	m.storeEra = m.scope.Gauge("store_era")
+}
+
 // Handler returns a handler that serves the metrics in the text format of
 // Prometheus. They are at most 1 s old.
 func (m *Metrics) Handler() http.Handler { return m.handler }
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -47,6 +47,8 @@
 	m.PlatformError("append", model.OutcomeUnknown)
 	m.ObserveFirstToken("draft", 3*time.Millisecond)
 	m.ObserveBetweenTokens("draft", 2*time.Millisecond)
+	m.SetPeers(12, 2, true)
+	m.SetListAge(1500*time.Millisecond, 3)
 	page := scrape(t, m)
 	documented, err := os.ReadFile("../../docs/operations/logs-and-metrics.md")
 	must.NoError(t, err)
@@ -67,6 +69,11 @@
 		`wigeonsail_first_token_seconds_bucket{class="draft",le="0.002"} 0`,
 		`wigeonsail_first_token_seconds_bucket{class="draft",le="0.004"} 1`,
 		`wigeonsail_between_tokens_seconds_count{class="draft"} 1`,
+		`wigeonsail_known_hosts 12`,
+		`wigeonsail_peer_links 2`,
+		`wigeonsail_relay 1`,
+		`wigeonsail_list_age_seconds 1.5`,
+		`wigeonsail_store_era 3`,
 	} {
 		must.StrContains(t, page, line+"\n")
 	}
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -42,11 +42,14 @@
 	CacheUpdates []balance.CacheUpdate
 	// Changes are the changes of the list of endpoints that the host has read.
 	Changes ListChanges
-	// KnownAddresses are the peer addresses of the hosts from which the sender has
-	// recently received digests. They are sent at regular intervals and after an
-	// address was added. Most digests omit them; the receiver then keeps the
-	// addresses that it has.
-	KnownAddresses []string
+	// ListKnownAge is the time since any host that the sender knows of last read
+	// the list.
+	ListKnownAge time.Duration
+	// Hosts are hosts that the sender knows. Most digests omit them; the receiver
+	// then keeps the hosts that it has.
+	Hosts []HostInfo
+	// Subscribes requests digests of the receiver for some seconds.
+	Subscribes bool
 	// ViaRelay reports that the receiver's failure domain gets the sender's load
 	// through relays; the receiver then ignores Loads.
 	ViaRelay bool
@@ -61,11 +64,25 @@
 // DomainLoad holds the totals of a failure domain: the load of all its hosts
 // except the receiver, and their prefix cache updates.
 type DomainLoad struct {
-	Domain       model.DomainName
+	Domain model.DomainName
+	// Hosts is the number of hosts of the domain, as far as its relay knows.
+	Hosts        int
 	Loads        []balance.EndpointLoad
 	CacheUpdates []balance.CacheUpdate
 }
 
+// HostInfo describes a host to other hosts.
+type HostInfo struct {
+	Host   model.HostID
+	Domain model.DomainName
+	// Address is the host's peer address.
+	Address string
+	// LinkSpeedMbps is the speed of the host's network link in Mbit/s.
+	LinkSpeedMbps float64
+	// Age is the time since the host was last heard from.
+	Age time.Duration
+}
+
 // ListChanges is a range of consecutive changes of the list of endpoints.
 type ListChanges struct {
 	// After is the position after the changes that precede this range, and UpTo
@@ -91,6 +108,9 @@
 	FetchConfig(ctx context.Context, address string, newerThan model.Version) (ConfigRecord, error)
 	// FetchEndpoints returns the peer's list of endpoints.
 	FetchEndpoints(ctx context.Context, address string) (EndpointList, error)
+	// FetchHosts describes this host to a peer and returns hosts that the peer
+	// knows: those of this host's failure domain, and some of other ones.
+	FetchHosts(ctx context.Context, address string, self HostInfo) ([]HostInfo, error)
 }
 
 // LoadStream sends digests to one peer.
@@ -106,6 +126,7 @@
 	HandleDigest(digest LoadDigest)
 	HandleFetchConfig(ctx context.Context, newerThan model.Version) (ConfigRecord, error)
 	HandleFetchEndpoints(ctx context.Context) (EndpointList, error)
+	HandleFetchHosts(ctx context.Context, caller HostInfo) ([]HostInfo, error)
 }
 
 // EndpointList is a host's list of endpoints.
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -148,6 +148,7 @@
 	g.serveAux(g.listeners[listenReadiness], platform.NewReadinessHandler(g.gateway))
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", g.metrics.Handler())
+	mux.HandleFunc("GET /peers", g.gateway.ServePeers)
 	g.serveAux(g.listeners[listenMetrics], mux)
 	g.log.WithFields(log.Fields{
 		"host": g.settings.Host, "domain": g.settings.Domain, "callers": g.settings.Listen.Callers,
--- a/internal/server/gateway_fixture_test.go
+++ b/internal/server/gateway_fixture_test.go
@@ -140,7 +140,13 @@
 
 func (f *fleet) eventually(cond func() bool) {
 	f.t.Helper()
-	must.Wait(f.t, wait.InitialSuccess(wait.BoolFunc(cond), wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond)))
+	f.within(5*time.Second, cond)
+}
+
+// within waits for a condition that takes longer than others to hold.
+func (f *fleet) within(limit time.Duration, cond func() bool) {
+	f.t.Helper()
+	must.Wait(f.t, wait.InitialSuccess(wait.BoolFunc(cond), wait.Timeout(limit), wait.Gap(5*time.Millisecond)))
 }
 
 // fleetResponse is the response as received by a caller.
