--- a/cmd/wigeonsail/gateway.go
+++ b/cmd/wigeonsail/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/wigeonsail/wigeonsail/internal/earlysignal"
 	"github.com/wigeonsail/wigeonsail/internal/logging"
 	"github.com/wigeonsail/wigeonsail/internal/server"
 	"github.com/wigeonsail/wigeonsail/internal/settings"
@@ -47,14 +48,12 @@
 	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.Limits.Memory<<20)))
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	g, err := server.NewGateway(s, log.Log)
 	if err != nil {
 		return &usageError{cause: err}
 	}
 	g.Start()
-	c.serve(g, stop, reload)
+	c.serve(g, stop, earlysignal.Reload)
 	ctx, cancel := context.WithTimeout(context.Background(), s.Shutdown.Grace.Std()-graceMargin)
 	defer cancel()
 	err = g.Shutdown(ctx)
