A host that starts without the store asks all seeds before it takes a configuration

A host asks its seeds 400 ms apart, but took its first configuration 300 ms after the first digest, so the seed asked first, here the one that had been cut off, decided. On an idle machine the digests of the other seed came in time by another path.

Change: it waits until three requests were answered, and 300 ms more. Ruled out: a late digest alone, since the unit test shows it with exact times.

--- a/internal/gateway/configfetch.go
+++ b/internal/gateway/configfetch.go
@@ -79,9 +79,9 @@
 }
 
 // hasWaitedForPeers reports whether firstConfigWait has passed since the first
-// digest.
+// digest, and since the last seed was asked for hosts.
 func (c *control) hasWaitedForPeers(now time.Time) bool {
-	return !c.firstDigestAt.IsZero() && now.Sub(c.firstDigestAt) >= firstConfigWait
+	return !c.firstDigestAt.IsZero() && now.Sub(c.firstDigestAt) >= firstConfigWait && c.peers.joiner.hasAskedSeeds(now)
 }
 
 // pickConfigPeer returns the address of a random live peer with a newer
--- a/internal/gateway/configfetch_test.go
+++ b/internal/gateway/configfetch_test.go
@@ -41,6 +41,10 @@
 	must.False(t, c.fetchingConfig)
 	c.receiveDigest(at(firstConfigWait-time.Millisecond), port.LoadDigest{Host: "fresh", Domain: "south", Address: "fresh", Version: 2})
 	must.False(t, c.fetchingConfig)
+	c.peers.joiner.requests, c.peers.joiner.askedAt = joinRequests-1, at(0)
+	c.fetchNewerConfig(at(firstConfigWait))
+	must.False(t, c.fetchingConfig, must.Sprint("a seed was not asked yet"))
+	c.peers.joiner.requests = joinRequests
 	for range 20 {
 		must.Eq(t, "fresh", c.pickConfigPeer(at(firstConfigWait)))
 	}
@@ -73,6 +77,7 @@
 	c.gateway.opts.Peers = failingPeers{}
 	addPeer(c, "peer", "north", 3)
 	c.firstDigestAt = at(-firstConfigWait)
+	c.peers.joiner.requests = joinRequests
 	c.fetchNewerConfig(at(0))
 	select {
 	case <-c.gateway.readConfigNow:
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -46,7 +46,8 @@
 	ask      func(address string)
 	requests int
 	asking   bool
-	askedAt  time.Time
+	// askedAt is when the last request was made or, once answered, its answer came.
+	askedAt time.Time
 	// checkedAt is when it was last determined whether a request is due.
 	checkedAt time.Time
 }
@@ -72,9 +73,15 @@
 	j.ask(address)
 }
 
+// hasAskedSeeds reports whether the requests of a host that starts were answered, and
+// the hosts that they named had firstConfigWait to send digests.
+func (j *joiner) hasAskedSeeds(now time.Time) bool {
+	return j.requests >= joinRequests && !j.asking && now.Sub(j.askedAt) >= firstConfigWait
+}
+
 // answered records the hosts that another host has named.
 func (j *joiner) answered(now time.Time, t *peerTable, hosts []port.HostInfo) {
-	j.asking = false
+	j.asking, j.askedAt = false, now
 	for _, info := range hosts {
 		t.learn(now, info)
 	}
