Show how old a gateway's knowledge of the newest configuration is

The logs told the first of a series of failed reads and their end, not when the last lost read began, and nothing told how long ago a host's version was known to be the newest one.

Digests now carry that age, /peers, a gauge and the rejection of a request show it, and the recovery of a list's reads shows their number and when the first and the last failed one began. Nothing is decided by it yet.

--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/grpc"
 	grpcgzip "google.golang.org/grpc/encoding/gzip"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/wigeonsail/wigeonsail/api/peer"
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
@@ -182,6 +183,7 @@
 		Hosts:            convert(d.Hosts, hostInfoToWire),
 		Subscribes:       d.Subscribes,
 		KnownReadAgeMs:   d.ListKnownAge.Milliseconds(),
+		ConfigAgeMs:      proto.Int64(d.ConfigAge.Milliseconds()),
 		Marks:            convert(d.CacheUpdates, cacheUpdateToWire),
 		ByRelay:          d.ViaRelay,
 		KeepLoads:        d.LoadsUnchanged,
@@ -208,6 +210,7 @@
 		Hosts:            convert(d.GetHosts(), hostInfoFromWire),
 		Subscribes:       d.GetSubscribes(),
 		ListKnownAge:     time.Duration(d.GetKnownReadAgeMs()) * time.Millisecond,
+		ConfigAge:        configAgeFromWire(d.ConfigAgeMs),
 		CacheUpdates:     convert(d.GetMarks(), cacheUpdateFromWire),
 		ViaRelay:         d.GetByRelay(),
 		LoadsUnchanged:   d.GetKeepLoads(),
@@ -217,6 +220,15 @@
 	}
 }
 
+// configAgeFromWire returns the age of a sender's configuration, or port.UnknownAge if
+// it omits it.
+func configAgeFromWire(ms *int64) time.Duration {
+	if ms == nil || *ms < 0 {
+		return port.UnknownAge
+	}
+	return time.Duration(*ms) * time.Millisecond
+}
+
 func domainLoadToWire(d port.DomainLoad) *peer.DomainLoad {
 	return &peer.DomainLoad{
 		Domain: string(d.Domain),
--- a/internal/adapter/peergrpc/share_bench_test.go
+++ b/internal/adapter/peergrpc/share_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"google.golang.org/protobuf/proto"
@@ -48,6 +49,7 @@
 func TestLoadDigestRoundTrips(t *testing.T) {
 	want := digestOf(3)
 	want.ReadsList, want.ListReadFailing, want.ListChange = true, true, model.Position{Era: 2, Offset: 7}
+	want.ConfigAge = 1200 * time.Millisecond
 	got := loadDigestFromWire(loadDigestToWire(want))
 	must.Eq(t, want, got)
 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -6,6 +6,7 @@
 
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
 	"github.com/wigeonsail/wigeonsail/internal/core/directory"
+	"github.com/wigeonsail/wigeonsail/internal/core/freshness"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/routing"
 	"github.com/wigeonsail/wigeonsail/internal/loop"
@@ -18,6 +19,8 @@
 	balancer  *balance.Balancer
 	directory *directory.Directory
 	peers     *peerTable
+	// freshness is when the configuration in force was known to be the newest one.
+	freshness freshness.State
 	// fetchingConfig and fetchingList report whether a fetch from a peer is in
 	// progress.
 	fetchingConfig bool
@@ -173,9 +176,34 @@
 	c.gateway.table.Store(routing.NewTable(cfg))
 	c.gateway.record.Store(&rec)
 	c.balancer.SetPools(cfg.Pools)
+	c.freshness.SetVersion(cfg.Version)
+	c.publishFreshness()
 	c.peers.requestDigests()
 	c.gateway.opts.Log.WithFields(fields{
 		"version": cfg.Version, "before": before, "source": source,
 		"routes": len(cfg.Routes), "accounts": len(cfg.Accounts),
 	}).Info("config: in force")
 }
+
+// learnFreshness applies what this host or another one knows of the newest
+// configuration.
+func (c *control) learnFreshness(claim freshness.Claim) {
+	c.freshness.Learn(claim)
+	c.publishFreshness()
+}
+
+// publishFreshness makes the freshness visible to the goroutines that carry requests.
+func (c *control) publishFreshness() {
+	confirmed := c.freshness.ConfirmedAt()
+	c.gateway.configConfirmedAt.Store(&confirmed)
+}
+
+// configAge returns the time since the configuration in force was known to be the
+// newest one, at most maxReadAge.
+func (g *Gateway) configAge(now time.Time) time.Duration {
+	confirmed := g.configConfirmedAt.Load()
+	if confirmed == nil || confirmed.IsZero() {
+		return maxReadAge
+	}
+	return min(now.Sub(*confirmed), maxReadAge)
+}
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/clock"
+	"github.com/wigeonsail/wigeonsail/internal/core/freshness"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/loop"
 	"github.com/wigeonsail/wigeonsail/internal/port"
@@ -34,13 +35,16 @@
 	// synced reports that the full list has been read and next is set.
 	synced     bool
 	retryDelay time.Duration
-	// failing reports that the last read failed.
-	failing bool
+	// failures is the number of reads that failed since the last success. The first
+	// of them began at failingSince, the last one at lastFailedAt.
+	failures                   int
+	failingSince, lastFailedAt time.Time
 }
 
 // read returns the records since the last read. The first read, and the one
 // after records have expired or the store was restored, returns the full list.
 func (f *follower) read(ctx context.Context) (batch port.KeyedBatch, full bool, err error) {
+	started := time.Now()
 	if !f.synced {
 		batch, err = f.gateway.opts.Lists.LatestValues(ctx, f.topic)
 		full = true
@@ -51,7 +55,7 @@
 		f.synced = false
 		return f.read(ctx)
 	}
-	f.recordResult(err)
+	f.recordResult(started, err)
 	if err != nil {
 		return batch, full, err
 	}
@@ -79,21 +83,26 @@
 
 // recordResult logs the first failed read and the recovery, and sets the delay
 // before the next try.
-func (f *follower) recordResult(err error) {
+func (f *follower) recordResult(started time.Time, err error) {
 	entry := f.gateway.opts.Log.WithField("topic", f.topic.String())
-	switch {
-	case err != nil && !f.failing:
-		entry.WithError(err).Warn("lists: read failed")
-	case err == nil && f.failing:
-		entry.Info("lists: read succeeded again")
-	}
-	f.failing = err != nil
-	if err != nil {
-		f.retryDelay = min(max(2*f.retryDelay, minRetryDelay), maxRetryDelay)
-		f.gateway.opts.Metrics.PlatformError("read "+f.topic.String(), model.OutcomeNotRun)
+	if err == nil {
+		if f.failures > 0 {
+			entry.WithFields(fields{
+				"failures": f.failures, "failing_ms": time.Since(f.failingSince).Milliseconds(),
+				"last_failed_ms": time.Since(f.lastFailedAt).Milliseconds(),
+			}).Info("lists: read succeeded again")
+		}
+		f.failures, f.retryDelay = 0, 0
 		return
 	}
-	f.retryDelay = 0
+	if f.failures == 0 {
+		f.failingSince = started
+		entry.WithError(err).WithField("lasted_ms", time.Since(started).Milliseconds()).Warn("lists: read failed")
+	}
+	f.failures++
+	f.lastFailedAt = started
+	f.retryDelay = min(max(2*f.retryDelay, minRetryDelay), maxRetryDelay)
+	f.gateway.opts.Metrics.PlatformError("read "+f.topic.String(), model.OutcomeNotRun)
 }
 
 // followConfig reads configurations from the platform's store and submits them to
@@ -105,17 +114,42 @@
 		if f.synced && !g.reading.Load() && !g.waitForConfigRead(ctx) {
 			continue
 		}
-		batch, _, err := f.read(ctx)
+		started := time.Now()
+		batch, full, err := f.read(ctx)
 		if err != nil {
 			clock.Sleep(ctx, f.retryDelay)
 			continue
 		}
-		for _, rec := range batch.Records {
-			g.receiveConfigRecord(rec)
+		if !full && len(batch.Records) == 0 {
+			// The store has waited this long for a record.
+			started = started.Add(f.wait)
 		}
+		g.receiveConfigs(batch.Records, started)
 	}
 }
 
+// receiveConfigs submits the configurations among records of the store, and that
+// there were no newer ones at asOf.
+func (g *Gateway) receiveConfigs(records []port.KeyedRecord, asOf time.Time) {
+	complete := true
+	for _, rec := range records {
+		complete = g.receiveConfigRecord(rec) && complete
+	}
+	if complete {
+		g.loop.Post(loop.Func(func(now time.Time) {
+			g.control.learnFreshness(freshness.Claim{Version: g.control.version(), At: earlier(asOf, now)})
+		}))
+	}
+}
+
+// earlier returns the earlier one of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // waitForConfigRead waits up to idleCheckInterval and reports whether this host
 // should read the configuration although other hosts read it. Configurations
 // come from those hosts unless they do not answer.
@@ -132,24 +166,26 @@
 }
 
 // receiveConfigRecord submits a configuration record of the store. It ignores
-// other keys and removals.
-func (g *Gateway) receiveConfigRecord(rec port.KeyedRecord) {
+// other keys and removals. It returns false for a configuration that cannot be
+// decoded.
+func (g *Gateway) receiveConfigRecord(rec port.KeyedRecord) bool {
 	if !g.opts.Decoder.IsConfig(rec.Key) || len(rec.Value) == 0 {
-		return
+		return true
 	}
-	g.submitConfig(rec.Value, "platform")
+	return g.submitConfig(rec.Value, "platform")
 }
 
 // submitConfig decodes a configuration and passes it to the control loop. It logs
-// and skips one that cannot be decoded.
-func (g *Gateway) submitConfig(value []byte, source string) {
+// one that cannot be decoded, and returns false.
+func (g *Gateway) submitConfig(value []byte, source string) bool {
 	cfg, err := g.opts.Decoder.Config(value)
 	if err != nil {
 		g.opts.Log.WithError(err).WithField("source", source).Error("config: skipped, cannot be decoded")
-		return
+		return false
 	}
 	rec := port.ConfigRecord{Version: cfg.Version, Data: value}
 	g.loop.Post(loop.Func(func(time.Time) { g.control.applyConfig(cfg, rec, source) }))
+	return true
 }
 
 // followEndpoints reads the list of endpoints from the platform's store, whenever
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,9 @@
 	// table and record hold the configuration in force.
 	table  atomic.Pointer[routing.Table]
 	record atomic.Pointer[port.ConfigRecord]
+	// configConfirmedAt is when the configuration in force was last known to be the
+	// newest one; nil or zero for never.
+	configConfirmedAt atomic.Pointer[time.Time]
 	// usable reports whether any endpoint accepts requests.
 	usable  atomic.Bool
 	leaving atomic.Bool
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -159,6 +159,7 @@
 	}
 	g.opts.Log.WithFields(fields{
 		"request": call.ID, "status": response.Status, "code": string(response.Code), "config": version,
+		"config_age_ms": g.configAge(time.Now()).Milliseconds(),
 	}).Info("request: rejected")
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/clock"
+	"github.com/wigeonsail/wigeonsail/internal/core/freshness"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/readers"
 	"github.com/wigeonsail/wigeonsail/internal/core/relay"
@@ -39,7 +40,7 @@
 	listFetchInterval = time.Second
 	// maxReadAge is the read age reported by hosts that have never read the
 	// list.
-	maxReadAge = time.Hour
+	maxReadAge = port.UnknownAge
 	// readAgePerHop is added to the age of a read that another host has reported.
 	// It exceeds the time that the report takes, so that a read does not seem the
 	// newer the more often hosts report it to each other.
@@ -244,6 +245,7 @@
 		c.peers.learn(now, info)
 	}
 	p.version = d.Version
+	c.learnFreshness(freshness.Claim{Version: d.Version, At: now.Add(-d.ConfigAge - readAgePerHop)})
 	c.applyLeaving(now, d.LeavingEndpoints)
 	if d.Version > c.version() {
 		c.fetchNewerConfig(now)
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -32,6 +32,8 @@
 	Era     model.Era     `json:"era"`
 	Offset  model.Offset  `json:"offset"`
 	Version model.Version `json:"version"`
+	// ConfigAge is the time since Version was known to be the newest one.
+	ConfigAge float64 `json:"config_age_s"`
 	// LeavingEndpoints are the endpoints that have reported that they are leaving.
 	LeavingEndpoints []model.EndpointName `json:"leaving_endpoints"`
 	Peers            []PeerView           `json:"peers"`
@@ -75,6 +77,7 @@
 		LocalRelays: slices.Clone(digests.localRelays), Receivers: slices.Clone(digests.remoteReceivers),
 		FleetHosts: c.balancer.CountHosts(now), Reading: c.gateway.reading.Load(),
 		ListAge: c.knownReadAge(now).Seconds(), Era: c.nextInList.Era, Offset: c.nextInList.Offset, Version: c.version(),
+		ConfigAge: c.gateway.configAge(now).Seconds(),
 	}
 	for _, instance := range c.directory.Leaving() {
 		out.LeavingEndpoints = append(out.LeavingEndpoints, instance.Name)
@@ -133,4 +136,5 @@
 	m := c.gateway.opts.Metrics
 	m.SetPeers(len(c.peers.peers), links, c.peers.digests.isRelay)
 	m.SetListAge(c.knownReadAge(now), uint64(c.nextInList.Era))
+	m.SetConfigAge(c.gateway.configAge(now))
 }
--- a/internal/metrics/events.go
+++ b/internal/metrics/events.go
@@ -89,3 +89,7 @@
 	m.listAge.Update(age.Seconds())
 	m.storeEra.Update(float64(era))
 }
+
+// SetConfigAge sets the time since the configuration in force was known to be the
+// newest one.
+func (m *Metrics) SetConfigAge(age time.Duration) { m.configAge.Update(age.Seconds()) }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -62,6 +62,7 @@
 	peerLinks  tally.Gauge
 	relay      tally.Gauge
 	listAge    tally.Gauge
+	configAge  tally.Gauge
 	storeEra   tally.Gauge
 }
 
@@ -132,6 +133,7 @@
 	m.peerLinks = m.scope.Gauge("peer_links")
 	m.relay = m.scope.Gauge("relay")
 	m.listAge = m.scope.Gauge("list_age_seconds")
+	m.configAge = m.scope.Gauge("config_age_seconds")
 	m.storeEra = m.scope.Gauge("store_era")
 }
 
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -9,6 +9,9 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
 
+// UnknownAge is the age reported for something that a host has never learned.
+const UnknownAge = time.Hour
+
 // LoadDigest is the state that a host sends to its peers: its load, its view of
 // the list of endpoints, and its configuration version.
 type LoadDigest struct {
@@ -22,6 +25,9 @@
 	LinkSpeedMbps float64
 	// Version is the version of the configuration in force at the host.
 	Version model.Version
+	// ConfigAge is the time since Version was known to be the newest one in the
+	// platform's store.
+	ConfigAge time.Duration
 	// ListReadAge is the time since the host itself last read the list of
 	// endpoints from the platform. ListChange is the position after the last
 	// record that changed the list.
