Metrics that discard counts accept gauges

A gateway without metrics panicked at its first update of gauges: Discard left them nil. Found by a test that runs a gateway without metrics; the new test panicked before.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -149,5 +149,6 @@
 	m := &Metrics{scope: tally.NoopScope, closer: io.NopCloser(nil), handler: http.NotFoundHandler()}
 	m.addCounters(defaultMaxValues)
 	m.addHistograms(defaultMaxValues)
+	m.addGauges()
 	return m
 }
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -106,3 +106,10 @@
 		m.ObserveBetweenTokens("draft", 20*time.Millisecond)
 	}
 }
+
+func TestDiscardAcceptsGauges(t *testing.T) {
+	m := Discard()
+	m.SetPeers(1, 1, true)
+	m.SetListAge(time.Second, 1)
+	m.SetConfigAge(time.Second)
+}
