Read without waiting after a lost read of the configuration

Cause: in an outage the only reads of the configuration were reads that wait 2 s, given up after 3 s, at two hosts that were in phase. One that began just before the store's return was lost, and the next one began up to 4 s after the return. The list of endpoints, in another part of the store, was read all the while, so nothing else hinted at the return.

Why it works: after a failed read the follower reads without waiting, so a lost read costs the store's timeout of 1 s and a delay of 0.5 s at most; a read that waits is given up 0.5 s after its wait of 1 s. Either way the first good read begins within 1.7 s of the return, which leaves the time that peers need to fetch.

--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -13,12 +13,15 @@
 )
 
 const (
-	// configPollTimeout is how long a read waits for a new configuration. It
-	// limits how long a dead connection goes unnoticed.
-	configPollTimeout = 2 * time.Second
+	// configPollTimeout is how long a read waits for a new configuration. Together
+	// with pollGrace it limits how long a lost read delays the next one.
+	configPollTimeout = time.Second
+	// pollGrace is the time for the response to a read whose wait is over. A store
+	// that is slower is read without waiting, with the store's whole timeout.
+	pollGrace = 500 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay between reads that fail.
 	minRetryDelay = 200 * time.Millisecond
-	maxRetryDelay = time.Second
+	maxRetryDelay = 500 * time.Millisecond
 	// idleCheckInterval is how often a host that receives configurations from
 	// its peers checks whether it should read the store again.
 	idleCheckInterval = 200 * time.Millisecond
@@ -41,15 +44,26 @@
 	failingSince, lastFailedAt time.Time
 }
 
+// listRead is the result of a read of a list.
+type listRead struct {
+	batch port.KeyedBatch
+	// full reports that the batch is the full list.
+	full bool
+	// asOf is a time as of which the batch is complete: nothing that the store had
+	// then is missing.
+	asOf time.Time
+}
+
 // read returns the records since the last read. The first read, and the one
 // after records have expired or the store was restored, returns the full list.
-func (f *follower) read(ctx context.Context) (batch port.KeyedBatch, full bool, err error) {
-	started := time.Now()
-	if !f.synced {
-		batch, err = f.gateway.opts.Lists.LatestValues(ctx, f.topic)
-		full = true
+func (f *follower) read(ctx context.Context) (listRead, error) {
+	result := listRead{full: !f.synced, asOf: time.Now()}
+	started := result.asOf
+	var err error
+	if result.full {
+		result.batch, err = f.gateway.opts.Lists.LatestValues(ctx, f.topic)
 	} else {
-		batch, err = f.gateway.opts.Lists.Changes(ctx, f.topic, f.next, f.wait)
+		result.batch, result.asOf, err = f.readChanges(ctx)
 	}
 	if f.mustReadAll(err) {
 		f.synced = false
@@ -57,11 +71,30 @@
 	}
 	f.recordResult(started, err)
 	if err != nil {
-		return batch, full, err
+		return result, err
 	}
 	f.synced = true
-	f.next = batch.Next
-	return batch, full, nil
+	f.next = result.batch.Next
+	return result, nil
+}
+
+// readChanges reads the changes since the last read, and returns a time as of which
+// they are complete. It waits for changes unless the last read failed: the response to
+// a read that waits can get lost for as long as it waits, and the first read after an
+// outage must not.
+func (f *follower) readChanges(ctx context.Context) (port.KeyedBatch, time.Time, error) {
+	asOf := time.Now()
+	if f.wait == 0 || f.failures > 0 {
+		batch, err := f.gateway.opts.Lists.Changes(ctx, f.topic, f.next, 0)
+		return batch, asOf, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.wait+pollGrace)
+	defer cancel()
+	batch, err := f.gateway.opts.Lists.Changes(ctx, f.topic, f.next, f.wait)
+	if err == nil && len(batch.Records) == 0 {
+		asOf = earlier(asOf.Add(f.wait), time.Now())
+	}
+	return batch, asOf, err
 }
 
 // mustReadAll reports whether a read of changes failed because the position has no
@@ -114,30 +147,25 @@
 		if f.synced && !g.reading.Load() && !g.waitForConfigRead(ctx) {
 			continue
 		}
-		started := time.Now()
-		batch, full, err := f.read(ctx)
+		result, err := f.read(ctx)
 		if err != nil {
 			clock.Sleep(ctx, f.retryDelay)
 			continue
 		}
-		if !full && len(batch.Records) == 0 {
-			// The store has waited this long for a record.
-			started = started.Add(f.wait)
-		}
-		g.receiveConfigs(batch.Records, started)
+		g.receiveConfigs(result)
 	}
 }
 
-// receiveConfigs submits the configurations among records of the store, and that
-// there were no newer ones at asOf.
-func (g *Gateway) receiveConfigs(records []port.KeyedRecord, asOf time.Time) {
+// receiveConfigs submits the configurations that a read returned, and that there was
+// no newer one at its time.
+func (g *Gateway) receiveConfigs(result listRead) {
 	complete := true
-	for _, rec := range records {
+	for _, rec := range result.batch.Records {
 		complete = g.receiveConfigRecord(rec) && complete
 	}
 	if complete {
-		g.loop.Post(loop.Func(func(now time.Time) {
-			g.control.learnFreshness(freshness.Claim{Version: g.control.version(), At: earlier(asOf, now)})
+		g.loop.Post(loop.Func(func(time.Time) {
+			g.control.learnFreshness(freshness.Claim{Version: g.control.version(), At: result.asOf})
 		}))
 	}
 }
@@ -194,13 +222,13 @@
 func (g *Gateway) followEndpoints(ctx context.Context) {
 	f := follower{gateway: g, topic: port.TopicEndpoints}
 	for ctx.Err() == nil {
-		batch, full, err := f.read(ctx)
+		result, err := f.read(ctx)
 		if err != nil {
 			g.loop.Post(loop.Func(func(time.Time) { g.control.recordListFailure() }))
 			clock.Sleep(ctx, f.retryDelay)
 			continue
 		}
-		update := g.decodeEndpoints(batch, full)
+		update := g.decodeEndpoints(result.batch, result.full)
 		g.loop.Post(loop.Func(func(now time.Time) { g.control.applyListRead(now, update) }))
 		// A read requested meanwhile is likely covered by the one just done. If
 		// not, it is requested again.
