Deny no request by a configuration that may be outdated

Cause: a host took the absence of a route or key in its own version for a statement about the newest one, however long ago it had last heard from the store. The same held for 401 and for a host that starts with a configuration of a peer that is cut off.

Evidence: in the record 404s were sent up to 9 s after both readers had lost the store's part with the configuration.

Why it works: each host keeps when its version was known to be the newest one: by a read of its own that began or waited until then, or by another host's digest about the same or an older version. Beyond 2.5 s it answers 503 with Retry-After, which is true, as nothing ran. Requests that its version allows are served as before; a withdrawn key stays in use as long as the store cannot be read, as the platform asks (revoke_fail_closed is false).

--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -25,6 +25,9 @@
 	// its start, so callers see this error only in an outage, which lasts
 	// seconds.
 	notReadyRetryAfter = 2 * time.Second
+	// unconfirmedRetryAfter is the Retry-After of a host that does not know whether its
+	// configuration is the newest one. It begins the next read within this time.
+	unconfirmedRetryAfter = maxRetryDelay
 	// noEndpointRetryAfter is the Retry-After when no endpoint was reached. The
 	// longest pause before an endpoint is tried again starts out shorter than
 	// this.
@@ -39,6 +42,15 @@
 	}
 }
 
+// unconfirmedError is the error response to a call that a newer configuration than the
+// one in force may allow.
+func unconfirmedError() *port.RequestError {
+	return &port.RequestError{
+		Code: port.CodeNotReady, Status: http.StatusServiceUnavailable, Outcome: model.OutcomeNotRun,
+		Message: "this host does not know the newest configuration", RetryAfter: unconfirmedRetryAfter,
+	}
+}
+
 // unknownRouteError is the error response to a call that matches no route.
 func unknownRouteError(host, path string) *port.RequestError {
 	return &port.RequestError{
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -97,14 +97,14 @@
 	}
 	route, ok := table.Route(call.Host, call.Path)
 	if !ok {
-		return nil, unknownRouteError(call.Host, call.Path)
+		return nil, g.deny(unknownRouteError(call.Host, call.Path))
 	}
 	x := &exchange{gateway: g, call: call, w: w, route: route, version: table.Version(), lastEvent: call.LastEventID}
 	tier := route.Tier
 	if !route.Public {
 		account, ok := table.Account(call.Key)
 		if !ok {
-			return nil, unauthorizedError()
+			return nil, g.deny(unauthorizedError())
 		}
 		if account != nil {
 			x.account = account.Name
@@ -125,6 +125,21 @@
 	return x, nil
 }
 
+// maxDenialAge is the longest time since the configuration in force was known to be the
+// newest one for which a host denies requests by it. It exceeds the age that the
+// knowledge reaches between two reads and two digests, 2.2 s, and is below the 3 s after
+// an outage from which on a host must have the newest configuration.
+const maxDenialAge = 2500 * time.Millisecond
+
+// deny returns the error response to a call that the configuration in force does not
+// allow. While a newer one may allow the call, the caller is asked to come back.
+func (g *Gateway) deny(denied *port.RequestError) *port.RequestError {
+	if g.configAge(time.Now()) > maxDenialAge {
+		return unconfirmedError()
+	}
+	return denied
+}
+
 // nextID makes the caller's request ID unique by a sequence number, because
 // callers may reuse an ID.
 func (g *Gateway) nextID(id model.RequestID) model.RequestID {
