Deny no call at a host that has not read the log of configurations

A host now keeps when it last read the log to its end. More than 8 s later it answers 503 with Retry-After to what its version does not allow; what it allows is served as before. 8 s is the time within which a configuration must be in force everywhere, and more than a read that waits (5 s) and one that is lost (6 s).

TestOutdatedConfigDeniesNoCall failed before: 401 for 503, 15 s after the last read. A host reads the log itself, so peers need not confirm anything.

--- a/internal/host/config.go
+++ b/internal/host/config.go
@@ -92,6 +92,9 @@
 			c.handleConfigChange(change)
 		}
 	}
+	if e.atEnd {
+		c.host.configReadAt.Store(&now)
+	}
 	// A starting host waits for the end of the stream, so that it activates only
 	// the newest version.
 	if e.atEnd || c.host.catalog.Load() != nil {
--- a/internal/host/config_test.go
+++ b/internal/host/config_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -100,3 +103,44 @@
 		must.Eq(t, 3, h.version())
 	}
 }
+
+// TestOutdatedConfigDeniesNoCall guards against 401 and 404 from a host that cannot
+// read the newest configuration.
+func TestOutdatedConfigDeniesNoCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, _ := newConfigHost(t)
+		read := configBatchEvent{batch: port.Batch{Records: newVersionRecords(t, 1), NextOffset: 1}, atEnd: true}
+		read.apply(time.Now(), h.control)
+		must.Eq(t, http.StatusUnauthorized, authStatus(t, h))
+		must.Eq(t, http.StatusNotFound, serviceStatus(t, h))
+
+		time.Sleep(configReadWait)
+		must.Eq(t, http.StatusUnauthorized, authStatus(t, h), must.Sprint("between two reads"))
+		time.Sleep(2 * configReadWait)
+		must.Eq(t, http.StatusServiceUnavailable, authStatus(t, h))
+		must.Eq(t, http.StatusServiceUnavailable, serviceStatus(t, h))
+
+		configBatchEvent{batch: port.Batch{NextOffset: 1}, atEnd: true}.apply(time.Now(), h.control)
+		must.Eq(t, http.StatusUnauthorized, authStatus(t, h))
+	})
+}
+
+// authStatus returns the status of the refusal of an unknown key.
+func authStatus(t *testing.T, h *Host) int {
+	_, err := h.Authenticate("unknown")
+	return refusalStatus(t, err)
+}
+
+// serviceStatus returns the status of the refusal of a call without a route.
+func serviceStatus(t *testing.T, h *Host) int {
+	_, err := h.admitServiceCall(port.CallerRequest{Method: http.MethodPost, Path: "/unknown"}, time.Now())
+	return refusalStatus(t, err)
+}
+
+// refusalStatus returns the status of a refusal of a call that was not run.
+func refusalStatus(t *testing.T, err error) int {
+	var refusal *port.RequestError
+	must.True(t, errors.As(err, &refusal))
+	must.Eq(t, model.OutcomeNotRun, refusal.Outcome)
+	return refusal.Status
+}
--- a/internal/host/errors.go
+++ b/internal/host/errors.go
@@ -15,6 +15,8 @@
 const (
 	retryAfterNotReady = 2 * time.Second
 	retryAfterFailure  = time.Second
+	// retryAfterUnconfirmed covers a read of the log that is lost and the next one.
+	retryAfterUnconfirmed = time.Second
 )
 
 // statusClientClosedRequest is the status for callers that disconnected. It is
@@ -74,6 +76,27 @@
 	}
 }
 
+// maxDenialAge is the time since the last read of the log of configurations up to which
+// a host denies calls by the configuration in force. Reads wait 5 s, and one that is
+// lost takes 1 s more.
+const maxDenialAge = 8 * time.Second
+
+// deny returns the error for a call that the configuration in force does not allow.
+// While a newer one may allow the call, the caller is asked to come back.
+func (h *Host) deny(denied *port.RequestError) *port.RequestError {
+	readAt := h.configReadAt.Load()
+	if readAt != nil && time.Since(*readAt) <= maxDenialAge {
+		return denied
+	}
+	return &port.RequestError{
+		Code:       port.CodeNotReady,
+		Status:     http.StatusServiceUnavailable,
+		Message:    "the host does not know the newest configuration",
+		Outcome:    model.OutcomeNotRun,
+		RetryAfter: retryAfterUnconfirmed,
+	}
+}
+
 func leavingError() *port.RequestError {
 	return &port.RequestError{
 		Code:       port.CodeLeaving,
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -73,6 +73,9 @@
 	control *control
 	// catalog indexes the configuration in force; nil before the first one.
 	catalog atomic.Pointer[catalog.Catalog]
+	// configReadAt is when this host last read the log of configurations to its end;
+	// nil for never.
+	configReadAt atomic.Pointer[time.Time]
 	// accepted is the record of the configuration in force.
 	accepted atomic.Pointer[port.ConfigRecord]
 	// leaving is set once the host refuses new requests.
--- a/internal/host/request.go
+++ b/internal/host/request.go
@@ -40,10 +40,10 @@
 	}
 	pool, ok := cat.PoolForModel(call.Model)
 	if !ok {
-		return nil, unknownModelError(call.Model)
+		return nil, h.deny(unknownModelError(call.Model))
 	}
 	route, _ := cat.Route(call.Method, call.Path)
-	return newRequest(cat, call, route, pool, now)
+	return h.newRequest(cat, call, route, pool, now)
 }
 
 // admitServiceCall checks a call to a plain service against the configuration in
@@ -56,13 +56,13 @@
 	}
 	route, ok := cat.Route(call.Method, call.Path)
 	if !ok || route.Pool == "" {
-		return nil, unknownRouteError(call.Method, call.Path)
+		return nil, h.deny(unknownRouteError(call.Method, call.Path))
 	}
 	pool, ok := cat.Pool(route.Pool)
 	if !ok || pool.Kind != opconfig.KindService {
-		return nil, unknownRouteError(call.Method, call.Path)
+		return nil, h.deny(unknownRouteError(call.Method, call.Path))
 	}
-	return newRequest(cat, call, route, pool, now)
+	return h.newRequest(cat, call, route, pool, now)
 }
 
 // currentCatalog returns the catalog in force, or a *port.RequestError if there is
@@ -81,14 +81,14 @@
 // newRequest checks the account and the class and returns the request at its first
 // attempt. The deadline is the caller's budget after now, else that of the class.
 // Its errors are of type *port.RequestError.
-func newRequest(cat *catalog.Catalog, call port.CallerRequest, route *opconfig.Route, pool *opconfig.Pool, now time.Time) (*request, error) {
+func (h *Host) newRequest(cat *catalog.Catalog, call port.CallerRequest, route *opconfig.Route, pool *opconfig.Pool, now time.Time) (*request, error) {
 	account, ok := cat.Account(call.Account)
 	if !ok {
-		return nil, unauthorizedError()
+		return nil, h.deny(unauthorizedError())
 	}
 	class, ok := cat.ClassFor(route, call.Class, account)
 	if !ok {
-		return nil, classNotAllowedError(call.Class)
+		return nil, h.deny(classNotAllowedError(call.Class))
 	}
 	budget := class.Deadline.Std()
 	if call.Budget > 0 {
@@ -132,7 +132,7 @@
 	}
 	account, ok := cat.AccountForKey(key)
 	if !ok {
-		return "", unauthorizedError()
+		return "", h.deny(unauthorizedError())
 	}
 	return account, nil
 }
