Decode, log and count the request limits that endpoints state

No log and no metric told which limit a host knew of an endpoint, so that a limit nobody reads, one that each host keeps alone and one that some requests pass by looked the same.

The balancer keeps the newest statement of each start of an endpoint. Log lines show a limit that is stated, changes or ends, request: placed has it, and a gauge counts limited endpoints. Nothing is decided by it yet.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -94,6 +94,8 @@
 	Address  string
 	// Started identifies the start of the endpoint.
 	Started int64
+	// Limit is the limit of the endpoint in requests per second; 0 for none.
+	Limit float64
 	// Priority is the priority to send to the engine; smaller is served first.
 	Priority int
 	// FetchFrom is the address of an endpoint that likely caches the shared
@@ -362,6 +364,7 @@
 		Endpoint:      e.Name,
 		Address:       e.Address,
 		Started:       e.Started,
+		Limit:         e.limit.report.PerSecond,
 		Priority:      c.priority,
 		FetchFrom:     c.fetchFrom,
 		Expected:      c.expected,
--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -64,6 +64,7 @@
 	consecutiveFailures int
 	pausedUntil         time.Time
 	backoff             backoff
+	limit               requestLimit
 	// unreachable reports whether the last connection could not be opened.
 	// nextCheck is when that is checked again.
 	unreachable bool
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -129,6 +129,25 @@
 	}
 }
 
+// recordLimit records the request limit in the response to a request. Nothing is reported
+// for responses without a limit of endpoints that had none.
+func (x *exchange) recordLimit(decision balance.Decision, reply port.EndpointResponse) {
+	limit, err := reply.RequestLimit()
+	if err != nil {
+		x.gateway.opts.Log.WithError(err).WithField("endpoint", decision.Endpoint).Warn("endpoints: request limit ignored")
+		return
+	}
+	if !limit.Stated && decision.Limit == 0 {
+		return
+	}
+	g, id := x.gateway, x.req.ID
+	g.loop.Post(loop.Func(func(now time.Time) {
+		if report, changed := g.control.balancer.RecordLimit(now, id, limit.Stated, limit.PerSecond); changed {
+			logLimit(g.opts.Log, report, "response")
+		}
+	}))
+}
+
 // applyEndpointChanges passes changes of the list of endpoints to the balancer
 // and logs them.
 func (c *control) applyEndpointChanges(now time.Time, changes []directory.Change) {
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -33,6 +33,17 @@
 	}
 }
 
+// logLimit logs that an endpoint has stated a request limit, another one than before, or
+// none any more.
+func logLimit(logger log.Interface, report balance.LimitReport, source string) {
+	entry := logger.WithFields(fields{"endpoint": report.Instance.Name, "source": source})
+	if !report.Limited {
+		entry.Info("endpoints: request limit ended")
+		return
+	}
+	entry.WithField("limit_per_s", report.PerSecond).Warn("endpoints: request limit stated")
+}
+
 // logCheck logs whether a connection to an endpoint could be opened.
 func logCheck(logger log.Interface, check balance.Check, err error) {
 	entry := logger.WithFields(fields{"endpoint": check.Endpoint, "address": check.Address})
@@ -80,6 +91,9 @@
 	f["pending"] = d.QueuedPrefill
 	f["own"] = d.OwnPrefill
 	f["priority"] = d.Priority
+	if d.Limit > 0 {
+		f["limit_per_s"] = d.Limit
+	}
 	f["peers_age_ms"] = d.PeersAge.Milliseconds()
 	x.gateway.opts.Log.WithFields(f).Info("request: placed")
 }
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -136,5 +136,6 @@
 	m := c.gateway.opts.Metrics
 	m.SetPeers(len(c.peers.peers), links, c.peers.digests.isRelay)
 	m.SetListAge(c.knownReadAge(now), uint64(c.nextInList.Era))
+	m.SetLimitedEndpoints(c.balancer.CountLimited())
 	m.SetConfigAge(c.gateway.configAge(now))
 }
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -41,6 +41,7 @@
 	if reply.IsLeaving() {
 		x.gateway.markLeaving(model.Instance{Name: decision.Endpoint, Started: decision.Started})
 	}
+	x.recordLimit(decision, reply)
 	switch {
 	case reply.NotExecuted():
 		return attemptResult{
--- a/internal/metrics/events.go
+++ b/internal/metrics/events.go
@@ -93,3 +93,6 @@
 // SetConfigAge sets the time since the configuration in force was known to be the
 // newest one.
 func (m *Metrics) SetConfigAge(age time.Duration) { m.configAge.Update(age.Seconds()) }
+
+// SetLimitedEndpoints sets the number of endpoints that have stated a request limit.
+func (m *Metrics) SetLimitedEndpoints(count int) { m.limited.Update(float64(count)) }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -63,6 +63,7 @@
 	relay      tally.Gauge
 	listAge    tally.Gauge
 	configAge  tally.Gauge
+	limited    tally.Gauge
 	storeEra   tally.Gauge
 }
 
@@ -133,6 +134,7 @@
 	m.peerLinks = m.scope.Gauge("peer_links")
 	m.relay = m.scope.Gauge("relay")
 	m.listAge = m.scope.Gauge("list_age_seconds")
+	m.limited = m.scope.Gauge("limited_endpoints")
 	m.configAge = m.scope.Gauge("config_age_seconds")
 	m.storeEra = m.scope.Gauge("store_era")
 }
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -112,4 +112,5 @@
 	m.SetPeers(1, 1, true)
 	m.SetListAge(time.Second, 1)
 	m.SetConfigAge(time.Second)
+	m.SetLimitedEndpoints(1)
 }
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/directory"
@@ -97,6 +98,22 @@
 	Probe(ctx context.Context, endpoint model.EndpointName, address string) error
 }
 
+// RequestLimit is the number of requests per second that an endpoint takes from all
+// hosts together.
+type RequestLimit struct {
+	// Stated reports that the response has a limit.
+	Stated    bool
+	PerSecond float64
+}
+
+// MalformedLimitError is the error for a limit that is no number of requests per second.
+type MalformedLimitError struct{ Text string }
+
+// Error implements error.
+func (e *MalformedLimitError) Error() string {
+	return "malformed request limit " + strconv.Quote(e.Text)
+}
+
 // EndpointResponse is the response of an endpoint. Close must be called.
 type EndpointResponse interface {
 	Status() int
@@ -113,6 +130,9 @@
 	// RetryAfter is the time for which an endpoint that refused the request wants
 	// no more requests from this host; 0 for none.
 	RetryAfter() time.Duration
+	// RequestLimit returns the request rate that the endpoint states in this
+	// response. It fails with a *MalformedLimitError if the value has no meaning.
+	RequestLimit() (RequestLimit, error)
 	// IsEventStream reports whether the response is a stream of events.
 	IsEventStream() bool
 	// Body returns the whole body, or an *EndpointError if it is incomplete.
