--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -141,11 +141,14 @@
 		return
 	}
 	g, id := x.gateway, x.req.ID
-	g.loop.Post(loop.Func(func(now time.Time) {
-		if report, changed := g.control.balancer.RecordLimit(now, id, limit.Stated, limit.PerSecond); changed {
-			logLimit(g.opts.Log, report, "response")
-		}
-	}))
+	g.loop.Post(loop.Func(func(now time.Time) { g.control.recordLimit(now, id, limit) }))
+}
+
+// recordLimit applies the request limit in the response to a request.
+func (c *control) recordLimit(now time.Time, id model.RequestID, limit port.RequestLimit) {
+	if report, changed := c.balancer.RecordLimit(now, id, limit.Stated, limit.PerSecond); changed {
+		logLimit(c.gateway.opts.Log, report, "response")
+	}
 }
 
 // applyEndpointChanges passes changes of the list of endpoints to the balancer
--- /dev/null
+++ b/internal/gateway/requestlimit_test.go
@@ -0,0 +1,185 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/balance"
+	"github.com/wigeonsail/wigeonsail/internal/core/directory"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+const (
+	// limitWindow is the time over which a limit holds, limitSettling the time after an
+	// endpoint first states it from which on it holds.
+	limitWindow   = 4 * time.Second
+	limitSettling = 3 * time.Second
+	// limitServiceTime is the time that an endpoint takes for a request.
+	limitServiceTime = 100 * time.Millisecond
+	// limitedLoadPerSecond is the mean number of requests per second and endpoint.
+	limitedLoadPerSecond = 5.0
+)
+
+// limitedFleet is a fleet before endpoints, some of which state request limits.
+type limitedFleet struct {
+	*fleet
+	rng *rand.Rand
+	// limits are the limits that endpoints state at present, in requests per second.
+	limits map[model.EndpointName]float64
+	// arrivals are the times at which requests reached each endpoint.
+	arrivals  map[model.EndpointName][]time.Time
+	running   []limitedRun
+	endpoints int
+	next      int
+	refused   int
+	submitted int
+}
+
+// limitedRun is a request at an endpoint.
+type limitedRun struct {
+	host     *control
+	id       model.RequestID
+	endpoint model.EndpointName
+	ends     time.Time
+}
+
+// newLimitedFleet returns a fleet with a number of endpoints in each failure domain.
+func newLimitedFleet(t *testing.T, domains, hosts, endpoints int, seed uint64) *limitedFleet {
+	f := &limitedFleet{
+		fleet: newFleet(t, domains, hosts), rng: rand.New(rand.NewPCG(seed, 1)),
+		limits: make(map[model.EndpointName]float64), arrivals: make(map[model.EndpointName][]time.Time),
+		endpoints: domains * endpoints,
+	}
+	for _, c := range f.hosts {
+		c.balancer.Apply(directory.Change{Removed: true, Entry: directory.Entry{Name: "service"}})
+		for d := range domains {
+			for i := range endpoints {
+				name := limitedEndpoint(d, i)
+				c.balancer.Apply(directory.Change{Entry: directory.Entry{
+					Name: name, Pool: "p", Address: string(name), Domain: model.DomainName(fmt.Sprint("d", d)), Slots: 64,
+				}})
+			}
+		}
+	}
+	f.run(3 * time.Second)
+	return f
+}
+
+// limitedEndpoint returns the name of an endpoint of a failure domain.
+func limitedEndpoint(domain, i int) model.EndpointName {
+	return model.EndpointName(fmt.Sprintf("e-%d-%d", domain, i))
+}
+
+// play lets the fleet serve requests for some simulated time.
+func (f *limitedFleet) play(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.endRequests()
+		f.submitRequests()
+		f.run(tickInterval)
+	}
+}
+
+// submitRequests submits the requests that arrive within one tick, at random hosts.
+func (f *limitedFleet) submitRequests() {
+	expected := limitedLoadPerSecond * float64(f.endpoints) * tickInterval.Seconds()
+	count := int(expected)
+	if f.rng.Float64() < expected-float64(count) {
+		count++
+	}
+	for range count {
+		c := f.hosts[f.order[f.rng.IntN(len(f.order))]]
+		f.next++
+		id := model.RequestID(fmt.Sprint("r", f.next))
+		f.submitted++
+		decision := c.balancer.Submit(f.now, balance.Request{ID: id, Pool: "p", Target: time.Second, Arrived: f.now})
+		if decision.IsRefused() {
+			f.refused++
+			continue
+		}
+		f.arrivals[decision.Endpoint] = append(f.arrivals[decision.Endpoint], f.now)
+		f.running = append(f.running, limitedRun{host: c, id: id, endpoint: decision.Endpoint, ends: f.now.Add(limitServiceTime)})
+	}
+}
+
+// endRequests ends the requests that endpoints have served.
+func (f *limitedFleet) endRequests() {
+	kept := f.running[:0]
+	for _, r := range f.running {
+		if f.now.Before(r.ends) {
+			kept = append(kept, r)
+			continue
+		}
+		limit, stated := f.limits[r.endpoint]
+		r.host.recordLimit(f.now, r.id, port.RequestLimit{Stated: stated, PerSecond: limit})
+		r.host.balancer.RecordFirstResponse(f.now, r.id)
+		r.host.balancer.Finish(f.now, r.id, balance.Result{})
+	}
+	f.running = kept
+}
+
+// mostInWindow returns the largest number of requests that reached an endpoint within
+// limitWindow, of those that arrived between two times.
+func (f *limitedFleet) mostInWindow(name model.EndpointName, from, to time.Time) int {
+	var recent []time.Time
+	most := 0
+	for _, at := range f.arrivals[name] {
+		if at.Before(from) || at.After(to) {
+			continue
+		}
+		recent = append(recent, at)
+		for at.Sub(recent[0]) >= limitWindow {
+			recent = recent[1:]
+		}
+		most = max(most, len(recent))
+	}
+	return most
+}
+
+// countBetween returns the number of requests that reached an endpoint between two times.
+func (f *limitedFleet) countBetween(name model.EndpointName, from, to time.Time) int {
+	count := 0
+	for _, at := range f.arrivals[name] {
+		if !at.Before(from) && at.Before(to) {
+			count++
+		}
+	}
+	return count
+}
+
+// allowedInWindow returns how many requests an endpoint with a limit may get within
+// limitWindow.
+func allowedInWindow(perSecond float64) int { return int(1.5*perSecond*limitWindow.Seconds() + 5) }
+
+// TestAllHostsTogetherKeepRequestLimits guards against each host keeping a limit by
+// itself, or none, and against a limited endpoint that is left idle.
+func TestAllHostsTogetherKeepRequestLimits(t *testing.T) {
+	for _, size := range []struct {
+		domains, hosts, endpoints int
+		limits                    []float64
+	}{{4, 2, 3, []float64{0.5, 1, 1.8, 5, 20}}, {6, 3, 4, []float64{0.5, 1, 1.8, 5, 20}}, {6, 9, 6, []float64{1, 5}}} {
+		for _, perSecond := range size.limits {
+			t.Run(fmt.Sprintf("%d hosts, %v per second", size.domains*size.hosts, perSecond), func(t *testing.T) {
+				f := newLimitedFleet(t, size.domains, size.hosts, size.endpoints, 1)
+				limited := []model.EndpointName{limitedEndpoint(0, 0), limitedEndpoint(1, 1)}
+				f.play(2 * time.Second)
+				for _, name := range limited {
+					f.limits[name] = perSecond
+				}
+				stated := f.now
+				f.play(20 * time.Second)
+				for _, name := range limited {
+					must.LessEq(t, allowedInWindow(perSecond), f.mostInWindow(name, stated.Add(limitSettling), f.now))
+					if perSecond < limitedLoadPerSecond {
+						must.GreaterEq(t, int(0.3*perSecond*17), f.countBetween(name, stated.Add(limitSettling), f.now))
+					}
+				}
+				must.Zero(t, f.refused, must.Sprint("other endpoints are free"))
+			})
+		}
+	}
+}
