Share the request limits of endpoints over some hosts

It is one bound over all hosts, so that it also needs a decision no host takes alone: seven hosts that each keep it would still send seven times as many.

Evidence: requests at the two endpoints before and after they stated their limits, 3 to 7 and 3 to 9 a second, from all seven hosts; no log line about a limit.

Why it works: digests carry the newest statement of each endpoint. Some hosts of its failure domain share the limit, each with a bucket that starts empty and holds one request; all others place elsewhere. The sum stays below what is allowed for any number of hosts, also while one takes the place of another.

All attempts, retries too, are charged.

--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -179,6 +179,7 @@
 		LeavingEndpoints: convert(d.LeavingEndpoints, instanceToWire),
 		Reading:          d.ReadsList,
 		ReadFailing:      d.ListReadFailing,
+		Limits:           convert(d.Limits, endpointLimitToWire),
 		Loads:            convert(d.Loads, endpointLoadToWire),
 		Hosts:            convert(d.Hosts, hostInfoToWire),
 		Subscribes:       d.Subscribes,
@@ -206,6 +207,7 @@
 		LeavingEndpoints: convert(d.GetLeavingEndpoints(), instanceFromWire),
 		ReadsList:        d.GetReading(),
 		ListReadFailing:  d.GetReadFailing(),
+		Limits:           convert(d.GetLimits(), endpointLimitFromWire),
 		Loads:            convert(d.GetLoads(), endpointLoadFromWire),
 		Hosts:            convert(d.GetHosts(), hostInfoFromWire),
 		Subscribes:       d.GetSubscribes(),
@@ -229,6 +231,19 @@
 	return time.Duration(*ms) * time.Millisecond
 }
 
+func endpointLimitToWire(l port.EndpointLimit) *peer.EndpointLimit {
+	return &peer.EndpointLimit{
+		Instance: instanceToWire(l.Instance), Limited: l.Limited, PerSecond: l.PerSecond, AgeMs: l.Age.Milliseconds(),
+	}
+}
+
+func endpointLimitFromWire(l *peer.EndpointLimit) port.EndpointLimit {
+	return port.EndpointLimit{
+		Instance: instanceFromWire(l.GetInstance()), Limited: l.GetLimited(), PerSecond: l.GetPerSecond(),
+		Age: time.Duration(max(l.GetAgeMs(), 0)) * time.Millisecond,
+	}
+}
+
 func domainLoadToWire(d port.DomainLoad) *peer.DomainLoad {
 	return &peer.DomainLoad{
 		Domain: string(d.Domain),
--- a/internal/adapter/peergrpc/share_bench_test.go
+++ b/internal/adapter/peergrpc/share_bench_test.go
@@ -50,6 +50,7 @@
 	want := digestOf(3)
 	want.ReadsList, want.ListReadFailing, want.ListChange = true, true, model.Position{Era: 2, Offset: 7}
 	want.ConfigAge = 1200 * time.Millisecond
+	want.Limits = []port.EndpointLimit{{Instance: model.Instance{Name: "e", Started: 3}, Limited: true, PerSecond: 1.8, Age: 40 * time.Millisecond}}
 	got := loadDigestFromWire(loadDigestToWire(want))
 	must.Eq(t, want, got)
 }
--- a/internal/core/balance/backoff.go
+++ b/internal/core/balance/backoff.go
@@ -43,9 +43,9 @@
 // asked for none.
 func (e *endpoint) isBackingOff(now time.Time) bool { return now.Before(e.backoff.until) }
 
-// allowsRequest reports whether the backoff allows one more request: there is none,
+// backoffAllowsRequest reports whether the backoff allows one more request: there is none,
 // or it has ended and no other request of this host is in flight.
-func (e *endpoint) allowsRequest(now time.Time) bool {
+func (e *endpoint) backoffAllowsRequest(now time.Time) bool {
 	if !e.backoff.trial {
 		return true
 	}
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -82,6 +82,9 @@
 	// ReasonBackoff means that all endpoints that could take the request have
 	// asked this host to send nothing for some time.
 	ReasonBackoff Reason = "backoff"
+	// ReasonLimit means that the limits that endpoints have stated leave nothing for
+	// this host at present.
+	ReasonLimit Reason = "request_limit"
 	// ReasonTooLarge means that the prompt exceeds the cache of every endpoint.
 	ReasonTooLarge Reason = "too_large"
 )
@@ -182,6 +185,11 @@
 	// the changes since the last TakeDomainChanges.
 	domains       map[model.DomainName]*domain
 	domainChanges []DomainChange
+	// limitReports holds the endpoints with a report about their limit that is shared
+	// with other hosts. limitSharesAt is when this host's shares were last updated.
+	limitReports  map[model.EndpointName]*endpoint
+	limitSharesAt time.Time
+	liveHosts     liveHosts
 }
 
 // pool is the state of one pool of endpoints. endpoints is sorted by hash.
@@ -228,16 +236,17 @@
 // New returns a Balancer without pools or endpoints.
 func New(opts Options) *Balancer {
 	return &Balancer{
-		opts:        opts,
-		pools:       make(map[model.PoolName]*pool),
-		endpoints:   make(map[model.EndpointName]*endpoint),
-		running:     make(map[model.RequestID]*runningRequest),
-		peers:       make(map[model.HostID]*peerLoad),
-		lastHeard:   make(map[model.HostID]hostContact),
-		domainHosts: make(map[model.DomainName]hostCount),
-		cacheIndex:  newCacheIndex(),
-		domains:     make(map[model.DomainName]*domain),
-		rng:         rand.New(rand.NewPCG(opts.Seed, opts.Seed^0x9e3779b97f4a7c15)),
+		opts:         opts,
+		pools:        make(map[model.PoolName]*pool),
+		endpoints:    make(map[model.EndpointName]*endpoint),
+		running:      make(map[model.RequestID]*runningRequest),
+		peers:        make(map[model.HostID]*peerLoad),
+		lastHeard:    make(map[model.HostID]hostContact),
+		domainHosts:  make(map[model.DomainName]hostCount),
+		cacheIndex:   newCacheIndex(),
+		domains:      make(map[model.DomainName]*domain),
+		limitReports: make(map[model.EndpointName]*endpoint),
+		rng:          rand.New(rand.NewPCG(opts.Seed, opts.Seed^0x9e3779b97f4a7c15)),
 	}
 }
 
@@ -308,6 +317,7 @@
 // remove drops an endpoint. Requests in flight there end on their own.
 func (b *Balancer) remove(e *endpoint) {
 	delete(b.endpoints, e.Name)
+	delete(b.limitReports, e.Name)
 	b.cacheIndex.dropEndpoint(e.Name)
 	if e.inDomainRound {
 		b.domain(e.Domain).openChecks--
@@ -373,6 +383,7 @@
 		QueuedPrefill: total.PendingPrefill,
 		OwnPrefill:    c.prefill,
 	}
+	e.limit.takeRequest(now)
 	e.localLoad.add(c.priority, r.pendingPrefill, r.memory, 1)
 	if req.isUrgent() {
 		e.localLoad.Urgent++
@@ -468,7 +479,7 @@
 // maxRetryAfter. The time that endpoints have stated themselves is not limited:
 // before it, no retry can succeed.
 func refuse(reason Reason, after time.Duration) Decision {
-	if reason != ReasonBackoff {
+	if reason != ReasonBackoff && reason != ReasonLimit {
 		after = min(after, maxRetryAfter)
 	}
 	return Decision{Reason: reason, RetryAfter: max(after, minRetryAfter)}
--- a/internal/core/balance/cacheindex.go
+++ b/internal/core/balance/cacheindex.go
@@ -198,7 +198,8 @@
 	loc := cacheLocation{tokens: prompt.SharedPrefixTokens()}
 	var best uint64
 	for _, e := range p.endpoints {
-		if score := rendezvous(key, e); e.isUsable(now) && (loc.home == nil || score > best) {
+		// A limited endpoint is no home: few hosts may use it, and not always.
+		if score := rendezvous(key, e); e.isUsable(now) && !e.isLimited() && (loc.home == nil || score > best) {
 			loc.home, best = e, score
 		}
 	}
--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -70,6 +70,9 @@
 	// unreachable.
 	silentEndpointCost = 0.5
 	suspectDomainCost  = 0.7
+	// limitTestGain is the gain of finding out whether the limit of an endpoint has
+	// ended. It exceeds the cost of a connection to another failure domain.
+	limitTestGain = 0.2
 	// crowdingCost is the cost of adding one second of prefill to a queue of
 	// one second of prefill: it delays all requests that arrive later.
 	crowdingCost = 0.6
@@ -127,6 +130,7 @@
 		return choice{retryAfter: maxRetryAfter}, ReasonTooLarge
 	}
 	b.refreshEstimates(now)
+	b.updateLimitShares(now)
 	p.updateUrgentReserve(now, b)
 	loc := b.locateSharedPrefix(now, p, &req.Prompt)
 	candidates := b.candidates(p, req.Prompt.SharedPrefixID(), loc)
@@ -143,6 +147,9 @@
 			return best, ""
 		}
 	}
+	if wait, limited := b.timeToLimitedRequest(now, p); limited {
+		return choice{retryAfter: wait}, ReasonLimit
+	}
 	if wait, backingOff := b.timeToBackoffEnd(now, p); backingOff {
 		return choice{retryAfter: wait}, ReasonBackoff
 	}
@@ -213,6 +220,9 @@
 	if e.stalled > 0 || e.overdue > 0 {
 		c.cost += silentEndpointCost
 	}
+	if e.limit.needsTest(now) {
+		c.cost -= limitTestGain
+	}
 	if b.domain(e.Domain).isSuspect() {
 		c.cost += suspectDomainCost
 	}
--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -96,10 +96,10 @@
 	return !e.Draining && !e.unreachable && !now.Before(e.pausedUntil)
 }
 
-// isUsable reports whether the endpoint may get requests: it is in service and its
-// backoff allows them.
+// isUsable reports whether the endpoint may get a request: it is in service, and its
+// backoff and its limit allow it.
 func (e *endpoint) isUsable(now time.Time) bool {
-	return e.isInService(now) && e.allowsRequest(now)
+	return e.isInService(now) && e.backoffAllowsRequest(now) && e.limit.allowsRequest(now)
 }
 
 // recordLatency updates the latency ratio with the time to a first response and
--- a/internal/core/balance/reachability.go
+++ b/internal/core/balance/reachability.go
@@ -289,10 +289,10 @@
 	}
 }
 
-// isAvailable reports whether the endpoint is usable and its failure domain is
-// reachable.
+// isAvailable reports whether the endpoint is usable without a limit and its failure
+// domain is reachable.
 func (b *Balancer) isAvailable(now time.Time, e *endpoint) bool {
-	return e.isUsable(now) && !b.domain(e.Domain).unreachable
+	return e.isUsable(now) && !e.isLimited() && !b.domain(e.Domain).unreachable
 }
 
 // setDomainUnreachable sets whether a domain is unreachable, and queues a
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -88,6 +88,7 @@
 	}
 	c.reviewedAt = now
 	c.updateReading(now)
+	c.updateLiveHosts(now)
 	c.refreshStaleList(now)
 	c.fetchNewerConfig(now)
 }
@@ -129,28 +130,6 @@
 	}
 }
 
-// recordLimit records the request limit in the response to a request. Nothing is reported
-// for responses without a limit of endpoints that had none.
-func (x *exchange) recordLimit(decision balance.Decision, reply port.EndpointResponse) {
-	limit, err := reply.RequestLimit()
-	if err != nil {
-		x.gateway.opts.Log.WithError(err).WithField("endpoint", decision.Endpoint).Warn("endpoints: request limit ignored")
-		return
-	}
-	if !limit.Stated && decision.Limit == 0 {
-		return
-	}
-	g, id := x.gateway, x.req.ID
-	g.loop.Post(loop.Func(func(now time.Time) { g.control.recordLimit(now, id, limit) }))
-}
-
-// recordLimit applies the request limit in the response to a request.
-func (c *control) recordLimit(now time.Time, id model.RequestID, limit port.RequestLimit) {
-	if report, changed := c.balancer.RecordLimit(now, id, limit.Stated, limit.PerSecond); changed {
-		logLimit(c.gateway.opts.Log, report, "response")
-	}
-}
-
 // applyEndpointChanges passes changes of the list of endpoints to the balancer
 // and logs them.
 func (c *control) applyEndpointChanges(now time.Time, changes []directory.Change) {
--- a/internal/gateway/digests.go
+++ b/internal/gateway/digests.go
@@ -233,6 +233,7 @@
 		LinkSpeedMbps: opts.LinkMbps, Leaving: c.gateway.leaving.Load(), Version: c.version(),
 		ListReadAge: min(now.Sub(c.lastListRead), maxReadAge), ListChange: c.lastListChange, LeavingEndpoints: c.directory.Leaving(),
 		ListKnownAge: c.knownReadAge(now), ConfigAge: c.gateway.configAge(now),
+		Limits:    c.knownLimits(now),
 		ReadsList: c.gateway.reading.Load(), ListReadFailing: c.listReadFailing,
 	}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -247,6 +247,7 @@
 	p.version = d.Version
 	c.learnFreshness(freshness.Claim{Version: d.Version, At: now.Add(-d.ConfigAge - readAgePerHop)})
 	c.applyLeaving(now, d.LeavingEndpoints)
+	c.receiveLimits(now, d)
 	if d.Version > c.version() {
 		c.fetchNewerConfig(now)
 	}
--- a/internal/gateway/requestlimit_test.go
+++ b/internal/gateway/requestlimit_test.go
@@ -56,20 +56,25 @@
 		endpoints: domains * endpoints,
 	}
 	for _, c := range f.hosts {
-		c.balancer.Apply(directory.Change{Removed: true, Entry: directory.Entry{Name: "service"}})
-		for d := range domains {
-			for i := range endpoints {
-				name := limitedEndpoint(d, i)
-				c.balancer.Apply(directory.Change{Entry: directory.Entry{
-					Name: name, Pool: "p", Address: string(name), Domain: model.DomainName(fmt.Sprint("d", d)), Slots: 64,
-				}})
-			}
-		}
+		f.addEndpoints(c, domains, endpoints)
 	}
 	f.run(3 * time.Second)
 	return f
 }
 
+// addEndpoints lists a number of endpoints in each failure domain at a host.
+func (f *limitedFleet) addEndpoints(c *control, domains, endpoints int) {
+	c.balancer.Apply(directory.Change{Removed: true, Entry: directory.Entry{Name: "service"}})
+	for d := range domains {
+		for i := range endpoints {
+			name := limitedEndpoint(d, i)
+			c.balancer.Apply(directory.Change{Entry: directory.Entry{
+				Name: name, Pool: "p", Address: string(name), Domain: model.DomainName(fmt.Sprint("d", d)), Slots: 64,
+			}})
+		}
+	}
+}
+
 // limitedEndpoint returns the name of an endpoint of a failure domain.
 func limitedEndpoint(domain, i int) model.EndpointName {
 	return model.EndpointName(fmt.Sprintf("e-%d-%d", domain, i))
@@ -164,6 +169,7 @@
 	}{{4, 2, 3, []float64{0.5, 1, 1.8, 5, 20}}, {6, 3, 4, []float64{0.5, 1, 1.8, 5, 20}}, {6, 9, 6, []float64{1, 5}}} {
 		for _, perSecond := range size.limits {
 			t.Run(fmt.Sprintf("%d hosts, %v per second", size.domains*size.hosts, perSecond), func(t *testing.T) {
+				t.Parallel()
 				f := newLimitedFleet(t, size.domains, size.hosts, size.endpoints, 1)
 				limited := []model.EndpointName{limitedEndpoint(0, 0), limitedEndpoint(1, 1)}
 				f.play(2 * time.Second)
@@ -183,3 +189,91 @@
 		}
 	}
 }
+
+// TestLimitsHoldWhileSharingHostsAreReplaced guards against a host that takes the place of
+// another one, or that is cut off, sending more than its share.
+func TestLimitsHoldWhileSharingHostsAreReplaced(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(5) {
+		const perSecond = 1.0
+		name := limitedEndpoint(0, 0)
+		f := newLimitedFleet(t, 4, 3, 3, seed)
+		f.limits[name] = perSecond
+		f.play(limitSettling)
+		stated := f.now
+		for i := range 6 {
+			host := fmt.Sprintf("h-0-%d", i%3)
+			f.stop(host)
+			f.play(3 * time.Second)
+			f.startLimited(host, "d0", 3)
+			cut := f.hosts[host]
+			f.play(time.Second)
+			f.isCut = func(from, to *control) bool { return (from == cut) != (to == cut) }
+			f.play(3 * time.Second)
+			f.isCut = nil
+			f.play(time.Second)
+		}
+		must.LessEq(t, allowedInWindow(perSecond), f.mostInWindow(name, stated, f.now))
+		must.Zero(t, f.refused)
+	}
+}
+
+// startLimited starts a host that knows all endpoints.
+func (f *limitedFleet) startLimited(address string, domain model.DomainName, endpoints int) {
+	f.start(address, domain)
+	f.addEndpoints(f.hosts[address], f.endpoints/endpoints, endpoints)
+}
+
+// TestEndedLimitIsKnownToAllHosts guards against a limit that outlives its end.
+func TestEndedLimitIsKnownToAllHosts(t *testing.T) {
+	t.Parallel()
+	for _, hosts := range []int{2, 9} {
+		f := newLimitedFleet(t, 4, hosts, 3, 1)
+		name := limitedEndpoint(0, 0)
+		f.play(10 * time.Second)
+		usual := f.countBetween(name, f.now.Add(-10*time.Second), f.now)
+		f.limits[name] = 0.5
+		f.play(20 * time.Second)
+		delete(f.limits, name)
+		f.play(10 * time.Second)
+		for _, address := range f.order {
+			must.False(t, f.hosts[address].balancer.HasLimits(), must.Sprint(address))
+		}
+		f.play(10 * time.Second)
+		must.GreaterEq(t, usual/2, f.countBetween(name, f.now.Add(-10*time.Second), f.now))
+	}
+}
+
+// TestPoolOfLimitedEndpointsRefusesWhatExceedsTheLimits guards against requests beyond the
+// limits, against places left unused, and against callers that all return at once.
+func TestPoolOfLimitedEndpointsRefusesWhatExceedsTheLimits(t *testing.T) {
+	t.Parallel()
+	const perSecond = 1.0
+	f := newLimitedFleet(t, 4, 2, 2, 1)
+	for d := range 4 {
+		for i := range 2 {
+			f.limits[limitedEndpoint(d, i)] = perSecond
+		}
+	}
+	f.play(limitSettling)
+	start := f.now
+	f.play(20 * time.Second)
+	served := 0
+	for name := range f.limits {
+		must.LessEq(t, allowedInWindow(perSecond), f.mostInWindow(name, start, f.now))
+		served += f.countBetween(name, start, f.now)
+	}
+	must.GreaterEq(t, int(0.7*8*perSecond*20), served)
+	returns := make(map[time.Duration]bool)
+	for _, address := range f.order {
+		for range 20 {
+			d := f.hosts[address].balancer.Submit(f.now, balance.Request{ID: "refused", Pool: "p", Target: time.Second, Arrived: f.now})
+			if d.IsRefused() {
+				must.Eq(t, balance.ReasonLimit, d.Reason)
+				must.Positive(t, d.RetryAfter)
+				returns[d.RetryAfter] = true
+			}
+		}
+	}
+	must.Greater(t, 50, len(returns))
+}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -36,7 +36,18 @@
 	ConfigAge float64 `json:"config_age_s"`
 	// LeavingEndpoints are the endpoints that have reported that they are leaving.
 	LeavingEndpoints []model.EndpointName `json:"leaving_endpoints"`
-	Peers            []PeerView           `json:"peers"`
+	// LimitedEndpoints are the endpoints that have stated a request limit.
+	LimitedEndpoints []LimitView `json:"limited_endpoints"`
+	Peers            []PeerView  `json:"peers"`
+}
+
+// LimitView is what a host knows of the request limit of an endpoint.
+type LimitView struct {
+	Endpoint model.EndpointName `json:"endpoint"`
+	// PerSecond is the limit for all hosts together, in requests per second. Age is the
+	// time since the endpoint stated it.
+	PerSecond float64 `json:"per_second"`
+	Age       float64 `json:"age_s"`
 }
 
 // PeerView is what a host knows of another one.
@@ -82,6 +93,11 @@
 	for _, instance := range c.directory.Leaving() {
 		out.LeavingEndpoints = append(out.LeavingEndpoints, instance.Name)
 	}
+	for _, l := range c.knownLimits(now) {
+		if l.Limited {
+			out.LimitedEndpoints = append(out.LimitedEndpoints, LimitView{Endpoint: l.Instance.Name, PerSecond: l.PerSecond, Age: l.Age.Seconds()})
+		}
+	}
 	for address, p := range c.peers.peers {
 		out.Peers = append(out.Peers, c.peers.view(now, address, p))
 	}
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -9,6 +9,16 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
 
+// EndpointLimit is what is known of the request limit of an endpoint.
+type EndpointLimit struct {
+	Instance model.Instance
+	// Limited reports that it has one, PerSecond which one.
+	Limited   bool
+	PerSecond float64
+	// Age is the time since the endpoint stated it.
+	Age time.Duration
+}
+
 // UnknownAge is the age reported for something that a host has never learned.
 const UnknownAge = time.Hour
 
@@ -40,6 +50,9 @@
 	// and ListReadFailing whether its last read failed.
 	ReadsList       bool
 	ListReadFailing bool
+	// Limits are the request limits that endpoints have stated, to this host or to
+	// others, and those that have ended of late.
+	Limits []EndpointLimit
 	// Loads is the host's load by endpoint.
 	Loads []balance.EndpointLoad
 	// CacheUpdates are the sender's prefix cache updates since the last digest
--- /dev/null
+++ b/internal/server/gateway_limit_test.go
@@ -0,0 +1,61 @@
+package server
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wigeonsail/wigeonsail/internal/standin/replica"
+)
+
+// TestLimitedEndpointGetsLittleFromAllHosts guards against a stated limit that is kept
+// by no host, or only by the one that saw it, and against one that never ends.
+func TestLimitedEndpointGetsLittleFromAllHosts(t *testing.T) {
+	f := newFleet(t)
+	f.publish(fleetConfig(1))
+	limited := f.startReplica(servicePool, replica.Options{Instance: "i-1"})
+	limited.SetFaults(replica.Faults{Limit: "1"})
+	g := f.startReadyHost("h1")
+	other := f.startReadyHost("h2", g.Address("peers"))
+	must.Eq(t, http.StatusOK, f.postConfirm(g).status)
+	f.startReplica(servicePool, replica.Options{Instance: "i-2"})
+	f.eventually(func() bool { return f.postConfirm(g).status == http.StatusOK })
+	f.eventually(func() bool {
+		before := len(limited.Executions())
+		for range 5 {
+			f.postConfirm(other)
+		}
+		return len(limited.Executions()) == before
+	})
+	before := len(limited.Executions())
+	for range 100 {
+		must.Eq(t, http.StatusOK, f.postConfirm(g).status)
+		must.Eq(t, http.StatusOK, f.postConfirm(other).status)
+	}
+	must.LessEq(t, before+5, len(limited.Executions()))
+
+	limited.SetFaults(replica.Faults{})
+	must.Len(t, 1, f.peers(g).LimitedEndpoints)
+	f.within(15*time.Second, func() bool {
+		f.postConfirm(g)
+		f.postConfirm(other)
+		return len(f.peers(g).LimitedEndpoints)+len(f.peers(other).LimitedEndpoints) == 0
+	})
+}
+
+// TestLimitsWithoutMeaningAreIgnored guards against a value that is no rate stopping
+// requests, or the host.
+func TestLimitsWithoutMeaningAreIgnored(t *testing.T) {
+	f := newFleet(t)
+	f.publish(fleetConfig(1))
+	r := f.startReplica(servicePool, replica.Options{Instance: "i-1"})
+	g := f.startReadyHost("h1")
+	for _, value := range []string{"-1", "NaN", "few", "+Inf", "1e300"} {
+		r.SetFaults(replica.Faults{Limit: value})
+		for range 5 {
+			must.Eq(t, http.StatusOK, f.postConfirm(g).status, must.Sprint(value))
+		}
+	}
+}
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -42,6 +42,9 @@
 	QueueFull bool
 	// RetryAfter is sent with refusals as the Retry-After header, unless empty.
 	RetryAfter string
+	// Limit is sent with all responses as the header that states a request limit,
+	// unless empty.
+	Limit string
 	// Leaving marks all responses as those of a replica that is leaving.
 	Leaving bool
 	// NoResponse reads requests and never responds.
@@ -202,6 +205,9 @@
 	w.Header().Set("X-Wigeonsail-Attempt-Id", id)
 	w.Header().Set("X-Wigeonsail-Instance-Id", s.opts.Instance)
 	faults, admitted := s.admit()
+	if faults.Limit != "" {
+		w.Header().Set("Server-Limit", faults.Limit)
+	}
 	if faults.Leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
