--- a/internal/server/gateway_limit_test.go
+++ b/internal/server/gateway_limit_test.go
@@ -16,7 +16,7 @@
 	f := newFleet(t)
 	f.publish(fleetConfig(1))
 	limited := f.startReplica(servicePool, replica.Options{Instance: "i-1"})
-	limited.SetFaults(replica.Faults{Limit: "1"})
+	limited.SetLimit("1")
 	g := f.startReadyHost("h1")
 	other := f.startReadyHost("h2", g.Address("peers"))
 	must.Eq(t, http.StatusOK, f.postConfirm(g).status)
@@ -36,7 +36,7 @@
 	}
 	must.LessEq(t, before+5, len(limited.Executions()))
 
-	limited.SetFaults(replica.Faults{})
+	limited.SetLimit("")
 	must.Len(t, 1, f.peers(g).LimitedEndpoints)
 	f.within(15*time.Second, func() bool {
 		f.postConfirm(g)
@@ -53,7 +53,7 @@
 	r := f.startReplica(servicePool, replica.Options{Instance: "i-1"})
 	g := f.startReadyHost("h1")
 	for _, value := range []string{"-1", "NaN", "few", "+Inf", "1e300"} {
-		r.SetFaults(replica.Faults{Limit: value})
+		r.SetLimit(value)
 		for range 5 {
 			must.Eq(t, http.StatusOK, f.postConfirm(g).status, must.Sprint(value))
 		}
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -74,6 +74,7 @@
 		}
 		c.checkLeaving(e, own, results)
 	}
+	c.checkLimits(results)
 	for _, res := range results {
 		c.checkResult(res, executions[res.id])
 	}
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -76,3 +77,42 @@
 	c.checkExecution(e, replica.Execution{ID: "a", Header: http.Header{"X-Wigeonsail-Tenant": {"other"}}, StartedAt: drained})
 	must.Len(t, 1, c.violations, must.Sprint("header of another client account"))
 }
+
+// checkLimits must count the requests of hosts that are not excused, once the limit holds.
+func TestCheckLimitsFindsViolations(t *testing.T) {
+	server, err := replica.Start(replica.Options{Instance: "i-1"})
+	must.NoError(t, err)
+	t.Cleanup(server.Close)
+	h := &hostProcess{name: "host-0"}
+	for _, tc := range []struct {
+		name       string
+		from       time.Duration
+		excused    time.Duration
+		violations int
+	}{
+		{"limit holds", -4 * time.Second, 0, 1},
+		{"limit was stated too late", -time.Second, 0, 0},
+		{"host is excused", -4 * time.Second, time.Minute, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newTestChecker()
+			now := time.Now()
+			c.faults.excused = map[*hostProcess][]span{h: {{from: now.Add(-time.Minute), until: now.Add(tc.excused - time.Second)}}}
+			c.faults.long = &longFaults{limits: []statedLimit{{endpoint: &endpoint{Server: server}, span: span{from: now.Add(tc.from), until: now.Add(time.Minute)}}}}
+			var results []*result
+			for i := range allowedInWindow + 1 {
+				id := fmt.Sprint(tc.name, i)
+				req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+server.Address(), nil)
+				must.NoError(t, err)
+				req.Header.Set("X-Wigeonsail-Attempt-Id", id)
+				req.Header.Set("X-Wigeonsail-Expect-Instance", "i-1")
+				res, err := http.DefaultClient.Do(req)
+				must.NoError(t, err)
+				must.NoError(t, res.Body.Close())
+				results = append(results, &result{id: id, host: h})
+			}
+			c.checkLimits(results)
+			must.Len(t, tc.violations, c.violations)
+		})
+	}
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -33,6 +33,7 @@
 	// random numbers of their own.
 	platformRNG       *rand.Rand
 	nextPlatformFault time.Time
+	long              *longFaults
 
 	mu sync.Mutex
 	// scheduledEnds holds the ends of the active faults.
@@ -40,6 +41,9 @@
 	// disturbances lists the time spans in which hosts may not have received
 	// changes.
 	disturbances []span
+	// excused lists the time spans in which each host may exceed limits: while it is
+	// paused or restarts, and until it has received what the others know.
+	excused map[*hostProcess][]span
 }
 
 // scheduledEnd is the time at which a fault ends, and the function that ends
@@ -51,12 +55,15 @@
 
 type span struct{ from, until time.Time }
 
-func newFaultInjector(env *environment, rng, platformRNG *rand.Rand) *faultInjector {
+func newFaultInjector(env *environment, rng, platformRNG, longRNG *rand.Rand) *faultInjector {
 	now := time.Now()
-	return &faultInjector{
+	f := &faultInjector{
 		environment: env, rng: rng, nextStart: now.Add(maxPause),
 		platformRNG: platformRNG, nextPlatformFault: now.Add(platformFaultPause),
+		excused: make(map[*hostProcess][]span),
 	}
+	f.long = &longFaults{injector: f, rng: longRNG, next: now.Add(longFaultPause)}
+	return f
 }
 
 // randomDuration returns a random duration from shortest up to, but excluding,
@@ -70,6 +77,7 @@
 func (f *faultInjector) tick(now time.Time) {
 	f.endDue(now)
 	f.tickPlatform(now)
+	f.long.tick(now)
 	if now.Before(f.nextStart) {
 		return
 	}
@@ -109,6 +117,20 @@
 	f.disturbances = append(f.disturbances, span{from: now, until: now.Add(duration)})
 }
 
+// excuse records that a host may exceed limits for a duration.
+func (f *faultInjector) excuse(h *hostProcess, now time.Time, duration time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.excused[h] = append(f.excused[h], span{from: now, until: now.Add(duration)})
+}
+
+// isExcused reports whether a host might exceed limits at a time.
+func (f *faultInjector) isExcused(h *hostProcess, at time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.excused[h], func(s span) bool { return !at.Before(s.from) && at.Before(s.until) })
+}
+
 // isUndisturbed reports whether hosts could receive changes during the whole
 // span.
 func (f *faultInjector) isUndisturbed(from, until time.Time) bool {
@@ -140,6 +162,7 @@
 		f.restartHost(now, h, duration, syscall.SIGKILL)
 	case 1:
 		f.recordDisturbance(now, duration+time.Second)
+		f.excuse(h, now, duration+limitSettling)
 		h.signal(syscall.SIGSTOP)
 		f.scheduleEnd(now, duration, func() { h.signal(syscall.SIGCONT) })
 	case 2:
@@ -181,6 +204,7 @@
 	}
 	h.restarting = true
 	f.recordDisturbance(now, pause+grace+2*time.Second)
+	f.excuse(h, now, pause+grace+limitSettling)
 	h.signal(s)
 	f.scheduleEnd(now, pause, func() {
 		if s == syscall.SIGTERM {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -68,7 +68,7 @@
 	}
 	callers := newCallers(env)
 	callers.start(ctx)
-	faults := newFaultInjector(env, rand.New(rand.NewPCG(opts.Seed, 1)), rand.New(rand.NewPCG(opts.Seed, 2)))
+	faults := newFaultInjector(env, rand.New(rand.NewPCG(opts.Seed, 1)), rand.New(rand.NewPCG(opts.Seed, 2)), rand.New(rand.NewPCG(opts.Seed, 3)))
 	checks := &checker{environment: env, callers: callers, faults: faults}
 	checks.runWithFaults(ctx, opts.Duration)
 	faults.endAll()
--- a/internal/standin/logstore/logstore.go
+++ b/internal/standin/logstore/logstore.go
@@ -56,8 +56,10 @@
 	partitions map[partitionKey]*partition
 	groups     map[string]*group
 	fault      Fault
-	delay      time.Duration
-	calls      map[string]int
+	// silentTopic is a topic whose calls get no response; empty for none.
+	silentTopic string
+	delay       time.Duration
+	calls       map[string]int
 	// era is sent with all responses. It rises with each restoration.
 	era uint64
 	// changed is closed and replaced on each append, trim and fault change.
@@ -95,6 +97,9 @@
 	s.mu.Lock()
 	s.calls[r.URL.Path]++
 	fault, delay := s.fault, s.delay
+	if s.silentTopic != "" && r.URL.Query().Get("topic") == s.silentTopic {
+		fault = FaultNoResponse
+	}
 	s.setEraHeader(w)
 	s.mu.Unlock()
 	if delay > 0 && !sleepRequest(r, delay) {
@@ -149,6 +154,14 @@
 	s.wakeReaders()
 }
 
+// SilenceTopic lets all following calls that name a topic get no response; empty for
+// none.
+func (s *Server) SilenceTopic(topic string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silentTopic = topic
+}
+
 // SetDelay delays all following calls by d.
 func (s *Server) SetDelay(d time.Duration) {
 	s.mu.Lock()
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -42,9 +42,6 @@
 	QueueFull bool
 	// RetryAfter is sent with refusals as the Retry-After header, unless empty.
 	RetryAfter string
-	// Limit is sent with all responses as the header that states a request limit,
-	// unless empty.
-	Limit string
 	// Leaving marks all responses as those of a replica that is leaving.
 	Leaving bool
 	// NoResponse reads requests and never responds.
@@ -118,6 +115,7 @@
 
 	mu          sync.Mutex
 	faults      Faults
+	limit       string
 	executions  []Execution
 	canceled    int
 	refusals    int
@@ -165,6 +163,20 @@
 	s.faults = f
 }
 
+// SetLimit sets the value of the header that states a request limit in all responses;
+// empty for none.
+func (s *Server) SetLimit(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = text
+}
+
+func (s *Server) statedLimit() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limit
+}
+
 // Executions returns the requests that the replica executed, oldest first.
 func (s *Server) Executions() []Execution {
 	s.mu.Lock()
@@ -205,8 +217,8 @@
 	w.Header().Set("X-Wigeonsail-Attempt-Id", id)
 	w.Header().Set("X-Wigeonsail-Instance-Id", s.opts.Instance)
 	faults, admitted := s.admit()
-	if faults.Limit != "" {
-		w.Header().Set("Server-Limit", faults.Limit)
+	if limit := s.statedLimit(); limit != "" {
+		w.Header().Set("Server-Limit", limit)
 	}
 	if faults.Leaving {
 		w.Header().Set("Server-Leaving", "1")
--- a/internal/standin/users/users.go
+++ b/internal/standin/users/users.go
@@ -20,6 +20,8 @@
 	Account = "club"
 	// ServicePool is the name of the pool of plain services.
 	ServicePool = "appointments"
+	// ConfigTopic is the store's topic with the configuration.
+	ConfigTopic = "keyed.op"
 	// EnginePool is the name of the pool of engines.
 	EnginePool = "drafts"
 )
@@ -60,7 +62,7 @@
 
 // PublishConfig writes a configuration to the store, as the operator does.
 func PublishConfig(store *logstore.Server, cfg map[string]any) {
-	store.Put("keyed.op", "config", mustMarshal(cfg))
+	store.Put(ConfigTopic, "config", mustMarshal(cfg))
 }
 
 // PutEndpoint writes an endpoint's entry to the store, as the endpoint does.
