Commands ask the next host that responds

They ask the hosts in turn until one responds; a refusal is a response. Drains have a publish ID, which makes them safe to repeat.

--- a/cmd/wigeonsail/config.go
+++ b/cmd/wigeonsail/config.go
@@ -107,15 +107,11 @@
 	return nil
 }
 
-// getConfig fetches a version of the configuration from the first host; 0 is the
-// version in force.
+// getConfig fetches a version of the configuration; 0 is the version in force.
 func (f operatorFlags) getConfig(ctx context.Context, version uint64) (*operatorapi.Config, error) {
-	client, err := f.firstClient()
-	if err != nil {
-		return nil, err
-	}
-	cfg, err := client.GetConfig(ctx, operatorapi.GetConfigParams{Version: operatorapi.NewOptUint64(version)})
-	return cfg, wrapProblem(err)
+	return askFirst(f, func(c *operatorapi.Client) (*operatorapi.Config, error) {
+		return c.GetConfig(ctx, operatorapi.GetConfigParams{Version: operatorapi.NewOptUint64(version)})
+	})
 }
 
 type configShowCmd struct {
@@ -148,14 +144,10 @@
 
 // Run prints the versions, oldest first.
 func (c configHistoryCmd) Run() error {
-	client, err := c.firstClient()
+	history, err := c.configHistory(context.Background())
 	if err != nil {
 		return err
 	}
-	history, err := client.GetConfigHistory(context.Background())
-	if err != nil {
-		return wrapProblem(err)
-	}
 	if c.JSON {
 		return printJSON(history)
 	}
--- a/cmd/wigeonsail/endpoints.go
+++ b/cmd/wigeonsail/endpoints.go
@@ -20,16 +20,12 @@
 	JSON bool `help:"Print JSON."`
 }
 
-// Run prints the endpoints as seen by the first host.
+// Run prints the endpoints as seen by the first host that responds.
 func (c endpointsListCmd) Run() error {
-	client, err := c.firstClient()
+	endpoints, err := c.endpoints(context.Background())
 	if err != nil {
 		return err
 	}
-	endpoints, err := client.GetEndpoints(context.Background())
-	if err != nil {
-		return wrapProblem(err)
-	}
 	if c.JSON {
 		return printJSON(endpoints)
 	}
@@ -62,10 +58,6 @@
 // publishLeaving publishes a version of the configuration in which the endpoint is
 // marked as leaving or not.
 func (c endpointDrainFlags) publishLeaving(leaving bool) error {
-	client, err := c.firstClient()
-	if err != nil {
-		return err
-	}
 	if c.PublishID == "" {
 		c.PublishID = newPublishID()
 	}
@@ -73,9 +65,12 @@
 	if c.Note != "" {
 		req.Note = operatorapi.NewOptString(c.Note)
 	}
-	res, err := client.DrainEndpoint(context.Background(), req, operatorapi.DrainEndpointParams{Name: c.Name})
+	// The publish ID makes the call safe to repeat.
+	res, err := askFirst(c.operatorFlags, func(client *operatorapi.Client) (operatorapi.DrainEndpointRes, error) {
+		return client.DrainEndpoint(context.Background(), req, operatorapi.DrainEndpointParams{Name: c.Name})
+	})
 	if err != nil {
-		return fmt.Errorf("%w\nit may have been accepted; to make sure, try again with --publish-id %s", wrapProblem(err), c.PublishID)
+		return fmt.Errorf("%w\nit may have been accepted; to make sure, try again with --publish-id %s", err, c.PublishID)
 	}
 	switch r := res.(type) {
 	case *operatorapi.ConfigVersion:
--- a/cmd/wigeonsail/handover.go
+++ b/cmd/wigeonsail/handover.go
@@ -68,16 +68,11 @@
 // addChanges adds the versions accepted during the shift and the differences that
 // they add up to.
 func (c handoverCmd) addChanges(ctx context.Context, h *report.Handover) {
-	client, err := c.firstClient()
+	history, err := c.configHistory(ctx)
 	if err != nil {
 		addProblem(h, "changes", err)
 		return
 	}
-	history, err := client.GetConfigHistory(ctx)
-	if err != nil {
-		addProblem(h, "changes", wrapProblem(err))
-		return
-	}
 	base := uint64(0)
 	for _, v := range history {
 		if v.At.Before(h.Since) {
@@ -143,16 +138,11 @@
 // addEndpoints adds the endpoints that are leaving and those without a wanted
 // model.
 func (c handoverCmd) addEndpoints(ctx context.Context, h *report.Handover) {
-	client, err := c.firstClient()
+	endpoints, err := c.endpoints(ctx)
 	if err != nil {
 		addProblem(h, "endpoints", err)
 		return
 	}
-	endpoints, err := client.GetEndpoints(ctx)
-	if err != nil {
-		addProblem(h, "endpoints", wrapProblem(err))
-		return
-	}
 	for i := range endpoints {
 		addEndpoint(h, &endpoints[i])
 	}
--- a/cmd/wigeonsail/operator.go
+++ b/cmd/wigeonsail/operator.go
@@ -46,8 +46,40 @@
 	return client, nil
 }
 
-// firstClient returns a client for the first host.
-func (f operatorFlags) firstClient() (*operatorapi.Client, error) { return f.client(f.Host[0]) }
+// askFirst makes a call to the hosts in turn until one responds, with a result or with a
+// problem, and returns that. The call must be safe to repeat.
+func askFirst[T any](f operatorFlags, call func(*operatorapi.Client) (T, error)) (T, error) {
+	var none T
+	var failed []error
+	for _, url := range f.Host {
+		client, err := f.client(url)
+		if err != nil {
+			return none, err
+		}
+		result, err := call(client)
+		if err == nil || isResponse(err) {
+			return result, wrapProblem(err)
+		}
+		failed = append(failed, fmt.Errorf("no answer from %s: %w", url, err))
+	}
+	return none, errors.Join(failed...)
+}
+
+// isResponse reports whether an error of a call is a response of the host.
+func isResponse(err error) bool {
+	var problem *operatorapi.ProblemStatusCodeWithHeaders
+	return errors.As(err, &problem)
+}
+
+// configHistory fetches the versions of the configuration.
+func (f operatorFlags) configHistory(ctx context.Context) ([]operatorapi.ConfigVersion, error) {
+	return askFirst(f, func(c *operatorapi.Client) ([]operatorapi.ConfigVersion, error) { return c.GetConfigHistory(ctx) })
+}
+
+// endpoints fetches the endpoints as one host sees them.
+func (f operatorFlags) endpoints(ctx context.Context) ([]operatorapi.Endpoint, error) {
+	return askFirst(f, func(c *operatorapi.Client) ([]operatorapi.Endpoint, error) { return c.GetEndpoints(ctx) })
+}
 
 // hostResponse is the response of one host, or the error of the call.
 type hostResponse struct {
