--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -164,14 +164,10 @@
 // isLive reports whether a peer counts as live: its digests arrive or, without a link
 // to it, other hosts hear from it. A new link gets time for the first digest.
 func (t *peerTable) isLive(now time.Time, p *peer) bool {
-	limit := remotePeerTimeout
-	if t.isLocal(p) {
-		limit = localPeerTimeout
-	}
-	if now.Sub(p.lastSeen) < limit {
+	if t.hearsFrom(now, p) {
 		return true
 	}
-	if p.isLinked() && now.Sub(p.linkedAt) >= limit {
+	if p.isLinked() && now.Sub(p.linkedAt) >= t.timeout(p) {
 		return false
 	}
 	return p.reportedAt.After(p.silentAt) && now.Sub(p.reportedAt) < reportedPeerTimeout
@@ -179,11 +175,15 @@
 
 // hearsFrom reports whether this host receives digests from a peer.
 func (t *peerTable) hearsFrom(now time.Time, p *peer) bool {
-	limit := remotePeerTimeout
+	return now.Sub(p.lastSeen) < t.timeout(p)
+}
+
+// timeout returns the time without a digest after which a peer counts as silent.
+func (t *peerTable) timeout(p *peer) time.Duration {
 	if t.isLocal(p) {
-		limit = localPeerTimeout
+		return localPeerTimeout
 	}
-	return now.Sub(p.lastSeen) < limit
+	return remotePeerTimeout
 }
 
 // liveMembers returns the other hosts that count as live.
