A response of another endpoint ends no request limit

A 421 comes from the endpoint that now has the address. It has no limit of the former one, and ended that limit at all hosts while the former one might still be in use elsewhere. Found by reading. TestAnotherEndpointEndsNoLimit fails without the check.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
@@ -15,6 +16,10 @@
 // recordLimit records the request limit in the response to a request. Nothing is reported
 // for responses without a limit of endpoints that had none.
 func (x *exchange) recordLimit(decision balance.Decision, reply port.EndpointResponse) {
+	if reply.Status() == http.StatusMisdirectedRequest {
+		// Another endpoint at the address has responded.
+		return
+	}
 	limit, err := reply.RequestLimit()
 	if err != nil {
 		x.gateway.opts.Log.WithError(err).WithField("endpoint", decision.Endpoint).Warn("endpoints: request limit ignored")
--- a/internal/gateway/requestlimit_test.go
+++ b/internal/gateway/requestlimit_test.go
@@ -1,13 +1,16 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/wigeonsail/wigeonsail/internal/core/attempt"
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
 	"github.com/wigeonsail/wigeonsail/internal/core/directory"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
@@ -277,3 +280,46 @@
 	}
 	must.Greater(t, 50, len(returns))
 }
+
+// limitReply is a response that states no limit.
+type limitReply struct {
+	port.EndpointResponse
+	status int
+}
+
+func (r limitReply) Status() int                              { return r.status }
+func (r limitReply) RequestLimit() (port.RequestLimit, error) { return port.RequestLimit{}, nil }
+
+// TestAnotherEndpointEndsNoLimit guards against a response of the endpoint that now has the
+// address of a limited one.
+func TestAnotherEndpointEndsNoLimit(t *testing.T) {
+	c, _ := newTestControl(t)
+	g := c.gateway
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		g.loop.Run(ctx, time.Hour, func(time.Time) {})
+		close(ended)
+	}()
+	defer func() { stop(); <-ended }()
+	c.balancer.SetBudget(attempt.SharedBudgetOptions{Window: 10 * time.Second})
+	c.balancer.Apply(directory.Change{Entry: directory.Entry{Name: "e", Pool: "p", Address: "a", Domain: "north", Slots: 4}})
+	now := time.Now()
+	first := balance.Request{ID: "first", Pool: "p", Target: time.Second, Arrived: now}
+	c.balancer.Submit(now, first)
+	c.recordLimit(now, first.ID, port.RequestLimit{Stated: true, PerSecond: 1000})
+	c.balancer.Submit(now.Add(time.Second), first)
+	second := balance.Request{ID: "second", Pool: "p", Target: time.Second, Arrived: now}
+	decision := c.balancer.Submit(now.Add(2*time.Second), second)
+	must.Eq(t, 1000, decision.Limit)
+	x := &exchange{gateway: g, req: second}
+	hasLimits := func() bool {
+		limits, ok := queryLoop(t.Context(), g, func(time.Time) bool { return c.balancer.HasLimits() })
+		must.True(t, ok)
+		return limits
+	}
+	x.recordLimit(decision, limitReply{status: http.StatusMisdirectedRequest})
+	must.True(t, hasLimits())
+	x.recordLimit(decision, limitReply{status: http.StatusServiceUnavailable})
+	must.False(t, hasLimits())
+}
