--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -98,7 +98,7 @@
 			c := newTestChecker()
 			now := time.Now()
 			c.faults.excused = map[*hostProcess][]span{h: {{from: now.Add(-time.Minute), until: now.Add(tc.excused - time.Second)}}}
-			c.faults.long = &longFaults{limits: []statedLimit{{endpoint: &endpoint{Server: server}, span: span{from: now.Add(tc.from), until: now.Add(time.Minute)}}}}
+			c.faults.long = &longFaults{limits: []*statedLimit{{endpoint: &endpoint{Server: server}, span: span{from: now.Add(tc.from), until: now.Add(time.Minute)}}}}
 			var results []*result
 			for i := range allowedInWindow + 1 {
 				id := fmt.Sprint(tc.name, i)
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -40,7 +40,7 @@
 	injector *faultInjector
 	rng      *rand.Rand
 	next     time.Time
-	limits   []statedLimit
+	limits   []*statedLimit
 }
 
 // tick starts the next fault if it is due.
@@ -63,9 +63,14 @@
 	e := all[f.rng.IntN(len(all))]
 	length := minLimitTime + time.Duration(f.rng.Int64N(int64(maxLimitTime-minLimitTime)))
 	env.trace("%s states a limit for %s", e.Instance(), length.Round(time.Millisecond))
-	f.limits = append(f.limits, statedLimit{endpoint: e, span: span{from: now, until: now.Add(length)}})
+	limit := &statedLimit{endpoint: e, span: span{from: now, until: now.Add(length)}}
+	f.limits = append(f.limits, limit)
 	e.SetLimit(strconv.FormatFloat(limitPerSecond, 'f', -1, 64))
-	f.injector.scheduleEnd(now, length, func() { e.SetLimit("") })
+	f.injector.scheduleEnd(now, length, func() {
+		// All faults end early at the end of a run.
+		limit.span.until = time.Now()
+		e.SetLimit("")
+	})
 }
 
 // checkLimits checks that endpoints did not get more requests than the limits that they
