--- a/cmd/wigeonsail/operator_test.go
+++ b/cmd/wigeonsail/operator_test.go
@@ -9,8 +9,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// TestCommandsAskTheNextHostThatResponds guards against commands that fail when the first
-// of several hosts does not respond.
+// A command must not fail because the first of several hosts does not respond.
 func TestCommandsAskTheNextHostThatResponds(t *testing.T) {
 	gone := httptest.NewServer(http.NotFoundHandler())
 	gone.Close()
@@ -32,7 +31,7 @@
 	must.Eq(t, 2, asked)
 }
 
-// TestRefusalOfAHostIsFinal guards against asking further hosts after one has refused.
+// A command must not ask further hosts after one has refused.
 func TestRefusalOfAHostIsFinal(t *testing.T) {
 	asked := 0
 	refusing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -79,9 +79,8 @@
 }
 
 // readChanges reads the changes since the last read, and returns a time as of which
-// they are complete. It waits for changes unless the last read failed: the response to
-// a read that waits can get lost for as long as it waits, and the first read after an
-// outage must not.
+// they are complete. It waits for changes unless the last read failed: a lost read that
+// waits would delay the first one after an outage.
 func (f *follower) readChanges(ctx context.Context) (port.KeyedBatch, time.Time, error) {
 	asOf := time.Now()
 	if f.wait == 0 || f.failures > 0 {
--- a/internal/gateway/partialoutage_test.go
+++ b/internal/gateway/partialoutage_test.go
@@ -127,8 +127,7 @@
 	return 0
 }
 
-// TestConfigIsInForceSoonAfterPartOfTheStoreReturns guards against reads that were
-// lost in an outage delaying the first read after it.
+// Reads that were lost in an outage must not delay the first read after it.
 func TestConfigIsInForceSoonAfterPartOfTheStoreReturns(t *testing.T) {
 	bound := calmAfterOutage - reviewInterval - configFetchJitter - configFetchTimeout
 	for outage := 100 * time.Millisecond; outage <= 8*time.Second; outage += 100 * time.Millisecond {
@@ -152,8 +151,7 @@
 	}
 }
 
-// TestUnconfirmedConfigDeniesNoRequest guards against 404 and 401 from a host that
-// cannot know whether a newer configuration allows the request.
+// A host that cannot know whether a newer configuration allows a request must not deny it.
 func TestUnconfirmedConfigDeniesNoRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &partlySilentStore{version: 1}
--- a/internal/gateway/requestlimit_test.go
+++ b/internal/gateway/requestlimit_test.go
@@ -163,8 +163,7 @@
 // limitWindow.
 func allowedInWindow(perSecond float64) int { return int(1.5*perSecond*limitWindow.Seconds() + 5) }
 
-// TestAllHostsTogetherKeepRequestLimits guards against each host keeping a limit by
-// itself, or none, and against a limited endpoint that is left idle.
+// A limit holds for all hosts together, and a limited endpoint is not left idle.
 func TestAllHostsTogetherKeepRequestLimits(t *testing.T) {
 	for _, size := range []struct {
 		domains, hosts, endpoints int
@@ -193,8 +192,7 @@
 	}
 }
 
-// TestLimitsHoldWhileSharingHostsAreReplaced guards against a host that takes the place of
-// another one, or that is cut off, sending more than its share.
+// Hosts that take the place of others, or are cut off, send no more than their shares.
 func TestLimitsHoldWhileSharingHostsAreReplaced(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(5) {
@@ -227,7 +225,7 @@
 	f.addEndpoints(f.hosts[address], f.endpoints/endpoints, endpoints)
 }
 
-// TestEndedLimitIsKnownToAllHosts guards against a limit that outlives its end.
+// A limit must not outlive its end at any host.
 func TestEndedLimitIsKnownToAllHosts(t *testing.T) {
 	t.Parallel()
 	for _, hosts := range []int{2, 9} {
@@ -247,8 +245,7 @@
 	}
 }
 
-// TestPoolOfLimitedEndpointsRefusesWhatExceedsTheLimits guards against requests beyond the
-// limits, against places left unused, and against callers that all return at once.
+// The limits are used up, nothing exceeds them, and refused callers return at different times.
 func TestPoolOfLimitedEndpointsRefusesWhatExceedsTheLimits(t *testing.T) {
 	t.Parallel()
 	const perSecond = 1.0
@@ -290,8 +287,7 @@
 func (r limitReply) Status() int                              { return r.status }
 func (r limitReply) RequestLimit() (port.RequestLimit, error) { return port.RequestLimit{}, nil }
 
-// TestAnotherEndpointEndsNoLimit guards against a response of the endpoint that now has the
-// address of a limited one.
+// A 421 comes from another endpoint at the address of a limited one.
 func TestAnotherEndpointEndsNoLimit(t *testing.T) {
 	c, _ := newTestControl(t)
 	g := c.gateway
--- a/internal/host/config_test.go
+++ b/internal/host/config_test.go
@@ -104,8 +104,7 @@
 	}
 }
 
-// TestOutdatedConfigDeniesNoCall guards against 401 and 404 from a host that cannot
-// read the newest configuration.
+// A host that cannot read the newest configuration must not deny what it does not know.
 func TestOutdatedConfigDeniesNoCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h, _ := newConfigHost(t)
--- a/internal/server/gateway_limit_test.go
+++ b/internal/server/gateway_limit_test.go
@@ -10,8 +10,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/standin/replica"
 )
 
-// TestLimitedEndpointGetsLittleFromAllHosts guards against a stated limit that is kept
-// by no host, or only by the one that saw it, and against one that never ends.
+// Hosts that have not seen the statement keep a limit too, until it ends.
 func TestLimitedEndpointGetsLittleFromAllHosts(t *testing.T) {
 	f := newFleet(t)
 	f.publish(fleetConfig(1))
@@ -45,8 +44,7 @@
 	})
 }
 
-// TestLimitsWithoutMeaningAreIgnored guards against a value that is no rate stopping
-// requests, or the host.
+// A value that is no rate stops no requests.
 func TestLimitsWithoutMeaningAreIgnored(t *testing.T) {
 	f := newFleet(t)
 	f.publish(fleetConfig(1))
