Replace relays while they are shutting down

Cause: digests say that a host is leaving, and nothing read it. A relay that was shut down stayed one until it fell silent, 2.5 s later; when both relays of a domain were restarted together, its hosts knew nothing of the load of others for that time.

Relays, the receivers of totals and the hosts that share request limits are now chosen among the hosts that stay. A leaving relay goes on as long as others subscribe to it.

--- a/internal/gateway/digests_test.go
+++ b/internal/gateway/digests_test.go
@@ -211,6 +211,24 @@
 	f.checkTotalLoad("relays replaced")
 }
 
+// All relays are shut down at once. Others take their place while they still run, so that
+// no host loses sight of the load of others.
+func TestLeavingRelaysAreReplacedBeforeTheyStop(t *testing.T) {
+	f := newFleet(t, 4, 15)
+	f.run(6 * time.Second)
+	leaving := f.relays()
+	must.Len(t, 4*2, leaving)
+	for _, address := range leaving {
+		f.hosts[address].gateway.Leave()
+	}
+	f.run(3 * time.Second)
+	for _, address := range leaving {
+		f.stop(address)
+	}
+	f.checkTotalLoad("relays have left")
+	must.Len(t, 4*2, f.relays())
+}
+
 // With relays, a host of a large failure domain sends a tenth of the digests.
 func TestRelaysReduceDigestCount(t *testing.T) {
 	f := newFleet(t, 4, 15)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -76,10 +76,9 @@
 	if !c.balancer.HasLimits() {
 		return
 	}
-	opts := &c.gateway.opts
-	hosts := map[model.DomainName][]model.HostID{opts.Domain: {opts.Host}}
-	for _, m := range c.peers.liveMembers(now) {
+	hosts := make(map[model.DomainName][]model.HostID)
+	for _, m := range c.peers.stayingMembers(now) {
 		hosts[m.Domain] = append(hosts[m.Domain], m.Host)
 	}
-	c.balancer.SetLiveHosts(opts.Host, hosts)
+	c.balancer.SetLiveHosts(c.gateway.opts.Host, hosts)
 }
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -40,12 +40,14 @@
 func (s *digestScheduler) assignRelays(now time.Time) {
 	opts := &s.table.gateway.opts
 	self := relay.Member{Host: opts.Host, Domain: opts.Domain, Address: opts.PeerAddress, LinkMbps: opts.LinkMbps}
-	members := s.table.liveMembers(now)
-	localHosts := []relay.Member{self}
-	for _, m := range members {
+	var localHosts, others []relay.Member
+	for _, m := range s.table.stayingMembers(now) {
 		if m.Domain == self.Domain {
 			localHosts = append(localHosts, m)
 		}
+		if m.Host != self.Host {
+			others = append(others, m)
+		}
 	}
 	s.localRelays, s.isRelay = nil, false
 	for _, m := range relay.Select(localHosts) {
@@ -57,7 +59,7 @@
 	}
 	s.remoteReceivers = nil
 	if s.relayRemote {
-		s.remoteReceivers = relay.Receivers(self, members)
+		s.remoteReceivers = relay.Receivers(self, others)
 	}
 	// Hosts that have selected this one rely on it, although it may know others.
 	s.isRelay = s.isRelay || s.relayLocal && s.hasLocalSubscriber(now)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -23,6 +23,9 @@
 	// reportedPeerTimeout is the corresponding time for a host of which only other
 	// hosts have reported that they hear from it. They report every few seconds.
 	reportedPeerTimeout = 9 * time.Second
+	// leavingTimeout is how long a host counts as leaving after its last digest. It may
+	// start again at the same address without a digest to this host.
+	leavingTimeout = 10 * time.Second
 	// forgetPeerAfter is how long an address that sends nothing is kept, unless
 	// it is a seed.
 	forgetPeerAfter = 20 * time.Second
@@ -81,6 +84,9 @@
 	host       model.HostID
 	domain     model.DomainName
 	linkMbps   float64
+	// leavingUntil is until when the host counts as leaving, since its last digest said
+	// that it is; zero otherwise.
+	leavingUntil time.Time
 	// version is the version of the configuration in force at the host.
 	version model.Version
 	// readAge is the age of the host's last own read of the list, knownReadAge that
@@ -197,6 +203,29 @@
 	return out
 }
 
+// stayingMembers returns the live hosts that are not leaving, this one included, or all
+// live ones if all are leaving.
+func (t *peerTable) stayingMembers(now time.Time) []relay.Member {
+	opts := &t.gateway.opts
+	self := relay.Member{Host: opts.Host, Domain: opts.Domain, Address: opts.PeerAddress, LinkMbps: opts.LinkMbps}
+	all := append([]relay.Member{self}, t.liveMembers(now)...)
+	var staying []relay.Member
+	for _, m := range all {
+		p := t.peers[m.Address]
+		leaves := p != nil && now.Before(p.leavingUntil)
+		if m.Host == self.Host {
+			leaves = t.gateway.Leaving()
+		}
+		if !leaves {
+			staying = append(staying, m)
+		}
+	}
+	if len(staying) == 0 {
+		return all
+	}
+	return staying
+}
+
 // later returns the later one of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
@@ -244,6 +273,10 @@
 	for _, info := range d.Hosts {
 		c.peers.learn(now, info)
 	}
+	p.leavingUntil = time.Time{}
+	if d.Leaving {
+		p.leavingUntil = now.Add(leavingTimeout)
+	}
 	p.version = d.Version
 	c.learnFreshness(freshness.Claim{Version: d.Version, At: now.Add(-d.ConfigAge - readAgePerHop)})
 	c.applyLeaving(now, d.LeavingEndpoints)
