Encode messages between hosts in buffers of their size

Cause: the default codec takes a pooled buffer for each message, and above 32 KiB the next size is 1 MiB (33 KB asked, 1,048,576 got). The totals of a relay are larger than that at this size, and one is in flight to each host of its domain.

The codec of the peer protocol encodes into a buffer of the message's size. The encoding is the same.

--- a/internal/adapter/peergrpc/client.go
+++ b/internal/adapter/peergrpc/client.go
@@ -55,6 +55,7 @@
 		grpc.WithDisableServiceConfig(),
 		grpc.WithStatsHandler(sentStats{}),
 		grpc.WithDefaultCallOptions(
+			grpc.ForceCodecV2(messageCodec{}),
 			grpc.MaxCallRecvMsgSize(maxMessageBytes),
 			grpc.MaxCallSendMsgSize(maxMessageBytes),
 		),
--- a/internal/adapter/peergrpc/server.go
+++ b/internal/adapter/peergrpc/server.go
@@ -67,6 +67,7 @@
 	}
 	opts := []grpc.ServerOption{
 		grpc.Creds(transport),
+		grpc.ForceServerCodecV2(messageCodec{}),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.MaxConcurrentStreams(maxStreamsPerPeer),
