Pool the buffers of messages between hosts by powers of two

The codec of the peer protocol took a new buffer for each message, which a relay pays for in garbage. It takes pooled buffers of at most twice the size now.

--- a/internal/adapter/peergrpc/codec.go
+++ b/internal/adapter/peergrpc/codec.go
@@ -7,9 +7,26 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// messageCodec encodes and decodes messages in buffers of their size. The default codec
-// takes a buffer of 1 MiB for each message over 32 KiB, and a relay has one in flight to
-// each host of its failure domain.
+// Sizes of the pooled buffers of messages: the powers of two between these.
+const (
+	minPooledBytes = 2 << 10
+	maxPooledBytes = 1 << 20
+)
+
+// messageBuffers is the pool of the messageCodec.
+var messageBuffers = newMessageBuffers()
+
+func newMessageBuffers() mem.BufferPool {
+	var sizes []int
+	for size := minPooledBytes; size <= maxPooledBytes; size *= 2 {
+		sizes = append(sizes, size)
+	}
+	return mem.NewTieredBufferPool(sizes...)
+}
+
+// messageCodec encodes and decodes messages in buffers of at most twice their size. The
+// default codec takes a buffer of 1 MiB for each message over 32 KiB, and a relay has one
+// in flight to each host of its failure domain.
 type messageCodec struct{}
 
 // Marshal implements encoding.CodecV2.
@@ -18,11 +35,19 @@
 	if !ok {
 		return nil, fmt.Errorf("encode %T: not a protocol buffer message", v)
 	}
-	data, err := proto.Marshal(message)
+	size := proto.Size(message)
+	if mem.IsBelowBufferPoolingThreshold(size) {
+		data, err := proto.Marshal(message)
+		return mem.BufferSlice{mem.SliceBuffer(data)}, err
+	}
+	buf := messageBuffers.Get(size)
+	data, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend((*buf)[:0], message)
 	if err != nil {
+		messageBuffers.Put(buf)
 		return nil, err
 	}
-	return mem.BufferSlice{mem.SliceBuffer(data)}, nil
+	*buf = data
+	return mem.BufferSlice{mem.NewBuffer(buf, messageBuffers)}, nil
 }
 
 // Unmarshal implements encoding.CodecV2.
@@ -31,7 +56,9 @@
 	if !ok {
 		return fmt.Errorf("decode %T: not a protocol buffer message", v)
 	}
-	return proto.Unmarshal(data.Materialize(), message)
+	buf := data.MaterializeToBuffer(messageBuffers)
+	defer buf.Free()
+	return proto.Unmarshal(buf.ReadOnlyData(), message)
 }
 
 // Name implements encoding.CodecV2. The encoding on the wire is that of the default codec.
