Log from where a change of the list of endpoints came

The logs of the incident DRAIN show that endpoints which had left were added and removed again, but not whether by the host's own read, by the changes of a peer or by a peer's list; and a removal that is delayed after an outage left no line at all.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -63,7 +63,7 @@
 func (c *control) tick(now time.Time) {
 	c.balancer.ExpirePeers(now)
 	c.checkEndpoints(now)
-	c.applyEndpointChanges(now, c.directory.Expire(now))
+	c.applyEndpointChanges(now, c.directory.Expire(now), sourceTimer)
 	c.gateway.usable.Store(c.balancer.HasUsableEndpoint(now))
 	c.fetchMissingChanges(now)
 	c.reviewPeers(now)
@@ -125,17 +125,17 @@
 		}
 	}
 	if len(changes) > 0 {
-		c.applyEndpointChanges(now, changes)
+		c.applyEndpointChanges(now, changes, sourceReport)
 		c.peers.requestDigests()
 	}
 }
 
 // applyEndpointChanges passes changes of the list of endpoints to the balancer
-// and logs them.
-func (c *control) applyEndpointChanges(now time.Time, changes []directory.Change) {
+// and logs them with their source.
+func (c *control) applyEndpointChanges(now time.Time, changes []directory.Change, source string) {
 	for _, change := range changes {
 		c.balancer.Apply(change)
-		logEndpoint(c.gateway.opts.Log, change, c.directory.Age(now))
+		logEndpoint(c.gateway.opts.Log, change, c.directory.Age(now), source)
 	}
 }
 
--- a/internal/gateway/listchanges.go
+++ b/internal/gateway/listchanges.go
@@ -51,14 +51,14 @@
 				entries = append(entries, rec.Entry)
 			}
 		}
-		c.replaceList(now, entries, update.next)
+		c.replaceList(now, entries, update.next, sourceStore)
 		// Peers may have changes that this host never received.
 		c.lastListChange = c.nextInList
 		c.peers.requestDigests()
 		return
 	}
 	c.nextInList = model.LaterPosition(c.nextInList, update.next)
-	applied := c.applyRecords(now, update.records)
+	applied := c.applyRecords(now, update.records, sourceStore)
 	if len(applied) == 0 {
 		return
 	}
@@ -69,19 +69,19 @@
 // replaceList replaces the list of endpoints by a complete one that ends at next.
 // If it is the first one of a new era of the store, what is known to be newer is
 // kept.
-func (c *control) replaceList(now time.Time, entries []directory.Entry, next model.Position) {
+func (c *control) replaceList(now time.Time, entries []directory.Entry, next model.Position, source string) {
 	replace := c.directory.Replace
 	if next.Era > c.nextInList.Era && c.nextInList != (model.Position{}) {
 		replace = c.directory.Restore
 		c.gateway.opts.Log.WithFields(fields{"era": next.Era, "before": c.nextInList.Era}).Warn("lists: store was restored, keeping newer entries")
 	}
 	c.nextInList = model.LaterPosition(c.nextInList, next)
-	c.applyEndpointChanges(now, replace(now, entries))
+	c.applyEndpointChanges(now, replace(now, entries), source)
 }
 
 // applyRecords applies changes of the list and returns the records that changed
 // it.
-func (c *control) applyRecords(now time.Time, records []port.ListRecord) []port.ListRecord {
+func (c *control) applyRecords(now time.Time, records []port.ListRecord, source string) []port.ListRecord {
 	var applied []port.ListRecord
 	var changes []directory.Change
 	for _, rec := range records {
@@ -92,6 +92,9 @@
 				applied = append(applied, rec)
 			}
 			change, changed = c.directory.Remove(now, rec.Name)
+			if !changed && c.directory.IsMissing(rec.Name) {
+				logRemovalDelayed(c.gateway.opts.Log, rec.Name, source)
+			}
 		} else {
 			wasMissing := c.directory.IsMissing(rec.Name)
 			change, changed = c.directory.Put(now, rec.Entry)
@@ -103,7 +106,7 @@
 			changes = append(changes, change)
 		}
 	}
-	c.applyEndpointChanges(now, changes)
+	c.applyEndpointChanges(now, changes, source)
 	return applied
 }
 
@@ -120,7 +123,7 @@
 // missing, it records the peer from which to fetch them.
 func (c *control) receiveListChanges(now time.Time, d port.LoadDigest) {
 	if c.continuesList(d.Changes) {
-		c.applyRecords(now, d.Changes.Records)
+		c.applyRecords(now, d.Changes.Records, "peer "+d.Address)
 		if c.peers.digests.isRelay {
 			c.peers.digests.queueChanges(d.Changes)
 		}
--- a/internal/gateway/listchanges_test.go
+++ b/internal/gateway/listchanges_test.go
@@ -91,7 +91,7 @@
 	must.Eq(t, 0, len(peers.fetches))
 	c.fetchMissingChanges(at(listFetchDelay))
 	must.Eq(t, "peer", <-peers.fetches)
-	c.adoptList(at(listFetchDelay), port.EndpointList{Entries: []directory.Entry{listRecord("a").Entry}, Next: offset(25)})
+	c.adoptList(at(listFetchDelay), port.EndpointList{Entries: []directory.Entry{listRecord("a").Entry}, Next: offset(25)}, "peer")
 	c.fetchingList = false
 	c.fetchMissingChanges(at(time.Minute))
 	must.Eq(t, 0, len(peers.fetches))
@@ -106,7 +106,7 @@
 	leaving.Entry.Draining = true
 	c.applyListRead(at(0), listUpdate{full: true, records: []port.ListRecord{leaving}, next: offset(10)})
 	for _, next := range []model.Offset{0, 9, 10} {
-		c.adoptList(at(0), port.EndpointList{Entries: []directory.Entry{listRecord("a").Entry, listRecord("b").Entry}, Next: offset(next)})
+		c.adoptList(at(0), port.EndpointList{Entries: []directory.Entry{listRecord("a").Entry, listRecord("b").Entry}, Next: offset(next)}, "peer")
 		must.Eq(t, []directory.Entry{leaving.Entry}, c.directory.Entries())
 	}
 }
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -14,12 +14,21 @@
 // fields are the fields of a log line.
 type fields = log.Fields
 
+// Sources of changes of the list of endpoints other than peers.
+const (
+	sourceStore = "store"
+	// sourceReport is a response or a digest that says that an endpoint is leaving.
+	sourceReport = "report"
+	// sourceTimer is the end of the time for which a change was delayed.
+	sourceTimer = "timer"
+)
+
 // logEndpoint logs a change of the list of endpoints. age is the age of the
 // list.
-func logEndpoint(logger log.Interface, c directory.Change, age time.Duration) {
+func logEndpoint(logger log.Interface, c directory.Change, age time.Duration, source string) {
 	entry := logger.WithFields(fields{
 		"endpoint": c.Entry.Name, "pool": c.Entry.Pool, "address": c.Entry.Address,
-		"domain": c.Entry.Domain, "list_age": age.Milliseconds(),
+		"domain": c.Entry.Domain, "list_age": age.Milliseconds(), "source": source,
 	})
 	switch {
 	case c.Removed:
@@ -33,6 +42,12 @@
 	}
 }
 
+// logRemovalDelayed logs that an endpoint stays in use for a while although the store
+// no longer lists it.
+func logRemovalDelayed(logger log.Interface, name model.EndpointName, source string) {
+	logger.WithFields(fields{"endpoint": name, "source": source}).Info("endpoints: removal delayed")
+}
+
 // logLimit logs that an endpoint has stated a request limit, another one than before, or
 // none any more.
 func logLimit(logger log.Interface, report balance.LimitReport, source string) {
--- a/internal/gateway/model_test.go
+++ b/internal/gateway/model_test.go
@@ -279,7 +279,7 @@
 
 // fetchList lets a host fetch the list of another one.
 func (m *fleetModel) fetchList(h, from *modelHost) {
-	h.adoptList(m.now, port.EndpointList{Entries: from.directory.Entries(), Next: from.nextInList})
+	h.adoptList(m.now, port.EndpointList{Entries: from.directory.Entries(), Next: from.nextInList}, "peer")
 }
 
 // restart replaces a host by one with empty state.
@@ -345,7 +345,7 @@
 			if h.missing.upto.IsAfter(h.nextInList) {
 				m.fetchList(h, m.hosts[0])
 			}
-			h.applyEndpointChanges(m.now, h.directory.Expire(m.now))
+			h.applyEndpointChanges(m.now, h.directory.Expire(m.now), sourceTimer)
 		}
 		m.check()
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -366,18 +366,19 @@
 		g.loop.Post(loop.Func(func(now time.Time) {
 			c.fetchingList = false
 			if err == nil {
-				c.adoptList(now, list)
+				c.adoptList(now, list, address)
 			}
 		}))
 	})
 }
 
-// adoptList applies a peer's list if it is newer than this host's.
-func (c *control) adoptList(now time.Time, list port.EndpointList) {
+// adoptList applies the list of the peer at an address if it is newer than this
+// host's.
+func (c *control) adoptList(now time.Time, list port.EndpointList, address string) {
 	if !list.Next.IsAfter(c.nextInList) {
 		return
 	}
-	c.replaceList(now, list.Entries, list.Next)
+	c.replaceList(now, list.Entries, list.Next, "list of peer "+address)
 	// Changes that this host publishes from now on follow the adopted list.
 	c.lastListChange = list.Next
 }
