Apply each record of the list of endpoints once

What callers saw: requests reached an endpoint 16.5 s after it had left.

Cause: there were two positions in one log. The reader of the store continued at the end of its own last read, while the control loop had long received the changes since then from other hosts. A host that took over reading, because both readers were cut off, applied 16 s of records a second time. An endpoint that had left became usable at its old entry; and as nobody had read the list for 2 s, its removal was delayed like after an outage, so that it got requests for another 2 s. The same happened with changes of peers that overlap with known ones.

Ruled out: lists and changes of peers that end at or before the receiver's position were ignored before, and the two requests were placed 3 ms before they arrived.

Change: every record carries its offset, from the store and between hosts. A host applies those from its position on only, whatever their source; a full list that ends before it is ignored; and a read of the store starts at that position, which also saves reading the records in between. Changes without offsets, of an earlier build, are not applied: the list is fetched.

Why this works: the list is a fold over the log up to the position, and no record below it can change it any more.

--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -316,14 +316,18 @@
 }
 
 func recordToWire(r port.ListRecord) *peer.EndpointEntry {
-	if r.Removed {
-		return &peer.EndpointEntry{Name: string(r.Name), Removed: true}
+	out := &peer.EndpointEntry{Name: string(r.Name), Removed: true}
+	if !r.Removed {
+		out = entryToWire(r.Entry)
 	}
-	return entryToWire(r.Entry)
+	out.Offset = uint64(r.At)
+	return out
 }
 
 func recordFromWire(e *peer.EndpointEntry) port.ListRecord {
-	return port.ListRecord{Name: model.EndpointName(e.GetName()), Entry: entryFromWire(e), Removed: e.GetRemoved()}
+	return port.ListRecord{
+		At: model.Offset(e.GetOffset()), Name: model.EndpointName(e.GetName()), Entry: entryFromWire(e), Removed: e.GetRemoved(),
+	}
 }
 
 func entryToWire(e directory.Entry) *peer.EndpointEntry {
--- /dev/null
+++ b/internal/adapter/peergrpc/share_test.go
@@ -0,0 +1,22 @@
+package peergrpc
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/directory"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+func TestListChangesKeepTheirOffsets(t *testing.T) {
+	want := port.ListChanges{
+		After: model.Position{Era: 2, Offset: 5}, UpTo: model.Position{Era: 2, Offset: 9},
+		Records: []port.ListRecord{
+			{At: 6, Name: "a", Entry: directory.Entry{Name: "a", Pool: "p", Address: "127.0.0.1:1", Domain: "d", Slots: 4, Started: 7, Sequence: 8}},
+			{At: 8, Name: "b", Removed: true, Entry: directory.Entry{Name: "b"}},
+		},
+	}
+	must.Eq(t, want, changesFromWire(changesToWire(want)))
+}
--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -91,10 +91,11 @@
 // Len returns the number of endpoints, including missing ones.
 func (d *Directory) Len() int { return len(d.entries) }
 
-// Has reports whether the endpoint is in the list.
-func (d *Directory) Has(name model.EndpointName) bool {
-	_, known := d.entries[name]
-	return known
+// Lookup returns the entry of an endpoint, also if it is missing. It returns false if
+// the endpoint is not in the list.
+func (d *Directory) Lookup(name model.EndpointName) (Entry, bool) {
+	e, known := d.entries[name]
+	return e, known
 }
 
 // IsMissing reports whether the entry was removed but may still return.
--- a/internal/core/directory/restored_test.go
+++ b/internal/core/directory/restored_test.go
@@ -23,6 +23,12 @@
 	return e
 }
 
+// isListed reports whether a list has an endpoint, also if its removal is delayed.
+func isListed(d *directory.Directory, name model.EndpointName) bool {
+	_, listed := d.Lookup(name)
+	return listed
+}
+
 // The copy from which the store was restored shows an endpoint as ready that has
 // drained since, another as it was before its restart, and lacks a third one that
 // has started since. None of them changes until it publishes again.
@@ -35,7 +41,7 @@
 	must.SliceEmpty(t, d.Restore(at(time.Second), []directory.Entry{published("leaving", 1, 7), published("restarted", 1, 50)}))
 	d.RecordStoreRead(at(2 * time.Second))
 	must.SliceEmpty(t, d.Expire(at(2*time.Second)))
-	must.True(t, d.Has("new"))
+	must.True(t, isListed(d, "new"))
 	_, changed := d.Put(at(2*time.Second), published("new", 1, 2))
 	must.False(t, changed)
 	must.SliceEmpty(t, d.Expire(at(3100*time.Millisecond)))
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -221,6 +221,7 @@
 func (g *Gateway) followEndpoints(ctx context.Context) {
 	f := follower{gateway: g, topic: port.TopicEndpoints}
 	for ctx.Err() == nil {
+		f.skipKnownChanges(ctx)
 		result, err := f.read(ctx)
 		if err != nil {
 			g.loop.Post(loop.Func(func(time.Time) { g.control.recordListFailure() }))
@@ -239,6 +240,15 @@
 	}
 }
 
+// skipKnownChanges makes the next read of the list of endpoints start after the
+// changes that this host has received from other hosts.
+func (f *follower) skipKnownChanges(ctx context.Context) {
+	known, ok := queryLoop(ctx, f.gateway, func(time.Time) model.Position { return f.gateway.control.nextInList })
+	if ok {
+		f.next = model.LaterPosition(f.next, known)
+	}
+}
+
 // waitForListRead waits until the list of endpoints is to be read again: at
 // regular times if this host reads the lists, and when a read was requested.
 func (g *Gateway) waitForListRead(ctx context.Context) {
@@ -272,7 +282,7 @@
 func (g *Gateway) decodeEndpoints(batch port.KeyedBatch, full bool) listUpdate {
 	update := listUpdate{full: full, next: batch.Next}
 	for _, rec := range batch.Records {
-		item := port.ListRecord{Name: model.EndpointName(rec.Key)}
+		item := port.ListRecord{At: rec.Offset, Name: model.EndpointName(rec.Key)}
 		if len(rec.Value) == 0 {
 			item.Removed = true
 			update.records = append(update.records, item)
--- a/internal/gateway/listchanges.go
+++ b/internal/gateway/listchanges.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/directory"
@@ -17,6 +18,9 @@
 //     the peer.
 //  3. A host that reads the store itself reads at once instead. A host whose
 //     reads of the store fail fetches the list at once.
+//  4. Whatever the source, a host applies each record of the log once. Records before
+//     its position are known: to apply them again would revive endpoints that have
+//     left since.
 
 // listFetchDelay is how long a host waits to receive a change that a peer has
 // before it fetches the list. It leaves most of the time in which a leaving
@@ -45,6 +49,10 @@
 	c.lastListRead = now
 	c.listReadFailing = false
 	if update.full {
+		if c.nextInList.IsAfter(update.next) {
+			c.gateway.opts.Log.WithFields(fields{"offset": update.next.Offset, "known": c.nextInList.Offset}).Info("lists: full list is older than known changes, ignored")
+			return
+		}
 		var entries []directory.Entry
 		for _, rec := range update.records {
 			if !rec.Removed {
@@ -57,8 +65,8 @@
 		c.peers.requestDigests()
 		return
 	}
+	applied := c.applyRecords(now, recordsFrom(c.nextInList, update.records), sourceStore)
 	c.nextInList = model.LaterPosition(c.nextInList, update.next)
-	applied := c.applyRecords(now, update.records, sourceStore)
 	if len(applied) == 0 {
 		return
 	}
@@ -79,6 +87,17 @@
 	c.applyEndpointChanges(now, replace(now, entries), source)
 }
 
+// recordsFrom returns the records at or after a position of the same era.
+func recordsFrom(next model.Position, records []port.ListRecord) []port.ListRecord {
+	var out []port.ListRecord
+	for _, rec := range records {
+		if rec.At >= next.Offset {
+			out = append(out, rec)
+		}
+	}
+	return out
+}
+
 // applyRecords applies changes of the list and returns the records that changed
 // it.
 func (c *control) applyRecords(now time.Time, records []port.ListRecord, source string) []port.ListRecord {
@@ -88,7 +107,7 @@
 		var change directory.Change
 		var changed bool
 		if rec.Removed {
-			if c.directory.Has(rec.Name) {
+			if _, listed := c.directory.Lookup(rec.Name); listed {
 				applied = append(applied, rec)
 			}
 			change, changed = c.directory.Remove(now, rec.Name)
@@ -123,7 +142,7 @@
 // missing, it records the peer from which to fetch them.
 func (c *control) receiveListChanges(now time.Time, d port.LoadDigest) {
 	if c.continuesList(d.Changes) {
-		c.applyRecords(now, d.Changes.Records, "peer "+d.Address)
+		c.applyRecords(now, recordsFrom(c.nextInList, d.Changes.Records), "peer "+d.Address)
 		if c.peers.digests.isRelay {
 			c.peers.digests.queueChanges(d.Changes)
 		}
@@ -143,7 +162,15 @@
 // before them. Changes of another era do not: only a complete list starts an era.
 func (c *control) continuesList(changes port.ListChanges) bool {
 	return len(changes.Records) > 0 && changes.After.Era == c.nextInList.Era &&
-		!changes.After.IsAfter(c.nextInList) && changes.UpTo.IsAfter(c.nextInList)
+		!changes.After.IsAfter(c.nextInList) && changes.UpTo.IsAfter(c.nextInList) && areWithin(changes)
+}
+
+// areWithin reports whether the records lie in the range that they claim to be. Those
+// of an earlier build of this program do not, since they have no offsets.
+func areWithin(changes port.ListChanges) bool {
+	return !slices.ContainsFunc(changes.Records, func(rec port.ListRecord) bool {
+		return rec.At < changes.After.Offset || rec.At >= changes.UpTo.Offset
+	})
 }
 
 // fetchMissingChanges obtains list changes that peers have and this host lacks,
--- a/internal/gateway/listchanges_test.go
+++ b/internal/gateway/listchanges_test.go
@@ -59,12 +59,26 @@
 	return port.ListRecord{Name: name, Entry: directory.Entry{Name: name, Pool: "p", Address: string(name), Domain: "north"}}
 }
 
+// isListed reports whether a list has an endpoint, also if its removal is delayed.
+func isListed(d *directory.Directory, name model.EndpointName) bool {
+	_, listed := d.Lookup(name)
+	return listed
+}
+
+// recordsBefore returns the records with the offsets up to a position.
+func recordsBefore(upto model.Position, records ...port.ListRecord) []port.ListRecord {
+	for i := range records {
+		records[i].At = upto.Offset - model.Offset(len(records)-i)
+	}
+	return records
+}
+
 // changesDigest returns a digest of the host h2 with the list changes between two
 // offsets.
 func changesDigest(after, upto model.Position, records ...port.ListRecord) port.LoadDigest {
 	return port.LoadDigest{
 		Host: "h2", Address: "peer", ListChange: upto,
-		Changes: port.ListChanges{After: after, UpTo: upto, Records: records},
+		Changes: port.ListChanges{After: after, UpTo: upto, Records: recordsBefore(upto, records...)},
 	}
 }
 
@@ -80,6 +94,35 @@
 	must.Eq(t, offset(14), c.nextInList)
 }
 
+// Changes that overlap with known ones revive no endpoint, also while removals are delayed.
+func TestOverlappingListChangesReviveNoEndpoint(t *testing.T) {
+	c, _ := newTestControl(t)
+	c.applyListRead(at(0), listUpdate{full: true, records: []port.ListRecord{listRecord("a")}, next: offset(5)})
+	gone := port.ListRecord{Name: "a", Removed: true}
+	c.receiveListChanges(at(0), changesDigest(offset(5), offset(7), listRecord("a"), gone))
+	must.Eq(t, 0, c.directory.Len())
+	c.directory.RecordStoreRead(at(time.Minute))
+	c.receiveListChanges(at(time.Minute), changesDigest(offset(5), offset(8), listRecord("a"), gone, listRecord("b")))
+	must.False(t, isListed(c.directory, "a"))
+	must.True(t, isListed(c.directory, "b"))
+	c.applyListRead(at(time.Minute), listUpdate{records: recordsBefore(offset(9), listRecord("a"), gone, listRecord("b"), listRecord("c")), next: offset(9)})
+	must.False(t, isListed(c.directory, "a"))
+	must.True(t, isListed(c.directory, "c"))
+	c.applyListRead(at(time.Minute), listUpdate{full: true, records: []port.ListRecord{listRecord("a")}, next: offset(6)})
+	must.False(t, isListed(c.directory, "a"), must.Sprint("a full list arrives late"))
+}
+
+// Changes without offsets come from an earlier build; their list is fetched.
+func TestChangesWithoutOffsetsAreNotApplied(t *testing.T) {
+	c, _ := newTestControl(t)
+	c.nextInList = offset(10)
+	d := changesDigest(offset(10), offset(12), listRecord("a"))
+	d.Changes.Records[0].At = 0
+	c.receiveListChanges(at(0), d)
+	must.Eq(t, 0, c.directory.Len())
+	must.Eq(t, offset(12), c.missing.upto)
+}
+
 // A host that misses changes waits for them, and then fetches the full list
 // from the peer.
 func TestMissedListChangesAreFetchedAfterDelay(t *testing.T) {
@@ -125,10 +168,12 @@
 	c, _ := newTestControl(t)
 	c.applyListRead(at(0), listUpdate{full: true, records: []port.ListRecord{listRecord("a")}, next: offset(5)})
 	must.SliceEmpty(t, c.peers.digests.unsentChanges.Records, must.Sprint("a full list is not published as changes"))
-	c.applyListRead(at(0), listUpdate{records: []port.ListRecord{listRecord("a"), listRecord("b")}, next: offset(7)})
-	c.applyListRead(at(0), listUpdate{records: []port.ListRecord{listRecord("a")}, next: offset(8)})
-	c.applyListRead(at(0), listUpdate{records: []port.ListRecord{{Name: "a", Removed: true}}, next: offset(9)})
-	want := port.ListChanges{After: offset(5), UpTo: offset(9), Records: []port.ListRecord{listRecord("b"), {Name: "a", Removed: true}}}
+	c.applyListRead(at(0), listUpdate{records: recordsBefore(offset(7), listRecord("a"), listRecord("b")), next: offset(7)})
+	c.applyListRead(at(0), listUpdate{records: recordsBefore(offset(8), listRecord("a")), next: offset(8)})
+	c.applyListRead(at(0), listUpdate{records: recordsBefore(offset(9), port.ListRecord{Name: "a", Removed: true}), next: offset(9)})
+	want := port.ListChanges{After: offset(5), UpTo: offset(9), Records: []port.ListRecord{
+		recordsBefore(offset(7), listRecord("b"))[0], {At: 8, Name: "a", Removed: true},
+	}}
 	must.Eq(t, want, c.peers.digests.unsentChanges)
 }
 
--- a/internal/gateway/model_test.go
+++ b/internal/gateway/model_test.go
@@ -107,6 +107,7 @@
 
 // append appends a record to the store's log.
 func (m *fleetModel) append(rec port.ListRecord) {
+	rec.At = model.Offset(len(m.store.log))
 	m.store.log = append(m.store.log, rec)
 	m.store.written = append(m.store.written, m.now)
 }
@@ -301,7 +302,8 @@
 	for _, h := range m.hosts {
 		entries := h.listEntries()
 		for name, started := range h.seenDraining {
-			if e, listed := entries[name]; listed && e.Started == started && !e.Draining {
+			// An entry whose removal is delayed is in use, too.
+			if e, used := h.directory.Lookup(name); used && e.Started == started && !e.Draining {
 				m.t.Fatalf("host %s uses endpoint %s again after its drain", h.gateway.opts.Host, name)
 			}
 		}
@@ -311,7 +313,7 @@
 			}
 		}
 		for name, e := range h.listed {
-			if h.directory.Has(name) {
+			if isListed(h.directory, name) {
 				continue
 			}
 			if m.ended[model.Instance{Name: name, Started: e.Started}] {
--- a/internal/gateway/readerloss_test.go
+++ b/internal/gateway/readerloss_test.go
@@ -48,7 +48,7 @@
 func (s *endpointLog) append(name string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.records = append(s.records, port.KeyedRecord{Key: name, Value: value})
+	s.records = append(s.records, port.KeyedRecord{Offset: model.Offset(len(s.records)), Key: name, Value: value})
 }
 
 // end returns the position after the last record.
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -174,9 +174,11 @@
 	return "endpoints"
 }
 
-// KeyedRecord is the latest value of a key.
+// KeyedRecord is a value of a key.
 type KeyedRecord struct {
-	Key string
+	// Offset is the record's offset. It is set in changes only.
+	Offset model.Offset
+	Key    string
 	// Value is empty if the key was removed.
 	Value []byte
 }
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -112,6 +112,8 @@
 
 // ListRecord is a change of one entry of the list of endpoints.
 type ListRecord struct {
+	// At is the position of the record, in the era of the changes that it is part of.
+	At    model.Offset
 	Name  model.EndpointName
 	Entry directory.Entry
 	// Removed reports whether the entry was deleted.
