Delay removals of endpoints only after reads of the store have failed

What callers would see: an endpoint that leaves while the hosts that read the list fall silent gets requests for up to 2 s longer than allowed.

Cause: removals wait 2 s when the store has not been read for 2 s, since entries of live endpoints may have lapsed during an outage. But the list is also that old when the readers were killed or cut off while the store answered: two hosts read it once a second, and their loss is noticed after 1.5 s. Then the removal is real, and is late already. Class: the absence of news was taken for a failure of its source.

Change: an outage needs a failed read as well, of this host or of one that reports it in its digests. The tests and the model of the list now record the failures of the outages that they play; a pause without failures has a test of its own.

Why this works: a host that takes over reading either reads at once, and nothing has lapsed that three silent intervals of an endpoint would need, or its read fails, and the removals wait as before.

--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -56,9 +56,9 @@
 // which the entries of live endpoints return: the platform states about 2 s.
 const returnGrace = 2 * time.Second
 
-// outageAfter is the time without a response from the store after which entries
-// may have expired unnoticed. It is shorter than three intervals between the
-// status reports of an endpoint.
+// outageAfter is the time without a response from the store after which, if reads
+// have failed, entries may have expired unnoticed. It is shorter than three intervals
+// between the status reports of an endpoint.
 const outageAfter = 2 * time.Second
 
 // Directory is the list of endpoints. It is not safe for concurrent use: the
@@ -68,8 +68,10 @@
 	// missing are the entries that were removed shortly after an outage and may
 	// return, with the time at which the removal takes effect.
 	missing map[model.EndpointName]time.Time
-	// lastRead is the time of the last response from the store.
-	lastRead time.Time
+	// lastRead is the time of the last response from the store, and readFailed reports
+	// whether a read has failed since.
+	lastRead   time.Time
+	readFailed bool
 	// graceUntil is the time until which removals are delayed.
 	graceUntil time.Time
 	// restored is the state that protects the list after the store was restored.
@@ -110,12 +112,17 @@
 // RecordStoreRead records a response from the store. It must be called before
 // the changes in the response are applied.
 func (d *Directory) RecordStoreRead(now time.Time) {
-	if !d.lastRead.IsZero() && now.Sub(d.lastRead) > outageAfter {
+	if d.readFailed && !d.lastRead.IsZero() && now.Sub(d.lastRead) > outageAfter {
 		d.delayRemovals(now)
 	}
-	d.lastRead = now
+	d.lastRead, d.readFailed = now, false
 }
 
+// RecordReadFailure records that a read of the store has failed. Without one, a long
+// time since the last response is no outage of the store: the hosts that read it were
+// lost.
+func (d *Directory) RecordReadFailure() { d.readFailed = true }
+
 // delayRemovals delays removals until returnGrace from now.
 func (d *Directory) delayRemovals(now time.Time) { d.graceUntil = now.Add(returnGrace) }
 
--- a/internal/core/directory/directory_test.go
+++ b/internal/core/directory/directory_test.go
@@ -58,6 +58,7 @@
 	leaving := entry("draining")
 	leaving.Draining = true
 	d.Put(at(0), leaving)
+	d.RecordReadFailure()
 	d.RecordStoreRead(at(10 * time.Second))
 	for _, name := range []model.EndpointName{"returning", "dead"} {
 		_, changed := d.Remove(at(10*time.Second), name)
@@ -73,6 +74,16 @@
 	must.Eq(t, 1, d.Len())
 }
 
+// Nobody has read the store for a while, but it has answered all the while.
+func TestRemovalsAfterPauseWithoutFailuresTakeEffectAtOnce(t *testing.T) {
+	d := filled(at(0), "a")
+	d.RecordReadFailure()
+	d.RecordStoreRead(at(time.Second))
+	d.RecordStoreRead(at(10 * time.Second))
+	_, changed := d.Remove(at(10*time.Second), "a")
+	must.True(t, changed)
+}
+
 func TestReplaceRemovesUnlistedEntries(t *testing.T) {
 	d := filled(at(0), "a", "b")
 	d.RecordStoreRead(at(time.Second))
@@ -92,6 +103,9 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
 			name := model.EndpointName(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"))
+			if rapid.Bool().Draw(t, "failed") {
+				d.RecordReadFailure()
+			}
 			d.RecordStoreRead(now)
 			if rapid.Bool().Draw(t, "put") {
 				d.Put(now, entry(string(name)))
--- a/internal/gateway/listchanges.go
+++ b/internal/gateway/listchanges.go
@@ -132,6 +132,7 @@
 // recordListFailure records that this host could not read the list, and reports
 // the first failure to the peers.
 func (c *control) recordListFailure() {
+	c.directory.RecordReadFailure()
 	if !c.listReadFailing {
 		c.listReadFailing = true
 		c.peers.requestDigests()
--- a/internal/gateway/listchanges_test.go
+++ b/internal/gateway/listchanges_test.go
@@ -101,6 +101,7 @@
 	gone := port.ListRecord{Name: "a", Removed: true}
 	c.receiveListChanges(at(0), changesDigest(offset(5), offset(7), listRecord("a"), gone))
 	must.Eq(t, 0, c.directory.Len())
+	c.recordListFailure()
 	c.directory.RecordStoreRead(at(time.Minute))
 	c.receiveListChanges(at(time.Minute), changesDigest(offset(5), offset(8), listRecord("a"), gone, listRecord("b")))
 	must.False(t, isListed(c.directory, "a"))
--- a/internal/gateway/model_test.go
+++ b/internal/gateway/model_test.go
@@ -269,6 +269,9 @@
 		}
 		delete(h.mailbox, from)
 		if !lost {
+			if d.ListReadFailing {
+				h.directory.RecordReadFailure()
+			}
 			h.receiveListChanges(m.now, d)
 			if d.ListReadAge < h.directory.Age(m.now) {
 				h.directory.RecordStoreRead(m.now.Add(-d.ListReadAge))
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -264,6 +264,9 @@
 	p.lastSeen, p.host, p.domain, p.linkMbps = now, d.Host, d.Domain, d.LinkSpeedMbps
 	p.readAge, p.reading, p.failing = d.ListReadAge, d.ReadsList, d.ListReadFailing
 	p.knownReadAge = min(d.ListKnownAge, d.ListReadAge)
+	if d.ListReadFailing {
+		c.directory.RecordReadFailure()
+	}
 	if d.Subscribes {
 		if !now.Before(p.subscribedUntil) {
 			c.peers.digests.membersChanged()
