Select the readers of the store in different failure domains

What callers would see: after the loss of one failure domain, changes of the list of endpoints and of the configuration arrive late everywhere, by the 1.5 s that it takes to notice the loss.

Cause: the readers are the first two hosts by name, and names begin with their failure domain. Class: redundancy within one unit of failure.

The new test had h1 and h2 of the same domain as readers before.

Change: the second reader is the first host by name of another failure domain, if there is one.

--- a/internal/core/readers/readers.go
+++ b/internal/core/readers/readers.go
@@ -4,6 +4,8 @@
 package readers
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
@@ -11,7 +13,8 @@
 
 const (
 	// targetReaders is the number of hosts that read in normal operation. With
-	// two, reads continue when one freezes or the store refuses its calls.
+	// two, reads continue when one freezes or the store refuses its calls, and in
+	// different failure domains when one domain is cut off.
 	targetReaders = 2
 	// readerTimeout and nonReaderTimeout are the ages of a host's last digest
 	// up to which it counts as live, if it reads and if not. They exceed the
@@ -25,7 +28,8 @@
 
 // Peer is the state of another host's reads, from its last digest.
 type Peer struct {
-	Host model.HostID
+	Host   model.HostID
+	Domain model.DomainName
 	// LastSeen is when the host's last digest was received, ReadAge the age of
 	// its last own read of the store at that time.
 	LastSeen time.Time
@@ -46,21 +50,35 @@
 	return silence <= readerTimeout && !p.Failing && p.ReadAge <= maxReadAge
 }
 
-// ShouldRead reports whether host self should read the store: it is one of the
-// first targetReaders by name among the hosts that can read, or no other such
-// host reads. A host whose reads fail keeps trying, but another one takes its
-// place.
-func ShouldRead(now time.Time, self model.HostID, peers []Peer) bool {
-	capableBefore := 0
+// ShouldRead reports whether host self of a failure domain should read the store: it is
+// selected among the hosts that can read, or no other such host reads. A host whose
+// reads fail keeps trying, but another one takes its place.
+func ShouldRead(now time.Time, self model.HostID, domain model.DomainName, peers []Peer) bool {
+	candidates := []Peer{{Host: self, Domain: domain}}
 	otherReads := false
 	for _, p := range peers {
-		if !p.canRead(now) {
-			continue
+		if p.canRead(now) {
+			candidates = append(candidates, p)
+			otherReads = otherReads || p.Reading
 		}
-		if p.Host < self {
-			capableBefore++
+	}
+	isSelf := func(p Peer) bool { return p.Host == self }
+	return !otherReads || slices.ContainsFunc(selectReaders(candidates), isSelf)
+}
+
+// selectReaders returns the first targetReaders hosts by name of different failure
+// domains, and more of the same domains if there are too few.
+func selectReaders(candidates []Peer) []Peer {
+	slices.SortFunc(candidates, func(a, b Peer) int { return strings.Compare(string(a.Host), string(b.Host)) })
+	var selected, others []Peer
+	for _, c := range candidates {
+		sameDomain := func(p Peer) bool { return p.Domain == c.Domain }
+		if slices.ContainsFunc(selected, sameDomain) {
+			others = append(others, c)
+		} else {
+			selected = append(selected, c)
 		}
-		otherReads = otherReads || p.Reading
 	}
-	return capableBefore < targetReaders || !otherReads
+	all := append(selected, others...)
+	return all[:min(targetReaders, len(all))]
 }
--- a/internal/core/readers/readers_test.go
+++ b/internal/core/readers/readers_test.go
@@ -43,10 +43,34 @@
 		{"third, no host has started to read", "h3", []readers.Peer{peer("h1", 0, idle), peer("h2", 0, idle)}, true},
 	}
 	for _, c := range cases {
-		must.Eq(t, c.want, readers.ShouldRead(now, model.HostID(c.self), c.peers), must.Sprint(c.name))
+		must.Eq(t, c.want, readers.ShouldRead(now, model.HostID(c.self), "", c.peers), must.Sprint(c.name))
 	}
 }
 
+// The loss of one failure domain must not end all reads of the store.
+func TestReadersAreInDifferentFailureDomains(t *testing.T) {
+	domains := map[string]model.DomainName{"h1": "a", "h2": "a", "h3": "b", "h4": "b", "h5": "c"}
+	selected := func(hosts ...string) []string {
+		var out []string
+		for _, self := range hosts {
+			var peers []readers.Peer
+			for _, other := range hosts {
+				if p := peer(other, 0, 0); other != self {
+					p.Domain = domains[other]
+					peers = append(peers, p)
+				}
+			}
+			if readers.ShouldRead(now, model.HostID(self), domains[self], peers) {
+				out = append(out, self)
+			}
+		}
+		return out
+	}
+	must.Eq(t, []string{"h1", "h3"}, selected("h1", "h2", "h3", "h4", "h5"))
+	must.Eq(t, []string{"h2", "h5"}, selected("h2", "h5"))
+	must.Eq(t, []string{"h3", "h4"}, selected("h3", "h4"), must.Sprint("only one domain is left"))
+}
+
 // The store refuses the first readers' calls for seconds. The hosts must settle
 // on two others and keep them, so that the list is read every second.
 func TestReadersStabilizeDuringOutage(t *testing.T) {
@@ -67,7 +91,7 @@
 				}
 				peers = append(peers, p)
 			}
-			next[self] = readers.ShouldRead(now, model.HostID(self), peers)
+			next[self] = readers.ShouldRead(now, model.HostID(self), "", peers)
 			if next[self] != reading[self] {
 				changes++
 			}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -297,11 +297,11 @@
 	for _, p := range c.peers.peers {
 		if !p.lastSeen.IsZero() && c.peers.digests.mayRead(now, p) {
 			peers = append(peers, readers.Peer{
-				Host: p.host, LastSeen: p.lastSeen, ReadAge: p.readAge, Reading: p.reading, Failing: p.failing,
+				Host: p.host, Domain: p.domain, LastSeen: p.lastSeen, ReadAge: p.readAge, Reading: p.reading, Failing: p.failing,
 			})
 		}
 	}
-	reading := readers.ShouldRead(now, c.gateway.opts.Host, peers)
+	reading := readers.ShouldRead(now, c.gateway.opts.Host, c.gateway.opts.Domain, peers)
 	if c.peers.digests.isMember(now) {
 		// The relays read for the other hosts.
 		reading = c.knownReadAge(now) > memberReadAge
--- a/internal/gateway/readerloss_test.go
+++ b/internal/gateway/readerloss_test.go
@@ -146,9 +146,9 @@
 		batch, _ := s.store.Changes(context.Background(), port.TopicEndpoints, s.sent, 0)
 		changes := port.ListChanges{After: s.sent, UpTo: upto, Records: s.gateway.decodeEndpoints(batch, false).records}
 		s.sent = upto
-		for i := range 2 {
+		for i, domain := range []model.DomainName{"south", "west"} {
 			s.gateway.HandleDigest(port.LoadDigest{
-				Host: model.HostID(fmt.Sprint("h", i)), Domain: "south", Address: fmt.Sprint("h", i),
+				Host: model.HostID(fmt.Sprint("h", i)), Domain: domain, Address: fmt.Sprint("h", i),
 				ListChange: upto, Changes: changes, ReadsList: true, ListReadAge: readerReadAge, ListKnownAge: readerReadAge,
 			})
 		}
