--- a/internal/gateway/digests_test.go
+++ b/internal/gateway/digests_test.go
@@ -267,25 +267,33 @@
 	f.checkTotalLoad("120 hosts")
 }
 
+// read lets the hosts that read the list do so, and returns their number.
+func (f *fleet) read() int {
+	count := 0
+	for _, c := range f.hosts {
+		if c.gateway.reading.Load() {
+			count++
+			c.lastListRead = f.now
+		}
+	}
+	return count
+}
+
+// runReaders is run with reads of the list every half second.
+func (f *fleet) runReaders(d time.Duration) {
+	const interval = 500 * time.Millisecond
+	for range d / interval {
+		f.run(interval)
+		f.read()
+	}
+}
+
 // In a large fleet few hosts read the platform's lists, and all know how old the
 // newest read is.
 func TestLargeFleetHasFewReaders(t *testing.T) {
 	f := newFleet(t, 6, 9)
-	read := func() int {
-		count := 0
-		for _, c := range f.hosts {
-			if c.gateway.reading.Load() {
-				count++
-				c.lastListRead = f.now
-			}
-		}
-		return count
-	}
-	for range 20 {
-		f.run(500 * time.Millisecond)
-		read()
-	}
-	must.LessEq(t, 4, read())
+	f.runReaders(10 * time.Second)
+	must.LessEq(t, 4, f.read())
 	for _, address := range f.order {
 		must.Less(t, 2*time.Second, f.hosts[address].knownReadAge(f.now), must.Sprint(address))
 	}
@@ -379,6 +387,26 @@
 	}
 }
 
+// Hosts that have lost all relays of their failure domain read the store before a change of the list is late for them.
+func TestLossOfRelaysDoesNotDelayListChanges(t *testing.T) {
+	f := newFleet(t, 6, 10)
+	f.runReaders(10 * time.Second)
+	must.LessEq(t, 4, f.read())
+	for _, address := range f.relays() {
+		if f.hosts[address].gateway.opts.Domain == "d0" {
+			f.stop(address)
+		}
+	}
+	lostAt := f.now
+	f.run(drainBound - 300*time.Millisecond)
+	f.read()
+	for _, address := range f.order {
+		if c := f.hosts[address]; c.gateway.opts.Domain == "d0" {
+			must.Eq(t, f.now, c.lastListRead, must.Sprintf("%s, relays lost for %v", address, f.now.Sub(lostAt)))
+		}
+	}
+}
+
 // An endpoint reports to one host that it is leaving. All hosts of a large fleet know
 // it soon.
 func TestLeavingReportReachesAllHosts(t *testing.T) {
