Read the store when all relays of the failure domain fall silent

What callers would see: in a large fleet, an endpoint that leaves when both relays of a failure domain are killed gets requests for up to 0.7 s longer than allowed.

Cause: hosts that rely on relays read the store themselves only once they have given the relays up, after 2.5 s.

Evidence: TestLossOfRelaysDoesNotDelayListChanges failed.

Change: after 1.2 s without a digest of any relay, such a host reads the store. The number of readers in normal operation stays as tested (TestLargeFleetHasFewReaders).

--- a/internal/gateway/digests.go
+++ b/internal/gateway/digests.go
@@ -52,6 +52,10 @@
 	// memberReadAge is the age of the newest known read of the list at which a
 	// host that is no relay reads the store itself.
 	memberReadAge = 3 * time.Second
+	// relaySilence is the time without a digest of any relay after which such a host
+	// reads the store itself. Relays send digests many times a second, and a change of
+	// the list must take effect within 2 s.
+	relaySilence = 1200 * time.Millisecond
 )
 
 // digestScheduler decides when to send which digest to which peer. The control
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -148,6 +148,15 @@
 	})
 }
 
+// areRelaysSilent reports whether no relay that this host relies on has sent a digest
+// for relaySilence.
+func (s *digestScheduler) areRelaysSilent(now time.Time) bool {
+	return !slices.ContainsFunc(s.localRelays, func(address string) bool {
+		p := s.table.peers[address]
+		return p != nil && now.Sub(p.lastSeen) < relaySilence
+	})
+}
+
 // updateLinks opens and closes links, so that there is one to each host that should
 // receive digests, and requests digests from those that this host relies on.
 func (s *digestScheduler) updateLinks(now time.Time) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -304,7 +304,7 @@
 	reading := readers.ShouldRead(now, c.gateway.opts.Host, c.gateway.opts.Domain, peers)
 	if c.peers.digests.isMember(now) {
 		// The relays read for the other hosts.
-		reading = c.knownReadAge(now) > memberReadAge
+		reading = c.knownReadAge(now) > memberReadAge || c.peers.digests.areRelaysSilent(now)
 	}
 	if reading != c.gateway.reading.Swap(reading) {
 		c.gateway.opts.Log.WithFields(fields{"reading": reading, "peers": len(peers)}).Info("lists: reader role changed")
