--- a/internal/core/model/prompt.go
+++ b/internal/core/model/prompt.go
@@ -1,9 +1,14 @@
 package model
 
+import "strconv"
+
 // PartID identifies the content of a part of a prompt, such as a system prompt
 // or a document. Equal parts have equal IDs.
 type PartID uint64
 
+// String returns the ID in hexadecimal.
+func (id PartID) String() string { return strconv.FormatUint(uint64(id), 16) }
+
 // Part is a section of a prompt that an engine caches as a whole.
 type Part struct {
 	ID     PartID
@@ -28,7 +33,7 @@
 // shares with other requests.
 func (p Prompt) SharedPrefixTokens() int {
 	sum := 0
-	for _, part := range p.sharedParts() {
+	for _, part := range p.SharedParts() {
 		sum += part.Tokens
 	}
 	return sum
@@ -38,7 +43,7 @@
 // last part: an engine uses a cached part only if all parts before it are cached
 // too. It returns 0 if the prompt has no shared prefix.
 func (p Prompt) SharedPrefixID() PartID {
-	shared := p.sharedParts()
+	shared := p.SharedParts()
 	if len(shared) == 0 {
 		return 0
 	}
@@ -49,8 +54,8 @@
 // prefix.
 func (p Prompt) UnsharedTokens() int { return max(p.InputTokens-p.SharedPrefixTokens(), 0) }
 
-// sharedParts returns all parts except the last one.
-func (p Prompt) sharedParts() []Part {
+// SharedParts returns all parts except the last one.
+func (p Prompt) SharedParts() []Part {
 	if len(p.Parts) == 0 {
 		return nil
 	}
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -120,14 +120,26 @@
 	}
 	entry := x.gateway.opts.Log.WithFields(fields{
 		"request": x.call.ID, "endpoint": d.Endpoint, "outcome": result.outcome.String(),
-		"failure": failureName(result.failure), "events": x.eventsSent, "age_ms": x.ageMS(),
+		"failure": failureName(result.failure), "events": x.eventsSent, "attempt_events": result.events, "age_ms": x.ageMS(),
 	})
+	if result.failure == balance.FailureBroken {
+		entry = entry.WithField("parts", partIDs(x.req.Prompt.SharedParts()))
+	}
 	if result.err != nil {
 		entry = entry.WithError(result.err)
 	}
 	entry.Info("request: attempt failed")
 }
 
+// partIDs returns the identities of parts of a prompt in the form used in logs.
+func partIDs(parts []model.Part) []string {
+	var out []string
+	for _, part := range parts {
+		out = append(out, part.ID.String())
+	}
+	return out
+}
+
 // ageMS returns the time since the call arrived, in milliseconds.
 func (x *exchange) ageMS() int64 { return time.Since(x.call.Arrived).Milliseconds() }
 
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -171,7 +171,9 @@
 	retryAfter time.Duration
 	// final reports that another endpoint would give the same response.
 	final bool
-	err   error
+	// events is the number of events that the endpoint has sent.
+	events int
+	err    error
 }
 
 // run tries endpoints until one answers or no further attempt is allowed. It
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -119,19 +119,21 @@
 // caller, watch is paused.
 func (x *exchange) forwardStream(ctx context.Context, reply port.EndpointResponse, watch *stallWatch) attemptResult {
 	defer watch.stop()
-	answered := false
+	events := 0
 	for {
 		batch, err := reply.Next()
 		if errors.Is(err, io.EOF) {
 			return x.finishStream(reply)
 		}
 		if err != nil {
-			return classifyError(ctx, err)
+			result := classifyError(ctx, err)
+			result.events = events
+			return result
 		}
-		if !answered {
-			answered = true
+		if events == 0 {
 			x.gateway.recordFirstResponse(x.req.ID)
 		}
+		events += batch.Events
 		if x.eventsSent == 0 {
 			x.firstResponseAt = time.Now()
 		}
