--- /dev/null
+++ b/internal/gateway/crashes_test.go
@@ -0,0 +1,377 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/shoenig/test/must"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/attempt"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/routing"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+const (
+	// crashesAllowed is the number of crashes by one part after which, settling
+	// crashSettling later, no more than maxLateArrivals requests with it may reach
+	// endpoints. From soundAfter on, sound requests must be served as before.
+	crashesAllowed  = 5
+	crashSettling   = 3 * time.Second
+	maxLateArrivals = 3
+	soundAfter      = 6 * time.Second
+	// minSoundShare is the share of sound requests that must be served then.
+	minSoundShare = 0.95
+	// crashDowntime is the time until a crashed endpoint accepts connections again.
+	crashDowntime = 3 * time.Second
+	// prefillTime is the time from a request's arrival at an endpoint to its first event,
+	// streamTime that to its last one.
+	prefillTime = 120 * time.Millisecond
+	streamTime  = 400 * time.Millisecond
+	// crashPart is the part of a prompt that crashes endpoints.
+	crashPart model.PartID = 666
+	// commonPart is the first part of all other prompts.
+	commonPart model.PartID = 1
+)
+
+// crashingEndpoints are endpoints that crash when they begin to write the response to a
+// request whose prompt has crashPart.
+type crashingEndpoints struct {
+	mu sync.Mutex
+	// downUntil is when a crashed endpoint accepts connections again, crashed is closed
+	// when the endpoint crashes next.
+	downUntil map[model.EndpointName]time.Time
+	crashed   map[model.EndpointName]chan struct{}
+	// arrivals and crashes are the times of requests with crashPart that arrived, and of
+	// the crashes.
+	arrivals, crashes []time.Time
+}
+
+func newCrashingEndpoints() *crashingEndpoints {
+	return &crashingEndpoints{downUntil: make(map[model.EndpointName]time.Time), crashed: make(map[model.EndpointName]chan struct{})}
+}
+
+// arrive records a request and returns the channel that is closed when the endpoint
+// crashes. It returns false while the endpoint is down.
+func (e *crashingEndpoints) arrive(name model.EndpointName, crashes bool) (<-chan struct{}, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if time.Now().Before(e.downUntil[name]) {
+		return nil, false
+	}
+	if crashes {
+		e.arrivals = append(e.arrivals, time.Now())
+	}
+	if e.crashed[name] == nil {
+		e.crashed[name] = make(chan struct{})
+	}
+	return e.crashed[name], true
+}
+
+// crash ends an endpoint for crashDowntime.
+func (e *crashingEndpoints) crash(name model.EndpointName) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashes = append(e.crashes, time.Now())
+	e.downUntil[name] = time.Now().Add(crashDowntime)
+	close(e.crashed[name])
+	delete(e.crashed, name)
+}
+
+var (
+	errConnectionRefused = &port.EndpointError{Outcome: model.OutcomeNotRun, Cause: errors.New("connection refused")}
+	errConnectionReset   = &port.EndpointError{Outcome: model.OutcomeUnknown, Cause: io.ErrUnexpectedEOF}
+)
+
+func (e *crashingEndpoints) Send(ctx context.Context, a port.RoutedAttempt) (port.EndpointResponse, error) {
+	crashes := hasSharedPart(a.Call.Prompt, crashPart)
+	crashed, up := e.arrive(a.Endpoint, crashes)
+	if !up {
+		return nil, errConnectionRefused
+	}
+	if !sleepUnlessCrashed(ctx, prefillTime, crashed) {
+		return nil, errConnectionReset
+	}
+	if crashes {
+		e.crash(a.Endpoint)
+		return nil, errConnectionReset
+	}
+	return &crashableStream{ctx: ctx, crashed: crashed, left: 8}, nil
+}
+
+func (e *crashingEndpoints) DropConnections(model.EndpointName, string) {}
+
+func (e *crashingEndpoints) Probe(_ context.Context, name model.EndpointName, _ string) error {
+	if _, up := e.arrive(name, false); !up {
+		return errConnectionRefused
+	}
+	return nil
+}
+
+// hasSharedPart reports whether a part other than the last one of a prompt is the given
+// one.
+func hasSharedPart(p model.Prompt, part model.PartID) bool {
+	for i := 0; i < len(p.Parts)-1; i++ {
+		if p.Parts[i].ID == part {
+			return true
+		}
+	}
+	return false
+}
+
+// sleepUnlessCrashed waits. It returns false if the endpoint crashes or ctx ends before.
+func sleepUnlessCrashed(ctx context.Context, d time.Duration, crashed <-chan struct{}) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-crashed:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// crashableStream is a stream of events that breaks when its endpoint crashes.
+type crashableStream struct {
+	port.EndpointResponse
+	ctx     context.Context
+	crashed <-chan struct{}
+	left    int
+}
+
+func (s *crashableStream) Status() int                              { return http.StatusOK }
+func (s *crashableStream) Header() http.Header                      { return nil }
+func (s *crashableStream) HasSignature() bool                       { return true }
+func (s *crashableStream) NotExecuted() bool                        { return false }
+func (s *crashableStream) IsLeaving() bool                          { return false }
+func (s *crashableStream) RequestLimit() (port.RequestLimit, error) { return port.RequestLimit{}, nil }
+func (s *crashableStream) IsEventStream() bool                      { return true }
+func (s *crashableStream) Close()                                   {}
+
+func (s *crashableStream) Next() (port.EventBatch, error) {
+	if s.left == 0 {
+		return port.EventBatch{}, io.EOF
+	}
+	if !sleepUnlessCrashed(s.ctx, streamTime/8, s.crashed) {
+		return port.EventBatch{}, errConnectionReset
+	}
+	s.left--
+	return port.EventBatch{Data: []byte("data: x\n\n"), Events: 1}, nil
+}
+
+// directPeers deliver digests to the other gateways of a process.
+type directPeers struct {
+	port.LoadShareClient
+	gateways map[string]*Gateway
+}
+
+// directStream is a stream of digests to one gateway.
+type directStream struct{ to *Gateway }
+
+func (s directStream) Send(d port.LoadDigest) error {
+	s.to.HandleDigest(d)
+	return nil
+}
+
+func (directStream) Close() {}
+
+func (p *directPeers) OpenLoadStream(_ context.Context, address string) (port.LoadStream, error) {
+	return directStream{to: p.gateways[address]}, nil
+}
+
+func (p *directPeers) FetchHosts(ctx context.Context, address string, self port.HostInfo) ([]port.HostInfo, error) {
+	return p.gateways[address].HandleFetchHosts(ctx, self)
+}
+
+func (p *directPeers) FetchEndpoints(ctx context.Context, address string) (port.EndpointList, error) {
+	return p.gateways[address].HandleFetchEndpoints(ctx)
+}
+
+// quietWriter keeps whether the caller got a whole response, and the error if not.
+type quietWriter struct {
+	started bool
+	refusal *port.RequestError
+}
+
+func (w *quietWriter) Respond(int, http.Header, []byte) error { return nil }
+func (w *quietWriter) Start(int, http.Header) error           { w.started = true; return nil }
+func (w *quietWriter) Write([]byte) error                     { return nil }
+func (w *quietWriter) RespondError(err *port.RequestError) error {
+	w.refusal = err
+	return nil
+}
+
+// crashFleet is a fleet of gateways before endpoints that crash.
+type crashFleet struct {
+	endpoints *crashingEndpoints
+	gateways  []*Gateway
+	callers   sync.WaitGroup
+	mu        sync.Mutex
+	next      int
+	// sound are the results of the sound requests.
+	sound []soundResult
+	// refusals are the refusals of requests with crashPart.
+	refusals []*port.RequestError
+}
+
+// soundResult is when a sound request was sent and whether it was served.
+type soundResult struct {
+	at     time.Time
+	served bool
+}
+
+// newCrashFleet starts gateways that know each other and a number of endpoints.
+func newCrashFleet(hosts, endpoints int) *crashFleet {
+	f := &crashFleet{endpoints: newCrashingEndpoints()}
+	store := &endpointLog{}
+	for i := range endpoints {
+		store.put(fmt.Sprint("e", i), 1)
+	}
+	peers := &directPeers{gateways: make(map[string]*Gateway)}
+	for i := range hosts {
+		address := fmt.Sprint("h", i)
+		g := New(Options{
+			Host: model.HostID(address), Domain: "north", PeerAddress: address, Seeds: []string{"h0"}, Seed: uint64(i),
+			Lists: store, Decoder: endpointDecoder{}, ListReadInterval: time.Second, Endpoints: f.endpoints, Peers: peers, Warm: true,
+			MinDigestInterval: 40 * time.Millisecond, Budget: attempt.SharedBudgetOptions{Window: 10 * time.Second, Ratio: 0.2, Slack: 50},
+			Log: &log.Logger{Handler: discard.New()},
+		})
+		peers.gateways[address] = g
+		f.gateways = append(f.gateways, g)
+	}
+	cfg := &routing.Config{
+		Version: 1, Pools: []routing.Pool{{Name: "p", Engine: &routing.Engine{Slots: 64, CacheTokens: 500000}}},
+		Routes: []routing.Route{{
+			Name: "r", Host: "h.example", PathPrefix: "/", Kind: routing.Streaming, Timeout: 10 * time.Second, LatencyTarget: time.Second,
+			Targets: []routing.Target{{Pool: "p", Weight: 1}}, MaxAttempts: 2, Public: true,
+		}},
+	}
+	for _, g := range f.gateways {
+		g.control.applyConfig(cfg, port.ConfigRecord{Version: 1}, "test")
+		g.Start()
+	}
+	time.Sleep(2 * time.Second)
+	return f
+}
+
+// close ends all gateways once their requests have ended.
+func (f *crashFleet) close() {
+	f.callers.Wait()
+	for _, g := range f.gateways {
+		g.Close()
+	}
+}
+
+// call sends a request with the given shared parts to the next gateway.
+func (f *crashFleet) call(parts ...model.PartID) {
+	f.next++
+	prompt := model.Prompt{Model: "m", InputTokens: 1000, MaxOutputTokens: 100}
+	for _, id := range append(parts, model.PartID(1e6+f.next)) {
+		prompt.Parts = append(prompt.Parts, model.Part{ID: id, Tokens: 300})
+	}
+	c := &port.RoutedCall{
+		ID: model.RequestID(fmt.Sprint("r", f.next)), Host: "h.example", Path: "/", Method: http.MethodPost,
+		Arrived: time.Now(), CallerTimeout: 10 * time.Second, Prompt: prompt,
+	}
+	g := f.gateways[f.next%len(f.gateways)]
+	f.callers.Go(func() {
+		w := &quietWriter{}
+		whole := g.Route(context.Background(), c, w)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if hasSharedPart(prompt, crashPart) {
+			if w.refusal != nil && w.refusal.Outcome == model.OutcomeNotRun {
+				f.refusals = append(f.refusals, w.refusal)
+			}
+			return
+		}
+		f.sound = append(f.sound, soundResult{at: c.Arrived, served: whole && w.started})
+	})
+}
+
+// play sends sound requests every 20 ms, and ones that crash endpoints at an interval,
+// for some time.
+func (f *crashFleet) play(d, crashInterval time.Duration, crashing func(n int) []model.PartID) {
+	nextCrash, n := time.Now(), 0
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		f.call(commonPart, model.PartID(10+f.next%40))
+		if !time.Now().Before(nextCrash) {
+			f.call(crashing(n)...)
+			n++
+			nextCrash = nextCrash.Add(crashInterval)
+		}
+	}
+	f.callers.Wait()
+}
+
+// lateArrivals returns the number of requests that crash endpoints which arrived
+// crashSettling or more after the fifth crash.
+func (f *crashFleet) lateArrivals() int {
+	if len(f.endpoints.crashes) < crashesAllowed {
+		return 0
+	}
+	count := 0
+	for _, at := range f.endpoints.arrivals {
+		if at.Sub(f.endpoints.crashes[crashesAllowed-1]) > crashSettling {
+			count++
+		}
+	}
+	return count
+}
+
+// soundShare returns the share of sound requests served of those sent after a time.
+func (f *crashFleet) soundShare(from time.Time) float64 {
+	served, sent := 0, 0
+	for _, r := range f.sound {
+		if r.at.After(from) {
+			sent++
+			if r.served {
+				served++
+			}
+		}
+	}
+	return float64(served) / float64(sent)
+}
+
+// Requests with a part in their prompts that crashes endpoints must not crash one after the other.
+func TestPromptPartThatCrashesEndpointsIsNotSentOn(t *testing.T) {
+	afterCommon := func(n int) []model.PartID { return []model.PartID{commonPart, crashPart, model.PartID(10 + n%40)} }
+	first := func(n int) []model.PartID { return []model.PartID{crashPart, model.PartID(10 + n%40)} }
+	last := func(n int) []model.PartID { return []model.PartID{commonPart, model.PartID(10 + n%40), crashPart} }
+	for _, c := range []struct {
+		name             string
+		hosts, endpoints int
+		interval         time.Duration
+		parts            func(n int) []model.PartID
+	}{
+		{"seven hosts, fast", 7, 12, 100 * time.Millisecond, afterCommon},
+		{"seven hosts", 7, 12, 400 * time.Millisecond, afterCommon},
+		{"seven hosts, slow", 7, 12, 3 * time.Second, afterCommon},
+		{"the first part", 7, 12, 400 * time.Millisecond, first},
+		{"the last shared part", 7, 12, 400 * time.Millisecond, last},
+		{"one host", 1, 12, 400 * time.Millisecond, afterCommon},
+		{"with relays", 24, 30, 200 * time.Millisecond, afterCommon},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newCrashFleet(c.hosts, c.endpoints)
+				defer f.close()
+				f.play(30*time.Second, c.interval, c.parts)
+				must.LessEq(t, maxLateArrivals, f.lateArrivals())
+				must.SliceNotEmpty(t, f.refusals)
+				last := f.endpoints.crashes[min(crashesAllowed, len(f.endpoints.crashes))-1]
+				must.GreaterEq(t, minSoundShare, f.soundShare(last.Add(soundAfter)))
+			})
+		})
+	}
+}
