Quarantine parts of prompts under which endpoints crash

Cause: a crash counted against the endpoint alone. Hosts did not keep what the requests under which endpoints crash had in common, so the next request with the same part was placed like any other. Class: a failure is attributed to the place where it shows, although its cause travels with the request.

Change: hosts report the shared parts of requests that an endpoint had not begun to answer when it crashed, by digests. A part that three crashes in a row have in common, and that no endpoint has answered since, is refused at all hosts for ten minutes, with 503 and the time until then. A broken response is a crash only if the endpoint then refuses connections.

Why this works: a part that crashes every endpoint is never answered, while the parts that sound requests share are answered, and so cleared, within a request's time; the count of crashes is one of all hosts together, so that no host has to see three by itself.

--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -180,6 +180,9 @@
 		Reading:          d.ReadsList,
 		ReadFailing:      d.ListReadFailing,
 		Limits:           convert(d.Limits, endpointLimitToWire),
+		Crashes:          convert(d.Crashes, crashToWire),
+		QuarantinedParts: convert(d.QuarantinedParts, partAgeToWire),
+		ClearedParts:     convert(d.ClearedParts, partAgeToWire),
 		Loads:            convert(d.Loads, endpointLoadToWire),
 		Hosts:            convert(d.Hosts, hostInfoToWire),
 		Subscribes:       d.Subscribes,
@@ -208,6 +211,9 @@
 		ReadsList:        d.GetReading(),
 		ListReadFailing:  d.GetReadFailing(),
 		Limits:           convert(d.GetLimits(), endpointLimitFromWire),
+		Crashes:          convert(d.GetCrashes(), crashFromWire),
+		QuarantinedParts: convert(d.GetQuarantinedParts(), partAgeFromWire),
+		ClearedParts:     convert(d.GetClearedParts(), partAgeFromWire),
 		Loads:            convert(d.GetLoads(), endpointLoadFromWire),
 		Hosts:            convert(d.GetHosts(), hostInfoFromWire),
 		Subscribes:       d.GetSubscribes(),
@@ -240,10 +246,37 @@
 func endpointLimitFromWire(l *peer.EndpointLimit) port.EndpointLimit {
 	return port.EndpointLimit{
 		Instance: instanceFromWire(l.GetInstance()), Limited: l.GetLimited(), PerSecond: l.GetPerSecond(),
-		Age: time.Duration(max(l.GetAgeMs(), 0)) * time.Millisecond,
+		Age: ageFromWire(l.GetAgeMs()),
 	}
 }
 
+func crashToWire(c port.CrashReport) *peer.CrashReport {
+	out := &peer.CrashReport{Id: c.ID, Endpoint: instanceToWire(c.Endpoint), SentAgeMs: c.SentAge.Milliseconds(), AgeMs: c.Age.Milliseconds()}
+	for _, part := range c.Parts {
+		out.Parts = append(out.Parts, uint64(part))
+	}
+	return out
+}
+
+func crashFromWire(c *peer.CrashReport) port.CrashReport {
+	out := port.CrashReport{ID: c.GetId(), Endpoint: instanceFromWire(c.GetEndpoint()), SentAge: ageFromWire(c.GetSentAgeMs()), Age: ageFromWire(c.GetAgeMs())}
+	for _, part := range c.GetParts() {
+		out.Parts = append(out.Parts, model.PartID(part))
+	}
+	return out
+}
+
+func partAgeToWire(p port.PartAge) *peer.PartAge {
+	return &peer.PartAge{Part: uint64(p.Part), AgeMs: p.Age.Milliseconds()}
+}
+
+func partAgeFromWire(p *peer.PartAge) port.PartAge {
+	return port.PartAge{Part: model.PartID(p.GetPart()), Age: ageFromWire(p.GetAgeMs())}
+}
+
+// ageFromWire returns an age, which is never negative.
+func ageFromWire(ms int64) time.Duration { return time.Duration(max(ms, 0)) * time.Millisecond }
+
 func domainLoadToWire(d port.DomainLoad) *peer.DomainLoad {
 	return &peer.DomainLoad{
 		Domain: string(d.Domain),
--- a/internal/adapter/peergrpc/share_test.go
+++ b/internal/adapter/peergrpc/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -10,6 +11,15 @@
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
+func TestCrashReportsAreKeptWhole(t *testing.T) {
+	want := port.CrashReport{
+		ID: 1 << 63, Endpoint: model.Instance{Name: "e", Started: 9}, Parts: []model.PartID{3, 1 << 62}, SentAge: 2 * time.Second, Age: time.Second,
+	}
+	must.Eq(t, want, crashFromWire(crashToWire(want)))
+	part := port.PartAge{Part: 1 << 63, Age: time.Minute}
+	must.Eq(t, part, partAgeFromWire(partAgeToWire(part)))
+}
+
 func TestListChangesKeepTheirOffsets(t *testing.T) {
 	want := port.ListChanges{
 		After: model.Position{Era: 2, Offset: 5}, UpTo: model.Position{Era: 2, Offset: 9},
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -85,6 +85,8 @@
 	// ReasonLimit means that the limits that endpoints have stated leave nothing for
 	// this host at present.
 	ReasonLimit Reason = "request_limit"
+	// ReasonQuarantine means that the prompt has a part that crashes endpoints.
+	ReasonQuarantine Reason = "quarantine"
 	// ReasonTooLarge means that the prompt exceeds the cache of every endpoint.
 	ReasonTooLarge Reason = "too_large"
 )
@@ -116,9 +118,11 @@
 	// number of tokens that the request itself adds.
 	QueuedPrefill [NumPriorities]int
 	OwnPrefill    int
-	// Reason and RetryAfter are set for a refusal.
+	// Reason and RetryAfter are set for a refusal, Part for one because of a part of
+	// the prompt.
 	Reason     Reason
 	RetryAfter time.Duration
+	Part       model.PartID
 }
 
 // IsRefused reports whether the request was refused.
--- a/internal/core/model/prompt.go
+++ b/internal/core/model/prompt.go
@@ -9,6 +9,9 @@
 // String returns the ID in hexadecimal.
 func (id PartID) String() string { return strconv.FormatUint(uint64(id), 16) }
 
+// MarshalText implements encoding.TextMarshaler: JSON numbers are not exact enough.
+func (id PartID) MarshalText() ([]byte, error) { return []byte(id.String()), nil }
+
 // Part is a section of a prompt that an engine caches as a whole.
 type Part struct {
 	ID     PartID
@@ -61,3 +64,13 @@
 	}
 	return p.Parts[:len(p.Parts)-1]
 }
+
+// SharedPartIDs returns the IDs of SharedParts.
+func (p Prompt) SharedPartIDs() []PartID {
+	shared := p.SharedParts()
+	out := make([]PartID, 0, len(shared))
+	for _, part := range shared {
+		out = append(out, part.ID)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/quarantine/evidence.go
@@ -0,0 +1,100 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+)
+
+// evidence is what the crashes that no quarantined part explains say about one part.
+type evidence struct {
+	part model.PartID
+	// crashes is the number of crashes one after the other, the last of them at last.
+	crashes int
+	last    time.Time
+	// index is the highest index of the part in a prompt.
+	index int
+}
+
+// evaluate puts the parts into quarantine that crashes point to.
+func (s *State) evaluate() []Change {
+	var changes []Change
+	for len(s.quarantined) < maxParts {
+		found := s.strongest()
+		if found.crashes < crashesToQuarantine {
+			break
+		}
+		s.quarantined[found.part] = found.last
+		changes = append(changes, Change{Part: found.part, Quarantined: true})
+	}
+	return changes
+}
+
+// strongest returns the strongest evidence against a part. Among parts that always come
+// together, the last one is blamed, so that the fewest requests are affected.
+func (s *State) strongest() evidence {
+	unexplained := s.unexplained()
+	var best evidence
+	for _, part := range partsOf(unexplained) {
+		e := s.weigh(part, unexplained)
+		if e.crashes > best.crashes || e.crashes == best.crashes && e.index > best.index {
+			best = e
+		}
+	}
+	return best
+}
+
+// unexplained returns the crashes of endpoints under which no request had a part that is
+// in quarantine, in the order of their times.
+func (s *State) unexplained() []Crash {
+	explained := make(map[model.Instance]bool)
+	for _, c := range s.crashes {
+		isQuarantined := func(part model.PartID) bool { _, found := s.quarantined[part]; return found }
+		if slices.ContainsFunc(c.Parts, isQuarantined) {
+			explained[c.Endpoint] = true
+		}
+	}
+	var out []Crash
+	for _, c := range s.crashes {
+		if !explained[c.Endpoint] {
+			out = append(out, c)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Crash) int { return a.At.Compare(b.At) })
+	return out
+}
+
+// partsOf returns the parts that crashes name, each once.
+func partsOf(crashes []Crash) []model.PartID {
+	var out []model.PartID
+	seen := make(map[model.PartID]bool)
+	for _, c := range crashes {
+		for _, part := range c.Parts {
+			if !seen[part] {
+				seen[part] = true
+				out = append(out, part)
+			}
+		}
+	}
+	return out
+}
+
+// weigh returns the evidence of crashes, in the order of their times, against a part.
+func (s *State) weigh(part model.PartID, crashes []Crash) evidence {
+	e := evidence{part: part}
+	endpoints := make(map[model.Instance]bool)
+	for _, c := range crashes {
+		if !s.isEvidence(c, part) || endpoints[c.Endpoint] {
+			continue
+		}
+		e.index = max(e.index, slices.Index(c.Parts, part))
+		if e.crashes > 0 && c.SentAt.Sub(e.last) < separation {
+			continue
+		}
+		endpoints[c.Endpoint] = true
+		e.crashes++
+		e.last = c.At
+	}
+	return e
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -8,6 +8,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/directory"
 	"github.com/wigeonsail/wigeonsail/internal/core/freshness"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
 	"github.com/wigeonsail/wigeonsail/internal/core/routing"
 	"github.com/wigeonsail/wigeonsail/internal/loop"
 	"github.com/wigeonsail/wigeonsail/internal/port"
@@ -19,6 +20,8 @@
 	balancer  *balance.Balancer
 	directory *directory.Directory
 	peers     *peerTable
+	// quarantine holds the parts of prompts that crash endpoints.
+	quarantine *quarantine.State
 	// freshness is when the configuration in force was known to be the newest one.
 	freshness freshness.State
 	// fetchingConfig and fetchingList report whether a fetch from a peer is in
@@ -53,6 +56,7 @@
 		gateway:        g,
 		balancer:       balance.New(balance.Options{Domain: g.opts.Domain, Budget: g.opts.Budget, WarmCaches: g.opts.Warm, Seed: g.opts.Seed}),
 		directory:      directory.New(),
+		quarantine:     quarantine.New(),
 		loggedReserved: make(map[model.PoolName]int),
 	}
 	c.peers = newPeerTable(g)
@@ -90,6 +94,7 @@
 	c.updateReading(now)
 	c.updateLiveHosts(now)
 	c.refreshStaleList(now)
+	c.expireQuarantine(now)
 	c.fetchNewerConfig(now)
 }
 
@@ -143,6 +148,9 @@
 // the control loop gave no decision.
 func (g *Gateway) place(ctx context.Context, req balance.Request) (balance.Decision, bool) {
 	return queryLoop(ctx, g, func(now time.Time) balance.Decision {
+		if part, until, found := g.control.quarantine.QuarantinedUntil(now, req.Prompt); found {
+			return balance.Decision{Reason: balance.ReasonQuarantine, Part: part, RetryAfter: until.Sub(now)}
+		}
 		return g.control.balancer.Submit(now, req)
 	})
 }
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -51,6 +51,8 @@
 	// when the endpoint crashes next.
 	downUntil map[model.EndpointName]time.Time
 	crashed   map[model.EndpointName]chan struct{}
+	// breaks is a part that makes an endpoint break off the response, and nothing else.
+	breaks model.PartID
 	// arrivals and crashes are the times of requests with crashPart that arrived, and of
 	// the crashes.
 	arrivals, crashes []time.Time
@@ -103,6 +105,8 @@
 	}
 	if crashes {
 		e.crash(a.Endpoint)
+	}
+	if crashes || hasSharedPart(a.Call.Prompt, e.breaks) {
 		return nil, errConnectionReset
 	}
 	return &crashableStream{ctx: ctx, crashed: crashed, left: 8}, nil
@@ -172,29 +176,45 @@
 // directPeers deliver digests to the other gateways of a process.
 type directPeers struct {
 	port.LoadShareClient
+	mu       sync.Mutex
 	gateways map[string]*Gateway
 }
 
+func (p *directPeers) set(address string, g *Gateway) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gateways[address] = g
+}
+
+func (p *directPeers) get(address string) *Gateway {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.gateways[address]
+}
+
 // directStream is a stream of digests to one gateway.
-type directStream struct{ to *Gateway }
+type directStream struct {
+	peers   *directPeers
+	address string
+}
 
 func (s directStream) Send(d port.LoadDigest) error {
-	s.to.HandleDigest(d)
+	s.peers.get(s.address).HandleDigest(d)
 	return nil
 }
 
 func (directStream) Close() {}
 
 func (p *directPeers) OpenLoadStream(_ context.Context, address string) (port.LoadStream, error) {
-	return directStream{to: p.gateways[address]}, nil
+	return directStream{peers: p, address: address}, nil
 }
 
 func (p *directPeers) FetchHosts(ctx context.Context, address string, self port.HostInfo) ([]port.HostInfo, error) {
-	return p.gateways[address].HandleFetchHosts(ctx, self)
+	return p.get(address).HandleFetchHosts(ctx, self)
 }
 
 func (p *directPeers) FetchEndpoints(ctx context.Context, address string) (port.EndpointList, error) {
-	return p.gateways[address].HandleFetchEndpoints(ctx)
+	return p.get(address).HandleFetchEndpoints(ctx)
 }
 
 // quietWriter keeps whether the caller got a whole response, and the error if not.
@@ -214,6 +234,8 @@
 // crashFleet is a fleet of gateways before endpoints that crash.
 type crashFleet struct {
 	endpoints *crashingEndpoints
+	store     *endpointLog
+	peers     *directPeers
 	gateways  []*Gateway
 	callers   sync.WaitGroup
 	mu        sync.Mutex
@@ -232,23 +254,29 @@
 
 // newCrashFleet starts gateways that know each other and a number of endpoints.
 func newCrashFleet(hosts, endpoints int) *crashFleet {
-	f := &crashFleet{endpoints: newCrashingEndpoints()}
-	store := &endpointLog{}
+	f := &crashFleet{endpoints: newCrashingEndpoints(), store: &endpointLog{}, peers: &directPeers{gateways: make(map[string]*Gateway)}}
 	for i := range endpoints {
-		store.put(fmt.Sprint("e", i), 1)
+		f.store.put(fmt.Sprint("e", i), 1)
 	}
-	peers := &directPeers{gateways: make(map[string]*Gateway)}
 	for i := range hosts {
-		address := fmt.Sprint("h", i)
-		g := New(Options{
-			Host: model.HostID(address), Domain: "north", PeerAddress: address, Seeds: []string{"h0"}, Seed: uint64(i),
-			Lists: store, Decoder: endpointDecoder{}, ListReadInterval: time.Second, Endpoints: f.endpoints, Peers: peers, Warm: true,
-			MinDigestInterval: 40 * time.Millisecond, Budget: attempt.SharedBudgetOptions{Window: 10 * time.Second, Ratio: 0.2, Slack: 50},
-			Log: &log.Logger{Handler: discard.New()},
-		})
-		peers.gateways[address] = g
-		f.gateways = append(f.gateways, g)
+		f.gateways = append(f.gateways, f.newGateway(i))
+	}
+	for _, g := range f.gateways {
+		g.Start()
 	}
+	time.Sleep(2 * time.Second)
+	return f
+}
+
+// newGateway returns a gateway with a configuration of one route.
+func (f *crashFleet) newGateway(i int) *Gateway {
+	address := fmt.Sprint("h", i)
+	g := New(Options{
+		Host: model.HostID(address), Domain: "north", PeerAddress: address, Seeds: []string{"h0"}, Seed: uint64(i),
+		Lists: f.store, Decoder: endpointDecoder{}, ListReadInterval: time.Second, Endpoints: f.endpoints, Peers: f.peers, Warm: true,
+		MinDigestInterval: 40 * time.Millisecond, Budget: attempt.SharedBudgetOptions{Window: 10 * time.Second, Ratio: 0.2, Slack: 50},
+		Log: &log.Logger{Handler: discard.New()},
+	})
 	cfg := &routing.Config{
 		Version: 1, Pools: []routing.Pool{{Name: "p", Engine: &routing.Engine{Slots: 64, CacheTokens: 500000}}},
 		Routes: []routing.Route{{
@@ -256,12 +284,22 @@
 			Targets: []routing.Target{{Pool: "p", Weight: 1}}, MaxAttempts: 2, Public: true,
 		}},
 	}
-	for _, g := range f.gateways {
-		g.control.applyConfig(cfg, port.ConfigRecord{Version: 1}, "test")
-		g.Start()
-	}
-	time.Sleep(2 * time.Second)
-	return f
+	g.control.applyConfig(cfg, port.ConfigRecord{Version: 1}, "test")
+	f.peers.set(address, g)
+	return g
+}
+
+// restart replaces a gateway by one with empty state.
+func (f *crashFleet) restart(i int) {
+	f.gateways[i].Close()
+	f.gateways[i] = f.newGateway(i)
+	f.gateways[i].Start()
+}
+
+// countQuarantined returns the number of parts in quarantine at a host that runs.
+func (g *Gateway) countQuarantined() int {
+	count, _ := queryLoop(context.Background(), g, func(time.Time) int { return g.control.quarantine.CountQuarantined() })
+	return count
 }
 
 // close ends all gateways once their requests have ended.
@@ -375,3 +413,28 @@
 		})
 	}
 }
+
+// Endpoints that break off responses but go on accepting connections have not crashed.
+func TestBrokenResponsesOfLiveEndpointsQuarantineNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFleet(3, 12)
+		defer f.close()
+		f.endpoints.breaks = 77
+		f.play(10*time.Second, 200*time.Millisecond, func(int) []model.PartID { return []model.PartID{commonPart, 77} })
+		for _, g := range f.gateways {
+			must.Zero(t, g.countQuarantined())
+		}
+	})
+}
+
+// A host that starts while a part is in quarantine refuses requests with it from its first digests on.
+func TestQuarantineReachesHostsThatStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFleet(3, 12)
+		defer f.close()
+		f.play(10*time.Second, 400*time.Millisecond, func(int) []model.PartID { return []model.PartID{commonPart, crashPart} })
+		f.restart(1)
+		time.Sleep(2 * time.Second)
+		must.Eq(t, 1, f.gateways[1].countQuarantined())
+	})
+}
--- a/internal/gateway/digests.go
+++ b/internal/gateway/digests.go
@@ -232,7 +232,7 @@
 // digest returns a digest of this host's status, without load.
 func (c *control) digest(now time.Time) port.LoadDigest {
 	opts := &c.gateway.opts
-	return port.LoadDigest{
+	d := port.LoadDigest{
 		Host: opts.Host, Incarnation: opts.Incarnation, Domain: opts.Domain, Address: opts.PeerAddress,
 		LinkSpeedMbps: opts.LinkMbps, Leaving: c.gateway.leaving.Load(), Version: c.version(),
 		ListReadAge: min(now.Sub(c.lastListRead), maxReadAge), ListChange: c.lastListChange, LeavingEndpoints: c.directory.Leaving(),
@@ -240,6 +240,8 @@
 		Limits:    c.knownLimits(now),
 		ReadsList: c.gateway.reading.Load(), ListReadFailing: c.listReadFailing,
 	}
+	c.reportCrashes(now, &d)
+	return d
 }
 
 // recordLoads passes the load reports and prefix cache updates in a digest to the
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -69,8 +69,12 @@
 
 // notRunError is the error response to a request that no endpoint has run.
 func notRunError(reason balance.Reason, after time.Duration) *port.RequestError {
+	code := port.CodeOverloaded
+	if reason == balance.ReasonQuarantine {
+		code = port.CodeQuarantined
+	}
 	return &port.RequestError{
-		Code: port.CodeOverloaded, Status: http.StatusServiceUnavailable, Outcome: model.OutcomeNotRun,
+		Code: code, Status: http.StatusServiceUnavailable, Outcome: model.OutcomeNotRun,
 		Message: "not run: " + string(reason), RetryAfter: after,
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,6 +70,9 @@
 	// usable reports whether any endpoint accepts requests.
 	usable  atomic.Bool
 	leaving atomic.Bool
+	// watchingCrashes reports whether endpoints that begin to answer must be recorded, as
+	// crashes or quarantined parts are known.
+	watchingCrashes atomic.Bool
 	// reading reports whether this host reads the platform's lists itself.
 	// readListNow requests an immediate read of the list of endpoints.
 	reading     atomic.Bool
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -8,6 +8,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
 	"github.com/wigeonsail/wigeonsail/internal/core/directory"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -59,6 +60,21 @@
 	entry.WithField("limit_per_s", report.PerSecond).Warn("endpoints: request limit stated")
 }
 
+// logCrash logs a request under which an endpoint has crashed.
+func logCrash(logger log.Interface, c quarantine.Crash) {
+	logger.WithFields(fields{"endpoint": c.Endpoint.Name, "parts": c.Parts, "sent_ms": c.At.Sub(c.SentAt).Milliseconds()}).Warn("endpoints: crashed before an answer")
+}
+
+// logQuarantine logs that a part of prompts enters or leaves the quarantine.
+func logQuarantine(logger log.Interface, change quarantine.Change, source string) {
+	entry := logger.WithFields(fields{"part": change.Part, "source": source})
+	if change.Quarantined {
+		entry.Error("quarantine: requests with this part of a prompt are refused, endpoints crash under them")
+		return
+	}
+	entry.Info("quarantine: part is sent to endpoints again")
+}
+
 // logCheck logs whether a connection to an endpoint could be opened.
 func logCheck(logger log.Interface, check balance.Check, err error) {
 	entry := logger.WithFields(fields{"endpoint": check.Endpoint, "address": check.Address})
@@ -95,6 +111,9 @@
 	if d.IsRefused() {
 		f["reason"] = string(d.Reason)
 		f["retry_after_ms"] = d.RetryAfter.Milliseconds()
+		if d.Reason == balance.ReasonQuarantine {
+			f["part"] = d.Part.String()
+		}
 		x.gateway.opts.Metrics.Refused(model.ClassName(x.route.Name), d.Reason)
 		x.gateway.opts.Log.WithFields(f).Info("request: no endpoint available")
 		return
@@ -123,7 +142,7 @@
 		"failure": failureName(result.failure), "events": x.eventsSent, "attempt_events": result.events, "age_ms": x.ageMS(),
 	})
 	if result.failure == balance.FailureBroken {
-		entry = entry.WithField("parts", partIDs(x.req.Prompt.SharedParts()))
+		entry = entry.WithField("parts", x.req.Prompt.SharedPartIDs())
 	}
 	if result.err != nil {
 		entry = entry.WithError(result.err)
@@ -131,15 +150,6 @@
 	entry.Info("request: attempt failed")
 }
 
-// partIDs returns the identities of parts of a prompt in the form used in logs.
-func partIDs(parts []model.Part) []string {
-	var out []string
-	for _, part := range parts {
-		out = append(out, part.ID.String())
-	}
-	return out
-}
-
 // ageMS returns the time since the call arrived, in milliseconds.
 func (x *exchange) ageMS() int64 { return time.Since(x.call.Arrived).Milliseconds() }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -284,6 +284,7 @@
 	c.learnFreshness(freshness.Claim{Version: d.Version, At: now.Add(-d.ConfigAge - readAgePerHop)})
 	c.applyLeaving(now, d.LeavingEndpoints)
 	c.receiveLimits(now, d)
+	c.receiveCrashes(now, d)
 	if d.Version > c.version() {
 		c.fetchNewerConfig(now)
 	}
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -193,9 +193,11 @@
 		if decision.IsRefused() {
 			return x.fail(ctx, attemptResult{outcome: model.OutcomeNotRun, err: &noEndpointError{decision: decision}})
 		}
+		sentAt := time.Now()
 		result := x.tryEndpoint(ctx, decision)
 		x.gateway.finish(x.req.ID, balance.Result{Failure: result.failure, RetryAfter: result.retryAfter})
 		x.logAttemptFailed(decision, result)
+		x.reportIfCrashed(decision, result, sentAt)
 		if result.answered {
 			x.logAnswered()
 			return true
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -38,7 +38,9 @@
 	LeavingEndpoints []model.EndpointName `json:"leaving_endpoints"`
 	// LimitedEndpoints are the endpoints that have stated a request limit.
 	LimitedEndpoints []LimitView `json:"limited_endpoints"`
-	Peers            []PeerView  `json:"peers"`
+	// QuarantinedParts are the parts of prompts that crash endpoints.
+	QuarantinedParts []PartView `json:"quarantined_parts"`
+	Peers            []PeerView `json:"peers"`
 }
 
 // LimitView is what a host knows of the request limit of an endpoint.
@@ -50,6 +52,13 @@
 	Age       float64 `json:"age_s"`
 }
 
+// PartView is a part of prompts in quarantine.
+type PartView struct {
+	Part model.PartID `json:"part"`
+	// Age is the time since the crash that put it there.
+	Age float64 `json:"age_s"`
+}
+
 // PeerView is what a host knows of another one.
 type PeerView struct {
 	Host    model.HostID     `json:"host"`
@@ -98,6 +107,9 @@
 			out.LimitedEndpoints = append(out.LimitedEndpoints, LimitView{Endpoint: l.Instance.Name, PerSecond: l.PerSecond, Age: l.Age.Seconds()})
 		}
 	}
+	for _, q := range c.quarantine.Report(now).Quarantined {
+		out.QuarantinedParts = append(out.QuarantinedParts, PartView{Part: q.Part, Age: now.Sub(q.At).Seconds()})
+	}
 	for address, p := range c.peers.peers {
 		out.Peers = append(out.Peers, c.peers.view(now, address, p))
 	}
@@ -153,5 +165,6 @@
 	m.SetPeers(len(c.peers.peers), links, c.peers.digests.isRelay)
 	m.SetListAge(c.knownReadAge(now), uint64(c.nextInList.Era))
 	m.SetLimitedEndpoints(c.balancer.CountLimited())
+	m.SetQuarantinedParts(c.quarantine.CountQuarantined())
 	m.SetConfigAge(c.gateway.configAge(now))
 }
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -69,6 +69,7 @@
 		return classifyError(ctx, err)
 	}
 	x.gateway.recordFirstResponse(x.req.ID)
+	x.recordServed()
 	x.firstResponseAt = time.Now()
 	return attemptResult{
 		answered:  x.w.Respond(reply.Status(), reply.Header(), body) == nil,
@@ -123,6 +124,7 @@
 	for {
 		batch, err := reply.Next()
 		if errors.Is(err, io.EOF) {
+			x.recordServed()
 			return x.finishStream(reply)
 		}
 		if err != nil {
@@ -133,6 +135,7 @@
 		if events == 0 {
 			x.gateway.recordFirstResponse(x.req.ID)
 		}
+		x.recordProgress(events, events+batch.Events)
 		events += batch.Events
 		if x.eventsSent == 0 {
 			x.firstResponseAt = time.Now()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -64,6 +64,7 @@
 	listAge    tally.Gauge
 	configAge  tally.Gauge
 	limited    tally.Gauge
+	quarantine tally.Gauge
 	storeEra   tally.Gauge
 }
 
@@ -135,6 +136,7 @@
 	m.relay = m.scope.Gauge("relay")
 	m.listAge = m.scope.Gauge("list_age_seconds")
 	m.limited = m.scope.Gauge("limited_endpoints")
+	m.quarantine = m.scope.Gauge("quarantined_parts")
 	m.configAge = m.scope.Gauge("config_age_seconds")
 	m.storeEra = m.scope.Gauge("store_era")
 }
--- a/internal/port/caller.go
+++ b/internal/port/caller.go
@@ -94,6 +94,7 @@
 	CodeBodyTooLarge     Code = "body_too_large"
 	CodeHeaderTooLarge   Code = "header_too_large"
 	CodeOverloaded       Code = "overloaded"
+	CodeQuarantined      Code = "quarantined"
 	CodeLimitReached     Code = "limit_reached"
 	CodeDeadlineExceeded Code = "deadline_exceeded"
 	CodeEndpointFailed   Code = "endpoint_failed"
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -19,6 +19,23 @@
 	Age time.Duration
 }
 
+// CrashReport is a request that an endpoint had not begun to answer when it crashed.
+type CrashReport struct {
+	// ID identifies the request among all hosts.
+	ID       uint64
+	Endpoint model.Instance
+	// Parts are the shared parts of the prompt, in order.
+	Parts []model.PartID
+	// SentAge is the time since the request was sent, Age that since the crash.
+	SentAge, Age time.Duration
+}
+
+// PartAge is the time since something became known of a part of a prompt.
+type PartAge struct {
+	Part model.PartID
+	Age  time.Duration
+}
+
 // UnknownAge is the age reported for something that a host has never learned.
 const UnknownAge = time.Hour
 
@@ -53,6 +70,13 @@
 	// Limits are the request limits that endpoints have stated, to this host or to
 	// others, and those that have ended of late.
 	Limits []EndpointLimit
+	// Crashes are the requests under which endpoints have crashed of late.
+	// QuarantinedParts are the parts of prompts in quarantine, with the time since the
+	// crash that put them there, ClearedParts those that endpoints have begun to answer
+	// of late.
+	Crashes          []CrashReport
+	QuarantinedParts []PartAge
+	ClearedParts     []PartAge
 	// Loads is the host's load by endpoint.
 	Loads []balance.EndpointLoad
 	// CacheUpdates are the sender's prefix cache updates since the last digest
