Keep the quarantine in the platform's store while no host runs

What callers would see: after all hosts were restarted at once, a part of a prompt that is known to crash endpoints crashes three more, and with few such requests more than three reach endpoints later than the hosts are calm again.

Cause: the quarantine lay in the memory of the hosts alone. Class: state that must outlive all hosts was kept by the hosts.

Evidence: TestQuarantineOutlivesAllHosts had three crashes more.

Change: the host whose crash or answer changes the quarantine writes it into a keyed topic of the store, and a host that starts reads it once, as often as it takes. Hosts still learn changes from each other only.

--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -26,7 +26,7 @@
 			break
 		}
 		s.quarantined[found.part] = found.last
-		changes = append(changes, Change{Part: found.part, Quarantined: true})
+		changes = append(changes, Change{Part: found.part, Quarantined: true, At: found.last})
 	}
 	return changes
 }
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -74,8 +74,10 @@
 // Change is a part that was put into quarantine or taken out of it.
 type Change struct {
 	Part model.PartID
-	// Quarantined reports whether it was put into quarantine.
+	// Quarantined reports whether it was put into quarantine, At is the time of the crash
+	// that put it there.
 	Quarantined bool
+	At          time.Time
 }
 
 // State is what one host knows of crashes. It is not safe for concurrent use.
@@ -176,7 +178,7 @@
 		return nil
 	}
 	delete(s.quarantined, part)
-	return []Change{{Part: part}}
+	return []Change{{Part: part, At: since}}
 }
 
 // Merge applies the report of another host. It returns the parts that enter or leave
@@ -191,7 +193,7 @@
 	for _, q := range r.Quarantined {
 		if s.quarantine(now, q) {
 			news = true
-			changes = append(changes, Change{Part: q.Part, Quarantined: true})
+			changes = append(changes, Change{Part: q.Part, Quarantined: true, At: q.At})
 		}
 	}
 	added := false
@@ -250,7 +252,7 @@
 	for part, at := range s.quarantined {
 		if now.Sub(at) >= Duration {
 			delete(s.quarantined, part)
-			changes = append(changes, Change{Part: part})
+			changes = append(changes, Change{Part: part, At: at})
 		}
 	}
 	return changes
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -126,10 +126,10 @@
 	must.True(t, isQuarantined(other, 4*time.Second, 7))
 	changes, cleared := s.RecordResponse(at(5*time.Second), prompt(7))
 	must.True(t, cleared)
-	must.Eq(t, []quarantine.Change{{Part: 7}}, changes)
+	must.Eq(t, []quarantine.Change{{Part: 7, At: at(3 * time.Second)}}, changes)
 	changes, news := other.Merge(at(5*time.Second), s.Report(at(5*time.Second)))
 	must.True(t, news)
-	must.Eq(t, []quarantine.Change{{Part: 7}}, changes)
+	must.Eq(t, []quarantine.Change{{Part: 7, At: at(3 * time.Second)}}, changes)
 	s.Merge(at(5*time.Second), quarantine.Report{Quarantined: []quarantine.PartState{{Part: 7, At: at(3 * time.Second)}}})
 	must.False(t, isQuarantined(s, 5*time.Second, 7), must.Sprint("a report from before the answer arrives late"))
 }
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -65,6 +65,7 @@
 		c.peers.requestDigests()
 	}
 	c.applyQuarantineChanges(changes, "crash")
+	c.gateway.saveQuarantine(changes)
 }
 
 // recordServed applies that an endpoint has begun to answer a request with a prompt.
@@ -74,6 +75,7 @@
 		c.peers.requestDigests()
 	}
 	c.applyQuarantineChanges(changes, "response")
+	c.gateway.saveQuarantine(changes)
 }
 
 // receiveCrashes applies the crashes and parts in a digest, and requests digests that
@@ -86,9 +88,14 @@
 	c.applyQuarantineChanges(changes, "peer "+string(d.Host))
 }
 
-// expireQuarantine ends the quarantine of parts whose time is over.
+// expireQuarantine ends the quarantine of parts whose time is over. The hosts that read
+// the store remove them there.
 func (c *control) expireQuarantine(now time.Time) {
-	c.applyQuarantineChanges(c.quarantine.Expire(now), sourceTimer)
+	changes := c.quarantine.Expire(now)
+	c.applyQuarantineChanges(changes, sourceTimer)
+	if c.gateway.reading.Load() {
+		c.gateway.saveQuarantine(changes)
+	}
 }
 
 // applyQuarantineChanges logs changes of the quarantine with their source, and makes
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -231,10 +231,55 @@
 	return nil
 }
 
+// savedParts is a store of parts in quarantine.
+type savedParts struct {
+	mu    sync.Mutex
+	parts map[model.PartID]time.Time
+	// failures is the number of calls that fail from now on.
+	failures int
+}
+
+// call counts a call, and returns an error if it is to fail.
+func (s *savedParts) call() error {
+	if s.failures > 0 {
+		s.failures--
+		return &port.PlatformError{Outcome: model.OutcomeUnknown, Cause: errNoResponse}
+	}
+	return nil
+}
+
+func (s *savedParts) QuarantinedParts(context.Context) ([]port.QuarantinedPart, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []port.QuarantinedPart
+	for part, at := range s.parts {
+		out = append(out, port.QuarantinedPart{Part: part, At: at})
+	}
+	return out, s.call()
+}
+
+func (s *savedParts) SavePart(_ context.Context, p port.QuarantinedPart) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.parts == nil {
+		s.parts = make(map[model.PartID]time.Time)
+	}
+	s.parts[p.Part] = p.At
+	return s.call()
+}
+
+func (s *savedParts) ReleasePart(_ context.Context, part model.PartID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.parts, part)
+	return s.call()
+}
+
 // crashFleet is a fleet of gateways before endpoints that crash.
 type crashFleet struct {
 	endpoints *crashingEndpoints
 	store     *endpointLog
+	saved     *savedParts
 	peers     *directPeers
 	gateways  []*Gateway
 	callers   sync.WaitGroup
@@ -254,7 +299,7 @@
 
 // newCrashFleet starts gateways that know each other and a number of endpoints.
 func newCrashFleet(hosts, endpoints int) *crashFleet {
-	f := &crashFleet{endpoints: newCrashingEndpoints(), store: &endpointLog{}, peers: &directPeers{gateways: make(map[string]*Gateway)}}
+	f := &crashFleet{endpoints: newCrashingEndpoints(), store: &endpointLog{}, saved: &savedParts{}, peers: &directPeers{gateways: make(map[string]*Gateway)}}
 	for i := range endpoints {
 		f.store.put(fmt.Sprint("e", i), 1)
 	}
@@ -273,7 +318,7 @@
 	address := fmt.Sprint("h", i)
 	g := New(Options{
 		Host: model.HostID(address), Domain: "north", PeerAddress: address, Seeds: []string{"h0"}, Seed: uint64(i),
-		Lists: f.store, Decoder: endpointDecoder{}, ListReadInterval: time.Second, Endpoints: f.endpoints, Peers: f.peers, Warm: true,
+		Lists: f.store, Decoder: endpointDecoder{}, Quarantine: f.saved, ListReadInterval: time.Second, Endpoints: f.endpoints, Peers: f.peers, Warm: true,
 		MinDigestInterval: 40 * time.Millisecond, Budget: attempt.SharedBudgetOptions{Window: 10 * time.Second, Ratio: 0.2, Slack: 50},
 		Log: &log.Logger{Handler: discard.New()},
 	})
@@ -438,3 +483,26 @@
 		must.Eq(t, 1, f.gateways[1].countQuarantined())
 	})
 }
+
+// After all hosts were down, a part in quarantine crashes no endpoint again, although the store fails for a while.
+func TestQuarantineOutlivesAllHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFleet(3, 12)
+		defer f.close()
+		crashing := func(int) []model.PartID { return []model.PartID{commonPart, crashPart} }
+		f.play(10*time.Second, 400*time.Millisecond, crashing)
+		crashes := len(f.endpoints.crashes)
+		must.MapLen(t, 1, f.saved.parts)
+		for i := range f.gateways {
+			f.gateways[i].Close()
+		}
+		f.saved.failures = 3
+		for i := range f.gateways {
+			f.gateways[i] = f.newGateway(i)
+			f.gateways[i].Start()
+		}
+		time.Sleep(2 * time.Second)
+		f.play(10*time.Second, 400*time.Millisecond, crashing)
+		must.Eq(t, crashes, len(f.endpoints.crashes))
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,9 @@
 	// Lists reads the platform's lists; Decoder decodes their values.
 	Lists   port.ListReader
 	Decoder port.ListDecoder
+	// Quarantine keeps parts of prompts that crash endpoints while no host runs; nil to
+	// keep them in memory only.
+	Quarantine port.QuarantineStore
 	// ListReadInterval is the time between reads of the list of endpoints.
 	ListReadInterval time.Duration
 	// Peers sends load digests to other hosts and fetches from them; nil for a
@@ -112,6 +115,7 @@
 	g.workers.Go(func() { g.loop.Run(g.ctx, tickInterval, g.control.tick) })
 	g.workers.Go(func() { g.followConfig(g.ctx) })
 	g.workers.Go(func() { g.followEndpoints(g.ctx) })
+	g.workers.Go(func() { g.loadQuarantine(g.ctx) })
 	g.Configure(g.opts.Budget, g.opts.Seeds)
 }
 
--- /dev/null
+++ b/internal/gateway/quarantinestore.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/clock"
+	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
+	"github.com/wigeonsail/wigeonsail/internal/loop"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+// The quarantine in the platform's store. Hosts learn it from each other; the store is
+// for the time after all of them were down. It is read once by a host that starts, and
+// written by the host whose crash or response changes the quarantine.
+
+const (
+	// minStoreRetryDelay and maxStoreRetryDelay bound the delay between tries of a read
+	// or write that fails.
+	minStoreRetryDelay = 500 * time.Millisecond
+	maxStoreRetryDelay = 5 * time.Second
+	// maxStoreWrites bounds the tries of a write.
+	maxStoreWrites = 20
+)
+
+// loadQuarantine reads the parts in quarantine from the store, and passes them to the
+// control loop. It tries until the store answers or ctx ends.
+func (g *Gateway) loadQuarantine(ctx context.Context) {
+	if g.opts.Quarantine == nil {
+		return
+	}
+	for delay := time.Duration(0); clock.Sleep(ctx, delay); delay = nextStoreDelay(delay) {
+		parts, err := g.opts.Quarantine.QuarantinedParts(ctx)
+		if err != nil {
+			g.opts.Log.WithError(err).Warn("quarantine: reading the store failed")
+			continue
+		}
+		if len(parts) > 0 {
+			g.loop.Post(loop.Func(func(now time.Time) { g.control.adoptQuarantine(now, parts) }))
+		}
+		return
+	}
+}
+
+// nextStoreDelay returns the delay after one that was too short.
+func nextStoreDelay(delay time.Duration) time.Duration {
+	return min(max(2*delay, minStoreRetryDelay), maxStoreRetryDelay)
+}
+
+// adoptQuarantine applies the parts that the store has.
+func (c *control) adoptQuarantine(now time.Time, parts []port.QuarantinedPart) {
+	var report quarantine.Report
+	for _, p := range parts {
+		// The clock may have been ahead when the part was saved.
+		age := max(now.Sub(p.At), 0)
+		report.Quarantined = append(report.Quarantined, quarantine.PartState{Part: p.Part, At: now.Add(-age)})
+	}
+	changes, _ := c.quarantine.Merge(now, report)
+	c.applyQuarantineChanges(changes, sourceStore)
+}
+
+// saveQuarantine writes changes of the quarantine to the store in the background.
+func (g *Gateway) saveQuarantine(changes []quarantine.Change) {
+	if g.opts.Quarantine == nil {
+		return
+	}
+	for _, change := range changes {
+		g.background(func(ctx context.Context) { g.saveChange(ctx, change) })
+	}
+}
+
+// saveChange writes one change, again after failures.
+func (g *Gateway) saveChange(ctx context.Context, change quarantine.Change) {
+	delay := time.Duration(0)
+	for range maxStoreWrites {
+		if !clock.Sleep(ctx, delay) {
+			return
+		}
+		var err error
+		if change.Quarantined {
+			err = g.opts.Quarantine.SavePart(ctx, port.QuarantinedPart{Part: change.Part, At: change.At})
+		} else {
+			err = g.opts.Quarantine.ReleasePart(ctx, change.Part)
+		}
+		if err == nil {
+			return
+		}
+		g.opts.Log.WithError(err).WithField("part", change.Part).Warn("quarantine: writing to the store failed")
+		delay = nextStoreDelay(delay)
+	}
+}
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -154,6 +154,23 @@
 	Events int
 }
 
+// QuarantinedPart is a part of prompts that crashes endpoints.
+type QuarantinedPart struct {
+	Part model.PartID
+	// At is the time of the crash that put it into quarantine.
+	At time.Time
+}
+
+// QuarantineStore keeps the parts of prompts in quarantine while no host runs. Errors are
+// *PlatformError.
+type QuarantineStore interface {
+	// QuarantinedParts returns the parts that were saved and not released since.
+	QuarantinedParts(ctx context.Context) ([]QuarantinedPart, error)
+	// SavePart saves a part, ReleasePart removes it. Both may be repeated.
+	SavePart(ctx context.Context, part QuarantinedPart) error
+	ReleasePart(ctx context.Context, part model.PartID) error
+}
+
 // Topic identifies one of the platform's lists, each of which is a compacted
 // log of keyed records.
 type Topic uint8
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -73,6 +73,7 @@
 		Endpoints:         g.replicas,
 		Lists:             g.store,
 		Decoder:           platform.Decoder{},
+		Quarantine:        g.store,
 		ListReadInterval:  s.Platform.ListEvery.Std(),
 		Peers:             peerClient,
 		PeerAddress:       listeners[listenPeers].Addr().String(),
