Test of limited endpoints: wait until the other host serves requests

Traced: it waited until that host sends nothing to the limited endpoint, which is also true while the host does not list the other endpoint yet and refuses. The bounds stay as they are.

--- a/internal/server/gateway_limit_test.go
+++ b/internal/server/gateway_limit_test.go
@@ -24,7 +24,9 @@
 	f.eventually(func() bool {
 		before := len(limited.Executions())
 		for range 5 {
-			f.postConfirm(other)
+			if f.postConfirm(other).status != http.StatusOK {
+				return false
+			}
 		}
 		return len(limited.Executions()) == before
 	})
