Count crashes at different moments as evidence, however long their prompts were read

What callers would see: with prompts that endpoints read for seconds before they begin to answer, up to seven requests that crash endpoints reach them later than 3 s after the fifth crash, where three are allowed.

Cause: a crash counted only if its request was sent after the crash before, so that one round of evidence took as long as a prompt is read, while others crashed endpoints.

Change: crashes 250 ms apart count. What the order of sending protected from, a failure domain whose endpoints fail one after the other, is left to the answers of other endpoints, which clear parts, and to leaving out endpoints that are silent rather than crashed: they may be cut off, and are given up at different moments.

--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -251,7 +251,7 @@
 }
 
 func crashToWire(c port.CrashReport) *peer.CrashReport {
-	out := &peer.CrashReport{Id: c.ID, Endpoint: instanceToWire(c.Endpoint), SentAgeMs: c.SentAge.Milliseconds(), AgeMs: c.Age.Milliseconds()}
+	out := &peer.CrashReport{Id: c.ID, Endpoint: instanceToWire(c.Endpoint), AgeMs: c.Age.Milliseconds()}
 	for _, part := range c.Parts {
 		out.Parts = append(out.Parts, uint64(part))
 	}
@@ -259,7 +259,7 @@
 }
 
 func crashFromWire(c *peer.CrashReport) port.CrashReport {
-	out := port.CrashReport{ID: c.GetId(), Endpoint: instanceFromWire(c.GetEndpoint()), SentAge: ageFromWire(c.GetSentAgeMs()), Age: ageFromWire(c.GetAgeMs())}
+	out := port.CrashReport{ID: c.GetId(), Endpoint: instanceFromWire(c.GetEndpoint()), Age: ageFromWire(c.GetAgeMs())}
 	for _, part := range c.GetParts() {
 		out.Parts = append(out.Parts, model.PartID(part))
 	}
--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -10,7 +10,7 @@
 // evidence is what the crashes that no quarantined part explains say about one part.
 type evidence struct {
 	part model.PartID
-	// crashes is the number of crashes one after the other, the last of them at last.
+	// crashes is the number of crashes at different moments, the last of them at last.
 	crashes int
 	last    time.Time
 	// index is the highest index of the part in a prompt.
@@ -89,7 +89,7 @@
 			continue
 		}
 		e.index = max(e.index, slices.Index(c.Parts, part))
-		if e.crashes > 0 && c.SentAt.Sub(e.last) < separation {
+		if e.crashes > 0 && c.At.Sub(e.last) < separation {
 			continue
 		}
 		endpoints[c.Endpoint] = true
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -8,9 +8,8 @@
 //  1. A crash report names the shared parts of a request that an endpoint had not begun
 //     to answer when it crashed. Any of them may be the cause, or none.
 //  2. A request that an endpoint begins to answer clears its parts of all crashes before.
-//  3. A part is quarantined once crashes of several endpoints, each by a request that was
-//     sent after the crash before, have it in common and it is not cleared. Endpoints
-//     that fail together count once.
+//  3. A part is quarantined once crashes of several endpoints, at different moments,
+//     have it in common and it is not cleared. Endpoints that fail together count once.
 //  4. A quarantined part explains the crashes that it is named in, so that they are no
 //     evidence against other parts.
 package quarantine
@@ -23,12 +22,12 @@
 )
 
 const (
-	// crashesToQuarantine is the number of crashes, one after the other, from which on
-	// a part counts as their cause.
+	// crashesToQuarantine is the number of crashes at different moments from which on a
+	// part counts as their cause.
 	crashesToQuarantine = 3
-	// separation is the time after a crash from which on a request counts as sent after
-	// it. Times of other hosts are not exact, and the endpoints of a failure domain do
-	// not all fail at the same moment.
+	// separation is the time between crashes from which on they count as two. Times of
+	// other hosts are not exact, and the endpoints of a failure domain do not all fail at
+	// the same moment.
 	separation = 250 * time.Millisecond
 	// crashMemory is how long a crash is evidence.
 	crashMemory = 2 * time.Minute
@@ -50,8 +49,8 @@
 	Endpoint model.Instance
 	// Parts are the shared parts of the prompt, in order.
 	Parts []model.PartID
-	// SentAt is when the request was sent to the endpoint, At when the endpoint crashed.
-	SentAt, At time.Time
+	// At is when the endpoint crashed.
+	At time.Time
 }
 
 // PartState is when something became known of a part.
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -23,15 +23,16 @@
 
 // reportIfCrashed records a request whose endpoint has crashed before it began to answer
 // it. A broken response alone is no crash: the endpoint must refuse connections as well.
-func (x *exchange) reportIfCrashed(d balance.Decision, result attemptResult, sentAt time.Time) {
+// One that is silent may be cut off.
+func (x *exchange) reportIfCrashed(d balance.Decision, result attemptResult) {
 	parts := x.req.Prompt.SharedPartIDs()
-	if result.failure != balance.FailureBroken || result.events >= minProgressEvents || len(parts) == 0 {
+	if result.failure != balance.FailureBroken || result.silent || result.events >= minProgressEvents || len(parts) == 0 {
 		return
 	}
 	g := x.gateway
 	crash := quarantine.Crash{
 		ID:       xxhash.Sum64String(string(g.opts.Host) + "/" + strconv.FormatUint(uint64(g.opts.Incarnation), 10) + "/" + string(x.req.ID)),
-		Endpoint: model.Instance{Name: d.Endpoint, Started: d.Started}, Parts: parts, SentAt: sentAt, At: time.Now(),
+		Endpoint: model.Instance{Name: d.Endpoint, Started: d.Started}, Parts: parts, At: time.Now(),
 	}
 	g.background(func(ctx context.Context) {
 		if err := g.opts.Endpoints.Probe(ctx, d.Endpoint, d.Address); err == nil || ctx.Err() != nil {
@@ -112,7 +113,7 @@
 	report := c.quarantine.Report(now)
 	for _, crash := range report.Crashes {
 		d.Crashes = append(d.Crashes, port.CrashReport{
-			ID: crash.ID, Endpoint: crash.Endpoint, Parts: crash.Parts, SentAge: now.Sub(crash.SentAt), Age: now.Sub(crash.At),
+			ID: crash.ID, Endpoint: crash.Endpoint, Parts: crash.Parts, Age: now.Sub(crash.At),
 		})
 	}
 	d.QuarantinedParts = partAges(now, report.Quarantined)
@@ -134,7 +135,7 @@
 	at := func(age time.Duration) time.Time { return now.Add(-age - readAgePerHop) }
 	var out quarantine.Report
 	for _, c := range d.Crashes {
-		out.Crashes = append(out.Crashes, quarantine.Crash{ID: c.ID, Endpoint: c.Endpoint, Parts: c.Parts, SentAt: at(c.SentAge), At: at(c.Age)})
+		out.Crashes = append(out.Crashes, quarantine.Crash{ID: c.ID, Endpoint: c.Endpoint, Parts: c.Parts, At: at(c.Age)})
 	}
 	for _, p := range d.QuarantinedParts {
 		out.Quarantined = append(out.Quarantined, quarantine.PartState{Part: p.Part, At: at(p.Age)})
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -62,7 +62,7 @@
 
 // logCrash logs a request under which an endpoint has crashed.
 func logCrash(logger log.Interface, c quarantine.Crash) {
-	logger.WithFields(fields{"endpoint": c.Endpoint.Name, "parts": c.Parts, "sent_ms": c.At.Sub(c.SentAt).Milliseconds()}).Warn("endpoints: crashed before an answer")
+	logger.WithFields(fields{"endpoint": c.Endpoint.Name, "parts": c.Parts}).Warn("endpoints: crashed before an answer")
 }
 
 // logQuarantine logs that a part of prompts enters or leaves the quarantine.
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -171,8 +171,10 @@
 	retryAfter time.Duration
 	// final reports that another endpoint would give the same response.
 	final bool
-	// events is the number of events that the endpoint has sent.
+	// events is the number of events that the endpoint has sent, silent reports that it
+	// was given up because it sent nothing more.
 	events int
+	silent bool
 	err    error
 }
 
@@ -193,11 +195,10 @@
 		if decision.IsRefused() {
 			return x.fail(ctx, attemptResult{outcome: model.OutcomeNotRun, err: &noEndpointError{decision: decision}})
 		}
-		sentAt := time.Now()
 		result := x.tryEndpoint(ctx, decision)
 		x.gateway.finish(x.req.ID, balance.Result{Failure: result.failure, RetryAfter: result.retryAfter})
 		x.logAttemptFailed(decision, result)
-		x.reportIfCrashed(decision, result, sentAt)
+		x.reportIfCrashed(decision, result)
 		if result.answered {
 			x.logAnswered()
 			return true
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -207,7 +207,8 @@
 		}
 	}
 	cause := context.Cause(ctx)
-	if cause != nil && !errors.Is(cause, errSilent) {
+	result.silent = errors.Is(cause, errSilent)
+	if cause != nil && !result.silent {
 		// The caller has left or the time limit has passed: this is no evidence
 		// against the endpoint.
 		result.failure = balance.FailureNone
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -26,8 +26,8 @@
 	Endpoint model.Instance
 	// Parts are the shared parts of the prompt, in order.
 	Parts []model.PartID
-	// SentAge is the time since the request was sent, Age that since the crash.
-	SentAge, Age time.Duration
+	// Age is the time since the crash.
+	Age time.Duration
 }
 
 // PartAge is the time since something became known of a part of a prompt.
