Find the cause behind a part that was blamed for its crashes

What callers would see: with routes whose streams may be resumed, where each request has a part that no other has behind the one that crashes endpoints, five requests reach endpoints later than 3 s after the fifth crash, where three are allowed, and each further request crashes three.

Cause: the three attempts of one request crash three endpoints, and have both parts in common. The last part was blamed, and all crashes that it explains were dropped as evidence, so the cause began at nothing with the next request.

Change: crashes that a blamed part explains still count against the parts that came with it, as soon as one crash is not explained. Requests that were merely at such an endpoint are left out as before. The number of crashes that are kept is halved, since the evidence is weighed with each.

--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -7,12 +7,14 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
 
-// evidence is what the crashes that no quarantined part explains say about one part.
+// evidence is what crashes say about one part.
 type evidence struct {
 	part model.PartID
 	// crashes is the number of crashes at different moments, the last of them at last.
 	crashes int
 	last    time.Time
+	// unexplained reports that a part in quarantine does not explain all of them.
+	unexplained bool
 	// index is the highest index of the part in a prompt.
 	index int
 }
@@ -31,38 +33,43 @@
 	return changes
 }
 
-// strongest returns the strongest evidence against a part. Among parts that always come
-// together, the last one is blamed, so that the fewest requests are affected.
+// strongest returns the strongest evidence against a part that is not in quarantine.
+// Among parts that always come together, the last one is blamed first, so that the fewest
+// requests are affected; the others follow with the first crash that it does not explain.
 func (s *State) strongest() evidence {
-	unexplained := s.unexplained()
+	crashes, explained := s.explain()
 	var best evidence
-	for _, part := range partsOf(unexplained) {
-		e := s.weigh(part, unexplained)
-		if e.crashes > best.crashes || e.crashes == best.crashes && e.index > best.index {
+	for _, part := range partsOf(crashes) {
+		e := s.weigh(part, crashes, explained)
+		if e.unexplained && (e.crashes > best.crashes || e.crashes == best.crashes && e.index > best.index) {
 			best = e
 		}
 	}
 	return best
 }
 
-// unexplained returns the crashes of endpoints under which no request had a part that is
-// in quarantine, in the order of their times.
-func (s *State) unexplained() []Crash {
+// explain returns the crashes in the order of their times, and the endpoints whose crash
+// a part in quarantine explains. It leaves out the other requests at these endpoints.
+func (s *State) explain() ([]Crash, map[model.Instance]bool) {
 	explained := make(map[model.Instance]bool)
 	for _, c := range s.crashes {
-		isQuarantined := func(part model.PartID) bool { _, found := s.quarantined[part]; return found }
-		if slices.ContainsFunc(c.Parts, isQuarantined) {
+		if s.hasQuarantined(c) {
 			explained[c.Endpoint] = true
 		}
 	}
 	var out []Crash
 	for _, c := range s.crashes {
-		if !explained[c.Endpoint] {
+		if !explained[c.Endpoint] || s.hasQuarantined(c) {
 			out = append(out, c)
 		}
 	}
 	slices.SortStableFunc(out, func(a, b Crash) int { return a.At.Compare(b.At) })
-	return out
+	return out, explained
+}
+
+// hasQuarantined reports whether a crash names a part that is in quarantine.
+func (s *State) hasQuarantined(c Crash) bool {
+	return slices.ContainsFunc(c.Parts, func(part model.PartID) bool { _, found := s.quarantined[part]; return found })
 }
 
 // partsOf returns the parts that crashes name, each once.
@@ -81,7 +88,7 @@
 }
 
 // weigh returns the evidence of crashes, in the order of their times, against a part.
-func (s *State) weigh(part model.PartID, crashes []Crash) evidence {
+func (s *State) weigh(part model.PartID, crashes []Crash, explained map[model.Instance]bool) evidence {
 	e := evidence{part: part}
 	endpoints := make(map[model.Instance]bool)
 	for _, c := range crashes {
@@ -89,6 +96,7 @@
 			continue
 		}
 		e.index = max(e.index, slices.Index(c.Parts, part))
+		e.unexplained = e.unexplained || !explained[c.Endpoint]
 		if e.crashes > 0 && c.At.Sub(e.last) < separation {
 			continue
 		}
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -10,7 +10,7 @@
 //  2. A request that an endpoint begins to answer clears its parts of all crashes before.
 //  3. A part is quarantined once crashes of several endpoints, at different moments,
 //     have it in common and it is not cleared. Endpoints that fail together count once.
-//  4. A quarantined part explains the crashes that it is named in, so that they are no
+//  4. A quarantined part explains the crashes that it is named in. Alone, they are no
 //     evidence against other parts.
 package quarantine
 
@@ -37,7 +37,7 @@
 	// exceeds the longest time between two digests.
 	reportTime = 5 * time.Second
 	// maxCrashes, maxParts and maxPartsPerCrash bound what is kept and reported.
-	maxCrashes       = 128
+	maxCrashes       = 64
 	maxParts         = 256
 	maxPartsPerCrash = 32
 )
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -25,8 +25,11 @@
 // it. A broken response alone is no crash: the endpoint must refuse connections as well.
 // One that is silent may be cut off.
 func (x *exchange) reportIfCrashed(d balance.Decision, result attemptResult) {
+	if result.failure != balance.FailureBroken || result.silent || result.events >= minProgressEvents {
+		return
+	}
 	parts := x.req.Prompt.SharedPartIDs()
-	if result.failure != balance.FailureBroken || result.silent || result.events >= minProgressEvents || len(parts) == 0 {
+	if len(parts) == 0 {
 		return
 	}
 	g := x.gateway
