Test endpoints crash once at a moment

TestPromptPartThatCrashesEndpointsIsNotSentOn panicked once: two requests that end an endpoint at the same instant closed its channel twice, in the test's own endpoints.

--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -88,6 +88,10 @@
 func (e *crashingEndpoints) crash(name model.EndpointName) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.crashed[name] == nil {
+		// Another request has crashed it at the same moment.
+		return
+	}
 	e.crashes = append(e.crashes, time.Now())
 	e.downUntil[name] = time.Now().Add(crashDowntime)
 	close(e.crashed[name])
