Log the fingerprint of requests

A fingerprint stands for host, method, URI, client account and body, so that the logs show whether requests under which endpoints crash are the same. It is in the lines "request: placed" and "request: attempt failed".

--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -106,7 +106,7 @@
 		"request": x.call.ID, "route": x.route.Name, "pool": x.req.Pool, "account": x.account,
 		"config": x.version, "try": x.delivered + x.unreachable + 1, "tier": x.req.Tier, "rank": x.req.Rank,
 		"prompt": x.req.Prompt.InputTokens, "shared": x.req.Prompt.SharedPrefixTokens(),
-		"left_ms": time.Until(x.deadline).Milliseconds(),
+		"left_ms": time.Until(x.deadline).Milliseconds(), "fingerprint": x.fingerprint,
 	}
 	if d.IsRefused() {
 		f["reason"] = string(d.Reason)
@@ -142,7 +142,7 @@
 		"failure": failureName(result.failure), "events": x.eventsSent, "attempt_events": result.events, "age_ms": x.ageMS(),
 	})
 	if result.failure == balance.FailureBroken {
-		entry = entry.WithField("parts", x.req.Prompt.SharedPartIDs())
+		entry = entry.WithFields(fields{"fingerprint": x.fingerprint, "parts": x.req.Prompt.SharedPartIDs()})
 	}
 	if result.err != nil {
 		entry = entry.WithError(result.err)
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -44,6 +44,8 @@
 	// deadline is when the caller stops waiting for the response.
 	deadline time.Time
 	req      balance.Request
+	// fingerprint identifies the content of the request.
+	fingerprint model.Fingerprint
 
 	// delivered counts the attempts that reached an endpoint, possibleRuns
 	// those that may have run, and unreachable those that reached no endpoint.
@@ -113,6 +115,7 @@
 			}
 		}
 	}
+	x.fingerprint = model.NewFingerprint(call.Host, call.Method, call.URI, x.account, call.Body)
 	x.req = balance.Request{
 		Pool:    route.PickPool(g.rng.fraction()),
 		Prompt:  call.Prompt,
