--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -166,7 +166,7 @@
 }
 
 func loadDigestToWire(d port.LoadDigest) *peer.LoadDigest {
-	return &peer.LoadDigest{
+	out := &peer.LoadDigest{
 		Host:             string(d.Host),
 		Incarnation:      uint64(d.Incarnation),
 		Domain:           string(d.Domain),
@@ -181,8 +181,6 @@
 		ReadFailing:      d.ListReadFailing,
 		Limits:           convert(d.Limits, endpointLimitToWire),
 		Crashes:          convert(d.Crashes, crashToWire),
-		QuarantinedParts: convert(d.QuarantinedParts, partAgeToWire),
-		ClearedParts:     convert(d.ClearedParts, partAgeToWire),
 		Loads:            convert(d.Loads, endpointLoadToWire),
 		Hosts:            convert(d.Hosts, hostInfoToWire),
 		Subscribes:       d.Subscribes,
@@ -195,6 +193,9 @@
 		Changes:          changesToWire(d.Changes),
 		Domains:          convert(d.Domains, domainLoadToWire),
 	}
+	out.QuarantinedParts, out.SuspectedRequests = suspectsToWire(d.Suspects)
+	out.ClearedParts, out.ClearedRequests = suspectsToWire(d.ClearedSuspects)
+	return out
 }
 
 func loadDigestFromWire(d *peer.LoadDigest) port.LoadDigest {
@@ -212,8 +213,8 @@
 		ListReadFailing:  d.GetReadFailing(),
 		Limits:           convert(d.GetLimits(), endpointLimitFromWire),
 		Crashes:          convert(d.GetCrashes(), crashFromWire),
-		QuarantinedParts: convert(d.GetQuarantinedParts(), partAgeFromWire),
-		ClearedParts:     convert(d.GetClearedParts(), partAgeFromWire),
+		Suspects:         suspectsFromWire(d.GetQuarantinedParts(), d.GetSuspectedRequests()),
+		ClearedSuspects:  suspectsFromWire(d.GetClearedParts(), d.GetClearedRequests()),
 		Loads:            convert(d.GetLoads(), endpointLoadFromWire),
 		Hosts:            convert(d.GetHosts(), hostInfoFromWire),
 		Subscribes:       d.GetSubscribes(),
@@ -250,30 +251,6 @@
 	}
 }
 
-func crashToWire(c port.CrashReport) *peer.CrashReport {
-	out := &peer.CrashReport{Id: c.ID, Endpoint: instanceToWire(c.Endpoint), AgeMs: c.Age.Milliseconds()}
-	for _, part := range c.Parts {
-		out.Parts = append(out.Parts, uint64(part))
-	}
-	return out
-}
-
-func crashFromWire(c *peer.CrashReport) port.CrashReport {
-	out := port.CrashReport{ID: c.GetId(), Endpoint: instanceFromWire(c.GetEndpoint()), Age: ageFromWire(c.GetAgeMs())}
-	for _, part := range c.GetParts() {
-		out.Parts = append(out.Parts, model.PartID(part))
-	}
-	return out
-}
-
-func partAgeToWire(p port.PartAge) *peer.PartAge {
-	return &peer.PartAge{Part: uint64(p.Part), AgeMs: p.Age.Milliseconds()}
-}
-
-func partAgeFromWire(p *peer.PartAge) port.PartAge {
-	return port.PartAge{Part: model.PartID(p.GetPart()), Age: ageFromWire(p.GetAgeMs())}
-}
-
 // ageFromWire returns an age, which is never negative.
 func ageFromWire(ms int64) time.Duration { return time.Duration(max(ms, 0)) * time.Millisecond }
 
--- a/internal/adapter/peergrpc/share_test.go
+++ b/internal/adapter/peergrpc/share_test.go
@@ -8,16 +8,21 @@
 
 	"github.com/wigeonsail/wigeonsail/internal/core/directory"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
 func TestCrashReportsAreKeptWhole(t *testing.T) {
 	want := port.CrashReport{
 		ID: 1 << 63, Endpoint: model.Instance{Name: "e", Started: 9}, Parts: []model.PartID{3, 1 << 62}, Age: time.Second,
+		Request: 1 << 61, Generation: 2,
 	}
 	must.Eq(t, want, crashFromWire(crashToWire(want)))
-	part := port.PartAge{Part: 1 << 63, Age: time.Minute}
-	must.Eq(t, part, partAgeFromWire(partAgeToWire(part)))
+	suspects := []port.SuspectAge{
+		{Suspect: quarantine.Part(1 << 63), Crashes: quarantine.CrashesToQuarantine, Age: time.Minute},
+		{Suspect: quarantine.Request(1 << 62), Crashes: 2, Age: time.Second},
+	}
+	must.Eq(t, suspects, suspectsFromWire(suspectsToWire(suspects)))
 }
 
 func TestListChangesKeepTheirOffsets(t *testing.T) {
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -85,8 +85,11 @@
 	// ReasonLimit means that the limits that endpoints have stated leave nothing for
 	// this host at present.
 	ReasonLimit Reason = "request_limit"
-	// ReasonQuarantine means that the prompt has a part that crashes endpoints.
+	// ReasonQuarantine means that the request, or a part of its prompt, crashes endpoints.
 	ReasonQuarantine Reason = "quarantine"
+	// ReasonSuspended means that endpoints have crashed under the request, and that one
+	// host at a time may send it.
+	ReasonSuspended Reason = "suspended"
 	// ReasonTooLarge means that the prompt exceeds the cache of every endpoint.
 	ReasonTooLarge Reason = "too_large"
 )
@@ -118,11 +121,9 @@
 	// number of tokens that the request itself adds.
 	QueuedPrefill [NumPriorities]int
 	OwnPrefill    int
-	// Reason and RetryAfter are set for a refusal, Part for one because of a part of
-	// the prompt.
+	// Reason and RetryAfter are set for a refusal.
 	Reason     Reason
 	RetryAfter time.Duration
-	Part       model.PartID
 }
 
 // IsRefused reports whether the request was refused.
--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -7,59 +7,66 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
 
-// evidence is what crashes say about one part.
-type evidence struct {
-	part model.PartID
-	// crashes is the number of crashes at different moments, the last of them at last.
-	crashes int
-	last    time.Time
-	// unexplained reports that a part in quarantine does not explain all of them.
+// weighed is what crashes say about one suspect.
+type weighed struct {
+	suspect Suspect
+	// Evidence are the crashes at different moments.
+	Evidence
+	// unexplained reports that a suspect in quarantine does not explain all of them.
 	unexplained bool
-	// index is the highest index of the part in a prompt.
+	// index is the highest index of a part in a prompt.
 	index int
 }
 
-// evaluate puts the parts into quarantine that crashes point to.
-func (s *State) evaluate() []Change {
+// evaluate puts the suspects into quarantine that crashes point to, and suspends the
+// requests with less evidence. Only those change that the crashes added since name.
+func (s *State) evaluate(now time.Time, added []Crash) []Change {
 	var changes []Change
-	for len(s.quarantined) < maxParts {
-		found := s.strongest()
-		if found.crashes < crashesToQuarantine {
-			break
+	for len(s.suspects) < maxSuspects {
+		found := s.strongest(now, added)
+		if !found.IsQuarantined() {
+			return append(changes, s.suspend(now, added)...)
 		}
-		s.quarantined[found.part] = found.last
-		changes = append(changes, Change{Part: found.part, Quarantined: true, At: found.last})
+		s.suspects[found.suspect] = found.Evidence
+		changes = append(changes, Change{Suspect: found.suspect, Evidence: found.Evidence})
 	}
 	return changes
 }
 
-// strongest returns the strongest evidence against a part that is not in quarantine.
-// Among parts that always come together, the last one is blamed first, so that the fewest
-// requests are affected; the others follow with the first crash that it does not explain.
-func (s *State) strongest() evidence {
+// strongest returns the strongest evidence against a suspect that is not in quarantine,
+// of those that the added crashes name. Whole requests are blamed before parts and, among
+// parts that always come together, the last one first, so that the fewest requests are
+// affected. The others follow with the first crash that it does not explain.
+func (s *State) strongest(now time.Time, added []Crash) weighed {
 	crashes, explained := s.explain()
-	var best evidence
-	for _, part := range partsOf(crashes) {
-		e := s.weigh(part, crashes, explained)
-		if e.unexplained && (e.crashes > best.crashes || e.crashes == best.crashes && e.index > best.index) {
-			best = e
+	var best weighed
+	for _, part := range partsOf(added) {
+		w := s.weighPart(now, part, crashes, explained)
+		if w.unexplained && (w.Crashes > best.Crashes || w.Crashes == best.Crashes && w.index > best.index) {
+			best = w
+		}
+	}
+	for _, request := range requestsOf(added) {
+		w := s.weighRequest(request, explained)
+		if w.unexplained && !s.suspects[w.suspect].IsQuarantined() && w.Crashes >= best.Crashes {
+			best = w
 		}
 	}
 	return best
 }
 
 // explain returns the crashes in the order of their times, and the endpoints whose crash
-// a part in quarantine explains. It leaves out the other requests at these endpoints.
+// a suspect in quarantine explains. It leaves out the other requests at these endpoints.
 func (s *State) explain() ([]Crash, map[model.Instance]bool) {
 	explained := make(map[model.Instance]bool)
 	for _, c := range s.crashes {
-		if s.hasQuarantined(c) {
+		if s.namesQuarantined(c) {
 			explained[c.Endpoint] = true
 		}
 	}
 	var out []Crash
 	for _, c := range s.crashes {
-		if !explained[c.Endpoint] || s.hasQuarantined(c) {
+		if !explained[c.Endpoint] || s.namesQuarantined(c) {
 			out = append(out, c)
 		}
 	}
@@ -67,9 +74,12 @@
 	return out, explained
 }
 
-// hasQuarantined reports whether a crash names a part that is in quarantine.
-func (s *State) hasQuarantined(c Crash) bool {
-	return slices.ContainsFunc(c.Parts, func(part model.PartID) bool { _, found := s.quarantined[part]; return found })
+// namesQuarantined reports whether a crash names a suspect that is in quarantine.
+func (s *State) namesQuarantined(c Crash) bool {
+	if s.suspects[Request(c.Request)].IsQuarantined() {
+		return true
+	}
+	return slices.ContainsFunc(c.Parts, func(part model.PartID) bool { return s.suspects[Part(part)].IsQuarantined() })
 }
 
 // partsOf returns the parts that crashes name, each once.
@@ -87,22 +97,56 @@
 	return out
 }
 
-// weigh returns the evidence of crashes, in the order of their times, against a part.
-func (s *State) weigh(part model.PartID, crashes []Crash, explained map[model.Instance]bool) evidence {
-	e := evidence{part: part}
-	endpoints := make(map[model.Instance]bool)
+// weighPart returns the evidence of crashes, in the order of their times, against a part.
+func (s *State) weighPart(now time.Time, part model.PartID, crashes []Crash, explained map[model.Instance]bool) weighed {
+	w := weighed{suspect: Part(part)}
+	m := newMoments()
+	requests := make(map[model.Fingerprint]bool)
 	for _, c := range crashes {
-		if !s.isEvidence(c, part) || endpoints[c.Endpoint] {
+		if !s.isEvidence(c, w.suspect) || m.has(c.Endpoint) || now.Sub(c.At) > partMemory {
 			continue
 		}
-		e.index = max(e.index, slices.Index(c.Parts, part))
-		e.unexplained = e.unexplained || !explained[c.Endpoint]
-		if e.crashes > 0 && c.At.Sub(e.last) < separation {
-			continue
-		}
-		endpoints[c.Endpoint] = true
-		e.crashes++
-		e.last = c.At
+		requests[c.Request] = true
+		w.index = max(w.index, slices.Index(c.Parts, part))
+		w.unexplained = w.unexplained || !explained[c.Endpoint]
+		m.add(c)
+	}
+	w.Evidence = Evidence{Crashes: m.count, At: m.last}
+	// Several requests that crash endpoints, and have the part in common, are no
+	// explanation for each other.
+	w.unexplained = w.unexplained || len(requests) > 1 && !s.hasQuarantinedPart(crashes, w.suspect)
+	return w
+}
+
+// hasQuarantinedPart reports whether a crash that names a suspect names a part in
+// quarantine.
+func (s *State) hasQuarantinedPart(crashes []Crash, suspect Suspect) bool {
+	return slices.ContainsFunc(crashes, func(c Crash) bool {
+		return c.names(suspect) && slices.ContainsFunc(c.Parts, func(part model.PartID) bool {
+			return s.suspects[Part(part)].IsQuarantined()
+		})
+	})
+}
+
+// moments counts crashes at different moments, which are added in the order of their
+// times.
+type moments struct {
+	endpoints map[model.Instance]bool
+	count     int
+	last      time.Time
+}
+
+func newMoments() *moments { return &moments{endpoints: make(map[model.Instance]bool)} }
+
+// has reports whether the crash of an endpoint was counted.
+func (m *moments) has(endpoint model.Instance) bool { return m.endpoints[endpoint] }
+
+// add counts a crash unless it is at the same moment as the one before.
+func (m *moments) add(c Crash) {
+	if m.count > 0 && c.At.Sub(m.last) < separation {
+		return
 	}
-	return e
+	m.endpoints[c.Endpoint] = true
+	m.count++
+	m.last = c.At
 }
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -1,20 +1,25 @@
-// Package quarantine finds parts of prompts that crash endpoints, and decides which
-// requests are not sent to endpoints because of them. It is a state machine without I/O
-// and without a clock.
+// Package quarantine finds requests that crash endpoints, and decides which requests are
+// not sent to endpoints because of them. It is a state machine without I/O and without a
+// clock.
 //
-// One host sees few of the crashes that a part causes, so hosts report crashes to each
-// other:
+// The suspects are shared parts of prompts and whole requests. One host sees few of the
+// crashes that a suspect causes, so hosts report crashes to each other:
 //
-//  1. A crash report names the shared parts of a request that an endpoint had not begun
-//     to answer when it crashed. Any of them may be the cause, or none.
-//  2. A request that an endpoint begins to answer clears its parts of all crashes before.
-//  3. A part is quarantined once crashes of several endpoints, at different moments,
+//  1. A crash report names a request that was in progress at an endpoint when it crashed,
+//     and the shared parts of its prompt unless the endpoint had begun to answer. Any of
+//     them may be the cause, or none.
+//  2. A request that an endpoint begins to answer clears its parts of all crashes before;
+//     one that is answered completely clears itself.
+//  3. A suspect is quarantined once crashes of several endpoints, at different moments,
 //     have it in common and it is not cleared. Endpoints that fail together count once.
-//  4. A quarantined part explains the crashes that it is named in. Alone, they are no
-//     evidence against other parts.
+//  4. A quarantined suspect explains the crashes that it is named in. Alone, they are no
+//     evidence against others.
+//  5. A whole request with less evidence is suspended: one host at a time may send it, to
+//     one endpoint, and the result decides.
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -22,198 +27,310 @@
 )
 
 const (
-	// crashesToQuarantine is the number of crashes at different moments from which on a
-	// part counts as their cause.
-	crashesToQuarantine = 3
+	// CrashesToQuarantine is the number of crashes at different moments from which on a
+	// suspect counts as their cause.
+	CrashesToQuarantine = 3
 	// separation is the time between crashes from which on they count as two. Times of
 	// other hosts are not exact, and the endpoints of a failure domain do not all fail at
 	// the same moment.
 	separation = 250 * time.Millisecond
-	// crashMemory is how long a crash is evidence.
-	crashMemory = 2 * time.Minute
-	// Duration is how long a part stays in quarantine after the crash that put it there.
+	// partMemory is how long a crash is evidence against parts of prompts.
+	partMemory = 2 * time.Minute
+	// Duration is how long a suspect stays in quarantine, or suspended, after the last
+	// crash that is evidence against it, and how long a crash is evidence against a whole
+	// request.
 	Duration = 10 * time.Minute
-	// reportTime is how long crashes and cleared parts are reported to other hosts. It
+	// reportTime is how long crashes and cleared suspects are reported to other hosts. It
 	// exceeds the longest time between two digests.
 	reportTime = 5 * time.Second
-	// maxCrashes, maxParts and maxPartsPerCrash bound what is kept and reported.
-	maxCrashes       = 64
-	maxParts         = 256
-	maxPartsPerCrash = 32
+	// maxCrashes, maxSuspects, maxCleared and maxPartsPerCrash bound what is kept,
+	// maxReportedCrashes and maxReportedCleared what is reported.
+	maxCrashes         = 512
+	maxSuspects        = 256
+	maxCleared         = 1024
+	maxPartsPerCrash   = 32
+	maxReportedCrashes = 64
+	maxReportedCleared = 256
 )
 
-// Crash is a request that an endpoint had not begun to answer when it crashed.
+// Crash is a request that was in progress at an endpoint when it crashed.
 type Crash struct {
-	// ID identifies the request among all hosts.
+	// ID identifies the attempt among all hosts.
 	ID       uint64
 	Endpoint model.Instance
-	// Parts are the shared parts of the prompt, in order.
+	// Parts are the shared parts of the prompt, in order; none if the endpoint had begun
+	// to answer.
 	Parts []model.PartID
+	// Request identifies the content of the request; 0 if it is not known.
+	Request model.Fingerprint
+	// Generation is the number of crashes at different moments by the request, this one
+	// included, that the host knew of when it sent the request.
+	Generation int
 	// At is when the endpoint crashed.
 	At time.Time
 }
 
-// PartState is when something became known of a part.
-type PartState struct {
-	Part model.PartID
-	At   time.Time
+// Evidence is what is known of a suspect.
+type Evidence struct {
+	// Crashes is the number of crashes at different moments. From CrashesToQuarantine on
+	// the suspect is in quarantine, below it is suspended.
+	Crashes int
+	// At is the time of the last of them.
+	At time.Time
+}
+
+// IsQuarantined reports whether the evidence is sufficient for the quarantine.
+func (e Evidence) IsQuarantined() bool { return e.Crashes >= CrashesToQuarantine }
+
+// merge returns the evidence of both.
+func (e Evidence) merge(other Evidence) Evidence {
+	if other.At.After(e.At) {
+		e.At = other.At
+	}
+	e.Crashes = max(e.Crashes, other.Crashes)
+	return e
+}
+
+// SuspectEvidence is the evidence against a suspect.
+type SuspectEvidence struct {
+	Suspect Suspect
+	Evidence
+}
+
+// ClearedSuspect is when a suspect was last cleared.
+type ClearedSuspect struct {
+	Suspect Suspect
+	At      time.Time
 }
 
 // Report is what a host reports to others.
 type Report struct {
 	// Crashes are the crashes of late.
 	Crashes []Crash
-	// Quarantined are the parts in quarantine, with the time of the crash that put them
-	// there.
-	Quarantined []PartState
-	// Cleared are the parts that endpoints have begun to answer of late.
-	Cleared []PartState
+	// Suspects are the suspects that are in quarantine or suspended.
+	Suspects []SuspectEvidence
+	// Cleared are the suspects that were cleared of late.
+	Cleared []ClearedSuspect
 }
 
-// Change is a part that was put into quarantine or taken out of it.
+// Change is a suspect that enters the quarantine, is suspended, or is released.
 type Change struct {
-	Part model.PartID
-	// Quarantined reports whether it was put into quarantine, At is the time of the crash
-	// that put it there.
-	Quarantined bool
-	At          time.Time
+	Suspect Suspect
+	Evidence
+	// Released reports that the suspect is sent to endpoints again.
+	Released bool
 }
 
 // State is what one host knows of crashes. It is not safe for concurrent use.
 type State struct {
-	crashes     []Crash
-	quarantined map[model.PartID]time.Time
-	cleared     map[model.PartID]time.Time
+	crashes []Crash
+	// known holds the IDs of crashes.
+	known    map[uint64]bool
+	suspects map[Suspect]Evidence
+	cleared  map[Suspect]time.Time
 }
 
 // New returns a State that knows of no crashes.
 func New() *State {
-	return &State{quarantined: make(map[model.PartID]time.Time), cleared: make(map[model.PartID]time.Time)}
+	return &State{known: make(map[uint64]bool), suspects: make(map[Suspect]Evidence), cleared: make(map[Suspect]time.Time)}
 }
 
-// IsWatching reports whether there are crashes or quarantined parts, so that responses
-// must be recorded.
-func (s *State) IsWatching() bool { return len(s.crashes) > 0 || len(s.quarantined) > 0 }
+// IsWatching reports whether there are crashes or suspects, so that responses must be
+// recorded.
+func (s *State) IsWatching() bool { return len(s.crashes) > 0 || len(s.suspects) > 0 }
 
-// CountQuarantined returns the number of parts in quarantine.
-func (s *State) CountQuarantined() int { return len(s.quarantined) }
+// Count returns the number of suspects of a kind in quarantine.
+func (s *State) Count(kind Kind) int {
+	count := 0
+	for suspect, e := range s.suspects {
+		if suspect.Kind == kind && e.IsQuarantined() {
+			count++
+		}
+	}
+	return count
+}
 
-// QuarantinedUntil returns the first shared part of a prompt that is in quarantine, and
-// until when. It returns false if there is none.
-func (s *State) QuarantinedUntil(now time.Time, p model.Prompt) (model.PartID, time.Time, bool) {
-	if len(s.quarantined) == 0 {
-		return 0, time.Time{}, false
+// Check returns the evidence against a request for which it is in quarantine or
+// suspended. It returns false if there is none.
+func (s *State) Check(now time.Time, p model.Prompt, f model.Fingerprint) (SuspectEvidence, bool) {
+	if len(s.suspects) == 0 {
+		return SuspectEvidence{}, false
 	}
 	for _, part := range p.SharedParts() {
-		if at, found := s.quarantined[part.ID]; found && now.Before(at.Add(Duration)) {
-			return part.ID, at.Add(Duration), true
+		if e, found := s.current(now, Part(part.ID)); found {
+			return SuspectEvidence{Suspect: Part(part.ID), Evidence: e}, true
 		}
 	}
-	return 0, time.Time{}, false
+	e, found := s.current(now, Request(f))
+	return SuspectEvidence{Suspect: Request(f), Evidence: e}, found
 }
 
-// RecordCrash records a crash and returns the parts that it puts into quarantine. It
-// reports whether the crash is new.
+// current returns the evidence against a suspect unless its time is over.
+func (s *State) current(now time.Time, suspect Suspect) (Evidence, bool) {
+	e, found := s.suspects[suspect]
+	return e, found && now.Before(e.At.Add(Duration))
+}
+
+// RecordCrash records a crash and returns the suspects that it puts into quarantine or
+// suspends. It reports whether the crash is new.
 func (s *State) RecordCrash(now time.Time, c Crash) ([]Change, bool) {
 	if !s.addCrash(now, c) {
 		return nil, false
 	}
-	return s.evaluate(), true
+	return s.evaluate(now, []Crash{c}), true
 }
 
-// addCrash records a crash. It returns false for one that is known, old or without
-// shared parts.
+// addCrash records a crash. It returns false for one that is known, old, or names nothing.
 func (s *State) addCrash(now time.Time, c Crash) bool {
-	known := slices.ContainsFunc(s.crashes, func(other Crash) bool { return other.ID == c.ID })
-	if known || len(c.Parts) == 0 || len(c.Parts) > maxPartsPerCrash || now.Sub(c.At) > crashMemory {
+	if s.known[c.ID] || len(c.Parts) == 0 && c.Request == 0 || len(c.Parts) > maxPartsPerCrash || now.Sub(c.At) > Duration {
 		return false
 	}
 	if len(s.crashes) >= maxCrashes {
-		s.crashes = slices.Delete(s.crashes, 0, 1)
+		s.forgetCrash(s.weakest())
 	}
 	s.crashes = append(s.crashes, c)
+	s.known[c.ID] = true
 	return true
 }
 
-// RecordResponse records that an endpoint has begun to answer a request with a prompt.
-// It returns the parts that leave the quarantine, and whether any part was cleared that
-// crashes name.
-func (s *State) RecordResponse(now time.Time, p model.Prompt) (changes []Change, cleared bool) {
-	if !s.IsWatching() {
-		return nil, false
+// forgetCrash removes the crash with an index.
+func (s *State) forgetCrash(i int) {
+	delete(s.known, s.crashes[i].ID)
+	s.crashes = slices.Delete(s.crashes, i, i+1)
+}
+
+// weakest returns the index of the crash that is the weakest evidence. Many crashes at
+// once, of a whole failure domain, must not displace those of a request that crashes one
+// endpoint after the other.
+func (s *State) weakest() int {
+	out := 0
+	for i, c := range s.crashes {
+		if compareStrength(c, s.crashes[out]) < 0 {
+			out = i
+		}
 	}
+	return out
+}
+
+// compareStrength orders crashes by generation and time.
+func compareStrength(a, b Crash) int {
+	return cmp.Or(cmp.Compare(a.Generation, b.Generation), a.At.Compare(b.At))
+}
+
+// RecordProgress records that an endpoint has begun to answer a request with a prompt. It
+// returns the parts that leave the quarantine, and whether any part was cleared that
+// crashes name.
+func (s *State) RecordProgress(now time.Time, p model.Prompt) (changes []Change, cleared bool) {
 	for _, part := range p.SharedParts() {
-		if s.isSuspect(part.ID) {
+		if s.isSuspect(Part(part.ID)) {
 			cleared = true
-			changes = append(changes, s.clear(part.ID, now)...)
+			changes = append(changes, s.clear(Part(part.ID), now)...)
 		}
 	}
 	return changes, cleared
 }
 
-// isSuspect reports whether a part is in quarantine or named by a crash since it was
-// last cleared.
-func (s *State) isSuspect(part model.PartID) bool {
-	if _, found := s.quarantined[part]; found {
+// RecordAnswer records that an endpoint has answered a request completely. The results
+// are those of RecordProgress.
+func (s *State) RecordAnswer(now time.Time, f model.Fingerprint) (changes []Change, cleared bool) {
+	return s.Release(now, Request(f))
+}
+
+// Release clears a suspect of all crashes so far. The results are those of RecordProgress.
+func (s *State) Release(now time.Time, suspect Suspect) (changes []Change, cleared bool) {
+	if !s.isSuspect(suspect) {
+		return nil, false
+	}
+	return s.clear(suspect, now), true
+}
+
+// isSuspect reports whether a suspect is in quarantine, suspended, or named by a crash
+// since it was last cleared.
+func (s *State) isSuspect(suspect Suspect) bool {
+	if _, found := s.suspects[suspect]; found {
 		return true
 	}
-	return slices.ContainsFunc(s.crashes, func(c Crash) bool { return s.isEvidence(c, part) })
+	return slices.ContainsFunc(s.crashes, func(c Crash) bool { return s.isEvidence(c, suspect) })
+}
+
+// isEvidence reports whether a crash names a suspect that was not cleared since.
+func (s *State) isEvidence(c Crash, suspect Suspect) bool {
+	return c.names(suspect) && c.At.After(s.cleared[suspect])
 }
 
-// isEvidence reports whether a crash names a part that was not cleared since.
-func (s *State) isEvidence(c Crash, part model.PartID) bool {
-	return c.At.After(s.cleared[part]) && slices.Contains(c.Parts, part)
+// names reports whether the crash names a suspect.
+func (c Crash) names(suspect Suspect) bool {
+	if suspect.Kind == KindRequest {
+		return c.Request != 0 && c.Request == model.Fingerprint(suspect.ID)
+	}
+	return slices.Contains(c.Parts, model.PartID(suspect.ID))
 }
 
-// clear clears a part of all crashes before a time.
-func (s *State) clear(part model.PartID, at time.Time) []Change {
-	before, known := s.cleared[part]
-	if !at.After(before) || !known && len(s.cleared) >= maxParts {
+// clear clears a suspect of all crashes before a time.
+func (s *State) clear(suspect Suspect, at time.Time) []Change {
+	before, known := s.cleared[suspect]
+	if !at.After(before) {
 		return nil
 	}
-	s.cleared[part] = at
-	since, found := s.quarantined[part]
-	if !found || !at.After(since) {
+	if !known && len(s.cleared) >= maxCleared {
+		s.forgetOldestCleared()
+	}
+	s.cleared[suspect] = at
+	e, found := s.suspects[suspect]
+	if !found || !at.After(e.At) {
 		return nil
 	}
-	delete(s.quarantined, part)
-	return []Change{{Part: part, At: since}}
+	delete(s.suspects, suspect)
+	return []Change{{Suspect: suspect, Evidence: e, Released: true}}
+}
+
+// forgetOldestCleared forgets the suspect that was cleared first.
+func (s *State) forgetOldestCleared() {
+	var oldest ClearedSuspect
+	for suspect, at := range s.cleared {
+		if oldest.At.IsZero() || at.Before(oldest.At) {
+			oldest = ClearedSuspect{Suspect: suspect, At: at}
+		}
+	}
+	delete(s.cleared, oldest.Suspect)
 }
 
-// Merge applies the report of another host. It returns the parts that enter or leave
-// the quarantine, and whether anything was new.
+// Merge applies the report of another host. It returns the suspects that are quarantined,
+// suspended or released, and whether anything was new.
 func (s *State) Merge(now time.Time, r Report) (changes []Change, news bool) {
 	for _, c := range r.Cleared {
-		if c.At.After(s.cleared[c.Part].Add(reportTime)) {
+		if c.At.After(s.cleared[c.Suspect].Add(reportTime)) {
 			news = true
 		}
-		changes = append(changes, s.clear(c.Part, c.At)...)
+		changes = append(changes, s.clear(c.Suspect, c.At)...)
 	}
-	for _, q := range r.Quarantined {
-		if s.quarantine(now, q) {
+	for _, other := range r.Suspects {
+		if s.suspect(now, other) {
 			news = true
-			changes = append(changes, Change{Part: q.Part, Quarantined: true, At: q.At})
+			changes = append(changes, Change{Suspect: other.Suspect, Evidence: s.suspects[other.Suspect]})
 		}
 	}
-	added := false
+	var added []Crash
 	for _, c := range r.Crashes {
-		added = s.addCrash(now, c) || added
+		if s.addCrash(now, c) {
+			added = append(added, c)
+		}
 	}
-	if added {
-		changes = append(changes, s.evaluate()...)
+	if len(added) > 0 {
+		changes = append(changes, s.evaluate(now, added)...)
 	}
-	return changes, news || added
+	return changes, news || len(added) > 0
 }
 
-// quarantine puts a part into quarantine. It returns false if it is there already, was
-// cleared since, or its time is over.
-func (s *State) quarantine(now time.Time, q PartState) bool {
-	_, known := s.quarantined[q.Part]
-	if known || s.cleared[q.Part].After(q.At) || now.Sub(q.At) >= Duration || len(s.quarantined) >= maxParts {
+// suspect adds evidence against a suspect. It returns false if there is as much already,
+// the suspect was cleared since, or the time is over.
+func (s *State) suspect(now time.Time, other SuspectEvidence) bool {
+	before, known := s.suspects[other.Suspect]
+	if s.cleared[other.Suspect].After(other.At) || now.Sub(other.At) >= Duration || !known && len(s.suspects) >= maxSuspects {
 		return false
 	}
-	s.quarantined[q.Part] = q.At
-	return true
+	s.suspects[other.Suspect] = before.merge(other.Evidence)
+	return other.Crashes > before.Crashes
 }
 
 // Report returns what to report to other hosts.
@@ -224,34 +341,52 @@
 			out.Crashes = append(out.Crashes, c)
 		}
 	}
-	for part, at := range s.quarantined {
-		out.Quarantined = append(out.Quarantined, PartState{Part: part, At: at})
+	if len(out.Crashes) > maxReportedCrashes {
+		slices.SortStableFunc(out.Crashes, func(a, b Crash) int { return compareStrength(b, a) })
+		out.Crashes = out.Crashes[:maxReportedCrashes]
 	}
-	for part, at := range s.cleared {
+	out.Suspects = s.Suspects()
+	for suspect, at := range s.cleared {
 		if now.Sub(at) < reportTime {
-			out.Cleared = append(out.Cleared, PartState{Part: part, At: at})
+			out.Cleared = append(out.Cleared, ClearedSuspect{Suspect: suspect, At: at})
 		}
 	}
+	if len(out.Cleared) > maxReportedCleared {
+		slices.SortFunc(out.Cleared, func(a, b ClearedSuspect) int { return b.At.Compare(a.At) })
+		out.Cleared = out.Cleared[:maxReportedCleared]
+	}
 	return out
 }
 
-// Expire forgets what is too old to matter, and returns the parts whose quarantine is
-// over.
+// Suspects returns the suspects that are in quarantine or suspended.
+func (s *State) Suspects() []SuspectEvidence {
+	var out []SuspectEvidence
+	for suspect, e := range s.suspects {
+		out = append(out, SuspectEvidence{Suspect: suspect, Evidence: e})
+	}
+	return out
+}
+
+// Expire forgets what is too old to matter, and returns the suspects whose time is over.
 func (s *State) Expire(now time.Time) []Change {
-	if len(s.crashes) == 0 && len(s.quarantined) == 0 && len(s.cleared) == 0 {
+	if len(s.crashes) == 0 && len(s.suspects) == 0 && len(s.cleared) == 0 {
 		return nil
 	}
-	s.crashes = slices.DeleteFunc(s.crashes, func(c Crash) bool { return now.Sub(c.At) > crashMemory })
-	for part, at := range s.cleared {
-		if now.Sub(at) > crashMemory {
-			delete(s.cleared, part)
+	for i := len(s.crashes) - 1; i >= 0; i-- {
+		if now.Sub(s.crashes[i].At) > Duration {
+			s.forgetCrash(i)
+		}
+	}
+	for suspect, at := range s.cleared {
+		if now.Sub(at) > Duration {
+			delete(s.cleared, suspect)
 		}
 	}
 	var changes []Change
-	for part, at := range s.quarantined {
-		if now.Sub(at) >= Duration {
-			delete(s.quarantined, part)
-			changes = append(changes, Change{Part: part, At: at})
+	for suspect, e := range s.suspects {
+		if now.Sub(e.At) >= Duration {
+			delete(s.suspects, suspect)
+			changes = append(changes, Change{Suspect: suspect, Evidence: e, Released: true})
 		}
 	}
 	return changes
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -33,7 +33,7 @@
 }
 
 func isQuarantined(s *quarantine.State, now time.Duration, part model.PartID) bool {
-	_, _, found := s.QuarantinedUntil(at(now), prompt(part))
+	_, found := s.Check(at(now), prompt(part), 0)
 	return found
 }
 
@@ -44,17 +44,18 @@
 		now := time.Duration(i) * time.Second
 		s.RecordCrash(at(now), crash(i, now, 1, 7, model.PartID(10+i)))
 		// The other parts are answered elsewhere.
-		s.RecordResponse(at(now+100*time.Millisecond), prompt(1, model.PartID(10+i)))
+		s.RecordProgress(at(now+100*time.Millisecond), prompt(1, model.PartID(10+i)))
 	}
 	must.True(t, isQuarantined(s, 4*time.Second, 7))
 	must.False(t, isQuarantined(s, 4*time.Second, 1))
-	part, until, found := s.QuarantinedUntil(at(4*time.Second), prompt(1, 7))
-	must.True(t, found)
-	must.Eq(t, 7, part)
-	must.Eq(t, at(3*time.Second+quarantine.Duration), until)
+	found, ok := s.Check(at(4*time.Second), prompt(1, 7), 0)
+	must.True(t, ok)
+	must.True(t, found.IsQuarantined())
+	must.Eq(t, quarantine.Part(7), found.Suspect)
+	must.Eq(t, at(3*time.Second), found.At)
 	must.False(t, isQuarantined(s, 3*time.Second+quarantine.Duration, 7))
 	must.Len(t, 1, s.Expire(at(3*time.Second+quarantine.Duration)))
-	must.Zero(t, s.CountQuarantined())
+	must.Zero(t, s.Count(quarantine.KindPart))
 }
 
 // The last part of a prompt belongs to the request itself.
@@ -63,7 +64,7 @@
 	for i := 1; i <= 3; i++ {
 		s.RecordCrash(at(time.Duration(i)*time.Second), crash(i, time.Duration(i)*time.Second, 7))
 	}
-	_, _, found := s.QuarantinedUntil(at(4*time.Second), model.Prompt{Parts: []model.Part{{ID: 1}, {ID: 7}}})
+	_, found := s.Check(at(4*time.Second), model.Prompt{Parts: []model.Part{{ID: 1}, {ID: 7}}}, 0)
 	must.False(t, found)
 }
 
@@ -94,7 +95,7 @@
 	for i := 1; i <= 9; i++ {
 		now := time.Duration(i) * time.Second
 		s.RecordCrash(at(now), crash(i, now, 1, 7))
-		s.RecordResponse(at(now), prompt(1))
+		s.RecordProgress(at(now), prompt(1))
 		victim := crash(i, now, 8)
 		victim.ID += 100
 		if i > 3 {
@@ -103,7 +104,7 @@
 	}
 	must.True(t, isQuarantined(s, 10*time.Second, 7))
 	must.False(t, isQuarantined(s, 10*time.Second, 8))
-	must.Eq(t, 1, s.CountQuarantined())
+	must.Eq(t, 1, s.Count(quarantine.KindPart))
 }
 
 // Of parts that always come together, the last one is blamed.
@@ -122,7 +123,7 @@
 	for i := 1; i <= 3; i++ {
 		now := time.Duration(i) * time.Second
 		s.RecordCrash(at(now), crash(i, now, 1, 7, 50))
-		s.RecordResponse(at(now), prompt(1))
+		s.RecordProgress(at(now), prompt(1))
 	}
 	must.True(t, isQuarantined(s, 4*time.Second, 50))
 	must.False(t, isQuarantined(s, 4*time.Second, 7))
@@ -140,13 +141,13 @@
 	}
 	other.Merge(at(4*time.Second), s.Report(at(4*time.Second)))
 	must.True(t, isQuarantined(other, 4*time.Second, 7))
-	changes, cleared := s.RecordResponse(at(5*time.Second), prompt(7))
+	changes, cleared := s.RecordProgress(at(5*time.Second), prompt(7))
 	must.True(t, cleared)
-	must.Eq(t, []quarantine.Change{{Part: 7, At: at(3 * time.Second)}}, changes)
+	must.Eq(t, []quarantine.Change{{Suspect: quarantine.Part(7), Evidence: quarantine.Evidence{Crashes: 3, At: at(3 * time.Second)}, Released: true}}, changes)
 	changes, news := other.Merge(at(5*time.Second), s.Report(at(5*time.Second)))
 	must.True(t, news)
-	must.Eq(t, []quarantine.Change{{Part: 7, At: at(3 * time.Second)}}, changes)
-	s.Merge(at(5*time.Second), quarantine.Report{Quarantined: []quarantine.PartState{{Part: 7, At: at(3 * time.Second)}}})
+	must.Eq(t, []quarantine.Change{{Suspect: quarantine.Part(7), Evidence: quarantine.Evidence{Crashes: 3, At: at(3 * time.Second)}, Released: true}}, changes)
+	s.Merge(at(5*time.Second), quarantine.Report{Suspects: []quarantine.SuspectEvidence{{Suspect: quarantine.Part(7), Evidence: quarantine.Evidence{Crashes: 3, At: at(3 * time.Second)}}}})
 	must.False(t, isQuarantined(s, 5*time.Second, 7), must.Sprint("a report from before the answer arrives late"))
 }
 
@@ -181,7 +182,7 @@
 			h.RecordCrash(at(now), crash(id, now, 1, 7, sound))
 			for _, part := range []model.PartID{10, 11, 12} {
 				answering := hosts[rapid.IntRange(0, 2).Draw(t, "answering")]
-				answering.RecordResponse(at(now+time.Millisecond), prompt(1, part))
+				answering.RecordProgress(at(now+time.Millisecond), prompt(1, part))
 			}
 			order := rapid.Permutation([]int{0, 1, 2}).Draw(t, "order")
 			for _, from := range order {
@@ -209,12 +210,12 @@
 	for i := range 5000 {
 		now := time.Duration(i) * 10 * time.Millisecond
 		s.RecordCrash(at(now), crash(i, now, model.PartID(i), model.PartID(i%7)))
-		s.RecordResponse(at(now), prompt(model.PartID(i)))
+		s.RecordProgress(at(now), prompt(model.PartID(i)))
 	}
 	report := s.Report(at(50 * time.Second))
 	must.LessEq(t, 64, len(report.Crashes))
 	must.LessEq(t, 256, len(report.Cleared))
-	must.LessEq(t, 256, len(report.Quarantined))
+	must.LessEq(t, 256, len(report.Suspects))
 	s.Expire(at(time.Hour))
 	must.False(t, s.IsWatching())
 	must.Eq(t, quarantine.Report{}, s.Report(at(time.Hour)))
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -20,8 +20,10 @@
 	balancer  *balance.Balancer
 	directory *directory.Directory
 	peers     *peerTable
-	// quarantine holds the parts of prompts that crash endpoints.
+	// quarantine holds what crashes endpoints.
 	quarantine *quarantine.State
+	// trials holds the suspects that are on trial by this host.
+	trials map[quarantine.Suspect]bool
 	// freshness is when the configuration in force was known to be the newest one.
 	freshness freshness.State
 	// fetchingConfig and fetchingList report whether a fetch from a peer is in
@@ -57,6 +59,7 @@
 		balancer:       balance.New(balance.Options{Domain: g.opts.Domain, Budget: g.opts.Budget, WarmCaches: g.opts.Warm, Seed: g.opts.Seed}),
 		directory:      directory.New(),
 		quarantine:     quarantine.New(),
+		trials:         make(map[quarantine.Suspect]bool),
 		loggedReserved: make(map[model.PoolName]int),
 	}
 	c.peers = newPeerTable(g)
@@ -144,17 +147,6 @@
 	}
 }
 
-// place asks the balancer for an endpoint for a request. It returns false when
-// the control loop gave no decision.
-func (g *Gateway) place(ctx context.Context, req balance.Request) (balance.Decision, bool) {
-	return queryLoop(ctx, g, func(now time.Time) balance.Decision {
-		if part, until, found := g.control.quarantine.QuarantinedUntil(now, req.Prompt); found {
-			return balance.Decision{Reason: balance.ReasonQuarantine, Part: part, RetryAfter: until.Sub(now)}
-		}
-		return g.control.balancer.Submit(now, req)
-	})
-}
-
 // finish reports the end of an attempt to the balancer. It blocks only while the
 // loop's queue is full.
 func (g *Gateway) finish(id model.RequestID, res balance.Result) {
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -17,47 +17,79 @@
 // Requests under which endpoints crash: from attempts and digests to the quarantine, and
 // from there into the digests of this host.
 
-// minProgressEvents is the number of events with which an endpoint has begun to answer.
-// The first ones may have left before a crash that the request itself causes.
-const minProgressEvents = 3
-
-// reportIfCrashed records a request whose endpoint has crashed before it began to answer
-// it. A broken response alone is no crash: the endpoint must refuse connections as well.
-// One that is silent may be cut off.
-func (x *exchange) reportIfCrashed(d balance.Decision, result attemptResult) {
-	if result.failure != balance.FailureBroken || result.silent || result.events >= minProgressEvents {
-		return
-	}
-	parts := x.req.Prompt.SharedPartIDs()
-	if len(parts) == 0 {
-		return
+const (
+	// minProgressEvents is the number of events with which an endpoint has begun to
+	// answer. The first ones may have left before a crash that the prompt itself causes.
+	minProgressEvents = 3
+	// maxConfirmWait bounds how long a retry waits until it is known whether the endpoint
+	// of the attempt before has crashed. It exceeds a round trip to any failure domain.
+	maxConfirmWait = 50 * time.Millisecond
+)
+
+// reportIfCrashed records a request that was in progress at an endpoint which has crashed.
+// A broken response alone is no crash: the endpoint must refuse connections as well. One
+// that is silent may be cut off. The channel is closed once the result is recorded; it is
+// nil if there is nothing to record.
+func (x *exchange) reportIfCrashed(d placement, result attemptResult) <-chan struct{} {
+	if result.failure != balance.FailureBroken || result.silent {
+		return nil
 	}
 	g := x.gateway
 	crash := quarantine.Crash{
 		ID:       xxhash.Sum64String(string(g.opts.Host) + "/" + strconv.FormatUint(uint64(g.opts.Incarnation), 10) + "/" + string(x.req.ID)),
-		Endpoint: model.Instance{Name: d.Endpoint, Started: d.Started}, Parts: parts, At: time.Now(),
+		Endpoint: model.Instance{Name: d.Endpoint, Started: d.Started}, Request: x.fingerprint, Generation: d.generation, At: time.Now(),
+	}
+	if result.events < minProgressEvents {
+		crash.Parts = x.req.Prompt.SharedPartIDs()
 	}
+	done := make(chan struct{})
 	g.background(func(ctx context.Context) {
+		defer close(done)
 		if err := g.opts.Endpoints.Probe(ctx, d.Endpoint, d.Address); err == nil || ctx.Err() != nil {
 			return
 		}
 		g.loop.Post(loop.Func(func(now time.Time) { g.control.recordCrash(now, crash) }))
 	})
+	return done
+}
+
+// waitConfirmed waits until it is recorded whether an endpoint has crashed, so that the
+// next attempt is placed with this knowledge.
+func waitConfirmed(ctx context.Context, confirmed <-chan struct{}) {
+	if confirmed == nil {
+		return
+	}
+	timer := time.NewTimer(maxConfirmWait)
+	defer timer.Stop()
+	select {
+	case <-confirmed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
 
 // recordProgress records that an endpoint has begun to answer, once the number of its
 // events reaches minProgressEvents.
 func (x *exchange) recordProgress(before, after int) {
 	if before < minProgressEvents && after >= minProgressEvents {
-		x.recordServed()
+		x.clearParts()
 	}
 }
 
-// recordServed records that an endpoint answers the request, if that matters.
-func (x *exchange) recordServed() {
+// clearParts records that an endpoint has begun to answer the request, if that matters.
+func (x *exchange) clearParts() {
 	g, prompt := x.gateway, x.req.Prompt
 	if len(prompt.SharedParts()) > 0 && g.watchingCrashes.Load() {
-		g.loop.Post(loop.Func(func(now time.Time) { g.control.recordServed(now, prompt) }))
+		g.loop.Post(loop.Func(func(now time.Time) { g.control.recordProgress(now, prompt) }))
+	}
+}
+
+// clearRequest records that an endpoint has answered the request completely, if that
+// matters.
+func (x *exchange) clearRequest() {
+	g, fingerprint := x.gateway, x.fingerprint
+	if g.watchingCrashes.Load() {
+		g.loop.Post(loop.Func(func(now time.Time) { g.control.recordAnswer(now, fingerprint) }))
 	}
 }
 
@@ -68,21 +100,28 @@
 		logCrash(c.gateway.opts.Log, crash)
 		c.peers.requestDigests()
 	}
-	c.applyQuarantineChanges(changes, "crash")
-	c.gateway.saveQuarantine(changes)
+	c.applyOwnChanges(changes, "crash")
 }
 
-// recordServed applies that an endpoint has begun to answer a request with a prompt.
-func (c *control) recordServed(now time.Time, prompt model.Prompt) {
-	changes, cleared := c.quarantine.RecordResponse(now, prompt)
+// recordProgress applies that an endpoint has begun to answer a request with a prompt.
+func (c *control) recordProgress(now time.Time, prompt model.Prompt) {
+	changes, cleared := c.quarantine.RecordProgress(now, prompt)
 	if cleared {
 		c.peers.requestDigests()
 	}
-	c.applyQuarantineChanges(changes, "response")
-	c.gateway.saveQuarantine(changes)
+	c.applyOwnChanges(changes, "response")
+}
+
+// recordAnswer applies that an endpoint has answered a request completely.
+func (c *control) recordAnswer(now time.Time, f model.Fingerprint) {
+	changes, cleared := c.quarantine.RecordAnswer(now, f)
+	if cleared {
+		c.peers.requestDigests()
+	}
+	c.applyOwnChanges(changes, "response")
 }
 
-// receiveCrashes applies the crashes and parts in a digest, and requests digests that
+// receiveCrashes applies the crashes and suspects in a digest, and requests digests that
 // report what is new.
 func (c *control) receiveCrashes(now time.Time, d port.LoadDigest) {
 	changes, news := c.quarantine.Merge(now, reportFrom(now, d))
@@ -92,8 +131,8 @@
 	c.applyQuarantineChanges(changes, "peer "+string(d.Host))
 }
 
-// expireQuarantine ends the quarantine of parts whose time is over. The hosts that read
-// the store remove them there.
+// expireQuarantine releases the suspects whose time is over. The hosts that read the store
+// remove them there.
 func (c *control) expireQuarantine(now time.Time) {
 	changes := c.quarantine.Expire(now)
 	c.applyQuarantineChanges(changes, sourceTimer)
@@ -102,6 +141,12 @@
 	}
 }
 
+// applyOwnChanges applies changes that this host has found first, and saves them.
+func (c *control) applyOwnChanges(changes []quarantine.Change, source string) {
+	c.applyQuarantineChanges(changes, source)
+	c.gateway.saveQuarantine(changes)
+}
+
 // applyQuarantineChanges logs changes of the quarantine with their source, and makes
 // visible to the goroutines that carry requests whether responses must be recorded.
 func (c *control) applyQuarantineChanges(changes []quarantine.Change, source string) {
@@ -116,20 +161,15 @@
 	report := c.quarantine.Report(now)
 	for _, crash := range report.Crashes {
 		d.Crashes = append(d.Crashes, port.CrashReport{
-			ID: crash.ID, Endpoint: crash.Endpoint, Parts: crash.Parts, Age: now.Sub(crash.At),
+			ID: crash.ID, Endpoint: crash.Endpoint, Parts: crash.Parts, Request: crash.Request, Generation: crash.Generation, Age: now.Sub(crash.At),
 		})
 	}
-	d.QuarantinedParts = partAges(now, report.Quarantined)
-	d.ClearedParts = partAges(now, report.Cleared)
-}
-
-// partAges returns the ages of states of parts.
-func partAges(now time.Time, states []quarantine.PartState) []port.PartAge {
-	var out []port.PartAge
-	for _, s := range states {
-		out = append(out, port.PartAge{Part: s.Part, Age: now.Sub(s.At)})
+	for _, s := range report.Suspects {
+		d.Suspects = append(d.Suspects, port.SuspectAge{Suspect: s.Suspect, Crashes: s.Crashes, Age: now.Sub(s.At)})
+	}
+	for _, s := range report.Cleared {
+		d.ClearedSuspects = append(d.ClearedSuspects, port.SuspectAge{Suspect: s.Suspect, Age: now.Sub(s.At)})
 	}
-	return out
 }
 
 // reportFrom returns the report in a digest. Its times are never later than those of the
@@ -138,13 +178,17 @@
 	at := func(age time.Duration) time.Time { return now.Add(-age - readAgePerHop) }
 	var out quarantine.Report
 	for _, c := range d.Crashes {
-		out.Crashes = append(out.Crashes, quarantine.Crash{ID: c.ID, Endpoint: c.Endpoint, Parts: c.Parts, At: at(c.Age)})
+		out.Crashes = append(out.Crashes, quarantine.Crash{
+			ID: c.ID, Endpoint: c.Endpoint, Parts: c.Parts, Request: c.Request, Generation: c.Generation, At: at(c.Age),
+		})
 	}
-	for _, p := range d.QuarantinedParts {
-		out.Quarantined = append(out.Quarantined, quarantine.PartState{Part: p.Part, At: at(p.Age)})
+	for _, s := range d.Suspects {
+		out.Suspects = append(out.Suspects, quarantine.SuspectEvidence{
+			Suspect: s.Suspect, Evidence: quarantine.Evidence{Crashes: s.Crashes, At: at(s.Age)},
+		})
 	}
-	for _, p := range d.ClearedParts {
-		out.Cleared = append(out.Cleared, quarantine.PartState{Part: p.Part, At: at(p.Age)})
+	for _, s := range d.ClearedSuspects {
+		out.Cleared = append(out.Cleared, quarantine.ClearedSuspect{Suspect: s.Suspect, At: at(s.Age)})
 	}
 	return out
 }
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -81,7 +81,7 @@
 		crashing := func(int) []model.PartID { return []model.PartID{commonPart, crashPart} }
 		f.play(10*time.Second, 400*time.Millisecond, crashing)
 		crashes := len(f.endpoints.crashes)
-		must.MapLen(t, 1, f.saved.parts)
+		must.Eq(t, 1, f.saved.countParts())
 		for i := range f.gateways {
 			f.gateways[i].Close()
 		}
--- a/internal/gateway/crashfleet_test.go
+++ b/internal/gateway/crashfleet_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +16,7 @@
 
 	"github.com/wigeonsail/wigeonsail/internal/core/attempt"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
 	"github.com/wigeonsail/wigeonsail/internal/core/routing"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
@@ -265,16 +268,21 @@
 	return nil
 }
 
-// savedParts is a store of parts in quarantine.
-type savedParts struct {
-	mu    sync.Mutex
-	parts map[model.PartID]time.Time
+// savedSuspects is a store of suspects.
+type savedSuspects struct {
+	mu       sync.Mutex
+	suspects map[quarantine.Suspect]port.StoredSuspect
+	trials   map[quarantine.Suspect]time.Time
 	// failures is the number of calls that fail from now on.
 	failures int
 }
 
+func newSavedSuspects() *savedSuspects {
+	return &savedSuspects{suspects: make(map[quarantine.Suspect]port.StoredSuspect), trials: make(map[quarantine.Suspect]time.Time)}
+}
+
 // call counts a call, and returns an error if it is to fail.
-func (s *savedParts) call() error {
+func (s *savedSuspects) call() error {
 	if s.failures > 0 {
 		s.failures--
 		return &port.PlatformError{Outcome: model.OutcomeUnknown, Cause: errNoResponse}
@@ -282,30 +290,53 @@
 	return nil
 }
 
-func (s *savedParts) QuarantinedParts(context.Context) ([]port.QuarantinedPart, error) {
+// countParts returns the number of saved parts of prompts.
+func (s *savedSuspects) countParts() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []port.QuarantinedPart
-	for part, at := range s.parts {
-		out = append(out, port.QuarantinedPart{Part: part, At: at})
+	count := 0
+	for suspect := range s.suspects {
+		if suspect.Kind == quarantine.KindPart {
+			count++
+		}
 	}
-	return out, s.call()
+	return count
 }
 
-func (s *savedParts) SavePart(_ context.Context, p port.QuarantinedPart) error {
+func (s *savedSuspects) Suspects(context.Context) ([]port.StoredSuspect, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.parts == nil {
-		s.parts = make(map[model.PartID]time.Time)
-	}
-	s.parts[p.Part] = p.At
+	return slices.Collect(maps.Values(s.suspects)), s.call()
+}
+
+func (s *savedSuspects) SaveSuspect(_ context.Context, saved port.StoredSuspect) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspects[saved.Suspect] = saved
+	return s.call()
+}
+
+func (s *savedSuspects) ReleaseSuspect(_ context.Context, suspect quarantine.Suspect) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.suspects, suspect)
 	return s.call()
 }
 
-func (s *savedParts) ReleasePart(_ context.Context, part model.PartID) error {
+func (s *savedSuspects) ClaimTrial(_ context.Context, suspect quarantine.Suspect, until time.Time) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.call(); err != nil || time.Now().Before(s.trials[suspect]) {
+		return false, err
+	}
+	s.trials[suspect] = until
+	return true, nil
+}
+
+func (s *savedSuspects) EndTrial(_ context.Context, suspect quarantine.Suspect) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.parts, part)
+	delete(s.trials, suspect)
 	return s.call()
 }
 
@@ -313,7 +344,7 @@
 type crashFleet struct {
 	endpoints *crashingEndpoints
 	store     *endpointLog
-	saved     *savedParts
+	saved     *savedSuspects
 	peers     *directPeers
 	gateways  []*Gateway
 	// kind is the kind of the route.
@@ -341,7 +372,7 @@
 // newCrashFleetOf is newCrashFleet with a kind of route. Only streams are served by
 // engines.
 func newCrashFleetOf(kind routing.Kind, hosts, endpoints int) *crashFleet {
-	f := &crashFleet{kind: kind, endpoints: newCrashingEndpoints(), store: &endpointLog{}, saved: &savedParts{}, peers: &directPeers{gateways: make(map[string]*Gateway)}}
+	f := &crashFleet{kind: kind, endpoints: newCrashingEndpoints(), store: &endpointLog{}, saved: newSavedSuspects(), peers: &directPeers{gateways: make(map[string]*Gateway)}}
 	for i := range endpoints {
 		f.store.put(fmt.Sprint("e", i), 1)
 	}
@@ -389,7 +420,7 @@
 
 // countQuarantined returns the number of parts in quarantine at a host that runs.
 func (g *Gateway) countQuarantined() int {
-	count, _ := queryLoop(context.Background(), g, func(time.Time) int { return g.control.quarantine.CountQuarantined() })
+	count, _ := queryLoop(context.Background(), g, func(time.Time) int { return g.control.quarantine.Count(quarantine.KindPart) })
 	return count
 }
 
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -70,7 +70,7 @@
 // notRunError is the error response to a request that no endpoint has run.
 func notRunError(reason balance.Reason, after time.Duration) *port.RequestError {
 	code := port.CodeOverloaded
-	if reason == balance.ReasonQuarantine {
+	if reason == balance.ReasonQuarantine || reason == balance.ReasonSuspended {
 		code = port.CodeQuarantined
 	}
 	return &port.RequestError{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,8 +34,8 @@
 	// Lists reads the platform's lists; Decoder decodes their values.
 	Lists   port.ListReader
 	Decoder port.ListDecoder
-	// Quarantine keeps parts of prompts that crash endpoints while no host runs; nil to
-	// keep them in memory only.
+	// Quarantine keeps what crashes endpoints while no host runs, and selects the host that
+	// may send a suspended request; nil for a single host that keeps it in memory only.
 	Quarantine port.QuarantineStore
 	// ListReadInterval is the time between reads of the list of endpoints.
 	ListReadInterval time.Duration
@@ -74,7 +74,7 @@
 	usable  atomic.Bool
 	leaving atomic.Bool
 	// watchingCrashes reports whether endpoints that begin to answer must be recorded, as
-	// crashes or quarantined parts are known.
+	// crashes or suspects are known.
 	watchingCrashes atomic.Bool
 	// reading reports whether this host reads the platform's lists itself.
 	// readListNow requests an immediate read of the list of endpoints.
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -60,19 +60,24 @@
 	entry.WithField("limit_per_s", report.PerSecond).Warn("endpoints: request limit stated")
 }
 
-// logCrash logs a request under which an endpoint has crashed.
+// logCrash logs a request that was in progress at an endpoint which has crashed.
 func logCrash(logger log.Interface, c quarantine.Crash) {
-	logger.WithFields(fields{"endpoint": c.Endpoint.Name, "parts": c.Parts}).Warn("endpoints: crashed before an answer")
+	logger.WithFields(fields{
+		"endpoint": c.Endpoint.Name, "fingerprint": c.Request, "parts": c.Parts, "generation": c.Generation,
+	}).Warn("endpoints: crashed under a request")
 }
 
-// logQuarantine logs that a part of prompts enters or leaves the quarantine.
+// logQuarantine logs that a suspect enters the quarantine, is suspended, or is released.
 func logQuarantine(logger log.Interface, change quarantine.Change, source string) {
-	entry := logger.WithFields(fields{"part": change.Part, "source": source})
-	if change.Quarantined {
-		entry.Error("quarantine: requests with this part of a prompt are refused, endpoints crash under them")
-		return
+	entry := logger.WithFields(fields{"suspect": change.Suspect, "crashes": change.Crashes, "source": source})
+	switch {
+	case change.Released:
+		entry.Info("quarantine: suspect is sent to endpoints again")
+	case change.IsQuarantined():
+		entry.Error("quarantine: requests are refused, endpoints crash under them")
+	default:
+		entry.Warn("quarantine: request is suspended, endpoints have crashed under it")
 	}
-	entry.Info("quarantine: part is sent to endpoints again")
 }
 
 // logCheck logs whether a connection to an endpoint could be opened.
@@ -101,7 +106,7 @@
 }
 
 // logPlaced logs a placement decision and its inputs, and counts a refusal.
-func (x *exchange) logPlaced(d balance.Decision) {
+func (x *exchange) logPlaced(d placement) {
 	f := fields{
 		"request": x.call.ID, "route": x.route.Name, "pool": x.req.Pool, "account": x.account,
 		"config": x.version, "try": x.delivered + x.unreachable + 1, "tier": x.req.Tier, "rank": x.req.Rank,
@@ -111,8 +116,8 @@
 	if d.IsRefused() {
 		f["reason"] = string(d.Reason)
 		f["retry_after_ms"] = d.RetryAfter.Milliseconds()
-		if d.Reason == balance.ReasonQuarantine {
-			f["part"] = d.Part.String()
+		if d.Reason == balance.ReasonQuarantine || d.Reason == balance.ReasonSuspended {
+			f["suspect"] = d.suspect
 		}
 		x.gateway.opts.Metrics.Refused(model.ClassName(x.route.Name), d.Reason)
 		x.gateway.opts.Log.WithFields(f).Info("request: no endpoint available")
@@ -133,7 +138,7 @@
 }
 
 // logAttemptFailed logs an attempt unless it was answered.
-func (x *exchange) logAttemptFailed(d balance.Decision, result attemptResult) {
+func (x *exchange) logAttemptFailed(d placement, result attemptResult) {
 	if result.answered {
 		return
 	}
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -23,20 +23,19 @@
 	maxStoreWrites = 20
 )
 
-// loadQuarantine reads the parts in quarantine from the store, and passes them to the
-// control loop. It tries until the store answers or ctx ends.
+// loadQuarantine reads the suspects from the store, and passes them to the control loop. It tries until the store answers or ctx ends.
 func (g *Gateway) loadQuarantine(ctx context.Context) {
 	if g.opts.Quarantine == nil {
 		return
 	}
 	for delay := time.Duration(0); clock.Sleep(ctx, delay); delay = nextStoreDelay(delay) {
-		parts, err := g.opts.Quarantine.QuarantinedParts(ctx)
+		suspects, err := g.opts.Quarantine.Suspects(ctx)
 		if err != nil {
 			g.opts.Log.WithError(err).Warn("quarantine: reading the store failed")
 			continue
 		}
-		if len(parts) > 0 {
-			g.loop.Post(loop.Func(func(now time.Time) { g.control.adoptQuarantine(now, parts) }))
+		if len(suspects) > 0 {
+			g.loop.Post(loop.Func(func(now time.Time) { g.control.adoptQuarantine(now, suspects) }))
 		}
 		return
 	}
@@ -47,13 +46,15 @@
 	return min(max(2*delay, minStoreRetryDelay), maxStoreRetryDelay)
 }
 
-// adoptQuarantine applies the parts that the store has.
-func (c *control) adoptQuarantine(now time.Time, parts []port.QuarantinedPart) {
+// adoptQuarantine applies the suspects that the store has.
+func (c *control) adoptQuarantine(now time.Time, suspects []port.StoredSuspect) {
 	var report quarantine.Report
-	for _, p := range parts {
-		// The clock may have been ahead when the part was saved.
-		age := max(now.Sub(p.At), 0)
-		report.Quarantined = append(report.Quarantined, quarantine.PartState{Part: p.Part, At: now.Add(-age)})
+	for _, s := range suspects {
+		// The clock may have been ahead when the suspect was saved.
+		age := max(now.Sub(s.At), 0)
+		report.Suspects = append(report.Suspects, quarantine.SuspectEvidence{
+			Suspect: s.Suspect, Evidence: quarantine.Evidence{Crashes: s.Crashes, At: now.Add(-age)},
+		})
 	}
 	changes, _ := c.quarantine.Merge(now, report)
 	c.applyQuarantineChanges(changes, sourceStore)
@@ -77,15 +78,15 @@
 			return
 		}
 		var err error
-		if change.Quarantined {
-			err = g.opts.Quarantine.SavePart(ctx, port.QuarantinedPart{Part: change.Part, At: change.At})
+		if change.Released {
+			err = g.opts.Quarantine.ReleaseSuspect(ctx, change.Suspect)
 		} else {
-			err = g.opts.Quarantine.ReleasePart(ctx, change.Part)
+			err = g.opts.Quarantine.SaveSuspect(ctx, port.StoredSuspect{Suspect: change.Suspect, Crashes: change.Crashes, At: change.At})
 		}
 		if err == nil {
 			return
 		}
-		g.opts.Log.WithError(err).WithField("part", change.Part).Warn("quarantine: writing to the store failed")
+		g.opts.Log.WithError(err).WithField("suspect", change.Suspect).Warn("quarantine: writing to the store failed")
 		delay = nextStoreDelay(delay)
 	}
 }
--- a/internal/gateway/readerloss_test.go
+++ b/internal/gateway/readerloss_test.go
@@ -162,7 +162,7 @@
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(probeInterval) {
 		s.next++
 		req := balance.Request{ID: model.RequestID(fmt.Sprint("r", s.next)), Pool: "p", Target: time.Second, Arrived: time.Now(), Avoid: []model.EndpointName{"staying"}}
-		if decision, _ := s.gateway.place(context.Background(), req); decision.Endpoint == "leaving" {
+		if decision, _ := s.gateway.place(context.Background(), req, 0, false); decision.Endpoint == "leaving" {
 			count++
 		}
 		s.gateway.finish(req.ID, balance.Result{})
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -10,6 +10,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/attempt"
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
 	"github.com/wigeonsail/wigeonsail/internal/core/routing"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
@@ -44,8 +45,13 @@
 	// deadline is when the caller stops waiting for the response.
 	deadline time.Time
 	req      balance.Request
-	// fingerprint identifies the content of the request.
-	fingerprint model.Fingerprint
+	// fingerprint identifies the content of the request. trialTried reports that a trial
+	// was requested for it, onTrial is set if it is on trial, and crashReported reports
+	// that an endpoint may have crashed under it.
+	fingerprint   model.Fingerprint
+	trialTried    bool
+	onTrial       *quarantine.Suspect
+	crashReported bool
 
 	// delivered counts the attempts that reached an endpoint, possibleRuns
 	// those that may have run, and unreachable those that reached no endpoint.
@@ -184,11 +190,12 @@
 // run tries endpoints until one answers or no further attempt is allowed. It
 // returns false when the caller has left or the response is incomplete.
 func (x *exchange) run(ctx context.Context) bool {
+	defer x.endTrial()
 	for {
 		// A new ID per attempt keeps late events of an earlier attempt from
 		// affecting this one.
 		x.req.ID = x.gateway.nextID(x.call.ID)
-		decision, ok := x.gateway.place(ctx, x.req)
+		decision, ok := x.placeNext(ctx)
 		if !ok {
 			// The control loop may still have placed the request.
 			x.gateway.finish(x.req.ID, balance.Result{})
@@ -196,12 +203,13 @@
 		}
 		x.logPlaced(decision)
 		if decision.IsRefused() {
-			return x.fail(ctx, attemptResult{outcome: model.OutcomeNotRun, err: &noEndpointError{decision: decision}})
+			return x.fail(ctx, attemptResult{outcome: model.OutcomeNotRun, err: &noEndpointError{decision: decision.Decision}})
 		}
-		result := x.tryEndpoint(ctx, decision)
+		result := x.tryEndpoint(ctx, decision.Decision)
 		x.gateway.finish(x.req.ID, balance.Result{Failure: result.failure, RetryAfter: result.retryAfter})
 		x.logAttemptFailed(decision, result)
-		x.reportIfCrashed(decision, result)
+		confirmed := x.reportIfCrashed(decision, result)
+		x.crashReported = x.crashReported || confirmed != nil
 		if result.answered {
 			x.logAnswered()
 			return true
@@ -209,6 +217,7 @@
 		if !x.canRetry(ctx, result) {
 			return x.fail(ctx, result)
 		}
+		waitConfirmed(ctx, confirmed)
 		x.req.Avoid = append(x.req.Avoid, decision.Endpoint)
 		x.req.Retry = x.req.Retry || result.delivered
 		x.gateway.opts.Metrics.Retried(model.ClassName(x.route.Name), failureName(result.failure))
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
 )
 
 // PeerStatus is what a host knows of the other hosts and of the platform's lists. Ages
@@ -38,9 +39,9 @@
 	LeavingEndpoints []model.EndpointName `json:"leaving_endpoints"`
 	// LimitedEndpoints are the endpoints that have stated a request limit.
 	LimitedEndpoints []LimitView `json:"limited_endpoints"`
-	// QuarantinedParts are the parts of prompts that crash endpoints.
-	QuarantinedParts []PartView `json:"quarantined_parts"`
-	Peers            []PeerView `json:"peers"`
+	// Suspects are what crashes endpoints.
+	Suspects []SuspectView `json:"suspects"`
+	Peers    []PeerView    `json:"peers"`
 }
 
 // LimitView is what a host knows of the request limit of an endpoint.
@@ -52,11 +53,15 @@
 	Age       float64 `json:"age_s"`
 }
 
-// PartView is a part of prompts in quarantine.
-type PartView struct {
-	Part model.PartID `json:"part"`
-	// Age is the time since the crash that put it there.
-	Age float64 `json:"age_s"`
+// SuspectView is a part of prompts, or a whole request, that is in quarantine or suspended.
+type SuspectView struct {
+	Suspect quarantine.Suspect `json:"suspect"`
+	// Quarantined reports whether it is in quarantine, else it is suspended.
+	Quarantined bool `json:"quarantined"`
+	// Crashes is the number of crashes at different moments, Age the time since the last
+	// one.
+	Crashes int     `json:"crashes"`
+	Age     float64 `json:"age_s"`
 }
 
 // PeerView is what a host knows of another one.
@@ -107,8 +112,10 @@
 			out.LimitedEndpoints = append(out.LimitedEndpoints, LimitView{Endpoint: l.Instance.Name, PerSecond: l.PerSecond, Age: l.Age.Seconds()})
 		}
 	}
-	for _, q := range c.quarantine.Report(now).Quarantined {
-		out.QuarantinedParts = append(out.QuarantinedParts, PartView{Part: q.Part, Age: now.Sub(q.At).Seconds()})
+	for _, s := range c.quarantine.Suspects() {
+		out.Suspects = append(out.Suspects, SuspectView{
+			Suspect: s.Suspect, Quarantined: s.IsQuarantined(), Crashes: s.Crashes, Age: now.Sub(s.At).Seconds(),
+		})
 	}
 	for address, p := range c.peers.peers {
 		out.Peers = append(out.Peers, c.peers.view(now, address, p))
@@ -165,6 +172,6 @@
 	m.SetPeers(len(c.peers.peers), links, c.peers.digests.isRelay)
 	m.SetListAge(c.knownReadAge(now), uint64(c.nextInList.Era))
 	m.SetLimitedEndpoints(c.balancer.CountLimited())
-	m.SetQuarantinedParts(c.quarantine.CountQuarantined())
+	m.SetQuarantined(c.quarantine.Count(quarantine.KindPart), c.quarantine.Count(quarantine.KindRequest))
 	m.SetConfigAge(c.gateway.configAge(now))
 }
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -69,7 +69,8 @@
 		return classifyError(ctx, err)
 	}
 	x.gateway.recordFirstResponse(x.req.ID)
-	x.recordServed()
+	x.clearParts()
+	x.clearRequest()
 	x.firstResponseAt = time.Now()
 	return attemptResult{
 		answered:  x.w.Respond(reply.Status(), reply.Header(), body) == nil,
@@ -99,6 +100,7 @@
 		// other endpoints would respond the same.
 		result.failure = balance.FailureNone
 		result.final = true
+		x.clearRequest()
 	}
 	return result
 }
@@ -124,7 +126,8 @@
 	for {
 		batch, err := reply.Next()
 		if errors.Is(err, io.EOF) {
-			x.recordServed()
+			x.clearParts()
+			x.clearRequest()
 			return x.finishStream(reply)
 		}
 		if err != nil {
--- a/internal/metrics/events.go
+++ b/internal/metrics/events.go
@@ -97,5 +97,9 @@
 // SetLimitedEndpoints sets the number of endpoints that have stated a request limit.
 func (m *Metrics) SetLimitedEndpoints(count int) { m.limited.Update(float64(count)) }
 
-// SetQuarantinedParts sets the number of parts of prompts that are in quarantine.
-func (m *Metrics) SetQuarantinedParts(count int) { m.quarantine.Update(float64(count)) }
+// SetQuarantined sets the numbers of parts of prompts and of requests that are in
+// quarantine.
+func (m *Metrics) SetQuarantined(parts, requests int) {
+	m.quarantinedParts.Update(float64(parts))
+	m.quarantinedRequests.Update(float64(requests))
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -58,14 +58,14 @@
 	firstToken    *vec[tally.Histogram]
 	betweenTokens *vec[tally.Histogram]
 
-	knownHosts tally.Gauge
-	peerLinks  tally.Gauge
-	relay      tally.Gauge
-	listAge    tally.Gauge
-	configAge  tally.Gauge
-	limited    tally.Gauge
-	quarantine tally.Gauge
-	storeEra   tally.Gauge
+	knownHosts                            tally.Gauge
+	peerLinks                             tally.Gauge
+	relay                                 tally.Gauge
+	listAge                               tally.Gauge
+	configAge                             tally.Gauge
+	limited                               tally.Gauge
+	quarantinedParts, quarantinedRequests tally.Gauge
+	storeEra                              tally.Gauge
 }
 
 // Error is returned if the metrics cannot be set up.
@@ -136,7 +136,8 @@
 	m.relay = m.scope.Gauge("relay")
 	m.listAge = m.scope.Gauge("list_age_seconds")
 	m.limited = m.scope.Gauge("limited_endpoints")
-	m.quarantine = m.scope.Gauge("quarantined_parts")
+	m.quarantinedParts = m.scope.Gauge("quarantined_parts")
+	m.quarantinedRequests = m.scope.Gauge("quarantined_requests")
 	m.configAge = m.scope.Gauge("config_age_seconds")
 	m.storeEra = m.scope.Gauge("store_era")
 }
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -113,5 +113,5 @@
 	m.SetListAge(time.Second, 1)
 	m.SetConfigAge(time.Second)
 	m.SetLimitedEndpoints(1)
-	m.SetQuarantinedParts(2)
+	m.SetQuarantined(2, 1)
 }
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -9,6 +9,7 @@
 
 	"github.com/wigeonsail/wigeonsail/internal/core/directory"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
 	"github.com/wigeonsail/wigeonsail/internal/core/routing"
 )
 
@@ -154,21 +155,27 @@
 	Events int
 }
 
-// QuarantinedPart is a part of prompts that crashes endpoints.
-type QuarantinedPart struct {
-	Part model.PartID
-	// At is the time of the crash that put it into quarantine.
-	At time.Time
+// StoredSuspect is a suspect as kept in the store.
+type StoredSuspect struct {
+	Suspect quarantine.Suspect
+	// Crashes is the number of crashes at different moments, At the time of the last one.
+	Crashes int
+	At      time.Time
 }
 
-// QuarantineStore keeps the parts of prompts in quarantine while no host runs. Errors are
-// *PlatformError.
+// QuarantineStore keeps the suspects that are in quarantine or suspended while no host
+// runs, and selects the host that may send a suspended request. Errors are *PlatformError.
 type QuarantineStore interface {
-	// QuarantinedParts returns the parts that were saved and not released since.
-	QuarantinedParts(ctx context.Context) ([]QuarantinedPart, error)
-	// SavePart saves a part, ReleasePart removes it. Both may be repeated.
-	SavePart(ctx context.Context, part QuarantinedPart) error
-	ReleasePart(ctx context.Context, part model.PartID) error
+	// Suspects returns the suspects that were saved and not released since.
+	Suspects(ctx context.Context) ([]StoredSuspect, error)
+	// SaveSuspect saves a suspect, ReleaseSuspect removes it. Both may be repeated.
+	SaveSuspect(ctx context.Context, suspect StoredSuspect) error
+	ReleaseSuspect(ctx context.Context, suspect quarantine.Suspect) error
+	// ClaimTrial reserves a suspect for a trial by this host until a time, unless another
+	// host has reserved it. It returns whether this host has the trial.
+	ClaimTrial(ctx context.Context, suspect quarantine.Suspect, until time.Time) (bool, error)
+	// EndTrial ends a trial of this host.
+	EndTrial(ctx context.Context, suspect quarantine.Suspect) error
 }
 
 // Topic identifies one of the platform's lists, each of which is a compacted
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -7,6 +7,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
 	"github.com/wigeonsail/wigeonsail/internal/core/directory"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
 )
 
 // EndpointLimit is what is known of the request limit of an endpoint.
@@ -19,21 +20,29 @@
 	Age time.Duration
 }
 
-// CrashReport is a request that an endpoint had not begun to answer when it crashed.
+// CrashReport is a request that was in progress at an endpoint when it crashed.
 type CrashReport struct {
-	// ID identifies the request among all hosts.
+	// ID identifies the attempt among all hosts.
 	ID       uint64
 	Endpoint model.Instance
-	// Parts are the shared parts of the prompt, in order.
+	// Parts are the shared parts of the prompt, in order; none if the endpoint had begun
+	// to answer.
 	Parts []model.PartID
+	// Request identifies the content of the request; 0 if it is not known.
+	Request model.Fingerprint
+	// Generation is the number of crashes at different moments by the request, this one
+	// included, that the host knew of when it sent the request.
+	Generation int
 	// Age is the time since the crash.
 	Age time.Duration
 }
 
-// PartAge is the time since something became known of a part of a prompt.
-type PartAge struct {
-	Part model.PartID
-	Age  time.Duration
+// SuspectAge is the time since something became known of a suspect.
+type SuspectAge struct {
+	Suspect quarantine.Suspect
+	// Crashes is the number of crashes at different moments; 0 if it was cleared.
+	Crashes int
+	Age     time.Duration
 }
 
 // UnknownAge is the age reported for something that a host has never learned.
@@ -70,13 +79,12 @@
 	// Limits are the request limits that endpoints have stated, to this host or to
 	// others, and those that have ended of late.
 	Limits []EndpointLimit
-	// Crashes are the requests under which endpoints have crashed of late.
-	// QuarantinedParts are the parts of prompts in quarantine, with the time since the
-	// crash that put them there, ClearedParts those that endpoints have begun to answer
-	// of late.
-	Crashes          []CrashReport
-	QuarantinedParts []PartAge
-	ClearedParts     []PartAge
+	// Crashes are the requests under which endpoints have crashed of late. Suspects are
+	// in quarantine or suspended, with the time since the last crash that is evidence
+	// against them, ClearedSuspects were cleared of late.
+	Crashes         []CrashReport
+	Suspects        []SuspectAge
+	ClearedSuspects []SuspectAge
 	// Loads is the host's load by endpoint.
 	Loads []balance.EndpointLoad
 	// CacheUpdates are the sender's prefix cache updates since the last digest
--- a/internal/server/gateway_crash_test.go
+++ b/internal/server/gateway_crash_test.go
@@ -14,13 +14,24 @@
 // postPrompt requests a stream for a prompt with the given parts.
 func (f *fleet) postPrompt(g *Gateway, parts string) fleetResponse {
 	f.t.Helper()
-	return f.send(g, http.MethodPost, "/draft/1", "prompt", func(req *http.Request) {
+	return f.send(g, http.MethodPost, "/draft/1", parts, func(req *http.Request) {
 		req.Header.Set("X-Wigeonsail-Model", "m")
 		req.Header.Set("X-Wigeonsail-Token-Usage", "300,20")
 		req.Header.Set("X-Wigeonsail-Prompt-Prefix", parts)
 	})
 }
 
+// quarantined returns the number of suspects in quarantine at a host.
+func (f *fleet) quarantined(g *Gateway) int {
+	count := 0
+	for _, s := range f.peers(g).Suspects {
+		if s.Quarantined {
+			count++
+		}
+	}
+	return count
+}
+
 // Requests with a part that crashes replicas end three of eight; others with the same account and parts are served.
 func TestCrashingPromptReachesFewReplicas(t *testing.T) {
 	const (
@@ -47,7 +58,7 @@
 		return f.postPrompt(hosts[n%2], fmt.Sprintf("common:100,bad:50,own%d:10", n)).status == http.StatusServiceUnavailable
 	})
 	f.eventually(func() bool {
-		return len(f.peers(hosts[0]).QuarantinedParts) == 1 && len(f.peers(hosts[1]).QuarantinedParts) == 1
+		return f.quarantined(hosts[0]) == 1 && f.quarantined(hosts[1]) == 1
 	})
 	runs := f.totalRuns()
 	for i := range 20 {
