Take a broken response as a crash once a successor of the endpoint is listed

Callers saw requests that crash endpoints go on being sent where the endpoint started again before its connection was checked: the check succeeds, and the crash is not reported.

Cause: the check tells whether something accepts connections at the address, not whether it is the same start of the endpoint. A broken response whose check succeeds is now kept for 5 s, and counts as a crash once the list of endpoints has a later start under the name or at the address. A connection that is reset without a restart still shows nothing.

--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -100,6 +100,20 @@
 	return e, known
 }
 
+// HasSuccessor reports whether an endpoint has started again, or another one has started
+// at its address since.
+func (d *Directory) HasSuccessor(instance model.Instance, address string) bool {
+	if e, known := d.entries[instance.Name]; known && e.Started > instance.Started {
+		return true
+	}
+	for _, e := range d.entries {
+		if e.Address == address && e.Name != instance.Name && e.Started > instance.Started {
+			return true
+		}
+	}
+	return false
+}
+
 // IsMissing reports whether the entry was removed but may still return.
 func (d *Directory) IsMissing(name model.EndpointName) bool {
 	_, missing := d.missing[name]
--- a/internal/core/directory/directory_test.go
+++ b/internal/core/directory/directory_test.go
@@ -127,3 +127,28 @@
 		must.Eq(t, want, d.Len())
 	})
 }
+
+func TestSuccessorIsALaterStartOfTheNameOrAtTheAddress(t *testing.T) {
+	entry := func(name model.EndpointName, address string, started int64) directory.Entry {
+		return directory.Entry{Name: name, Pool: "p", Address: address, Started: started}
+	}
+	for _, c := range []struct {
+		name   string
+		listed []directory.Entry
+		want   bool
+	}{
+		{"the endpoint itself", []directory.Entry{entry("e", "a", 5)}, false},
+		{"removed", nil, false},
+		{"restarted", []directory.Entry{entry("e", "b", 6)}, true},
+		{"an older entry of the name", []directory.Entry{entry("e", "a", 4)}, false},
+		{"another one at the address", []directory.Entry{entry("f", "a", 6)}, true},
+		{"one that was at the address before", []directory.Entry{entry("f", "a", 4)}, false},
+		{"another one elsewhere", []directory.Entry{entry("f", "b", 6)}, false},
+	} {
+		d := directory.New()
+		for _, e := range c.listed {
+			d.Put(time.Unix(1000, 0), e)
+		}
+		must.Eq(t, c.want, d.HasSuccessor(model.Instance{Name: "e", Started: 5}, "a"), must.Sprint(c.name))
+	}
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -22,6 +22,8 @@
 	peers     *peerTable
 	// quarantine holds what crashes endpoints.
 	quarantine *quarantine.State
+	// brokenResponses are those that may show a crash once a successor is listed.
+	brokenResponses []brokenResponse
 	// trials holds the suspects that are on trial by this host.
 	trials map[quarantine.Suspect]bool
 	// freshness is when the configuration in force was known to be the newest one.
@@ -97,6 +99,7 @@
 	c.updateReading(now)
 	c.updateLiveHosts(now)
 	c.refreshStaleList(now)
+	c.recordSucceeded(now)
 	c.expireQuarantine(now)
 	c.fetchNewerConfig(now)
 }
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -27,8 +28,8 @@
 )
 
 // reportIfCrashed records a request that was in progress at an endpoint which has crashed.
-// A broken response alone is no crash: the endpoint must refuse connections as well. One
-// that is silent may be cut off. The channel is closed once the result is recorded; it is
+// A broken response alone is no crash: the endpoint must refuse connections as well, or have
+// a successor. One that is silent may be cut off. The channel is closed once the result is recorded; it is
 // nil if there is nothing to record.
 func (x *exchange) reportIfCrashed(d placement, result attemptResult) <-chan struct{} {
 	if result.failure != balance.FailureBroken || result.silent {
@@ -45,14 +46,54 @@
 	done := make(chan struct{})
 	g.background(func(ctx context.Context) {
 		defer close(done)
-		if err := g.opts.Endpoints.Probe(ctx, d.Endpoint, d.Address); err == nil || ctx.Err() != nil {
-			return
+		err := g.opts.Endpoints.Probe(ctx, d.Endpoint, d.Address)
+		switch {
+		case ctx.Err() != nil:
+		case err != nil:
+			g.loop.Post(loop.Func(func(now time.Time) { g.control.recordCrash(now, crash) }))
+		default:
+			g.loop.Post(loop.Func(func(time.Time) { g.control.awaitSuccessor(crash, d.Address) }))
 		}
-		g.loop.Post(loop.Func(func(now time.Time) { g.control.recordCrash(now, crash) }))
 	})
 	return done
 }
 
+const (
+	// successorTime is how long after a broken response a successor of the endpoint shows
+	// that it has crashed. The list of endpoints has the successor within about 2 s of its
+	// start.
+	successorTime = 5 * time.Second
+	// maxBrokenResponses bounds the broken responses that are kept.
+	maxBrokenResponses = 128
+)
+
+// brokenResponse is a response that an endpoint broke off, though something accepts
+// connections at its address: the endpoint itself or one that has started there since.
+type brokenResponse struct {
+	crash   quarantine.Crash
+	address string
+}
+
+// awaitSuccessor keeps a broken response until a successor of the endpoint is listed. The
+// oldest ones are dropped if there are too many.
+func (c *control) awaitSuccessor(crash quarantine.Crash, address string) {
+	if len(c.brokenResponses) >= maxBrokenResponses {
+		c.brokenResponses = c.brokenResponses[1:]
+	}
+	c.brokenResponses = append(c.brokenResponses, brokenResponse{crash: crash, address: address})
+}
+
+// recordSucceeded records the crashes of endpoints whose successors are listed.
+func (c *control) recordSucceeded(now time.Time) {
+	c.brokenResponses = slices.DeleteFunc(c.brokenResponses, func(b brokenResponse) bool {
+		crashed := c.directory.HasSuccessor(b.crash.Endpoint, b.address)
+		if crashed {
+			c.recordCrash(now, b.crash)
+		}
+		return crashed || now.Sub(b.crash.At) > successorTime
+	})
+}
+
 // waitConfirmed waits until it is recorded whether an endpoint has crashed, so that the
 // next attempt is placed with this knowledge.
 func waitConfirmed(ctx context.Context, confirmed <-chan struct{}) {
--- a/internal/gateway/crashfleet_test.go
+++ b/internal/gateway/crashfleet_test.go
@@ -64,6 +64,8 @@
 	breaks model.PartID
 	// downtime is the time until a crashed endpoint accepts connections again.
 	downtime time.Duration
+	// onCrash is called when an endpoint crashes; nil for nothing.
+	onCrash func(name model.EndpointName)
 	// arrivals and crashes are the times of requests that crash endpoints which arrived,
 	// and of the crashes.
 	arrivals, crashes []time.Time
@@ -102,6 +104,9 @@
 	e.downUntil[name] = time.Now().Add(e.downtime)
 	close(e.crashed[name])
 	delete(e.crashed, name)
+	if e.onCrash != nil {
+		e.onCrash(name)
+	}
 }
 
 var (
--- a/internal/gateway/crashrequests_test.go
+++ b/internal/gateway/crashrequests_test.go
@@ -76,6 +76,23 @@
 	}
 }
 
+// An endpoint that starts again before its connection is checked has crashed all the same.
+func TestEndpointThatStartsAgainAtOnceHasCrashed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFleetOf(routing.Idempotent, 3, 4)
+		defer f.close()
+		started := byte(1)
+		f.endpoints.downtime = 0
+		f.endpoints.onCrash = func(name model.EndpointName) {
+			started++
+			f.store.restart(string(name), started)
+		}
+		f.playRequests(20*time.Second, 700*time.Millisecond, 1, func() model.Prompt { return model.Prompt{} })
+		must.LessEq(t, maxLateArrivals, f.lateArrivals(crashesPerRequest))
+		must.SliceNotEmpty(t, f.refusals)
+	})
+}
+
 // promptOf returns a prompt without shared parts, or none for a plain service.
 func (f *crashFleet) promptOf(kind routing.Kind) model.Prompt {
 	if kind != routing.Streaming {
--- a/internal/gateway/readerloss_test.go
+++ b/internal/gateway/readerloss_test.go
@@ -45,6 +45,9 @@
 func (s *endpointLog) put(name string, sequence byte) { s.append(name, []byte{sequence}) }
 func (s *endpointLog) remove(name string)             { s.append(name, nil) }
 
+// restart appends the entry of an endpoint that has started again.
+func (s *endpointLog) restart(name string, started byte) { s.append(name, []byte{1, started}) }
+
 func (s *endpointLog) append(name string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -84,16 +87,21 @@
 	return port.KeyedBatch{Records: records, Next: offset(model.Offset(len(s.records)))}, nil
 }
 
-// endpointDecoder decodes entries that consist of a count of writes.
+// endpointDecoder decodes entries that consist of a count of writes and, if it is not the
+// first one, of the start.
 type endpointDecoder struct{}
 
 func (endpointDecoder) IsConfig(string) bool                   { return false }
 func (endpointDecoder) Config([]byte) (*routing.Config, error) { return &routing.Config{}, nil }
 
 func (endpointDecoder) Endpoint(key string, value []byte) (directory.Entry, error) {
-	return directory.Entry{
+	out := directory.Entry{
 		Name: model.EndpointName(key), Pool: "p", Address: key, Domain: "north", Slots: 4, Started: 1, Sequence: int64(value[0]),
-	}, nil
+	}
+	if len(value) > 1 {
+		out.Started = int64(value[1])
+	}
+	return out, nil
 }
 
 var errUnreachable = errors.New("unreachable")
