--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -21,6 +21,9 @@
 // evaluate puts the suspects into quarantine that crashes point to, and suspends the
 // requests with less evidence. Only those change that the crashes added since name.
 func (s *State) evaluate(now time.Time, added []Crash) []Change {
+	if !s.hasCandidate(added) {
+		return nil
+	}
 	var changes []Change
 	for len(s.suspects) < maxSuspects {
 		found := s.strongest(now, added)
@@ -33,6 +36,33 @@
 	return changes
 }
 
+// hasCandidate reports whether a crash names a suspect that enough crashes name for any
+// change. Most crashes at once do not.
+func (s *State) hasCandidate(added []Crash) bool {
+	for _, c := range added {
+		if c.Request != 0 && (c.Generation >= crashesToSuspend || s.countNaming(Request(c.Request)) >= crashesToSuspend) {
+			return true
+		}
+		for _, part := range c.Parts {
+			if s.countNaming(Part(part)) >= CrashesToQuarantine {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// countNaming returns the number of crashes that name a suspect.
+func (s *State) countNaming(suspect Suspect) int {
+	count := 0
+	for i := range s.crashes {
+		if s.crashes[i].names(suspect) {
+			count++
+		}
+	}
+	return count
+}
+
 // strongest returns the strongest evidence against a suspect that is not in quarantine,
 // of those that the added crashes name. Whole requests are blamed before parts and, among
 // parts that always come together, the last one first, so that the fewest requests are
@@ -70,7 +100,6 @@
 			out = append(out, c)
 		}
 	}
-	slices.SortStableFunc(out, func(a, b Crash) int { return a.At.Compare(b.At) })
 	return out, explained
 }
 
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -123,6 +123,7 @@
 
 // State is what one host knows of crashes. It is not safe for concurrent use.
 type State struct {
+	// crashes are in the order of their times.
 	crashes []Crash
 	// known holds the IDs of crashes.
 	known    map[uint64]bool
@@ -188,7 +189,10 @@
 	if len(s.crashes) >= maxCrashes {
 		s.forgetCrash(s.weakest())
 	}
-	s.crashes = append(s.crashes, c)
+	i, _ := slices.BinarySearchFunc(s.crashes, c.At, func(other Crash, at time.Time) int {
+		return cmp.Or(other.At.Compare(at), -1)
+	})
+	s.crashes = slices.Insert(s.crashes, i, c)
 	s.known[c.ID] = true
 	return true
 }
@@ -259,7 +263,7 @@
 }
 
 // names reports whether the crash names a suspect.
-func (c Crash) names(suspect Suspect) bool {
+func (c *Crash) names(suspect Suspect) bool {
 	if suspect.Kind == KindRequest {
 		return c.Request != 0 && c.Request == model.Fingerprint(suspect.ID)
 	}
--- a/internal/core/quarantine/requests.go
+++ b/internal/core/quarantine/requests.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"slices"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
@@ -70,7 +69,6 @@
 			out = append(out, c)
 		}
 	}
-	slices.SortStableFunc(out, func(a, b Crash) int { return a.At.Compare(b.At) })
 	return out
 }
 
