--- a/internal/server/gateway_crash_test.go
+++ b/internal/server/gateway_crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -69,3 +70,56 @@
 	must.Eq(t, runs, f.totalRuns())
 	must.Eq(t, http.StatusOK, f.postPrompt(hosts[0], "common:100,bad:50").status, must.Sprint("the last part belongs to the request"))
 }
+
+// A lookup that crashes replicas ends three of eight, whichever host it comes to; other lookups are served.
+func TestCrashingLookupReachesFewReplicas(t *testing.T) {
+	const (
+		replicas = 8
+		// Reports reach the other host within this time.
+		reportInterval = 500 * time.Millisecond
+	)
+	f := newFleet(t)
+	f.publish(fleetConfig(1))
+	for i := range replicas {
+		f.startReplica(servicePool, replica.Options{Instance: fmt.Sprint("i-", i), CrashBody: "bad"})
+	}
+	hosts := []*Gateway{f.startReadyHost("h1")}
+	hosts = append(hosts, f.startReadyHost("h2", hosts[0].Address("peers")))
+	f.eventually(func() bool { return len(f.peers(hosts[0]).Peers) > 0 && len(f.peers(hosts[1]).Peers) > 0 })
+	lookUp := func(n int, body string) fleetResponse {
+		return f.send(hosts[n%2], http.MethodPost, "/read/1", body, nil)
+	}
+	n, last := 0, time.Time{}
+	f.eventually(func() bool {
+		n++
+		must.Eq(t, http.StatusOK, lookUp(n, fmt.Sprint("sound ", n)).status)
+		if time.Since(last) >= reportInterval {
+			last = time.Now()
+			lookUp(n, "bad")
+		}
+		return f.quarantined(hosts[0]) == 1 && f.quarantined(hosts[1]) == 1
+	})
+	must.Eq(t, 3, f.countClosed(), must.Sprint("replicas that have crashed"))
+	runs := f.totalRuns()
+	for i := range 20 {
+		res := lookUp(i, "bad")
+		must.Eq(t, http.StatusServiceUnavailable, res.status)
+		must.NotEq(t, "", res.header.Get("Retry-After"))
+	}
+	must.Eq(t, runs, f.totalRuns())
+	must.Eq(t, http.StatusOK, lookUp(0, "sound").status)
+}
+
+// countClosed returns the number of replicas that accept no connections.
+func (f *fleet) countClosed() int {
+	closed := 0
+	for _, r := range f.replicas {
+		c, err := net.Dial("tcp", r.Address())
+		if err != nil {
+			closed++
+			continue
+		}
+		must.NoError(f.t, c.Close())
+	}
+	return closed
+}
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -32,6 +32,9 @@
 	// CrashPart is the ID of a part of prompts, other than the last one, that ends the
 	// replica before the first event; empty for none.
 	CrashPart string
+	// CrashBody is the body of requests that end the replica without a response; empty for
+	// none.
+	CrashBody string
 }
 
 // Faults are faults to inject into all following requests.
@@ -175,8 +178,11 @@
 	s.limit = text
 }
 
-// crashes reports whether a part of a prompt ends the replica.
-func (s *Server) crashes(prefix string) bool {
+// crashes reports whether the body of a request, or a part of its prompt, ends the replica.
+func (s *Server) crashes(prefix, body string) bool {
+	if s.opts.CrashBody != "" && body == s.opts.CrashBody {
+		return true
+	}
 	parts := strings.Split(prefix, ",")
 	return s.opts.CrashPart != "" && slices.ContainsFunc(parts[:len(parts)-1], func(part string) bool {
 		return strings.HasPrefix(part, s.opts.CrashPart+":")
@@ -258,7 +264,7 @@
 	if !faults.Unsigned {
 		w.Header().Set(headerSignature, signature(id))
 	}
-	if s.crashes(r.Header.Get("X-Wigeonsail-Prompt-Prefix")) {
+	if s.crashes(r.Header.Get("X-Wigeonsail-Prompt-Prefix"), string(body)) {
 		s.Close()
 		panic(http.ErrAbortHandler)
 	}
