Log the software versions of endpoints and the streams that requests resume

The field version of the endpoints' entries and the header Resumes of callers' requests are decoded. Nothing is decided by them yet. request: placed has software, and for a resumed stream resumes and after_event.

--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -344,6 +344,7 @@
 	return &peer.EndpointEntry{
 		Name: string(e.Name), Pool: string(e.Pool), Address: e.Address, Domain: string(e.Domain),
 		Slots: int64(e.Slots), Draining: e.Draining, Started: e.Started, Sequence: e.Sequence,
+		Software: string(e.Software),
 	}
 }
 
@@ -351,6 +352,7 @@
 	return directory.Entry{
 		Name: model.EndpointName(e.GetName()), Pool: model.PoolName(e.GetPool()), Address: e.GetAddress(),
 		Domain: model.DomainName(e.GetDomain()), Slots: int(e.GetSlots()), Draining: e.GetDraining(), Started: e.GetStarted(), Sequence: e.GetSequence(),
+		Software: model.SoftwareVersion(e.GetSoftware()),
 	}
 }
 
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -100,8 +100,9 @@
 	// refusal.
 	Endpoint model.EndpointName
 	Address  string
-	// Started identifies the start of the endpoint.
-	Started int64
+	// Started identifies the start of the endpoint, Software is the version that it runs.
+	Started  int64
+	Software model.SoftwareVersion
 	// Limit is the limit of the endpoint in requests per second; 0 for none.
 	Limit float64
 	// Priority is the priority to send to the engine; smaller is served first.
@@ -379,6 +380,7 @@
 		Endpoint:      e.Name,
 		Address:       e.Address,
 		Started:       e.Started,
+		Software:      e.Software,
 		Limit:         e.limit.report.PerSecond,
 		Priority:      c.priority,
 		FetchFrom:     c.fetchFrom,
--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -18,6 +18,9 @@
 	Pool    model.PoolName
 	Address string
 	Domain  model.DomainName
+	// Software is the version of the software that the endpoint runs. What two versions
+	// write does not fit together.
+	Software model.SoftwareVersion
 	// Slots is the number of requests that the endpoint runs at once.
 	Slots int
 	// Draining endpoints finish their requests and accept no more.
--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -37,6 +37,10 @@
 // share it.
 type RequestID string
 
+// SoftwareVersion is the version of the software that an endpoint runs, as it states itself;
+// empty if it is not known.
+type SoftwareVersion string
+
 // Tier is the priority level of a class. Tier 0 is served first.
 type Tier int
 
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -113,6 +113,9 @@
 		"prompt": x.req.Prompt.InputTokens, "shared": x.req.Prompt.SharedPrefixTokens(),
 		"left_ms": time.Until(x.deadline).Milliseconds(), "fingerprint": x.fingerprint,
 	}
+	if x.call.LastEventID != "" {
+		f["resumes"], f["after_event"] = x.call.Resumes, x.call.LastEventID
+	}
 	if d.IsRefused() {
 		f["reason"] = string(d.Reason)
 		f["retry_after_ms"] = d.RetryAfter.Milliseconds()
@@ -124,6 +127,7 @@
 		return
 	}
 	f["endpoint"] = d.Endpoint
+	f["software"] = d.Software
 	f["fetch_from"] = d.FetchFrom
 	f["expected_ms"] = d.Expected.Milliseconds()
 	f["in_flight"] = d.InFlight
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -36,7 +36,10 @@
 	// LastEventID is the ID of the last event that the caller received of an
 	// interrupted stream; empty for none.
 	LastEventID string
-	Prompt      model.Prompt
+	// Resumes is the ID of the caller's request that brought the first event of that
+	// stream; empty if the caller does not name it.
+	Resumes model.RequestID
+	Prompt  model.Prompt
 }
 
 // RoutedResponseWriter writes the response to the caller.
--- a/internal/standin/users/users.go
+++ b/internal/standin/users/users.go
@@ -69,7 +69,7 @@
 // The sequence must grow with each entry.
 func PutEndpoint(store *logstore.Server, pool, instance, address, state string, sequence int) {
 	store.Put("keyed.servers", instance, mustMarshal(map[string]any{
-		"service": pool, "address": address, "zone": "north", "slots": 8, "state": state, "sequence": sequence, "born": 1,
+		"service": pool, "address": address, "zone": "north", "version": "v1", "slots": 8, "state": state, "sequence": sequence, "born": 1,
 	}))
 }
 
