--- /dev/null
+++ b/internal/gateway/versions_test.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+// addVersions publishes a number of endpoints of each version.
+func (f *versionFleet) addVersions(each int, versions ...string) {
+	for _, software := range versions {
+		for i := range each {
+			f.add(fmt.Sprint("e-", software, "-", i), software)
+		}
+	}
+}
+
+// A stream that an endpoint breaks off goes on, within one answer, only at the version that began it.
+func TestStreamGoesOnAtItsVersionWithinOneAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newVersionFleet(3)
+		defer f.close()
+		f.addVersions(4, "v1", "v1.1", "v2")
+		f.run()
+		count := 0
+		f.endpoints.breakAfter = func(a port.RoutedAttempt) int {
+			count++
+			if a.LastEventID == "" && count%2 == 0 {
+				return 5
+			}
+			return 0
+		}
+		f.play(5 * time.Second)
+		got := f.results()
+		must.Zero(t, got.joined)
+		must.Positive(t, f.endpoints.resumed)
+		must.Eq(t, len(f.callers), got.complete)
+	})
+}
+
+// With no endpoint of its version left, a stream breaks off at once.
+func TestStreamWhoseVersionHasLeftBreaksOffAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newVersionFleet(2)
+		defer f.close()
+		f.addVersions(1, "v1")
+		f.run()
+		f.endpoints.breakAfter = func(a port.RoutedAttempt) int {
+			if a.LastEventID == "" {
+				return 8
+			}
+			return 0
+		}
+		f.call(0)
+		time.Sleep(3 * versionedGap)
+		f.addVersions(3, "v2")
+		f.remove("e-v1-0")
+		started := time.Now()
+		got := f.results()
+		must.Zero(t, got.joined)
+		must.Zero(t, got.wentOn)
+		must.Less(t, time.Second, time.Since(started))
+	})
+}
+
+// A host is lost, and its callers take their streams up again at others.
+func TestTakenUpStreamGoesOnAtItsVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newVersionFleet(4)
+		defer f.close()
+		f.addVersions(4, "v1", "v1.1")
+		f.run()
+		f.play(2 * time.Second)
+		f.kill(1)
+		f.play(2 * time.Second)
+		f.start(1)
+		f.play(2 * time.Second)
+		f.kill(2)
+		got := f.results()
+		must.Zero(t, got.joined)
+		must.Positive(t, got.takeUps)
+		must.GreaterEq(t, got.takeUps*9/10, got.wentOn)
+	})
+}
+
+// All hosts are lost at once while two versions serve, or after one has left.
+func TestStreamTakenUpAfterLossOfAllHostsIsNotJoined(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newVersionFleet(4)
+			defer f.close()
+			f.addVersions(4, "v1", "v1.1")
+			f.run()
+			f.play(2 * time.Second)
+			for i := range f.gateways {
+				f.kill(i)
+			}
+			for i := range 4 {
+				if leaves {
+					f.remove(fmt.Sprint("e-v1-", i))
+				}
+			}
+			for i := range f.gateways {
+				f.start(i)
+			}
+			time.Sleep(time.Second)
+			got := f.results()
+			must.Zero(t, got.joined)
+			must.Positive(t, got.takeUps)
+		})
+	}
+}
