Let streams go on only at the software version that began them

What callers saw: the first part of a text from one software version of an endpoint and the rest from another one, answered 200, with nothing to show it.

Cause: all endpoints of a pool counted as interchangeable. The version in their entries and the header Resumes were not read, so that a stream that an endpoint broke off, or that a caller took up again, was placed like any other request.

Change: the first event fixes the version for the rest of the response. A request that resumes a stream is restricted to the origin that this host or another one has recorded, or that the history of the pool proves; else it is refused at once. Origins travel in digests while the history proves nothing, and can be asked for. The versions of pools lie in the platform's store. An endpoint that was down of late is taken to be of unknown version until the list can show it. The stand-in store reads the body of a call that it does not answer: else it never notices that the caller has gone, and a test hung.

Why it works: no request that resumes a stream is placed without a version, and a version is taken only from a record of the first event or where no other can have served.

--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -194,6 +194,7 @@
 		Domains:          convert(d.Domains, domainLoadToWire),
 	}
 	out.QuarantinedParts, out.SuspectedRequests = suspectsToWire(d.Suspects)
+	out.StreamBegins = beginsToWire(d.StreamBegins)
 	out.ClearedParts, out.ClearedRequests = suspectsToWire(d.ClearedSuspects)
 	return out
 }
@@ -215,6 +216,7 @@
 		Crashes:          convert(d.GetCrashes(), crashFromWire),
 		Suspects:         suspectsFromWire(d.GetQuarantinedParts(), d.GetSuspectedRequests()),
 		ClearedSuspects:  suspectsFromWire(d.GetClearedParts(), d.GetClearedRequests()),
+		StreamBegins:     beginsFromWire(d.GetStreamBegins()),
 		Loads:            convert(d.GetLoads(), endpointLoadFromWire),
 		Hosts:            convert(d.GetHosts(), hostInfoFromWire),
 		Subscribes:       d.GetSubscribes(),
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -46,6 +46,9 @@
 	Target time.Duration
 	// Arrived is when the caller sent the request.
 	Arrived time.Time
+	// Software is the version at which a stream has begun; only endpoints of this version
+	// are chosen. It is empty for a request that any endpoint may serve.
+	Software model.SoftwareVersion
 	// Avoid lists the endpoints that have failed or refused the request.
 	Avoid []model.EndpointName
 	// Retry reports whether an endpoint has already received the request, so
@@ -90,6 +93,8 @@
 	// ReasonSuspended means that endpoints have crashed under the request, and that one
 	// host at a time may send it.
 	ReasonSuspended Reason = "suspended"
+	// ReasonSoftware means that no endpoint has the version at which the stream has begun.
+	ReasonSoftware Reason = "software_version"
 	// ReasonTooLarge means that the prompt exceeds the cache of every endpoint.
 	ReasonTooLarge Reason = "too_large"
 )
@@ -100,7 +105,8 @@
 	// refusal.
 	Endpoint model.EndpointName
 	Address  string
-	// Started identifies the start of the endpoint, Software is the version that it runs.
+	// Started identifies the start of the endpoint. Software is the version that it runs;
+	// empty if that is not certain.
 	Started  int64
 	Software model.SoftwareVersion
 	// Limit is the limit of the endpoint in requests per second; 0 for none.
@@ -380,7 +386,7 @@
 		Endpoint:      e.Name,
 		Address:       e.Address,
 		Started:       e.Started,
-		Software:      e.Software,
+		Software:      e.certainSoftware(now),
 		Limit:         e.limit.report.PerSecond,
 		Priority:      c.priority,
 		FetchFrom:     c.fetchFrom,
--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -134,6 +134,12 @@
 	p.updateUrgentReserve(now, b)
 	loc := b.locateSharedPrefix(now, p, &req.Prompt)
 	candidates := b.candidates(p, req.Prompt.SharedPrefixID(), loc)
+	if req.Software != "" {
+		candidates = p.endpointsOf(now, req.Software)
+	}
+	if len(candidates) == 0 && req.Software != "" {
+		return choice{retryAfter: p.timeToNextEndpoint(now)}, ReasonSoftware
+	}
 	// An endpoint that has failed the request is preferred to one in an
 	// unreachable domain.
 	for _, allowed := range []func(e *endpoint) bool{
--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -74,6 +74,9 @@
 	// domain.
 	checkOpen     bool
 	inDomainRound bool
+	// softwareCertainFrom is when it is certain again that the endpoint runs the version
+	// that is listed; zero if it always was.
+	softwareCertainFrom time.Time
 	// reserved reports whether the endpoint is reserved for urgent requests.
 	reserved bool
 }
@@ -141,6 +144,7 @@
 		e.recordConnectFailure(now)
 	case FailureReplaced:
 		failed = 1
+		e.doubtSoftware(now)
 		e.pausedUntil = now.Add(replacedPause)
 	}
 	e.failureRate += newestWeight * (failed - e.failureRate)
--- a/internal/core/balance/reachability.go
+++ b/internal/core/balance/reachability.go
@@ -318,4 +318,5 @@
 	e.unreachable = true
 	e.nextCheck = now.Add(pauseLength(e.consecutiveFailures))
 	e.consecutiveFailures++
+	e.doubtSoftware(now)
 }
--- /dev/null
+++ b/internal/core/balance/software.go
@@ -0,0 +1,46 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+)
+
+// restartListTime is the time within which the list of endpoints shows that one has
+// started again. It may run another version by then, under the same name and address.
+const restartListTime = 3 * time.Second
+
+// endpointsOf returns the endpoints of a pool that run a version of the software. Those
+// that were down of late may have started again with another one.
+func (p *pool) endpointsOf(now time.Time, software model.SoftwareVersion) []*endpoint {
+	var out []*endpoint
+	for _, e := range p.endpoints {
+		if e.certainSoftware(now) == software {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// certainSoftware returns the version that the endpoint runs; empty if it is not certain.
+func (e *endpoint) certainSoftware(now time.Time) model.SoftwareVersion {
+	if now.Before(e.softwareCertainFrom) {
+		return ""
+	}
+	return e.Software
+}
+
+// RecordCrash records when an endpoint has crashed, as found by this host or another one.
+func (b *Balancer) RecordCrash(at time.Time, instance model.Instance) {
+	if e := b.endpoints[instance.Name]; e != nil && e.Started == instance.Started {
+		e.doubtSoftware(at)
+	}
+}
+
+// doubtSoftware records that the endpoint was down, so that it may start again with
+// another version.
+func (e *endpoint) doubtSoftware(at time.Time) {
+	if from := at.Add(restartListTime); from.After(e.softwareCertainFrom) {
+		e.softwareCertainFrom = from
+	}
+}
--- /dev/null
+++ b/internal/core/resume/main_test.go
@@ -0,0 +1,13 @@
+package resume_test
+
+import (
+	"os"
+	"testing"
+
+	"github.com/wigeonsail/wigeonsail/internal/seedtest"
+)
+
+func TestMain(m *testing.M) {
+	seedtest.SetFlags("300", nil)
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/core/resume/resume.go
@@ -0,0 +1,154 @@
+// Package resume decides at which software version an interrupted stream may go on. What
+// two versions write does not fit together, so a stream goes on only at the version that
+// began it. It is a state machine without I/O and without a clock.
+//
+// A host knows where a stream began in one of two ways:
+//
+//  1. It has forwarded the first event itself, or another host has told it so.
+//  2. The pool has had endpoints of one version only, for longer than a stream lasts. This
+//     holds also for streams of hosts that were lost.
+package resume
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+)
+
+const (
+	// StreamLife is the longest time from the first event of a stream until a caller
+	// resumes it.
+	StreamLife = time.Minute
+	// maxStreams, maxUnsent and maxPools bound what is kept.
+	maxStreams = 1 << 16
+	maxUnsent  = 1 << 12
+	maxPools   = 1 << 10
+)
+
+// StreamID identifies a stream by the caller's request that brought its first event.
+type StreamID uint64
+
+// NewStreamID returns the ID of the stream that began with a caller's request.
+func NewStreamID(request model.RequestID) StreamID {
+	return StreamID(xxhash.Sum64String(string(request)))
+}
+
+// Origin is where a stream began.
+type Origin struct {
+	Pool     model.PoolName
+	Software model.SoftwareVersion
+}
+
+// IsKnown reports whether a stream may go on at the origin: an endpoint that states no
+// version may run any.
+func (o Origin) IsKnown() bool { return o.Software != "" }
+
+// Begin is the beginning of a stream.
+type Begin struct {
+	Stream StreamID
+	Origin Origin
+}
+
+// stream is what is known of a stream.
+type stream struct {
+	origin Origin
+	// ambiguous reports that streams of several origins have the ID.
+	ambiguous bool
+	at        time.Time
+}
+
+// State is what one host knows of streams and versions. It is not safe for concurrent use.
+type State struct {
+	streams map[StreamID]stream
+	// byAge are the IDs of streams, the oldest first.
+	byAge []StreamID
+	// unsent are the streams that began at this host and were not reported yet, the oldest
+	// first.
+	unsent []unsentBegin
+	pools  map[model.PoolName]pool
+	// stored are the histories that earlier processes have saved.
+	stored map[model.PoolName]History
+}
+
+type unsentBegin struct {
+	Begin
+	at time.Time
+}
+
+// New returns a State that knows nothing.
+func New() *State {
+	return &State{streams: make(map[StreamID]stream), pools: make(map[model.PoolName]pool), stored: make(map[model.PoolName]History)}
+}
+
+// RecordBegin records a stream that began at this host, to be reported to others.
+func (s *State) RecordBegin(now time.Time, b Begin) {
+	if !s.record(now, b) {
+		return
+	}
+	if len(s.unsent) >= maxUnsent {
+		s.unsent = s.unsent[1:]
+	}
+	s.unsent = append(s.unsent, unsentBegin{Begin: b, at: now})
+}
+
+// RecordReport records a stream that began at another host.
+func (s *State) RecordReport(now time.Time, b Begin) { s.record(now, b) }
+
+// record records a stream. It returns false if it was known.
+func (s *State) record(now time.Time, b Begin) bool {
+	if before, known := s.streams[b.Stream]; known {
+		before.ambiguous = before.ambiguous || before.origin != b.Origin
+		s.streams[b.Stream] = before
+		return false
+	}
+	if len(s.byAge) >= maxStreams {
+		s.forgetOldest()
+	}
+	s.streams[b.Stream] = stream{origin: b.Origin, at: now}
+	s.byAge = append(s.byAge, b.Stream)
+	return true
+}
+
+// forgetOldest forgets the stream that was recorded first.
+func (s *State) forgetOldest() {
+	delete(s.streams, s.byAge[0])
+	s.byAge = s.byAge[1:]
+}
+
+// Origin returns where a stream began, as recorded. It returns false if the stream is not
+// known, and an unknown Origin if streams of several origins have the ID.
+func (s *State) Origin(id StreamID) (Origin, bool) {
+	found, known := s.streams[id]
+	if found.ambiguous {
+		return Origin{}, true
+	}
+	return found.origin, known
+}
+
+// TakeUnsent returns the streams that began at this host, that were not reported yet, and
+// whose origin other hosts may not be able to conclude from the history of the pool. current
+// reports whether the list of endpoints is up to date.
+func (s *State) TakeUnsent(now time.Time, current bool) []Begin {
+	var out []Begin
+	s.unsent = slices.DeleteFunc(s.unsent, func(b unsentBegin) bool {
+		if now.Sub(b.at) > StreamLife {
+			return true
+		}
+		if _, sole := s.SoleVersion(now, b.Origin.Pool); sole && current {
+			return false
+		}
+		out = append(out, b.Begin)
+		return true
+	})
+	return out
+}
+
+// Expire forgets the streams that are too old to be resumed.
+func (s *State) Expire(now time.Time) {
+	for len(s.byAge) > 0 && now.Sub(s.streams[s.byAge[0]].at) > StreamLife {
+		s.forgetOldest()
+	}
+}
--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -202,6 +202,17 @@
 	return nil, false
 }
 
+// RouteAt returns the route for exactly this host name and path prefix, and whether there
+// is one.
+func (t *Table) RouteAt(host, prefix string) (*Route, bool) {
+	for _, r := range t.byHost[host] {
+		if r.PathPrefix == prefix {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
 // Account returns the client account of an API key and whether the key is
 // valid. Without accounts in the configuration any key is valid and the account
 // is nil.
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -9,6 +9,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/freshness"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
+	"github.com/wigeonsail/wigeonsail/internal/core/resume"
 	"github.com/wigeonsail/wigeonsail/internal/core/routing"
 	"github.com/wigeonsail/wigeonsail/internal/loop"
 	"github.com/wigeonsail/wigeonsail/internal/port"
@@ -22,6 +23,17 @@
 	peers     *peerTable
 	// quarantine holds what crashes endpoints.
 	quarantine *quarantine.State
+	// streams holds where streams began. listCurrent reports whether the list of endpoints
+	// shows all versions in service, and listWasCurrent whether it ever did. targetsSince is since when each route has had its
+	// targets; zero if always.
+	streams        *resume.State
+	listCurrent    bool
+	listWasCurrent bool
+	targetsSince   map[string]time.Time
+	// savedHistories are the histories of the pools in the store; nil until they were read.
+	savedHistories map[model.PoolName]resume.History
+	// writes are the writes to the platform's store.
+	writes storeWrites
 	// brokenResponses are those that may show a crash once a successor is listed.
 	brokenResponses []brokenResponse
 	// trials holds the suspects that are on trial by this host.
@@ -62,6 +74,8 @@
 		directory:      directory.New(),
 		quarantine:     quarantine.New(),
 		trials:         make(map[quarantine.Suspect]bool),
+		streams:        resume.New(),
+		writes:         storeWrites{gateway: g},
 		loggedReserved: make(map[model.PoolName]int),
 	}
 	c.peers = newPeerTable(g)
@@ -99,6 +113,7 @@
 	c.updateReading(now)
 	c.updateLiveHosts(now)
 	c.refreshStaleList(now)
+	c.checkVersions(now)
 	c.recordSucceeded(now)
 	c.expireQuarantine(now)
 	c.fetchNewerConfig(now)
@@ -148,6 +163,9 @@
 		c.balancer.Apply(change)
 		logEndpoint(c.gateway.opts.Log, change, c.directory.Age(now), source)
 	}
+	if len(changes) > 0 {
+		c.observeVersions(now)
+	}
 }
 
 // finish reports the end of an attempt to the balancer. It blocks only while the
@@ -177,6 +195,7 @@
 		return
 	}
 	before := c.version()
+	c.recordTargets(time.Now(), c.gateway.table.Load(), cfg)
 	c.gateway.table.Store(routing.NewTable(cfg))
 	c.gateway.record.Store(&rec)
 	c.balancer.SetPools(cfg.Pools)
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -136,6 +136,7 @@
 
 // recordCrash applies a crash that this host has seen.
 func (c *control) recordCrash(now time.Time, crash quarantine.Crash) {
+	c.balancer.RecordCrash(crash.At, crash.Endpoint)
 	changes, added := c.quarantine.RecordCrash(now, crash)
 	if added {
 		logCrash(c.gateway.opts.Log, crash)
@@ -165,7 +166,11 @@
 // receiveCrashes applies the crashes and suspects in a digest, and requests digests that
 // report what is new.
 func (c *control) receiveCrashes(now time.Time, d port.LoadDigest) {
-	changes, news := c.quarantine.Merge(now, reportFrom(now, d))
+	report := reportFrom(now, d)
+	for _, crash := range report.Crashes {
+		c.balancer.RecordCrash(crash.At, crash.Endpoint)
+	}
+	changes, news := c.quarantine.Merge(now, report)
 	if news {
 		c.peers.requestDigests()
 	}
--- a/internal/gateway/crashfleet_test.go
+++ b/internal/gateway/crashfleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/attempt"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
+	"github.com/wigeonsail/wigeonsail/internal/core/resume"
 	"github.com/wigeonsail/wigeonsail/internal/core/routing"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
@@ -255,6 +256,10 @@
 	return p.get(address).HandleFetchHosts(ctx, self)
 }
 
+func (p *directPeers) FindStream(ctx context.Context, address string, id resume.StreamID) (resume.Origin, bool, error) {
+	return p.get(address).HandleFindStream(ctx, id)
+}
+
 func (p *directPeers) FetchEndpoints(ctx context.Context, address string) (port.EndpointList, error) {
 	return p.get(address).HandleFetchEndpoints(ctx)
 }
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -67,11 +67,27 @@
 	}
 }
 
+// cannotResumeRetryAfter is the Retry-After for a stream that cannot be resumed here.
+// Another host may know where it began.
+const cannotResumeRetryAfter = 300 * time.Millisecond
+
+// cannotResumeError is the error response to a request that resumes a stream of which no
+// host knows at which software version it began.
+func cannotResumeError() *port.RequestError {
+	return &port.RequestError{
+		Code: port.CodeCannotResume, Status: http.StatusServiceUnavailable, Outcome: model.OutcomeNotRun,
+		Message: "the stream cannot be resumed: it is not known which software version began it", RetryAfter: cannotResumeRetryAfter,
+	}
+}
+
 // notRunError is the error response to a request that no endpoint has run.
 func notRunError(reason balance.Reason, after time.Duration) *port.RequestError {
 	code := port.CodeOverloaded
-	if reason == balance.ReasonQuarantine || reason == balance.ReasonSuspended {
+	switch reason {
+	case balance.ReasonQuarantine, balance.ReasonSuspended:
 		code = port.CodeQuarantined
+	case balance.ReasonSoftware:
+		code = port.CodeCannotResume
 	}
 	return &port.RequestError{
 		Code: code, Status: http.StatusServiceUnavailable, Outcome: model.OutcomeNotRun,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,9 @@
 	// Quarantine keeps what crashes endpoints while no host runs, and selects the host that
 	// may send a suspended request; nil for a single host that keeps it in memory only.
 	Quarantine port.QuarantineStore
+	// Versions keeps which software versions the pools have had while no host runs; nil to
+	// keep them in memory only.
+	Versions port.VersionStore
 	// ListReadInterval is the time between reads of the list of endpoints.
 	ListReadInterval time.Duration
 	// Peers sends load digests to other hosts and fetches from them; nil for a
@@ -116,6 +119,7 @@
 	g.workers.Go(func() { g.followConfig(g.ctx) })
 	g.workers.Go(func() { g.followEndpoints(g.ctx) })
 	g.workers.Go(func() { g.loadQuarantine(g.ctx) })
+	g.workers.Go(func() { g.loadVersions(g.ctx) })
 	g.Configure(g.opts.Budget, g.opts.Seeds)
 }
 
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -9,6 +9,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/directory"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
+	"github.com/wigeonsail/wigeonsail/internal/core/resume"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -113,9 +114,6 @@
 		"prompt": x.req.Prompt.InputTokens, "shared": x.req.Prompt.SharedPrefixTokens(),
 		"left_ms": time.Until(x.deadline).Milliseconds(), "fingerprint": x.fingerprint,
 	}
-	if x.call.LastEventID != "" {
-		f["resumes"], f["after_event"] = x.call.Resumes, x.call.LastEventID
-	}
 	if d.IsRefused() {
 		f["reason"] = string(d.Reason)
 		f["retry_after_ms"] = d.RetryAfter.Milliseconds()
@@ -159,6 +157,14 @@
 	entry.Info("request: attempt failed")
 }
 
+// logResumed logs a request that resumes a stream, and how it is known where it began.
+func (g *Gateway) logResumed(x *exchange, origin resume.Origin, source string) {
+	g.opts.Log.WithFields(fields{
+		"request": x.call.ID, "resumes": x.call.Resumes, "after_event": x.call.LastEventID,
+		"pool": origin.Pool, "software": origin.Software, "source": source,
+	}).Info("request: resumes a stream")
+}
+
 // ageMS returns the time since the call arrived, in milliseconds.
 func (x *exchange) ageMS() int64 { return time.Since(x.call.Arrived).Milliseconds() }
 
--- a/internal/gateway/mailbox.go
+++ b/internal/gateway/mailbox.go
@@ -5,12 +5,16 @@
 
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/resume"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
 // maxQueuedCacheUpdates limits the prefix cache updates in a queued digest.
 const maxQueuedCacheUpdates = 2048
 
+// maxQueuedBegins limits the begins of streams in a queued digest.
+const maxQueuedBegins = 4096
+
 // enqueue puts a digest into the mailbox, merged with the one queued there, if
 // any. It does nothing without a link to the peer.
 func (p *peer) enqueue(d port.LoadDigest) {
@@ -37,6 +41,7 @@
 		newer.LoadsUnchanged = false
 	}
 	newer.CacheUpdates = mergeCacheUpdates(older.CacheUpdates, newer.CacheUpdates)
+	newer.StreamBegins = mergeBegins(older.StreamBegins, newer.StreamBegins)
 	newer.Changes = mergeChanges(older.Changes, newer.Changes)
 	if len(newer.Hosts) == 0 {
 		newer.Hosts = older.Hosts
@@ -75,6 +80,16 @@
 	return newer
 }
 
+// mergeBegins returns the begins of streams of both lists, at most the newest ones. It
+// modifies neither slice, since several mailboxes share them.
+func mergeBegins(older, newer []resume.Begin) []resume.Begin {
+	if len(older) == 0 {
+		return newer
+	}
+	out := slices.Concat(older, newer)
+	return out[max(len(out)-maxQueuedBegins, 0):]
+}
+
 // mergeCacheUpdates returns the newest prefix cache updates of both lists. It
 // modifies neither slice, since several mailboxes share them.
 func mergeCacheUpdates(older, newer []balance.CacheUpdate) []balance.CacheUpdate {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -203,6 +203,23 @@
 	return out
 }
 
+// directAddresses returns the addresses of hosts that this host's streams are reported to
+// and that it hears from, those of the local failure domain first, at most maxFindPeers.
+func (t *peerTable) directAddresses(now time.Time) []string {
+	var local, remote []string
+	for address, p := range t.peers {
+		switch {
+		case !t.digests.isDirect(address, p) || !t.hearsFrom(now, p):
+		case t.isLocal(p):
+			local = append(local, address)
+		default:
+			remote = append(remote, address)
+		}
+	}
+	out := append(local, remote...)
+	return out[:min(len(out), maxFindPeers)]
+}
+
 // stayingMembers returns the live hosts that are not leaving, this one included, or all
 // live ones if all are leaving.
 func (t *peerTable) stayingMembers(now time.Time) []relay.Member {
@@ -285,6 +302,9 @@
 	c.applyLeaving(now, d.LeavingEndpoints)
 	c.receiveLimits(now, d)
 	c.receiveCrashes(now, d)
+	for _, begin := range d.StreamBegins {
+		c.streams.RecordReport(now, begin)
+	}
 	if d.Version > c.version() {
 		c.fetchNewerConfig(now)
 	}
--- /dev/null
+++ b/internal/gateway/resume.go
@@ -0,0 +1,247 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/clock"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/resume"
+	"github.com/wigeonsail/wigeonsail/internal/core/routing"
+	"github.com/wigeonsail/wigeonsail/internal/loop"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+// Streams go on only at the software version that began them: within one response, and when
+// a caller resumes a stream at this host that may have begun at another one.
+
+const (
+	// maxCurrentAge is the age of the list of endpoints up to which it shows all versions
+	// in service. It exceeds the age that the list reaches between two reads and two
+	// digests.
+	maxCurrentAge = maxDenialAge
+	// maxFindPeers is the number of other hosts that are asked where a stream began,
+	// findTimeout bounds the calls: the caller waits.
+	maxFindPeers = 8
+	findTimeout  = 100 * time.Millisecond
+)
+
+// isResumed reports whether the request resumes a stream.
+func (x *exchange) isResumed() bool {
+	return x.route.Kind == routing.Streaming && x.call.LastEventID != ""
+}
+
+// restrictToOrigin restricts a request that resumes a stream to the pool and the version
+// that began it. It returns the error response if they are not known.
+func (x *exchange) restrictToOrigin(ctx context.Context) *port.RequestError {
+	if !x.isResumed() {
+		return nil
+	}
+	origin, source := x.findOrigin(ctx)
+	x.gateway.logResumed(x, origin, source)
+	if !origin.IsKnown() || !slices.ContainsFunc(x.route.Targets, func(t routing.Target) bool { return t.Pool == origin.Pool }) {
+		return cannotResumeError()
+	}
+	x.req.Pool, x.req.Software = origin.Pool, origin.Software
+	return nil
+}
+
+// Sources of the origin of a stream, in logs.
+const (
+	originRecorded = "recorded"
+	originHistory  = "history"
+	originPeer     = "peer"
+	originUnknown  = "unknown"
+)
+
+// findOrigin returns where the stream that the request resumes began, and how it is known.
+func (x *exchange) findOrigin(ctx context.Context) (resume.Origin, string) {
+	g, id := x.gateway, resume.NewStreamID(x.call.Resumes)
+	type result struct {
+		origin resume.Origin
+		source string
+		peers  []string
+	}
+	found, ok := queryLoop(ctx, g, func(now time.Time) result {
+		if origin, known := g.control.streams.Origin(id); known && x.call.Resumes != "" {
+			return result{origin: origin, source: originRecorded}
+		}
+		if origin, sole := g.control.soleOrigin(now, x.route); sole {
+			return result{origin: origin, source: originHistory}
+		}
+		return result{source: originUnknown, peers: g.control.peers.directAddresses(now)}
+	})
+	if !ok || found.source != originUnknown || x.call.Resumes == "" {
+		return found.origin, found.source
+	}
+	if origin, known := g.findAtPeers(ctx, found.peers, id); known {
+		return origin, originPeer
+	}
+	return resume.Origin{}, originUnknown
+}
+
+// soleOrigin returns the only origin that the streams of a route can have. It returns false
+// if there is none.
+func (c *control) soleOrigin(now time.Time, route *routing.Route) (resume.Origin, bool) {
+	if len(route.Targets) != 1 || now.Sub(c.targetsSince[routeKey(route)]) < resume.StreamLife || !c.isListCurrent(now) {
+		return resume.Origin{}, false
+	}
+	pool := route.Targets[0].Pool
+	software, sole := c.streams.SoleVersion(now, pool)
+	return resume.Origin{Pool: pool, Software: software}, sole
+}
+
+// findAtPeers asks other hosts where a stream began. It returns false if none of them
+// knows.
+func (g *Gateway) findAtPeers(ctx context.Context, addresses []string, id resume.StreamID) (resume.Origin, bool) {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	type answer struct {
+		origin resume.Origin
+		known  bool
+	}
+	answers := make(chan answer, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			origin, known, err := g.opts.Peers.FindStream(ctx, address, id)
+			if err != nil && ctx.Err() == nil {
+				g.opts.Log.WithError(err).WithField("address", address).Info("peers: asking for a stream failed")
+			}
+			answers <- answer{origin, known && err == nil}
+		}()
+	}
+	for range addresses {
+		if a := <-answers; a.known {
+			return a.origin, true
+		}
+	}
+	return resume.Origin{}, false
+}
+
+// HandleFindStream returns where a stream began, as far as this host knows. It implements
+// port.LoadHandler.
+func (g *Gateway) HandleFindStream(ctx context.Context, id resume.StreamID) (resume.Origin, bool, error) {
+	type result struct {
+		origin resume.Origin
+		known  bool
+	}
+	found, ok := queryLoop(ctx, g, func(time.Time) result {
+		origin, known := g.control.streams.Origin(id)
+		return result{origin, known}
+	})
+	if !ok {
+		return resume.Origin{}, false, errStopped
+	}
+	return found.origin, found.known, nil
+}
+
+// recordBegin records where the stream of the response began, before its first event is
+// sent to the caller. The rest of the response must come from the same version.
+func (x *exchange) recordBegin(software model.SoftwareVersion) {
+	if x.began {
+		return
+	}
+	x.began, x.req.Software = true, software
+	origin := resume.Origin{Pool: x.req.Pool, Software: software}
+	requests := []model.RequestID{x.call.ID}
+	if x.isResumed() && x.call.Resumes != "" {
+		requests = append(requests, x.call.Resumes)
+	}
+	g := x.gateway
+	g.loop.Post(loop.Func(func(now time.Time) {
+		for _, request := range requests {
+			g.control.streams.RecordBegin(now, resume.Begin{Stream: resume.NewStreamID(request), Origin: origin})
+		}
+	}))
+}
+
+// routeKey identifies a route across configurations.
+func routeKey(r *routing.Route) string { return r.Host + r.PathPrefix }
+
+// recordTargets records which routes of a new configuration have other targets than before.
+// Those of the first configuration may always have had theirs.
+func (c *control) recordTargets(now time.Time, before *routing.Table, cfg *routing.Config) {
+	since := make(map[string]time.Time, len(cfg.Routes))
+	for i := range cfg.Routes {
+		r := &cfg.Routes[i]
+		key := routeKey(r)
+		since[key] = c.targetsSince[key]
+		if before == nil {
+			continue
+		}
+		old, found := before.RouteAt(r.Host, r.PathPrefix)
+		if !found || !slices.Equal(old.Targets, r.Targets) {
+			since[key] = now
+		}
+	}
+	c.targetsSince = since
+}
+
+// observeVersions records which versions the pools have after a change of the list of
+// endpoints. The hosts that read the list save what has changed.
+func (c *control) observeVersions(now time.Time) {
+	c.saveVersions(c.streams.Observe(now, c.directory.Entries()))
+}
+
+// checkVersions notes whether the list of endpoints is up to date, and forgets old streams.
+func (c *control) checkVersions(now time.Time) {
+	c.streams.Expire(now)
+	current := c.isListCurrent(now)
+	if current && !c.listCurrent {
+		if c.listWasCurrent {
+			c.streams.Interrupt(now)
+		}
+		c.listWasCurrent = true
+		c.saveVersions(c.streams.Pools())
+	}
+	c.listCurrent = current
+}
+
+// isListCurrent reports whether the list of endpoints shows all versions in service.
+func (c *control) isListCurrent(now time.Time) bool { return c.directory.Age(now) <= maxCurrentAge }
+
+// saveVersions saves the histories of pools, if they differ from those in the store. It waits
+// until those of earlier processes were read, which go back further.
+func (c *control) saveVersions(pools []model.PoolName) {
+	store := c.gateway.opts.Versions
+	if store == nil || !c.gateway.reading.Load() || c.savedHistories == nil {
+		return
+	}
+	for _, pool := range pools {
+		history := c.streams.History(pool)
+		if history.Equal(c.savedHistories[pool]) {
+			continue
+		}
+		c.savedHistories[pool] = history
+		c.writes.add("versions of "+string(pool), func(ctx context.Context) error {
+			return store.SaveVersionHistory(ctx, pool, history)
+		})
+	}
+}
+
+// adoptVersions applies the histories of earlier processes.
+func (c *control) adoptVersions(histories map[model.PoolName]resume.History) {
+	c.savedHistories = histories
+	for pool, history := range histories {
+		c.streams.Adopt(pool, history)
+	}
+	c.saveVersions(c.streams.Pools())
+}
+
+// loadVersions reads the histories of earlier processes from the store, and passes them to
+// the control loop. It tries until the store answers or ctx ends.
+func (g *Gateway) loadVersions(ctx context.Context) {
+	if g.opts.Versions == nil {
+		return
+	}
+	for delay := time.Duration(0); clock.Sleep(ctx, delay); delay = nextStoreDelay(delay) {
+		histories, err := g.opts.Versions.VersionHistories(ctx)
+		if err != nil {
+			g.opts.Log.WithError(err).Warn("versions: reading the store failed")
+			continue
+		}
+		g.loop.Post(loop.Func(func(time.Time) { g.control.adoptVersions(histories) }))
+		return
+	}
+}
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -58,6 +58,9 @@
 	delivered    int
 	possibleRuns int
 	unreachable  int
+	// began reports whether the first event of the response was recorded; the rest must
+	// come from the version in req.
+	began bool
 	// headerSent reports whether the response's header was sent to the caller.
 	headerSent bool
 	// firstResponseAt is when the first events of a stream, or the whole of
@@ -93,6 +96,10 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline.Add(deadlineGrace), errDeadline)
 	defer cancel()
+	if refusal := x.restrictToOrigin(ctx); refusal != nil {
+		g.logFailed(x, refusal, nil)
+		return w.RespondError(refusal) == nil
+	}
 	return x.run(ctx)
 }
 
@@ -237,6 +244,10 @@
 	if result.final || x.unreachable >= maxUnreachable {
 		return false
 	}
+	if x.began && x.req.Software == "" {
+		// Another endpoint may run another version.
+		return false
+	}
 	if ctx.Err() != nil || x.delivered >= maxDelivered || x.possibleRuns >= max(x.route.MaxAttempts, 1) {
 		return false
 	}
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -55,7 +55,7 @@
 	case !reply.HasSignature():
 		return attemptResult{outcome: model.OutcomeUnknown, delivered: true, failure: balance.FailureBroken, err: errUnsigned}
 	case reply.IsEventStream():
-		return x.forwardStream(ctx, reply, watch)
+		return x.forwardStream(ctx, reply, decision.Software, watch)
 	default:
 		return x.forwardBuffered(ctx, reply)
 	}
@@ -120,7 +120,7 @@
 // forwardStream forwards a stream's events as they arrive, until it ends or
 // breaks, and reports the first ones to the balancer. While it writes to the
 // caller, watch is paused.
-func (x *exchange) forwardStream(ctx context.Context, reply port.EndpointResponse, watch *stallWatch) attemptResult {
+func (x *exchange) forwardStream(ctx context.Context, reply port.EndpointResponse, software model.SoftwareVersion, watch *stallWatch) attemptResult {
 	defer watch.stop()
 	events := 0
 	for {
@@ -138,6 +138,7 @@
 		if events == 0 {
 			x.gateway.recordFirstResponse(x.req.ID)
 		}
+		x.recordBegin(software)
 		x.recordProgress(events, events+batch.Events)
 		events += batch.Events
 		if x.eventsSent == 0 {
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -1,13 +1,18 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
+	"maps"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/resume"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -116,3 +121,112 @@
 		})
 	}
 }
+
+// savedHistories is a store of the versions of pools.
+type savedHistories struct {
+	mu        sync.Mutex
+	histories map[model.PoolName]resume.History
+}
+
+func (s *savedHistories) VersionHistories(context.Context) (map[model.PoolName]resume.History, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.histories), nil
+}
+
+func (s *savedHistories) SaveVersionHistory(_ context.Context, pool model.PoolName, h resume.History) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.histories[pool] = h
+	return nil
+}
+
+// All hosts are lost while one version serves, as it did for long: no stream can have begun at another one.
+func TestStreamTakenUpAfterLossOfAllHostsGoesOnAtTheSoleVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newVersionFleet(4)
+		defer f.close()
+		saved := &savedHistories{histories: make(map[model.PoolName]resume.History)}
+		f.change = func(opts *Options) { opts.Versions = saved }
+		f.addVersions(4, "v1")
+		f.run()
+		time.Sleep(2 * resume.StreamLife)
+		f.play(2 * time.Second)
+		for i := range f.gateways {
+			f.kill(i)
+		}
+		for i := range f.gateways {
+			f.start(i)
+		}
+		got := f.results()
+		must.Zero(t, got.joined)
+		must.Positive(t, got.takeUps)
+		must.Eq(t, len(f.callers), got.complete)
+	})
+}
+
+// A host asks others for a stream that it was not told of, as it was started later.
+func TestHostThatStartsKnowsStreamsOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newVersionFleet(3)
+		defer f.close()
+		f.addVersions(3, "v1", "v1.1")
+		f.run()
+		f.kill(1)
+		f.play(300 * time.Millisecond)
+		f.start(1)
+		time.Sleep(time.Second / 2)
+		f.kill(0)
+		got := f.results()
+		must.Zero(t, got.joined)
+		must.Positive(t, got.wentOn)
+		must.Eq(t, len(f.callers), got.complete)
+	})
+}
+
+// An endpoint starts again with another version, under its name and at its address, before the list shows it.
+func TestStreamDoesNotGoOnAtAnEndpointThatMayHaveStartedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newVersionFleet(2)
+		defer f.close()
+		f.addVersions(2, "v1")
+		f.addVersions(2, "v1.1")
+		f.run()
+		f.endpoints.mu.Lock()
+		f.endpoints.breakAfter = func(a port.RoutedAttempt) int {
+			if a.LastEventID == "" {
+				return 10
+			}
+			return 0
+		}
+		f.endpoints.mu.Unlock()
+		f.play(time.Second / 2)
+		f.endpoints.mu.Lock()
+		delete(f.endpoints.software, "e-v1-0")
+		f.endpoints.mu.Unlock()
+		f.play(time.Second / 2)
+		f.endpoints.mu.Lock()
+		f.endpoints.software["e-v1-0"] = "v2"
+		f.endpoints.mu.Unlock()
+		f.play(time.Second)
+		must.Zero(t, f.results().joined)
+	})
+}
+
+// In a failure domain with relays, members ask the relays for streams of other members.
+func TestTakenUpStreamGoesOnAtItsVersionWithRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newVersionFleet(24)
+		defer f.close()
+		f.addVersions(6, "v1", "v1.1")
+		f.run()
+		f.play(2 * time.Second)
+		for i := 5; i < 10; i++ {
+			f.kill(i)
+		}
+		got := f.results()
+		must.Zero(t, got.joined)
+		must.Positive(t, got.takeUps)
+		must.GreaterEq(t, len(f.callers)*95/100, got.complete)
+	})
+}
--- a/internal/port/caller.go
+++ b/internal/port/caller.go
@@ -95,6 +95,7 @@
 	CodeHeaderTooLarge   Code = "header_too_large"
 	CodeOverloaded       Code = "overloaded"
 	CodeQuarantined      Code = "quarantined"
+	CodeCannotResume     Code = "cannot_resume"
 	CodeLimitReached     Code = "limit_reached"
 	CodeDeadlineExceeded Code = "deadline_exceeded"
 	CodeEndpointFailed   Code = "endpoint_failed"
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/directory"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
+	"github.com/wigeonsail/wigeonsail/internal/core/resume"
 	"github.com/wigeonsail/wigeonsail/internal/core/routing"
 )
 
@@ -181,6 +182,15 @@
 	EndTrial(ctx context.Context, suspect quarantine.Suspect) error
 }
 
+// VersionStore keeps which software versions the pools have had while no host runs. Errors
+// are *PlatformError.
+type VersionStore interface {
+	// VersionHistories returns the histories that were saved last, by pool.
+	VersionHistories(ctx context.Context) (map[model.PoolName]resume.History, error)
+	// SaveVersionHistory saves the history of a pool. It may be repeated.
+	SaveVersionHistory(ctx context.Context, pool model.PoolName, h resume.History) error
+}
+
 // Topic identifies one of the platform's lists, each of which is a compacted
 // log of keyed records.
 type Topic uint8
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -8,6 +8,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/directory"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
+	"github.com/wigeonsail/wigeonsail/internal/core/resume"
 )
 
 // EndpointLimit is what is known of the request limit of an endpoint.
@@ -85,6 +86,9 @@
 	Crashes         []CrashReport
 	Suspects        []SuspectAge
 	ClearedSuspects []SuspectAge
+	// StreamBegins are streams that have begun at the host since the last digest that lists
+	// some.
+	StreamBegins []resume.Begin
 	// Loads is the host's load by endpoint.
 	Loads []balance.EndpointLoad
 	// CacheUpdates are the sender's prefix cache updates since the last digest
@@ -164,6 +168,9 @@
 	// FetchHosts describes this host to a peer and returns hosts that the peer
 	// knows: those of this host's failure domain, and some of other ones.
 	FetchHosts(ctx context.Context, address string, self HostInfo) ([]HostInfo, error)
+	// FindStream returns where a stream began, as far as the peer knows. The origin is
+	// empty if several streams have the ID.
+	FindStream(ctx context.Context, address string, id resume.StreamID) (origin resume.Origin, known bool, err error)
 }
 
 // LoadStream sends digests to one peer.
@@ -180,6 +187,7 @@
 	HandleFetchConfig(ctx context.Context, newerThan model.Version) (ConfigRecord, error)
 	HandleFetchEndpoints(ctx context.Context) (EndpointList, error)
 	HandleFetchHosts(ctx context.Context, caller HostInfo) ([]HostInfo, error)
+	HandleFindStream(ctx context.Context, id resume.StreamID) (origin resume.Origin, known bool, err error)
 }
 
 // EndpointList is a host's list of endpoints.
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -74,6 +74,7 @@
 		Lists:             g.store,
 		Decoder:           platform.Decoder{},
 		Quarantine:        g.store,
+		Versions:          g.store,
 		ListReadInterval:  s.Platform.ListEvery.Std(),
 		Peers:             peerClient,
 		PeerAddress:       listeners[listenPeers].Addr().String(),
--- a/internal/standin/logstore/logstore.go
+++ b/internal/standin/logstore/logstore.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -113,6 +114,9 @@
 	case FaultResetConnection:
 		panic(http.ErrAbortHandler)
 	case FaultNoResponse:
+		// net/http notices that the caller has closed the connection only once the body
+		// was read. An error means that it has.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 	case FaultLostResponse:
 		s.mux.ServeHTTP(discardWriter{header: http.Header{}}, r)
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -264,7 +264,7 @@
 	if !faults.Unsigned {
 		w.Header().Set(headerSignature, signature(id))
 	}
-	if s.crashes(r.Header.Get("X-Wigeonsail-Prompt-Prefix"), string(body)) {
+	if s.crashes(r.Header.Get("X-Wigeonsail-Prompt-Prefix"), body) {
 		s.Close()
 		panic(http.ErrAbortHandler)
 	}
