A stream clears parts of prompts only when an endpoint begins to answer it

Callers' requests with a part that crashes endpoints were sent again: a stream with the part that an endpoint had begun to answer before the part turned bad released it from quarantine at its end.

Cause: forwardStream recorded the answer twice, at the third event and at the end. The end of a stream says nothing of its prompt that the third event has not said. It now counts only for streams with fewer events.

TestStreamFromBeforeThePartTurnedBadDoesNotClearIt: the part was not in quarantine before.

--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -95,3 +95,21 @@
 		must.Eq(t, crashes, len(f.endpoints.crashes))
 	})
 }
+
+// A stream that an endpoint began to answer before the part turned bad says nothing of it when it ends.
+func TestStreamFromBeforeThePartTurnedBadDoesNotClearIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFleet(3, 12)
+		defer f.close()
+		f.endpoints.events, f.endpoints.sound = 120, true
+		for i := range 6 {
+			f.call(crashPart, model.PartID(50+i))
+		}
+		time.Sleep(time.Second)
+		f.endpoints.setSound(false)
+		f.play(4*time.Second, 400*time.Millisecond, func(int) []model.PartID { return []model.PartID{commonPart, crashPart} })
+		for _, g := range f.gateways {
+			must.Eq(t, 1, g.countQuarantined())
+		}
+	})
+}
--- a/internal/gateway/crashfleet_test.go
+++ b/internal/gateway/crashfleet_test.go
@@ -63,6 +63,10 @@
 	eventsFirst int
 	// breaks is a part that makes an endpoint break off the response, and nothing else.
 	breaks model.PartID
+	// sound reports that no request crashes endpoints yet. events is the number of events of
+	// a stream.
+	sound  bool
+	events int
 	// downtime is the time until a crashed endpoint accepts connections again.
 	downtime time.Duration
 	// onCrash is called when an endpoint crashes; nil for nothing.
@@ -73,7 +77,7 @@
 }
 
 func newCrashingEndpoints() *crashingEndpoints {
-	return &crashingEndpoints{prefill: shortPrefill, downtime: crashDowntime, downUntil: make(map[model.EndpointName]time.Time), crashed: make(map[model.EndpointName]chan struct{})}
+	return &crashingEndpoints{prefill: shortPrefill, events: 8, downtime: crashDowntime, downUntil: make(map[model.EndpointName]time.Time), crashed: make(map[model.EndpointName]chan struct{})}
 }
 
 // arrive records a request and returns the channel that is closed when the endpoint
@@ -115,13 +119,25 @@
 	errConnectionReset   = &port.EndpointError{Outcome: model.OutcomeUnknown, Cause: io.ErrUnexpectedEOF}
 )
 
+func (e *crashingEndpoints) isSound() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.sound
+}
+
+func (e *crashingEndpoints) setSound(sound bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sound = sound
+}
+
 // isCrashing reports whether a request crashes endpoints.
 func isCrashing(c *port.RoutedCall) bool {
 	return hasSharedPart(c.Prompt, crashPart) || string(c.Body) == crashBody
 }
 
 func (e *crashingEndpoints) Send(ctx context.Context, a port.RoutedAttempt) (port.EndpointResponse, error) {
-	crashes := isCrashing(a.Call)
+	crashes := isCrashing(a.Call) && !e.isSound()
 	crashed, up := e.arrive(a.Endpoint, crashes)
 	if !up {
 		return nil, errConnectionRefused
@@ -139,7 +155,7 @@
 	if crashes && e.eventsFirst == 0 || hasSharedPart(a.Call.Prompt, e.breaks) {
 		return nil, errConnectionReset
 	}
-	out := &crashableStream{ctx: ctx, crashed: crashed, left: 8, plain: a.Call.Prompt.Model == ""}
+	out := &crashableStream{ctx: ctx, crashed: crashed, left: e.events, plain: a.Call.Prompt.Model == ""}
 	if crashes {
 		out.left, out.crash = e.eventsFirst, func() { e.crash(a.Endpoint) }
 	}
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -126,7 +126,9 @@
 	for {
 		batch, err := reply.Next()
 		if errors.Is(err, io.EOF) {
-			x.clearParts()
+			if events < minProgressEvents {
+				x.clearParts()
+			}
 			x.clearRequest()
 			return x.finishStream(reply)
 		}
