Write suspects to the store in order

Callers could get 503 for ten minutes after all hosts had started again, although the request had been answered: the save of a suspect that had failed was made again after its release.

Cause: each change was saved by a goroutine of its own, with its own tries. Changes now pass through the queue of writes of the control loop, where a later one for a key replaces those that wait.

TestLateSaveDoesNotOvertakeRelease: the released request was in the store before.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -183,14 +183,14 @@
 	changes := c.quarantine.Expire(now)
 	c.applyQuarantineChanges(changes, sourceTimer)
 	if c.gateway.reading.Load() {
-		c.gateway.saveQuarantine(changes)
+		c.saveQuarantine(changes)
 	}
 }
 
 // applyOwnChanges applies changes that this host has found first, and saves them.
 func (c *control) applyOwnChanges(changes []quarantine.Change, source string) {
 	c.applyQuarantineChanges(changes, source)
-	c.gateway.saveQuarantine(changes)
+	c.saveQuarantine(changes)
 }
 
 // applyQuarantineChanges logs changes of the quarantine with their source, and makes
--- a/internal/gateway/crashfleet_test.go
+++ b/internal/gateway/crashfleet_test.go
@@ -338,8 +338,11 @@
 func (s *savedSuspects) SaveSuspect(_ context.Context, saved port.StoredSuspect) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := s.call(); err != nil {
+		return err
+	}
 	s.suspects[saved.Suspect] = saved
-	return s.call()
+	return nil
 }
 
 func (s *savedSuspects) ReleaseSuspect(_ context.Context, suspect quarantine.Suspect) error {
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -60,33 +60,18 @@
 	c.applyQuarantineChanges(changes, sourceStore)
 }
 
-// saveQuarantine writes changes of the quarantine to the store in the background.
-func (g *Gateway) saveQuarantine(changes []quarantine.Change) {
-	if g.opts.Quarantine == nil {
+// saveQuarantine writes changes of the quarantine to the store.
+func (c *control) saveQuarantine(changes []quarantine.Change) {
+	store := c.gateway.opts.Quarantine
+	if store == nil {
 		return
 	}
 	for _, change := range changes {
-		g.background(func(ctx context.Context) { g.saveChange(ctx, change) })
-	}
-}
-
-// saveChange writes one change, again after failures.
-func (g *Gateway) saveChange(ctx context.Context, change quarantine.Change) {
-	delay := time.Duration(0)
-	for range maxStoreWrites {
-		if !clock.Sleep(ctx, delay) {
-			return
-		}
-		var err error
-		if change.Released {
-			err = g.opts.Quarantine.ReleaseSuspect(ctx, change.Suspect)
-		} else {
-			err = g.opts.Quarantine.SaveSuspect(ctx, port.StoredSuspect{Suspect: change.Suspect, Crashes: change.Crashes, At: change.At})
-		}
-		if err == nil {
-			return
-		}
-		g.opts.Log.WithError(err).WithField("suspect", change.Suspect).Warn("quarantine: writing to the store failed")
-		delay = nextStoreDelay(delay)
+		c.writes.add("suspect "+change.Suspect.String(), func(ctx context.Context) error {
+			if change.Released {
+				return store.ReleaseSuspect(ctx, change.Suspect)
+			}
+			return store.SaveSuspect(ctx, port.StoredSuspect{Suspect: change.Suspect, Crashes: change.Crashes, At: change.At})
+		})
 	}
 }
