Clear suspects at other hosts also right after a crash

Callers whose request was answered, or lifted by an operator, right after a crash stayed refused by other hosts for up to ten minutes.

Cause: hosts understate the times that they report by 150 ms a hop, so that a clear seemed older than a crash just before it. A crash counts as later than a clear only if it is later by 400 ms.

--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -34,6 +34,9 @@
 	// other hosts are not exact, and the endpoints of a failure domain do not all fail at
 	// the same moment.
 	separation = 250 * time.Millisecond
+	// clearMargin is by how much the times at which other hosts have cleared suspects may
+	// be understated, so that a crash is later only if it is later by more.
+	clearMargin = 400 * time.Millisecond
 	// partMemory is how long a crash is evidence against parts of prompts.
 	partMemory = 2 * time.Minute
 	// Duration is how long a suspect stays in quarantine, or suspended, after the last
@@ -259,7 +262,13 @@
 
 // isEvidence reports whether a crash names a suspect that was not cleared since.
 func (s *State) isEvidence(c Crash, suspect Suspect) bool {
-	return c.names(suspect) && c.At.After(s.cleared[suspect])
+	return c.names(suspect) && s.isAfterClear(suspect, c.At)
+}
+
+// isAfterClear reports whether a time is after that at which a suspect was last cleared.
+func (s *State) isAfterClear(suspect Suspect, at time.Time) bool {
+	cleared, found := s.cleared[suspect]
+	return !found || at.After(cleared.Add(clearMargin))
 }
 
 // names reports whether the crash names a suspect.
@@ -281,7 +290,7 @@
 	}
 	s.cleared[suspect] = at
 	e, found := s.suspects[suspect]
-	if !found || !at.After(e.At) {
+	if !found || s.isAfterClear(suspect, e.At) {
 		return nil
 	}
 	delete(s.suspects, suspect)
@@ -330,7 +339,7 @@
 // the suspect was cleared since, or the time is over.
 func (s *State) suspect(now time.Time, other SuspectEvidence) bool {
 	before, known := s.suspects[other.Suspect]
-	if s.cleared[other.Suspect].After(other.At) || now.Sub(other.At) >= Duration || !known && len(s.suspects) >= maxSuspects {
+	if !s.isAfterClear(other.Suspect, other.At) || now.Sub(other.At) >= Duration || !known && len(s.suspects) >= maxSuspects {
 		return false
 	}
 	s.suspects[other.Suspect] = before.merge(other.Evidence)
--- a/internal/core/quarantine/requests_test.go
+++ b/internal/core/quarantine/requests_test.go
@@ -157,3 +157,24 @@
 		must.True(t, errors.As(err, &malformed))
 	}
 }
+
+// A suspect is lifted right after a crash. The time that another host hears of is older than the crash.
+func TestReleaseRightAfterCrashReachesOtherHosts(t *testing.T) {
+	const understated = 300 * time.Millisecond
+	s, other := quarantine.New(), quarantine.New()
+	for i := 1; i <= 3; i++ {
+		other.RecordCrash(at(time.Second), requestCrash(i, time.Second, 7, i))
+	}
+	s.Merge(at(time.Second), other.Report(at(time.Second)))
+	must.Eq(t, "quarantined", requestState(s, time.Second, 7))
+	_, released := s.Release(at(time.Second+time.Millisecond), quarantine.Request(7))
+	must.True(t, released)
+	report := s.Report(at(time.Second + 2*time.Millisecond))
+	for i := range report.Cleared {
+		report.Cleared[i].At = report.Cleared[i].At.Add(-understated)
+	}
+	other.Merge(at(time.Second+3*time.Millisecond), report)
+	must.Eq(t, "", requestState(other, time.Second, 7))
+	s.Merge(at(time.Second), other.Report(at(time.Second)))
+	must.Eq(t, "", requestState(s, time.Second, 7))
+}
