--- a/cmd/wigeonsail/hosts_peers.go
+++ b/cmd/wigeonsail/hosts_peers.go
@@ -42,16 +42,9 @@
 // fetchPeers fetches the view of a gateway.
 func fetchPeers(ctx context.Context, url string) (gateway.PeerStatus, error) {
 	var status gateway.PeerStatus
-	if !strings.Contains(url, "://") {
-		url = "http://" + url
-	}
 	ctx, cancel := context.WithTimeout(ctx, peersTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimRight(url, "/")+"/peers", nil)
-	if err != nil {
-		return status, err
-	}
-	res, err := http.DefaultClient.Do(req)
+	res, err := callGateway(ctx, http.MethodGet, url, "/peers")
 	if err != nil {
 		return status, err
 	}
@@ -62,6 +55,18 @@
 	return status, json.NewDecoder(res.Body).Decode(&status)
 }
 
+// callGateway calls a path on the metrics address of a gateway.
+func callGateway(ctx context.Context, method, url, path string) (*http.Response, error) {
+	if !strings.Contains(url, "://") {
+		url = "http://" + url
+	}
+	req, err := http.NewRequestWithContext(ctx, method, strings.TrimRight(url, "/")+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	return http.DefaultClient.Do(req)
+}
+
 // printPeers prints the view of a gateway as text.
 func printPeers(s gateway.PeerStatus) error {
 	fmt.Printf("%s in %s: relay %s, reads the lists %s, list of era %d read %.1f s ago, configuration %d, %d hosts in the fleet\n",
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -23,6 +23,8 @@
 	peers     *peerTable
 	// quarantine holds what crashes endpoints.
 	quarantine *quarantine.State
+	// suspectSources is how this host has learned of each suspect.
+	suspectSources map[quarantine.Suspect]string
 	// streams holds where streams began. listCurrent reports whether the list of endpoints
 	// shows all versions in service, and listWasCurrent whether it ever did. targetsSince is since when each route has had its
 	// targets; zero if always.
@@ -73,6 +75,7 @@
 		balancer:       balance.New(balance.Options{Domain: g.opts.Domain, Budget: g.opts.Budget, WarmCaches: g.opts.Warm, Seed: g.opts.Seed}),
 		directory:      directory.New(),
 		quarantine:     quarantine.New(),
+		suspectSources: make(map[quarantine.Suspect]string),
 		trials:         make(map[quarantine.Suspect]bool),
 		streams:        resume.New(),
 		writes:         storeWrites{gateway: g},
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -163,6 +163,16 @@
 	c.applyOwnChanges(changes, "response")
 }
 
+// lift applies that an operator lifts a suspect. It returns false if nothing is known of it.
+func (c *control) lift(now time.Time, suspect quarantine.Suspect) bool {
+	changes, cleared := c.quarantine.Release(now, suspect)
+	if cleared {
+		c.peers.requestDigests()
+	}
+	c.applyOwnChanges(changes, "operator")
+	return cleared
+}
+
 // receiveCrashes applies the crashes and suspects in a digest, and requests digests that
 // report what is new.
 func (c *control) receiveCrashes(now time.Time, d port.LoadDigest) {
@@ -174,6 +184,12 @@
 	if news {
 		c.peers.requestDigests()
 	}
+	for _, change := range changes {
+		if change.Released {
+			// Another host removes it from the store.
+			c.writes.drop(suspectKey(change.Suspect))
+		}
+	}
 	c.applyQuarantineChanges(changes, "peer "+string(d.Host))
 }
 
@@ -198,6 +214,11 @@
 func (c *control) applyQuarantineChanges(changes []quarantine.Change, source string) {
 	for _, change := range changes {
 		logQuarantine(c.gateway.opts.Log, change, source)
+		if change.Released {
+			delete(c.suspectSources, change.Suspect)
+		} else {
+			c.suspectSources[change.Suspect] = source
+		}
 	}
 	c.gateway.watchingCrashes.Store(c.quarantine.IsWatching())
 }
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -60,6 +60,9 @@
 	c.applyQuarantineChanges(changes, sourceStore)
 }
 
+// suspectKey is the key of the writes for a suspect.
+func suspectKey(s quarantine.Suspect) string { return "suspect " + s.String() }
+
 // saveQuarantine writes changes of the quarantine to the store.
 func (c *control) saveQuarantine(changes []quarantine.Change) {
 	store := c.gateway.opts.Quarantine
@@ -67,7 +70,7 @@
 		return
 	}
 	for _, change := range changes {
-		c.writes.add("suspect "+change.Suspect.String(), func(ctx context.Context) error {
+		c.writes.add(suspectKey(change.Suspect), func(ctx context.Context) error {
 			if change.Released {
 				return store.ReleaseSuspect(ctx, change.Suspect)
 			}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -62,6 +62,8 @@
 	// one.
 	Crashes int     `json:"crashes"`
 	Age     float64 `json:"age_s"`
+	// Source is how the host has learned of it: "crash", "response", "store" or a peer.
+	Source string `json:"source"`
 }
 
 // PeerView is what a host knows of another one.
@@ -115,6 +117,7 @@
 	for _, s := range c.quarantine.Suspects() {
 		out.Suspects = append(out.Suspects, SuspectView{
 			Suspect: s.Suspect, Quarantined: s.IsQuarantined(), Crashes: s.Crashes, Age: now.Sub(s.At).Seconds(),
+			Source: c.suspectSources[s.Suspect],
 		})
 	}
 	for address, p := range c.peers.peers {
@@ -153,6 +156,24 @@
 	_ = json.NewEncoder(w).Encode(status)
 }
 
+// ServeLift lifts a suspect at all hosts. It responds with 404 if nothing is known of it.
+func (g *Gateway) ServeLift(w http.ResponseWriter, r *http.Request) {
+	suspect, err := quarantine.ParseSuspect(r.PathValue("suspect"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	lifted, ok := queryLoop(r.Context(), g, func(now time.Time) bool { return g.control.lift(now, suspect) })
+	switch {
+	case !ok:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case !lifted:
+		w.WriteHeader(http.StatusNotFound)
+	default:
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
 // metricsInterval is the time between updates of the gauges.
 const metricsInterval = time.Second
 
--- a/internal/gateway/storewrites.go
+++ b/internal/gateway/storewrites.go
@@ -29,11 +29,16 @@
 
 // add requests a write.
 func (w *storeWrites) add(key string, do func(ctx context.Context) error) {
-	w.queue = slices.DeleteFunc(w.queue, func(other storeWrite) bool { return other.key == key })
+	w.drop(key)
 	w.queue = append(w.queue, storeWrite{key: key, do: do})
 	w.next()
 }
 
+// drop drops the write for a key if it waits.
+func (w *storeWrites) drop(key string) {
+	w.queue = slices.DeleteFunc(w.queue, func(other storeWrite) bool { return other.key == key })
+}
+
 // next starts the first write that waits, unless another one is in progress.
 func (w *storeWrites) next() {
 	if w.busy || len(w.queue) == 0 {
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -151,6 +151,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", g.metrics.Handler())
 	mux.HandleFunc("GET /peers", g.gateway.ServePeers)
+	mux.HandleFunc("DELETE /suspects/{suspect}", g.gateway.ServeLift)
 	g.serveAux(g.listeners[listenMetrics], mux)
 	g.log.WithFields(log.Fields{
 		"host": g.settings.Host, "domain": g.settings.Domain, "callers": g.settings.Listen.Callers,
--- a/internal/server/gateway_crash_test.go
+++ b/internal/server/gateway_crash_test.go
@@ -108,6 +108,26 @@
 	}
 	must.Eq(t, runs, f.totalRuns())
 	must.Eq(t, http.StatusOK, lookUp(0, "sound").status)
+
+	suspect := f.peers(hosts[1]).Suspects[0]
+	must.NotEq(t, "", suspect.Source)
+	must.Eq(t, http.StatusBadRequest, f.lift(hosts[1], "odd"))
+	must.Eq(t, http.StatusNotFound, f.lift(hosts[1], "request-1"))
+	must.Eq(t, http.StatusNoContent, f.lift(hosts[1], suspect.Suspect.String()))
+	f.eventually(func() bool { return f.quarantined(hosts[0]) == 0 && f.quarantined(hosts[1]) == 0 })
+	lookUp(0, "bad")
+	must.Greater(t, runs, f.totalRuns(), must.Sprint("it is sent again"))
+}
+
+// lift lifts a suspect through a host and returns the status.
+func (f *fleet) lift(g *Gateway, suspect string) int {
+	f.t.Helper()
+	req, err := http.NewRequestWithContext(f.t.Context(), http.MethodDelete, "http://"+g.Address("metrics")+"/suspects/"+suspect, nil)
+	must.NoError(f.t, err)
+	res, err := http.DefaultClient.Do(req)
+	must.NoError(f.t, err)
+	must.NoError(f.t, res.Body.Close())
+	return res.StatusCode
 }
 
 // countClosed returns the number of replicas that accept no connections.
