Do not take late reports of reads for an outage of the store

Callers could be sent to an endpoint for 2 s after it had left: removals were delayed as after an outage, although the store turned away a single host and answered the others.

Cause: a host learns of the reads of others up to 2.2 s apart, and took a pause of 2 s for an outage once any read had failed. Entries can expire only in an outage of 2.4 s or more, so that is the limit now.

TestReadsThatFailAtOneHostDelayNoRemovals failed before.

--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -60,9 +60,10 @@
 const returnGrace = 2 * time.Second
 
 // outageAfter is the time without a response from the store after which, if reads
-// have failed, entries may have expired unnoticed. It is shorter than three intervals
-// between the status reports of an endpoint.
-const outageAfter = 2 * time.Second
+// have failed, entries may have expired unnoticed: an entry expires three intervals of 1.2 s
+// after the last status report of its endpoint, which may be one interval old when an
+// outage begins. It exceeds the 2.2 s between two reads as hosts learn of them.
+const outageAfter = 2400 * time.Millisecond
 
 // Directory is the list of endpoints. It is not safe for concurrent use: the
 // control loop owns it.
--- a/internal/core/directory/directory_test.go
+++ b/internal/core/directory/directory_test.go
@@ -84,6 +84,17 @@
 	must.True(t, changed)
 }
 
+// The store turns one host away, and hosts learn of the reads of others 2.2 s apart.
+func TestReadsThatFailAtOneHostDelayNoRemovals(t *testing.T) {
+	d := filled(at(0), "a")
+	for i := range 5 {
+		d.RecordReadFailure()
+		d.RecordStoreRead(at(time.Duration(i) * 2200 * time.Millisecond))
+	}
+	_, changed := d.Remove(at(9*time.Second), "a")
+	must.True(t, changed)
+}
+
 func TestReplaceRemovesUnlistedEntries(t *testing.T) {
 	d := filled(at(0), "a", "b")
 	d.RecordStoreRead(at(time.Second))
