--- a/internal/gateway/crashfleet_test.go
+++ b/internal/gateway/crashfleet_test.go
@@ -316,6 +316,13 @@
 	return nil
 }
 
+// count returns the number of saved suspects.
+func (s *savedSuspects) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.suspects)
+}
+
 // countParts returns the number of saved parts of prompts.
 func (s *savedSuspects) countParts() int {
 	s.mu.Lock()
--- a/internal/gateway/crashrequests_test.go
+++ b/internal/gateway/crashrequests_test.go
@@ -93,6 +93,44 @@
 	})
 }
 
+// All hosts are lost after many copies of a request have crashed endpoints at once.
+func TestSuspensionOutlivesAllHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFleetOf(routing.NonIdempotent, 7, 4)
+		defer f.close()
+		none := func() model.Prompt { return model.Prompt{} }
+		for f.saved.count() == 0 {
+			f.playRequests(time.Second, time.Hour, 7, none)
+		}
+		for i := range f.gateways {
+			f.restart(i)
+		}
+		time.Sleep(crashSettling)
+		f.playRequests(30*time.Second, 5*time.Second, 7, none)
+		must.LessEq(t, maxLateArrivals, f.lateArrivals(crashesPerRequest))
+		must.SliceNotEmpty(t, f.refusals)
+	})
+}
+
+// Without the store no host may send a suspended request.
+func TestSuspendedRequestWaitsWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFleetOf(routing.NonIdempotent, 7, 4)
+		defer f.close()
+		none := func() model.Prompt { return model.Prompt{} }
+		f.saved.mu.Lock()
+		f.saved.failures = 1e6
+		f.saved.mu.Unlock()
+		f.playRequests(30*time.Second, 5*time.Second, 7, none)
+		must.Zero(t, f.lateArrivals(crashesPerRequest))
+		f.saved.mu.Lock()
+		f.saved.failures = 0
+		f.saved.mu.Unlock()
+		f.playRequests(30*time.Second, 5*time.Second, 7, none)
+		must.LessEq(t, maxLateArrivals, f.lateArrivals(crashesPerRequest))
+	})
+}
+
 // promptOf returns a prompt without shared parts, or none for a plain service.
 func (f *crashFleet) promptOf(kind routing.Kind) model.Prompt {
 	if kind != routing.Streaming {
