--- a/internal/gateway/crashfleet_test.go
+++ b/internal/gateway/crashfleet_test.go
@@ -316,13 +316,6 @@
 	return nil
 }
 
-// count returns the number of saved suspects.
-func (s *savedSuspects) count() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.suspects)
-}
-
 // countParts returns the number of saved parts of prompts.
 func (s *savedSuspects) countParts() int {
 	s.mu.Lock()
@@ -460,6 +453,12 @@
 	return count
 }
 
+// countSuspects returns the number of suspects at a host that runs.
+func (g *Gateway) countSuspects() int {
+	count, _ := queryLoop(context.Background(), g, func(time.Time) int { return len(g.control.quarantine.Suspects()) })
+	return count
+}
+
 // close ends all gateways once their requests have ended.
 func (f *crashFleet) close() {
 	f.callers.Wait()
--- a/internal/gateway/crashrequests_test.go
+++ b/internal/gateway/crashrequests_test.go
@@ -99,7 +99,7 @@
 		f := newCrashFleetOf(routing.NonIdempotent, 7, 4)
 		defer f.close()
 		none := func() model.Prompt { return model.Prompt{} }
-		for f.saved.count() == 0 {
+		for f.gateways[0].countSuspects() == 0 {
 			f.playRequests(time.Second, time.Hour, 7, none)
 		}
 		for i := range f.gateways {
