Expect streams to last as long as their route allows

A caller whose stream lasts longer than a minute could receive the rest from another version: the history of a pool was taken as proof after one minute, whatever the time limit of the route. The time is now at least three times that limit. Streams are remembered, and reported while the history proves less, for ten minutes.

TestSoleVersionOfAPoolIsProvenOnceNoOlderStreamCanBeResumed checks a longer time.

--- a/internal/core/resume/history.go
+++ b/internal/core/resume/history.go
@@ -102,11 +102,11 @@
 // History returns the history of a pool.
 func (s *State) History(name model.PoolName) History { return s.pools[name].History }
 
-// SoleVersion returns the only version that the streams of a pool can have begun at. It
-// returns false if there is none.
-func (s *State) SoleVersion(now time.Time, name model.PoolName) (model.SoftwareVersion, bool) {
+// SoleVersion returns the only version that the streams of a pool can have begun at, if they
+// began within the given time. It returns false if there is none.
+func (s *State) SoleVersion(now time.Time, name model.PoolName, life time.Duration) (model.SoftwareVersion, bool) {
 	h := s.pools[name]
-	if len(h.Software) != 1 || h.Software[0] == "" || now.Sub(h.Since) < StreamLife {
+	if len(h.Software) != 1 || h.Software[0] == "" || now.Sub(h.Since) < life {
 		return "", false
 	}
 	return h.Software[0], true
--- a/internal/core/resume/resume.go
+++ b/internal/core/resume/resume.go
@@ -19,9 +19,11 @@
 )
 
 const (
-	// StreamLife is the longest time from the first event of a stream until a caller
-	// resumes it.
-	StreamLife = time.Minute
+	// streamMemory is how long a stream is remembered.
+	streamMemory = 10 * time.Minute
+	// MinStreamLife is the least time from the first event of a stream until a caller
+	// resumes it for the last time that is to be expected, whatever its time limit.
+	MinStreamLife = time.Minute
 	// maxStreams, maxUnsent and maxPools bound what is kept.
 	maxStreams = 1 << 16
 	maxUnsent  = 1 << 12
@@ -134,10 +136,10 @@
 func (s *State) TakeUnsent(now time.Time, current bool) []Begin {
 	var out []Begin
 	s.unsent = slices.DeleteFunc(s.unsent, func(b unsentBegin) bool {
-		if now.Sub(b.at) > StreamLife {
+		if now.Sub(b.at) > streamMemory {
 			return true
 		}
-		if _, sole := s.SoleVersion(now, b.Origin.Pool); sole && current {
+		if _, sole := s.SoleVersion(now, b.Origin.Pool, streamMemory); sole && current {
 			return false
 		}
 		out = append(out, b.Begin)
@@ -148,7 +150,7 @@
 
 // Expire forgets the streams that are too old to be resumed.
 func (s *State) Expire(now time.Time) {
-	for len(s.byAge) > 0 && now.Sub(s.streams[s.byAge[0]].at) > StreamLife {
+	for len(s.byAge) > 0 && now.Sub(s.streams[s.byAge[0]].at) > streamMemory {
 		s.forgetOldest()
 	}
 }
--- a/internal/core/resume/resume_test.go
+++ b/internal/core/resume/resume_test.go
@@ -39,7 +39,7 @@
 	}
 	_, known := s.Origin(3)
 	must.False(t, known)
-	s.Expire(at(resume.StreamLife + time.Second/2))
+	s.Expire(at(10*time.Minute + time.Second/2))
 	_, known = s.Origin(1)
 	must.False(t, known)
 	_, known = s.Origin(2)
@@ -66,33 +66,35 @@
 	s := resume.New()
 	must.Eq(t, []model.PoolName{"p"}, s.Observe(at(0), list("v1", "v1")))
 	must.SliceEmpty(t, s.Observe(at(time.Second), list("v1")))
-	_, sole := s.SoleVersion(at(resume.StreamLife-1), "p")
+	_, sole := s.SoleVersion(at(resume.MinStreamLife-1), "p", resume.MinStreamLife)
 	must.False(t, sole)
-	software, sole := s.SoleVersion(at(resume.StreamLife), "p")
+	software, sole := s.SoleVersion(at(resume.MinStreamLife), "p", resume.MinStreamLife)
 	must.True(t, sole)
 	must.Eq(t, "v1", software)
+	_, sole = s.SoleVersion(at(resume.MinStreamLife), "p", 2*resume.MinStreamLife)
+	must.False(t, sole, must.Sprint("streams may last longer"))
 
-	now := 2 * resume.StreamLife
+	now := 2 * resume.MinStreamLife
 	s.Observe(at(now), list("v1", "v2"))
-	_, sole = s.SoleVersion(at(now+resume.StreamLife), "p")
+	_, sole = s.SoleVersion(at(now+resume.MinStreamLife), "p", resume.MinStreamLife)
 	must.False(t, sole, must.Sprint("two versions serve"))
 	s.Observe(at(3*now), list("v2"))
-	_, sole = s.SoleVersion(at(3*now+resume.StreamLife-1), "p")
+	_, sole = s.SoleVersion(at(3*now+resume.MinStreamLife-1), "p", resume.MinStreamLife)
 	must.False(t, sole, must.Sprint("the other one has just left"))
-	software, _ = s.SoleVersion(at(3*now+resume.StreamLife), "p")
+	software, _ = s.SoleVersion(at(3*now+resume.MinStreamLife), "p", resume.MinStreamLife)
 	must.Eq(t, "v2", software)
 }
 
 func TestNothingIsProvenOfVersionsThatAreNotKnown(t *testing.T) {
 	s := resume.New()
 	s.Observe(at(0), list("", ""))
-	_, sole := s.SoleVersion(at(time.Hour), "p")
+	_, sole := s.SoleVersion(at(time.Hour), "p", resume.MinStreamLife)
 	must.False(t, sole, must.Sprint("the endpoints state none"))
 	s.Observe(at(0), list("v1"))
 	s.Interrupt(at(time.Hour))
-	_, sole = s.SoleVersion(at(time.Hour+time.Second), "p")
+	_, sole = s.SoleVersion(at(time.Hour+time.Second), "p", resume.MinStreamLife)
 	must.False(t, sole, must.Sprint("the list was not up to date"))
-	_, sole = s.SoleVersion(at(time.Hour), "other")
+	_, sole = s.SoleVersion(at(time.Hour), "other", resume.MinStreamLife)
 	must.False(t, sole)
 }
 
@@ -115,7 +117,7 @@
 	} {
 		s := resume.New()
 		c.adopt(s)
-		_, sole := s.SoleVersion(at(time.Second), "p")
+		_, sole := s.SoleVersion(at(time.Second), "p", resume.MinStreamLife)
 		must.Eq(t, c.want, sole, must.Sprint(c.name))
 	}
 }
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -21,6 +21,9 @@
 	// in service. It exceeds the age that the list reaches between two reads and two
 	// digests.
 	maxCurrentAge = maxDenialAge
+	// maxCallerTries is the number of responses, each up to the route's time limit, over
+	// which a caller is expected to receive a stream.
+	maxCallerTries = 3
 	// maxFindPeers is the number of other hosts that are asked where a stream began,
 	// findTimeout bounds the calls: the caller waits.
 	maxFindPeers = 8
@@ -84,11 +87,12 @@
 // soleOrigin returns the only origin that the streams of a route can have. It returns false
 // if there is none.
 func (c *control) soleOrigin(now time.Time, route *routing.Route) (resume.Origin, bool) {
-	if len(route.Targets) != 1 || now.Sub(c.targetsSince[routeKey(route)]) < resume.StreamLife || !c.isListCurrent(now) {
+	life := max(resume.MinStreamLife, maxCallerTries*route.Timeout)
+	if len(route.Targets) != 1 || now.Sub(c.targetsSince[routeKey(route)]) < life || !c.isListCurrent(now) {
 		return resume.Origin{}, false
 	}
 	pool := route.Targets[0].Pool
-	software, sole := c.streams.SoleVersion(now, pool)
+	software, sole := c.streams.SoleVersion(now, pool, life)
 	return resume.Origin{Pool: pool, Software: software}, sole
 }
 
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -150,7 +150,7 @@
 		f.change = func(opts *Options) { opts.Versions = saved }
 		f.addVersions(4, "v1")
 		f.run()
-		time.Sleep(2 * resume.StreamLife)
+		time.Sleep(2 * resume.MinStreamLife)
 		f.play(2 * time.Second)
 		for i := range f.gateways {
 			f.kill(i)
