--- a/internal/gateway/versionfleet_test.go
+++ b/internal/gateway/versionfleet_test.go
@@ -161,13 +161,15 @@
 	endpoints *versionedEndpoints
 	list      *endpointLog
 	peers     *directPeers
-	gateways  []*Gateway
+	// mu guards gateways, calls, callCtx and next.
+	mu       sync.Mutex
+	gateways []*Gateway
 	// calls ends the requests at each gateway.
 	calls   []context.CancelFunc
 	callCtx []context.Context
+	next    int
 	callers []*versionedCaller
 	running sync.WaitGroup
-	next    int
 	// change modifies the options of each gateway that starts; nil for nothing.
 	change func(*Options)
 }
@@ -222,8 +224,10 @@
 		}},
 	}, port.ConfigRecord{Version: 1}, "test")
 	f.peers.set(address, g)
+	f.mu.Lock()
 	f.gateways[i] = g
 	f.callCtx[i], f.calls[i] = context.WithCancel(context.Background())
+	f.mu.Unlock()
 	g.Start()
 }
 
@@ -251,15 +255,18 @@
 // send sends one request of a caller to a gateway. It returns whether the response was
 // complete.
 func (f *versionFleet) send(c *versionedCaller, gateway int) bool {
+	f.mu.Lock()
 	f.next++
 	id := model.RequestID(fmt.Sprint("r", f.next))
+	g, ctx := f.gateways[gateway], f.callCtx[gateway]
+	f.mu.Unlock()
 	call := &port.RoutedCall{
 		ID: id, Host: "h.example", Path: "/", URI: "/", Method: http.MethodPost, Arrived: time.Now(), CallerTimeout: 10 * time.Second,
 		Body: []byte(id), Prompt: model.Prompt{Model: "m", InputTokens: 100, MaxOutputTokens: 100}, LastEventID: c.last, Resumes: c.first,
 	}
 	w := &versionedWriter{caller: c, request: id}
 	resumes := c.last != ""
-	complete := f.gateways[gateway].Route(f.callCtx[gateway], call, w) && c.last == strconv.Itoa(versionedEvents)
+	complete := g.Route(ctx, call, w) && c.last == strconv.Itoa(versionedEvents)
 	if resumes {
 		c.takeUps++
 		if w.written {
