--- a/internal/gateway/crashfleet_test.go
+++ b/internal/gateway/crashfleet_test.go
@@ -5,9 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -17,7 +15,6 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/attempt"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
-	"github.com/wigeonsail/wigeonsail/internal/core/resume"
 	"github.com/wigeonsail/wigeonsail/internal/core/routing"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
@@ -232,54 +229,6 @@
 	return port.EventBatch{Data: []byte("data: x\n\n"), Events: 1}, nil
 }
 
-// directPeers deliver digests to the other gateways of a process.
-type directPeers struct {
-	port.LoadShareClient
-	mu       sync.Mutex
-	gateways map[string]*Gateway
-}
-
-func (p *directPeers) set(address string, g *Gateway) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.gateways[address] = g
-}
-
-func (p *directPeers) get(address string) *Gateway {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.gateways[address]
-}
-
-// directStream is a stream of digests to one gateway.
-type directStream struct {
-	peers   *directPeers
-	address string
-}
-
-func (s directStream) Send(d port.LoadDigest) error {
-	s.peers.get(s.address).HandleDigest(d)
-	return nil
-}
-
-func (directStream) Close() {}
-
-func (p *directPeers) OpenLoadStream(_ context.Context, address string) (port.LoadStream, error) {
-	return directStream{peers: p, address: address}, nil
-}
-
-func (p *directPeers) FetchHosts(ctx context.Context, address string, self port.HostInfo) ([]port.HostInfo, error) {
-	return p.get(address).HandleFetchHosts(ctx, self)
-}
-
-func (p *directPeers) FindStream(ctx context.Context, address string, id resume.StreamID) (resume.Origin, bool, error) {
-	return p.get(address).HandleFindStream(ctx, id)
-}
-
-func (p *directPeers) FetchEndpoints(ctx context.Context, address string) (port.EndpointList, error) {
-	return p.get(address).HandleFetchEndpoints(ctx)
-}
-
 // quietWriter keeps whether the caller got a response, and the error if not.
 type quietWriter struct {
 	started bool
@@ -294,81 +243,6 @@
 	return nil
 }
 
-// savedSuspects is a store of suspects.
-type savedSuspects struct {
-	mu       sync.Mutex
-	suspects map[quarantine.Suspect]port.StoredSuspect
-	trials   map[quarantine.Suspect]time.Time
-	// failures is the number of calls that fail from now on.
-	failures int
-}
-
-func newSavedSuspects() *savedSuspects {
-	return &savedSuspects{suspects: make(map[quarantine.Suspect]port.StoredSuspect), trials: make(map[quarantine.Suspect]time.Time)}
-}
-
-// call counts a call, and returns an error if it is to fail.
-func (s *savedSuspects) call() error {
-	if s.failures > 0 {
-		s.failures--
-		return &port.PlatformError{Outcome: model.OutcomeUnknown, Cause: errNoResponse}
-	}
-	return nil
-}
-
-// countParts returns the number of saved parts of prompts.
-func (s *savedSuspects) countParts() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	count := 0
-	for suspect := range s.suspects {
-		if suspect.Kind == quarantine.KindPart {
-			count++
-		}
-	}
-	return count
-}
-
-func (s *savedSuspects) Suspects(context.Context) ([]port.StoredSuspect, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Collect(maps.Values(s.suspects)), s.call()
-}
-
-func (s *savedSuspects) SaveSuspect(_ context.Context, saved port.StoredSuspect) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if err := s.call(); err != nil {
-		return err
-	}
-	s.suspects[saved.Suspect] = saved
-	return nil
-}
-
-func (s *savedSuspects) ReleaseSuspect(_ context.Context, suspect quarantine.Suspect) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.suspects, suspect)
-	return s.call()
-}
-
-func (s *savedSuspects) ClaimTrial(_ context.Context, suspect quarantine.Suspect, until time.Time) (bool, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if err := s.call(); err != nil || time.Now().Before(s.trials[suspect]) {
-		return false, err
-	}
-	s.trials[suspect] = until
-	return true, nil
-}
-
-func (s *savedSuspects) EndTrial(_ context.Context, suspect quarantine.Suspect) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.trials, suspect)
-	return s.call()
-}
-
 // crashFleet is a fleet of gateways before endpoints that crash.
 type crashFleet struct {
 	endpoints *crashingEndpoints
