--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -14,6 +14,8 @@
 	Evidence
 	// unexplained reports that a suspect in quarantine does not explain all of them.
 	unexplained bool
+	// endpoints is the number of endpoints that have crashed under a request.
+	endpoints int
 	// index is the highest index of a part in a prompt.
 	index int
 }
--- a/internal/core/quarantine/requests.go
+++ b/internal/core/quarantine/requests.go
@@ -51,9 +51,10 @@
 			m.add(c)
 		}
 	}
+	w.endpoints = len(endpoints)
 	before := s.suspects[w.suspect]
 	// A generation may include crashes of which the request was cleared since.
-	w.Crashes = max(before.Crashes, m.count, min(generation, len(endpoints)+before.Crashes))
+	w.Crashes = max(before.Crashes, m.count, min(generation, w.endpoints+before.Crashes))
 	if before.At.After(w.At) {
 		w.At = before.At
 	}
@@ -79,7 +80,7 @@
 	var changes []Change
 	for _, f := range requestsOf(added) {
 		w := s.weighRequest(f, explained)
-		if !w.unexplained || w.Crashes < crashesToSuspend && s.countEndpoints(f) < endpointsToSuspend {
+		if !w.unexplained || w.Crashes < crashesToSuspend && w.endpoints < endpointsToSuspend {
 			continue
 		}
 		if s.suspect(now, SuspectEvidence{Suspect: w.suspect, Evidence: w.Evidence}) {
@@ -88,12 +89,3 @@
 	}
 	return changes
 }
-
-// countEndpoints returns the number of endpoints that have crashed under a request.
-func (s *State) countEndpoints(f model.Fingerprint) int {
-	endpoints := make(map[model.Instance]bool)
-	for _, c := range s.crashesOf(f) {
-		endpoints[c.Endpoint] = true
-	}
-	return len(endpoints)
-}
