--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -37,6 +37,9 @@
 	outcome string
 }
 
+// bodyBytes is the size of the bodies of requests.
+var bodyBytes = 200
+
 // client has one kept channel to a gateway.
 type client struct {
 	gateway *gateway
@@ -55,7 +58,7 @@
 	out := answer{request: r, gateway: c.gateway.name, sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), r.deadline)
 	defer cancel()
-	body := strings.NewReader(strings.Repeat("x", 200))
+	body := strings.NewReader(strings.Repeat("x", bodyBytes))
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.gateway.callers+r.path+"1", body)
 	if err != nil {
 		fail("bad request: %v", err)
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -79,12 +80,15 @@
 	return out
 }
 
+// settingsPath returns the path of the settings of a gateway.
+func (g *gateway) settingsPath(dir string) string { return filepath.Join(dir, g.name+".toml") }
+
 func (g *gateway) start(dir, settings string) {
-	path := filepath.Join(dir, g.name+".toml")
+	path := g.settingsPath(dir)
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		fail("cannot write the settings: %v", err)
 	}
-	output, err := os.Create(filepath.Join(dir, g.name+".log"))
+	output, err := os.OpenFile(filepath.Join(dir, g.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		fail("cannot create the log: %v", err)
 	}
@@ -96,25 +100,39 @@
 	if err := g.cmd.Start(); err != nil {
 		fail("cannot start %s: %v", gatewayBinary, err)
 	}
-	started = append(started, g)
-	g.exited = make(chan struct{})
+	exited, cmd := make(chan struct{}), g.cmd
+	g.exited = exited
 	go func() {
-		_ = g.cmd.Wait()
+		_ = cmd.Wait()
 		output.Close()
-		close(g.exited)
+		close(exited)
 	}()
+	startedMu.Lock()
+	defer startedMu.Unlock()
+	started = append(started, process{cmd, exited})
+}
+
+// process is a process that the case has started.
+type process struct {
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 // started are the processes to end.
-var started []*gateway
+var (
+	startedMu sync.Mutex
+	started   []process
+)
 
 func killAll() {
-	for _, g := range started {
+	startedMu.Lock()
+	defer startedMu.Unlock()
+	for _, p := range started {
 		select {
-		case <-g.exited:
+		case <-p.exited:
 		default:
-			_ = g.cmd.Process.Kill()
-			<-g.exited
+			_ = p.cmd.Process.Kill()
+			<-p.exited
 		}
 	}
 }
