--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -28,8 +28,7 @@
 	exited  chan struct{}
 }
 
-// host is the settings file of a gateway as deploy/gateway.toml has it. The list of the
-// placeholders is that of the template.
+// settings returns the settings of a gateway: the template deploy/gateway.toml, filled in.
 func (g *gateway) settings(template, zone, storeAddress string, seeds []string, slack int) string {
 	quoted := make([]string, len(seeds))
 	for i, seed := range seeds {
@@ -46,14 +45,33 @@
 	return replace.Replace(template)
 }
 
-// freeAddress returns a loopback address with a port that is free now.
+// Ports for gateways are taken from below those that the system gives to connections.
+const (
+	firstPort = 20000
+	portCount = 12000
+)
+
+var usedPorts = make(map[int]bool)
+
+// freeAddress returns a loopback address with a port that is free now and was not returned
+// before.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		fail("no free port: %v", err)
+	for range portCount {
+		port := firstPort + rand.IntN(portCount)
+		if usedPorts[port] {
+			continue
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		listener.Close()
+		usedPorts[port] = true
+		return address
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	fail("no free port")
+	return ""
 }
 
 // startGateways starts n gateways in zones, one after the other, as the deploy file says.
--- a/review/standins/foreign.go
+++ b/review/standins/foreign.go
@@ -96,10 +96,7 @@
 	l.drained = time.Now()
 	l.record.say("%s is draining", l.id)
 	time.Sleep(drainTime + lingerTime)
-	l.mu.Lock()
-	l.state = ""
-	l.store.put("keyed.servers", l.id, nil)
-	l.mu.Unlock()
+	l.unlist()
 	l.exit()
 }
 
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -5,21 +5,28 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 )
 
 // store is a stand-in for the platform's log service: appends, reads with a long poll, and
-// the newest record of each key of a keyed topic. It keeps all records.
+// the newest record of each key of a keyed topic. It keeps all records, but for a drill in
+// which it comes back from an older copy.
 type store struct {
-	mu      sync.Mutex
-	topics  map[string][][]byte
+	mu     sync.Mutex
+	topics map[string][][]byte
+	// era is sent with all answers. It rises with each drill.
+	era int
+	// away reports that the store resets all calls.
+	away bool
+	// changed is closed and replaced on each change.
 	changed chan struct{}
 }
 
 func newStore() *store {
-	return &store{topics: make(map[string][][]byte), changed: make(chan struct{})}
+	return &store{topics: make(map[string][][]byte), era: 1, changed: make(chan struct{})}
 }
 
 // put appends a record to a keyed topic, as the operator and the replicas do. An empty value
@@ -43,20 +50,64 @@
 		return first, first, false
 	}
 	s.topics[topic] = append(s.topics[topic], records...)
+	s.wake()
+	return first, len(s.topics[topic]), true
+}
+
+// wake wakes the waiting reads. The caller holds mu.
+func (s *store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return first, len(s.topics[topic]), true
+}
+
+// copyTopics returns a copy of all records.
+func (s *store) copyTopics() map[string][][]byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string][][]byte)
+	for topic, records := range s.topics {
+		out[topic] = slices.Clone(records)
+	}
+	return out
+}
+
+// leave makes the store reset all calls.
+func (s *store) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	s.wake()
+}
+
+// restore brings the store back from a copy.
+func (s *store) restore(topics map[string][][]byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics, s.away = topics, false
+	s.era++
+	s.wake()
+}
+
+// state returns the era, and whether the store is away.
+func (s *store) state() (era int, away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era, s.away
 }
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Store-Era", "1")
+	era, away := s.state()
+	if away {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Store-Era", strconv.Itoa(era))
 	topic := r.URL.Query().Get("topic")
 	switch r.Method + " " + r.URL.Path {
 	case "POST /v1/log-append":
 		s.serveAppend(w, r, topic)
 	case "GET /v1/log-read":
-		s.serveRead(w, r, topic)
+		s.serveRead(w, r, topic, era)
 	case "GET /v1/log-newest":
 		s.serveNewest(w, topic)
 	default:
@@ -91,15 +142,19 @@
 	_ = json.NewEncoder(w).Encode(map[string]int{"offset": first, "end": end})
 }
 
-func (s *store) serveRead(w http.ResponseWriter, r *http.Request, topic string) {
+// serveRead answers a read that came in an era. A drill resets the reads that wait.
+func (s *store) serveRead(w http.ResponseWriter, r *http.Request, topic string, era int) {
 	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		records, changed := s.topics[topic], s.changed
+		records, changed, interrupted := s.topics[topic], s.changed, s.away || s.era != era
 		s.mu.Unlock()
+		if interrupted {
+			panic(http.ErrAbortHandler)
+		}
 		if from > len(records) {
 			w.Header().Set("Content-Type", "application/json")
 			w.WriteHeader(http.StatusGone)
