--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -1,7 +1,7 @@
 // Command review-standins runs the cases of the review: it starts gateways as separate
 // processes, serves the stand-ins for the platform's store and the replicas, plays the
 // clients, and checks the rule. It exits with 1 if the rule was broken, 0 if it held, and 2
-// if the case could not run.
+// if the case could not run. With KEEP set, the settings and logs of the gateways stay.
 package main
 
 import (
@@ -35,20 +35,16 @@
 	}
 	c := &caseRun{dir: dir, trouble: os.Getenv("TROUBLE") != "0", record: newRecord()}
 	held := cases[os.Args[1]](c)
+	killAll()
 	if os.Getenv("KEEP") == "" {
-		defer os.RemoveAll(dir)
+		_ = os.RemoveAll(dir)
 	} else {
 		fmt.Println("logs:", dir)
 	}
-	killAll()
 	if err := c.record.save(os.Args[2]); err != nil {
 		fail("cannot write the record: %v", err)
 	}
 	if !held {
-		os.RemoveAll(os.Getenv("NONE"))
-		if os.Getenv("KEEP") == "" {
-			os.RemoveAll(dir)
-		}
 		os.Exit(1)
 	}
 }
--- a/review/standins/pause.go
+++ b/review/standins/pause.go
@@ -29,7 +29,7 @@
 	chats       = 144
 	chatPrompt  = 700
 	chatOutput  = 50 * tokensPerEvent
-	quotes      = 4
+	quotes      = 6
 	quotePrompt = 39600
 	quoteOutput = 17 * tokensPerEvent
 	engineSlots = 64
