Interfaces of duties, usage, capacity orders and reclaimable endpoints

The configuration's scaling and the entries' spot and leaves_ms are decoded, and the settings name the address, lease and windows of duties. Digests have fields for clocks, usage, demand, engine speeds and work of accounts. Nothing uses them yet.

--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -192,6 +192,9 @@
 		LinkMbps:         d.LinkSpeedMbps,
 		Changes:          changesToWire(d.Changes),
 		Domains:          convert(d.Domains, domainLoadToWire),
+		ClockMs:          clockToWire(d.Clock),
+		Usage:            convert(d.Usage, usageToWire),
+		Demand:           convert(d.Demand, poolDemandToWire),
 	}
 	out.QuarantinedParts, out.SuspectedRequests = suspectsToWire(d.Suspects)
 	out.StreamBegins = beginsToWire(d.StreamBegins)
@@ -228,6 +231,9 @@
 		LinkSpeedMbps:    d.GetLinkMbps(),
 		Changes:          changesFromWire(d.GetChanges()),
 		Domains:          convert(d.GetDomains(), domainLoadFromWire),
+		Clock:            clockFromWire(d.GetClockMs()),
+		Usage:            convert(d.GetUsage(), usageFromWire),
+		Demand:           convert(d.GetDemand(), poolDemandFromWire),
 	}
 }
 
@@ -346,7 +352,7 @@
 	return &peer.EndpointEntry{
 		Name: string(e.Name), Pool: string(e.Pool), Address: e.Address, Domain: string(e.Domain),
 		Slots: int64(e.Slots), Draining: e.Draining, Started: e.Started, Sequence: e.Sequence,
-		Software: string(e.Software),
+		Software: string(e.Software), Reclaimable: e.Reclaimable, LeavesMs: e.Leaves.Milliseconds(),
 	}
 }
 
@@ -354,7 +360,8 @@
 	return directory.Entry{
 		Name: model.EndpointName(e.GetName()), Pool: model.PoolName(e.GetPool()), Address: e.GetAddress(),
 		Domain: model.DomainName(e.GetDomain()), Slots: int(e.GetSlots()), Draining: e.GetDraining(), Started: e.GetStarted(), Sequence: e.GetSequence(),
-		Software: model.SoftwareVersion(e.GetSoftware()),
+		Software: model.SoftwareVersion(e.GetSoftware()), Reclaimable: e.GetReclaimable(),
+		Leaves: time.Duration(e.GetLeavesMs()) * time.Millisecond,
 	}
 }
 
--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -30,6 +30,10 @@
 	Started int64
 	// Sequence counts the entries that this start of the endpoint has published.
 	Sequence int64
+	// Reclaimable endpoints may be taken away by the platform at short notice.
+	Reclaimable bool
+	// Leaves is the time from the entry until the endpoint ends; 0 if it is not known.
+	Leaves time.Duration
 }
 
 // isOlderThan reports whether the endpoint published e before other.
--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -100,6 +100,21 @@
 	Name model.PoolName
 	// Engine describes the endpoints; nil for plain services.
 	Engine *Engine
+	// Scaling bounds the endpoints that may be ordered; nil if none can be.
+	Scaling *Scaling
+}
+
+// Scaling describes how endpoints of a pool can be ordered from the platform.
+type Scaling struct {
+	// Min and Max bound the endpoints in a failure domain, of both kinds together.
+	Min, Max int
+	// BootTime is the time from an order until the endpoints serve.
+	BootTime time.Duration
+	// ReclaimablePrice is the price of a reclaimable endpoint as a share of that of the
+	// others; 0 if there are no reclaimable ones.
+	ReclaimablePrice float64
+	// DomainPrices are the prices of an endpoint by failure domain.
+	DomainPrices map[model.DomainName]float64
 }
 
 // Engine describes the endpoints of a pool that serves models.
@@ -109,6 +124,13 @@
 	// CacheTokens is the memory of an endpoint for running requests and cached
 	// prompt prefixes, in tokens.
 	CacheTokens int
+	// TokenBytes is the size of a cached token, in bytes, and LinkMbps the speed at which
+	// engines transfer cached tokens, in Mbit/s.
+	TokenBytes float64
+	LinkMbps   float64
+	// CanMove reports that a running request can be moved to another engine with its
+	// memory, CanBackUp that its memory can be copied there while it runs.
+	CanMove, CanBackUp bool
 }
 
 // Account is a client account.
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -5,10 +5,12 @@
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
+	"github.com/wigeonsail/wigeonsail/internal/core/capacity"
 	"github.com/wigeonsail/wigeonsail/internal/core/directory"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
 	"github.com/wigeonsail/wigeonsail/internal/core/resume"
+	"github.com/wigeonsail/wigeonsail/internal/core/usage"
 )
 
 // EndpointLimit is what is known of the request limit of an endpoint.
@@ -89,6 +91,13 @@
 	// StreamBegins are streams that have begun at the host since the last digest that lists
 	// some.
 	StreamBegins []resume.Begin
+	// Clock is the sender's estimate of the true time; zero for none.
+	Clock time.Time
+	// Usage are the counts of begun requests that the sender knows, its own and those of
+	// other hosts.
+	Usage []usage.Record
+	// Demand is the work that callers of the sender have requested.
+	Demand []capacity.Demand
 	// Loads is the host's load by endpoint.
 	Loads []balance.EndpointLoad
 	// CacheUpdates are the sender's prefix cache updates since the last digest
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -23,6 +23,7 @@
 	Peers    GatewayPeers    `toml:"peers"`
 	Retries  GatewayRetries  `toml:"retries"`
 	Shutdown GatewayShutdown `toml:"shutdown"`
+	Duties   GatewayDuties   `toml:"duties"`
 	Limits   GatewayLimits   `toml:"limits"`
 	Log      Log             `toml:"log"`
 }
@@ -74,6 +75,23 @@
 	Linger opconfig.Duration `toml:"linger" allowed:"a time span over 0 with its unit, such as \"200ms\" or \"2s\""`
 }
 
+// GatewayDuties configures the calls to the platform that one host at a time makes for all
+// hosts. Without an address there are none.
+type GatewayDuties struct {
+	// Address is the address of the platform's service for these calls as ip:port.
+	Address string `toml:"address" allowed:"an address as ip:port, or nothing"`
+	// Names are the platform's names of the duties that the hosts have.
+	Names []string `toml:"names" allowed:"names of duties that the platform knows"`
+	// Lease is how long the host that makes the calls may do so without renewal.
+	Lease opconfig.Duration `toml:"lease" allowed:"a time span over 0 with its unit, such as \"200ms\" or \"2s\""`
+	// UsageWindow is the length of the windows of usage, UsageDue the time after the end of
+	// a window within which it must be reported.
+	UsageWindow opconfig.Duration `toml:"usage_window" allowed:"a time span over 0 with its unit, such as \"200ms\" or \"2s\""`
+	UsageDue    opconfig.Duration `toml:"usage_due" allowed:"a time span over 0 with its unit, such as \"200ms\" or \"2s\""`
+	// CallsPerSecond is the number of these calls that the platform takes.
+	CallsPerSecond float64 `toml:"calls_per_second" allowed:"a number over 0"`
+}
+
 // GatewayLimits describes the resources of the machine that the process may use.
 type GatewayLimits struct {
 	// Memory is the memory of the process in MB.
@@ -93,6 +111,10 @@
 			Grace:  opconfig.Duration(8 * time.Second),
 			Linger: opconfig.Duration(3 * time.Second),
 		},
+		Duties: GatewayDuties{
+			Lease: opconfig.Duration(3 * time.Second), UsageWindow: opconfig.Duration(5 * time.Second),
+			UsageDue: opconfig.Duration(10 * time.Second), CallsPerSecond: 10,
+		},
 		Limits: GatewayLimits{Memory: 256, Link: 1000},
 		Log:    Log{Level: "info", Format: "json"},
 	}
@@ -145,6 +167,9 @@
 			return &violation{key: "peers.seeds", problem: problem}
 		}
 	}
+	if problem := addressProblem(s.Duties.Address); problem != "" && s.Duties.Address != "" {
+		return &violation{key: "duties.address", problem: problem}
+	}
 	if len(s.Peers.Secret) < minSecretLength {
 		return &violation{key: "peers.secret", problem: fmt.Sprintf("shorter than %d characters", minSecretLength)}
 	}
@@ -162,6 +187,9 @@
 		{"retries.window", s.Retries.Window},
 		{"shutdown.grace", s.Shutdown.Grace},
 		{"shutdown.linger", s.Shutdown.Linger},
+		{"duties.lease", s.Duties.Lease},
+		{"duties.usage_window", s.Duties.UsageWindow},
+		{"duties.usage_due", s.Duties.UsageDue},
 	} {
 		if span.value <= 0 {
 			return &violation{key: span.key, problem: "not over 0"}
@@ -170,6 +198,9 @@
 	if s.Retries.Ratio < 0 || s.Retries.Slack < 0 {
 		return &violation{key: "retries", problem: "below 0"}
 	}
+	if s.Duties.CallsPerSecond <= 0 {
+		return &violation{key: "duties.calls_per_second", problem: "not over 0"}
+	}
 	if s.Limits.Memory <= 0 {
 		return &violation{key: "limits.memory_mb", problem: "not over 0"}
 	}
