Settings of duties also from the environment

The platform fills in deploy/gateway.toml also where it has no such calls, and an empty section is no TOML; a variable of the role stays empty there.

--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -120,13 +120,21 @@
 	}
 }
 
-// LoadGateway reads and validates gateway.toml. It returns an *Error for the first
+// dutiesVariable is the environment variable that holds the section [duties] of a file
+// without one.
+const dutiesVariable = "WIGEONSAIL_DUTIES"
+
+// LoadGateway reads and validates gateway.toml, with the section [duties] of the
+// environment variable WIGEONSAIL_DUTIES if it is set. It returns an *Error for the first
 // problem.
 func LoadGateway(path string) (*Gateway, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, unreadableFileError(path, "", err)
 	}
+	if duties := os.Getenv(dutiesVariable); duties != "" {
+		data = fmt.Appendf(data, "\n[duties]\n%s", duties)
+	}
 	return parseGateway(path, data)
 }
 
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -60,3 +61,20 @@
 		})
 	}
 }
+
+func TestDutiesFromEnvironment(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "gateway.toml")
+	must.NoError(t, os.WriteFile(path, []byte(renderTemplate(t)), 0o600))
+	s, err := LoadGateway(path)
+	must.NoError(t, err)
+	must.Eq(t, "", s.Duties.Address)
+	t.Setenv("WIGEONSAIL_DUTIES", "address = \"10.200.0.1:8424\"\nnames = [\"usage\"]\nusage_window = \"7s\"\n")
+	s, err = LoadGateway(path)
+	must.NoError(t, err)
+	must.Eq(t, "10.200.0.1:8424", s.Duties.Address)
+	must.Eq(t, 7*time.Second, s.Duties.UsageWindow.Std())
+	must.Eq(t, []string{"usage"}, s.Duties.Names)
+	t.Setenv("WIGEONSAIL_DUTIES", "address = \"10.200.0.1\"")
+	_, err = LoadGateway(path)
+	must.ErrorContains(t, err, "duties.address")
+}
