Keep what hosts know of an end when the store is restored

Cause: after a restoration each host withholds entries of endpoints that it knows to be removed, and waits for the store to remove them again. A reader passed on the removal only of an entry that it lists itself. The same class in other places, by the new test: a list fetched from a host lacked what that host withholds, so the fetching host neither withheld it nor listed it when it was accepted; a complete list without a withheld entry did not drop it; a host that lacked changes counted newer reads of others as evidence.

Ruled out: an entry with a later start or count is not involved (the endpoint in the case writes nothing after its removal); the memory of removals (a minute) is long enough.

The model of the fleet (model_test.go) now takes what hosts serve to each other from the code under test, and its failures through a function, so that it can be planned; its checks are the same.

--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"google.golang.org/grpc"
-	grpcgzip "google.golang.org/grpc/encoding/gzip"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/wigeonsail/wigeonsail/api/peer"
@@ -71,19 +70,6 @@
 // Close implements port.LoadStream.
 func (s *loadStream) Close() { s.end() }
 
-// FetchEndpoints implements port.LoadShareClient.
-func (c *Client) FetchEndpoints(ctx context.Context, address string) (port.EndpointList, error) {
-	// The entries contain many repeated strings, which compress well.
-	fetch := func(client peer.PeerClient, ctx context.Context, req *peer.FetchEndpointsRequest, opts ...grpc.CallOption) (*peer.EndpointList, error) {
-		return client.FetchEndpoints(ctx, req, append(opts, grpc.UseCompressor(grpcgzip.Name))...)
-	}
-	res, err := unary(ctx, c, "fetch endpoints", address, &peer.FetchEndpointsRequest{}, fetch)
-	if err != nil {
-		return port.EndpointList{}, err
-	}
-	return port.EndpointList{Entries: convert(res.GetEntries(), entryFromWire), Next: position(res.GetEra(), res.GetNext())}, nil
-}
-
 // NewLoadServer returns a Server for hosts that exchange their load. It fails with
 // an *AuthError.
 func NewLoadServer(auth Auth, handler port.LoadHandler) (*Server, error) {
@@ -121,15 +107,6 @@
 	return s.config.toWire(rec)
 }
 
-// FetchEndpoints implements peer.PeerServer.
-func (s *loadService) FetchEndpoints(ctx context.Context, _ *peer.FetchEndpointsRequest) (*peer.EndpointList, error) {
-	list, err := s.handler.HandleFetchEndpoints(ctx)
-	if err != nil {
-		return nil, callError(ctx, err)
-	}
-	return &peer.EndpointList{Entries: convert(list.Entries, entryToWire), Next: uint64(list.Next.Offset), Era: uint64(list.Next.Era)}, nil
-}
-
 // FetchHosts implements port.LoadShareClient.
 func (c *Client) FetchHosts(ctx context.Context, address string, self port.HostInfo) ([]port.HostInfo, error) {
 	// All hosts of a fleet may ask the same few seeds when they start, so no
--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -188,10 +188,17 @@
 	return d.drop(now, e), true
 }
 
-// Replace applies a complete list: entries that are not in it are removed.
-func (d *Directory) Replace(now time.Time, list []Entry) []Change {
+// Replace applies a complete list: entries that are not in it are removed. Its sender
+// withholds further entries.
+func (d *Directory) Replace(now time.Time, list []Entry, withheld ...Entry) []Change {
 	var out []Change
-	seen := make(map[model.EndpointName]bool, len(list))
+	seen := make(map[model.EndpointName]bool, len(list)+len(withheld))
+	for _, e := range withheld {
+		seen[e.Name] = true
+		if c, changed := d.adoptWithheld(now, e); changed {
+			out = append(out, c)
+		}
+	}
 	for _, e := range list {
 		seen[e.Name] = true
 		if c, changed := d.Put(now, e); changed {
@@ -206,6 +213,11 @@
 			out = append(out, c)
 		}
 	}
+	for name := range d.restored.withheld {
+		if !seen[name] {
+			delete(d.restored.withheld, name)
+		}
+	}
 	return out
 }
 
--- a/internal/core/directory/restored.go
+++ b/internal/core/directory/restored.go
@@ -1,6 +1,8 @@
 package directory
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
@@ -17,6 +19,9 @@
 //  3. An entry of an endpoint that was removed before is withheld. If its
 //     endpoint is gone, the store removes the entry after some missed status
 //     reports; otherwise it is accepted by the first read after withholdTime.
+//  4. Hosts may withhold different entries, and any of them may read the removal. So
+//     what one host withholds is part of the list that others take over from it, and
+//     all changes are passed on while entries are checked.
 
 const (
 	// withholdTime is how long entries of the copy are checked. It exceeds the
@@ -36,7 +41,13 @@
 	removed map[model.EndpointName]removal
 	// withheld are entries of the copy that may belong to endpoints that are
 	// gone.
-	withheld map[model.EndpointName]Entry
+	withheld map[model.EndpointName]withheldEntry
+}
+
+// withheldEntry is an entry that is accepted by the first read from a time on.
+type withheldEntry struct {
+	entry Entry
+	until time.Time
 }
 
 // removal is a removed entry and the time of its removal.
@@ -46,7 +57,7 @@
 }
 
 func newRestoredState() restoredState {
-	return restoredState{removed: make(map[model.EndpointName]removal), withheld: make(map[model.EndpointName]Entry)}
+	return restoredState{removed: make(map[model.EndpointName]removal), withheld: make(map[model.EndpointName]withheldEntry)}
 }
 
 // recordRemoval remembers a removed entry.
@@ -61,51 +72,97 @@
 }
 
 // Restore applies a complete list that was read after the store was restored from
-// an older copy. Until withholdTime has passed, entries that may be outdated are
-// not used.
-func (d *Directory) Restore(now time.Time, list []Entry) []Change {
+// an older copy, with the entries that its sender withholds. Until withholdTime has
+// passed, entries that may be outdated are not used.
+func (d *Directory) Restore(now time.Time, list []Entry, withheld ...Entry) []Change {
 	d.delayRemovals(now)
 	d.restored.checkUntil = now.Add(withholdTime)
-	return d.Replace(now, list)
+	return d.Replace(now, list, withheld...)
+}
+
+// IsChecking reports whether entries are checked since the store was restored. Other hosts
+// may then hold other entries than this one.
+func (d *Directory) IsChecking(now time.Time) bool { return now.Before(d.restored.checkUntil) }
+
+// IsWithheld reports whether an entry of an endpoint that was removed is withheld.
+func (d *Directory) IsWithheld(name model.EndpointName) bool {
+	_, withheld := d.restored.withheld[name]
+	return withheld
+}
+
+// Withheld returns the withheld entries, sorted by name.
+func (d *Directory) Withheld() []Entry {
+	out := make([]Entry, 0, len(d.restored.withheld))
+	for _, held := range d.restored.withheld {
+		out = append(out, held.entry)
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// withhold withholds an entry. The time until it is accepted starts once.
+func (d *Directory) withhold(now time.Time, e Entry) {
+	held, withheld := d.restored.withheld[e.Name]
+	if !withheld {
+		held.until = now.Add(withholdTime)
+	}
+	held.entry = e
+	d.restored.withheld[e.Name] = held
+}
+
+// adoptWithheld withholds an entry that the sender of a list withholds: the sender knows
+// that the endpoint was removed. It returns the removal if the endpoint is listed here, and
+// false if nothing has changed or this host knows a newer entry.
+func (d *Directory) adoptWithheld(now time.Time, e Entry) (Change, bool) {
+	known, listed := d.entries[e.Name]
+	if listed && e.isOlderThan(known) {
+		return Change{}, false
+	}
+	var change Change
+	if listed {
+		change = d.drop(now, known)
+	} else if _, removed := d.restored.removed[e.Name]; !removed {
+		d.restored.recordRemoval(now, e)
+	}
+	d.withhold(now, e)
+	return change, listed
 }
 
 // isOutdated reports whether an entry comes from before the store was restored, so
 // that what is known of the endpoint is newer. It withholds the entry of a removed
 // endpoint.
 func (d *Directory) isOutdated(now time.Time, e Entry) bool {
-	if !now.Before(d.restored.checkUntil) {
-		return false
-	}
+	checking := d.IsChecking(now)
 	if known, listed := d.entries[e.Name]; listed {
-		outdated := e.isOlderThan(known) || known.Draining && !known.isOlderThan(e)
+		outdated := checking && (e.isOlderThan(known) || known.Draining && !known.isOlderThan(e))
 		if outdated {
 			delete(d.missing, e.Name)
 		}
 		return outdated
 	}
 	gone, removed := d.restored.removed[e.Name]
-	if !removed || gone.entry.isOlderThan(e) {
+	if !checking && !d.IsWithheld(e.Name) || !removed || gone.entry.isOlderThan(e) {
 		return false
 	}
-	d.restored.withheld[e.Name] = e
+	d.withhold(now, e)
 	return true
 }
 
-// expireRestored accepts the withheld entries once withholdTime has passed, and
-// forgets old removals.
+// expireRestored accepts the entries that were withheld for withholdTime, and forgets
+// old removals.
 func (d *Directory) expireRestored(now time.Time) []Change {
 	for name, gone := range d.restored.removed {
 		if now.Sub(gone.at) > removalMemory {
 			delete(d.restored.removed, name)
 		}
 	}
-	// A read since then would have shown the removal of an endpoint that is gone.
-	if now.Before(d.restored.checkUntil) || d.lastRead.Before(d.restored.checkUntil) {
-		return nil
-	}
 	var out []Change
-	for _, e := range d.restored.withheld {
-		if c, changed := d.store(e); changed {
+	for _, held := range d.restored.withheld {
+		// A read since then would have shown the removal of an endpoint that is gone.
+		if now.Before(held.until) || d.lastRead.Before(held.until) {
+			continue
+		}
+		if c, changed := d.store(held.entry); changed {
 			out = append(out, c)
 		}
 	}
--- a/internal/core/directory/restored_test.go
+++ b/internal/core/directory/restored_test.go
@@ -72,6 +72,49 @@
 	must.SliceEmpty(t, d.Entries())
 }
 
+// A host takes over a list whose sender withholds an entry. It does not use the entry
+// either, whatever it knows itself, until it is published anew or accepted.
+func TestWithheldEntriesOfOtherHostsAreNotUsed(t *testing.T) {
+	for _, known := range []string{"nothing", "the entry", "the removal", "a newer entry"} {
+		d := directory.New()
+		d.RecordStoreRead(at(0))
+		switch known {
+		case "the entry":
+			d.Put(at(0), published("a", 1, 4))
+		case "the removal":
+			d.Put(at(0), published("a", 1, 5))
+			d.Remove(at(0), "a")
+		case "a newer entry":
+			d.Put(at(0), published("a", 2, 1))
+		}
+		d.Restore(at(time.Second), nil, published("a", 1, 4))
+		must.Eq(t, known == "a newer entry", isListed(d, "a"), must.Sprint(known))
+		if known == "a newer entry" {
+			continue
+		}
+		must.Eq(t, []directory.Entry{published("a", 1, 4)}, d.Withheld())
+		d.Put(at(2*time.Second), published("a", 1, 4))
+		must.False(t, isListed(d, "a"), must.Sprintf("%s, published as before", known))
+		d.RecordStoreRead(at(8 * time.Second))
+		must.Len(t, 1, d.Expire(at(8*time.Second)), must.Sprint(known))
+		must.True(t, isListed(d, "a"), must.Sprint(known))
+	}
+}
+
+// A complete list that lacks a withheld entry shows that the store has removed it.
+func TestWithheldEntryIsDroppedByCompleteList(t *testing.T) {
+	d := directory.New()
+	d.RecordStoreRead(at(0))
+	d.Put(at(0), published("a", 1, 5))
+	d.Remove(at(0), "a")
+	d.Restore(at(time.Second), []directory.Entry{published("a", 1, 4)})
+	must.True(t, d.IsWithheld("a"))
+	d.Replace(at(5*time.Second), nil)
+	d.RecordStoreRead(at(9 * time.Second))
+	must.SliceEmpty(t, d.Expire(at(9*time.Second)))
+	must.SliceEmpty(t, d.Entries())
+}
+
 // The entry of a live endpoint lapsed before the restoration. It is used again
 // once the endpoint publishes, or once the store has kept listing it for longer
 // than a silent endpoint would be.
--- a/internal/gateway/digests.go
+++ b/internal/gateway/digests.go
@@ -237,7 +237,7 @@
 		Host: opts.Host, Incarnation: opts.Incarnation, Domain: opts.Domain, Address: opts.PeerAddress,
 		LinkSpeedMbps: opts.LinkMbps, Leaving: c.gateway.leaving.Load(), Version: c.version(),
 		ListReadAge: min(now.Sub(c.lastListRead), maxReadAge), ListChange: c.lastListChange, LeavingEndpoints: c.directory.Leaving(),
-		ListKnownAge: c.knownReadAge(now), ConfigAge: c.gateway.configAge(now),
+		ListKnownAge: c.listAge(now), ConfigAge: c.gateway.configAge(now),
 		Limits:    c.knownLimits(now),
 		ReadsList: c.gateway.reading.Load(), ListReadFailing: c.listReadFailing,
 	}
--- a/internal/gateway/listchanges.go
+++ b/internal/gateway/listchanges.go
@@ -53,13 +53,13 @@
 			c.gateway.opts.Log.WithFields(fields{"offset": update.next.Offset, "known": c.nextInList.Offset}).Info("lists: full list is older than known changes, ignored")
 			return
 		}
-		var entries []directory.Entry
+		list := port.EndpointList{Next: update.next}
 		for _, rec := range update.records {
 			if !rec.Removed {
-				entries = append(entries, rec.Entry)
+				list.Entries = append(list.Entries, rec.Entry)
 			}
 		}
-		c.replaceList(now, entries, update.next, sourceStore)
+		c.replaceList(now, list, sourceStore)
 		// Peers may have changes that this host never received.
 		c.lastListChange = c.nextInList
 		c.peers.requestDigests()
@@ -74,17 +74,16 @@
 	c.lastListChange = c.nextInList
 }
 
-// replaceList replaces the list of endpoints by a complete one that ends at next.
-// If it is the first one of a new era of the store, what is known to be newer is
-// kept.
-func (c *control) replaceList(now time.Time, entries []directory.Entry, next model.Position, source string) {
+// replaceList replaces the list of endpoints by a complete one. If it is the first one
+// of a new era of the store, what is known to be newer is kept.
+func (c *control) replaceList(now time.Time, list port.EndpointList, source string) {
 	replace := c.directory.Replace
-	if next.Era > c.nextInList.Era && c.nextInList != (model.Position{}) {
+	if list.Next.Era > c.nextInList.Era && c.nextInList != (model.Position{}) {
 		replace = c.directory.Restore
-		c.gateway.opts.Log.WithFields(fields{"era": next.Era, "before": c.nextInList.Era}).Warn("lists: store was restored, keeping newer entries")
+		c.gateway.opts.Log.WithFields(fields{"era": list.Next.Era, "before": c.nextInList.Era}).Warn("lists: store was restored, keeping newer entries")
 	}
-	c.nextInList = model.LaterPosition(c.nextInList, next)
-	c.applyEndpointChanges(now, replace(now, entries), source)
+	c.nextInList = model.LaterPosition(c.nextInList, list.Next)
+	c.applyEndpointChanges(now, replace(now, list.Entries, list.Withheld...), source)
 }
 
 // recordsFrom returns the records at or after a position of the same era.
@@ -98,16 +97,26 @@
 	return out
 }
 
-// applyRecords applies changes of the list and returns the records that changed
-// it.
+// applyRecords applies changes of the list and returns the records that other hosts need:
+// those that changed it, and all of them while other hosts may hold other entries.
 func (c *control) applyRecords(now time.Time, records []port.ListRecord, source string) []port.ListRecord {
+	if c.directory.IsChecking(now) {
+		c.applyEffectiveRecords(now, records, source)
+		return records
+	}
+	return c.applyEffectiveRecords(now, records, source)
+}
+
+// applyEffectiveRecords applies changes of the list and returns the records that changed
+// it or what is withheld from it.
+func (c *control) applyEffectiveRecords(now time.Time, records []port.ListRecord, source string) []port.ListRecord {
 	var applied []port.ListRecord
 	var changes []directory.Change
 	for _, rec := range records {
 		var change directory.Change
 		var changed bool
 		if rec.Removed {
-			if _, listed := c.directory.Lookup(rec.Name); listed {
+			if _, listed := c.directory.Lookup(rec.Name); listed || c.directory.IsWithheld(rec.Name) {
 				applied = append(applied, rec)
 			}
 			change, changed = c.directory.Remove(now, rec.Name)
@@ -153,7 +162,7 @@
 	if !d.ListChange.IsAfter(c.nextInList) || !d.ListChange.IsAfter(c.missing.upto) {
 		return
 	}
-	if !c.missing.upto.IsAfter(c.nextInList) {
+	if !c.lacksChanges() {
 		c.missing.since = now
 	}
 	c.missing.upto, c.missing.peer = d.ListChange, d.Address
@@ -174,12 +183,15 @@
 	})
 }
 
+// lacksChanges reports whether a peer has list changes that this host lacks.
+func (c *control) lacksChanges() bool { return c.missing.upto.IsAfter(c.nextInList) }
+
 // fetchMissingChanges obtains list changes that peers have and this host lacks,
 // if there are any. It fetches the list from the peer, at once if this host's
 // reads of the store fail, else after listFetchDelay; a reader whose reads
 // succeed reads the store at once instead.
 func (c *control) fetchMissingChanges(now time.Time) {
-	if !c.missing.upto.IsAfter(c.nextInList) {
+	if !c.lacksChanges() {
 		return
 	}
 	switch {
--- a/internal/gateway/listchanges_test.go
+++ b/internal/gateway/listchanges_test.go
@@ -178,6 +178,57 @@
 	must.Eq(t, want, c.peers.digests.unsentChanges)
 }
 
+// Every host that holds an entry hears of its removal, also from a reader that withholds it
+// since the store was restored.
+func TestRemovalOfWithheldEntryIsPublished(t *testing.T) {
+	c, _ := newTestControl(t)
+	c.applyListRead(at(0), listUpdate{full: true, records: []port.ListRecord{listRecord("a")}, next: offset(5)})
+	gone := port.ListRecord{Name: "a", Removed: true}
+	c.applyListRead(at(0), listUpdate{records: recordsBefore(offset(6), gone), next: offset(6)})
+	c.peers.digests.unsentChanges = port.ListChanges{}
+	restored := func(o model.Offset) model.Position { return model.Position{Era: 2, Offset: o} }
+	c.applyListRead(at(time.Second), listUpdate{full: true, records: []port.ListRecord{listRecord("a")}, next: restored(5)})
+	must.Eq(t, []directory.Entry{listRecord("a").Entry}, c.endpointList().Withheld)
+	later := at(time.Minute)
+	c.applyListRead(later, listUpdate{records: recordsBefore(restored(6), gone), next: restored(6)})
+	must.Len(t, 1, c.peers.digests.unsentChanges.Records)
+	must.SliceEmpty(t, c.endpointList().Withheld)
+}
+
+// While entries are checked, other hosts may hold other ones. A record that changes nothing
+// at the reader reaches them as well.
+func TestAllRecordsArePublishedWhileEntriesAreChecked(t *testing.T) {
+	c, _ := newTestControl(t)
+	leaving := listRecord("a")
+	leaving.Entry.Draining = true
+	c.applyListRead(at(0), listUpdate{full: true, records: []port.ListRecord{leaving}, next: offset(5)})
+	restored := func(o model.Offset) model.Position { return model.Position{Era: 2, Offset: o} }
+	c.applyListRead(at(time.Second), listUpdate{full: true, records: []port.ListRecord{listRecord("a")}, next: restored(5)})
+	leaving.Entry.Sequence++
+	c.applyListRead(at(2*time.Second), listUpdate{records: recordsBefore(restored(6), leaving), next: restored(6)})
+	must.Len(t, 1, c.peers.digests.unsentChanges.Records)
+	leaving.Entry.Sequence++
+	c.peers.digests.unsentChanges = port.ListChanges{}
+	c.applyListRead(at(time.Minute), listUpdate{records: recordsBefore(restored(7), leaving), next: restored(7)})
+	must.SliceEmpty(t, c.peers.digests.unsentChanges.Records)
+}
+
+// A host that lacks changes takes no newer read for evidence of what is listed.
+func TestListIsNotYoungerThanItsChanges(t *testing.T) {
+	c, _ := newTestControl(t)
+	c.applyListRead(at(0), listUpdate{full: true, next: offset(5)})
+	addPeer(c, "h2", "north", 1)
+	d := changesDigest(offset(20), offset(25), listRecord("a"))
+	d.Domain = "north"
+	c.receiveDigest(at(3*time.Second), d)
+	c.updateReading(at(3 * time.Second))
+	must.Eq(t, 3*time.Second, c.directory.Age(at(3*time.Second)))
+	must.Eq(t, 3*time.Second, c.digest(at(3*time.Second)).ListKnownAge)
+	c.nextInList = offset(25)
+	c.updateReading(at(3 * time.Second))
+	must.Less(t, time.Second, c.directory.Age(at(3*time.Second)))
+}
+
 // A digest that replaces an unsent one loses no content that is sent only once.
 func TestMergedDigestKeepsOneTimeContent(t *testing.T) {
 	cacheUpdate := func(key model.PartID) balance.CacheUpdate { return balance.CacheUpdate{Key: key, Endpoint: "e"} }
--- a/internal/gateway/model_test.go
+++ b/internal/gateway/model_test.go
@@ -24,7 +24,9 @@
 // order. Hosts exchange digests that may be late, lost or merged. The store may be
 // restored from an older copy; endpoints then publish their entries again.
 type fleetModel struct {
-	t     *rapid.T
+	t *rapid.T
+	// fail ends the test.
+	fail  func(format string, args ...any)
 	now   time.Time
 	store modelStore
 	hosts []*modelHost
@@ -79,8 +81,15 @@
 // newFleetModel returns a model of hosts without lists, of which the first two read
 // the store.
 func newFleetModel(t *rapid.T, hosts int) *fleetModel {
+	m := newPlannedModel(t.Fatalf, hosts)
+	m.t = t
+	return m
+}
+
+// newPlannedModel returns a model whose steps are not drawn at random.
+func newPlannedModel(fail func(format string, args ...any), hosts int) *fleetModel {
 	m := &fleetModel{
-		t: t, now: at(0), store: modelStore{era: 1}, endpoints: make(map[model.EndpointName]directory.Entry),
+		fail: fail, now: at(0), store: modelStore{era: 1}, endpoints: make(map[model.EndpointName]directory.Entry),
 		ended: make(map[model.Instance]bool), lapsed: make(map[model.EndpointName]bool),
 	}
 	for i := range hosts {
@@ -150,7 +159,11 @@
 	for first > 0 && m.now.Sub(m.store.written[first-1]) <= modelCopyAge {
 		first--
 	}
-	kept := rapid.IntRange(first, len(m.store.log)).Draw(m.t, "kept")
+	m.restoreTo(rapid.IntRange(first, len(m.store.log)).Draw(m.t, "kept"))
+}
+
+// restoreTo replaces the store's log by its first records.
+func (m *fleetModel) restoreTo(kept int) {
 	m.store.log = slices.Clone(m.store.log[:kept])
 	m.store.written = slices.Clone(m.store.written[:kept])
 	m.store.era++
@@ -273,7 +286,7 @@
 				h.directory.RecordReadFailure()
 			}
 			h.receiveListChanges(m.now, d)
-			if d.ListReadAge < h.directory.Age(m.now) {
+			if !h.lacksChanges() && d.ListReadAge < h.directory.Age(m.now) {
 				h.directory.RecordStoreRead(m.now.Add(-d.ListReadAge))
 			}
 		}
@@ -283,7 +296,7 @@
 
 // fetchList lets a host fetch the list of another one.
 func (m *fleetModel) fetchList(h, from *modelHost) {
-	h.adoptList(m.now, port.EndpointList{Entries: from.directory.Entries(), Next: from.nextInList}, "peer")
+	h.adoptList(m.now, from.endpointList(), "peer")
 }
 
 // restart replaces a host by one with empty state.
@@ -307,7 +320,7 @@
 		for name, started := range h.seenDraining {
 			// An entry whose removal is delayed is in use, too.
 			if e, used := h.directory.Lookup(name); used && e.Started == started && !e.Draining {
-				m.t.Fatalf("host %s uses endpoint %s again after its drain", h.gateway.opts.Host, name)
+				m.fail("host %s uses endpoint %s again after its drain", h.gateway.opts.Host, name)
 			}
 		}
 		for name, e := range entries {
@@ -322,7 +335,7 @@
 			if m.ended[model.Instance{Name: name, Started: e.Started}] {
 				h.seenDraining[name] = e.Started
 			} else if !m.lapsed[name] && !e.Draining {
-				m.t.Fatalf("host %s dropped endpoint %s, which runs", h.gateway.opts.Host, name)
+				m.fail("host %s dropped endpoint %s, which runs", h.gateway.opts.Host, name)
 			}
 		}
 		h.listed = entries
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -334,11 +334,20 @@
 			c.gateway.requestListRead()
 		}
 	}
-	if age := c.knownReadAge(now); age < c.directory.Age(now) && !c.lastListRead.IsZero() {
+	if age := c.listAge(now); age < c.directory.Age(now) && !c.lastListRead.IsZero() {
 		c.directory.RecordStoreRead(now.Add(-age))
 	}
 }
 
+// listAge returns the age of the newest read of which this host has all changes, as far as
+// it knows. While changes are missing, newer reads do not count.
+func (c *control) listAge(now time.Time) time.Duration {
+	if c.lacksChanges() {
+		return max(c.knownReadAge(now), c.directory.Age(now))
+	}
+	return c.knownReadAge(now)
+}
+
 // knownReadAge returns the age of the newest read of the list by any host, as far as
 // this host knows.
 func (c *control) knownReadAge(now time.Time) time.Duration {
@@ -402,7 +411,7 @@
 	if !list.Next.IsAfter(c.nextInList) {
 		return
 	}
-	c.replaceList(now, list.Entries, list.Next, "list of peer "+address)
+	c.replaceList(now, list, "list of peer "+address)
 	// Changes that this host publishes from now on follow the adopted list.
 	c.lastListChange = list.Next
 }
@@ -417,12 +426,15 @@
 	return *rec, nil
 }
 
+// endpointList returns this host's list for other hosts.
+func (c *control) endpointList() port.EndpointList {
+	return port.EndpointList{Entries: c.directory.Entries(), Withheld: c.directory.Withheld(), Next: c.nextInList}
+}
+
 // HandleFetchEndpoints returns this host's list of endpoints. It implements
 // port.LoadHandler.
 func (g *Gateway) HandleFetchEndpoints(ctx context.Context) (port.EndpointList, error) {
-	list, ok := queryLoop(ctx, g, func(time.Time) port.EndpointList {
-		return port.EndpointList{Entries: g.control.directory.Entries(), Next: g.control.nextInList}
-	})
+	list, ok := queryLoop(ctx, g, func(time.Time) port.EndpointList { return g.control.endpointList() })
 	if !ok {
 		return port.EndpointList{}, errStopped
 	}
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -202,6 +202,9 @@
 // EndpointList is a host's list of endpoints.
 type EndpointList struct {
 	Entries []directory.Entry
+	// Withheld are entries that the host does not use since the store was restored from
+	// a copy: the endpoints were removed before.
+	Withheld []directory.Entry
 	// Next is the position after the last record included in the list.
 	Next model.Position
 }
