Let an entry of another writer cost that entry only

Cause: an entry under a key that is not UTF-8 was taken into the list. The class: what comes from other writers is free bytes, and goes into messages, sums and log lines that hold what others have written too.

Looked at besides the key: strings inside of entries and configurations are valid UTF-8, as JSON replaces what is not, but two keys or names may become one by that, and the page after such a key started at another record; names of any length (a list of a few large entries exceeds a message); slots that overflow sums; milliseconds that overflow a duration, differently on amd64 and arm64; a line of the log for each skipped entry, with its text; an entry that cannot be decoded under the name of a listed endpoint, which a full list dropped and a read of changes kept. Fine already: nesting, other types, missing fields, records without a whole key.

Change: the decoder rejects keys and names that are not valid UTF-8, have a replacement character or more than 255 bytes, and absurd numbers; pages continue from the last key that can be read; an entry that cannot be decoded ends the one before it under its name; one log line in 10 s. The codec between hosts leaves the innermost list element out whose text cannot be sent, in any message, so that no string of the protocol (endpoints, pools, addresses, versions, domains, accounts of usage records, hosts) can stop one. Only a caller's request is not changed: with another key or path it would be another one, so that it alone is not forwarded.

Tests, red before: TestDecodeEndpointRejectsForeignText, TestMillisecondsAreBounded, TestPagesContinueAfterUnreadableKey, TestForeignEntriesCostThemselvesOnly (1,000 log lines in 20 s), TestForeignNameStopsNoDigestAndNoList ("string field contains invalid UTF-8"), TestRequestWithInvalidTextIsNotChanged, FuzzDigest and FuzzMessage (new), FuzzEndpoint and FuzzConfig with their new checks and corpus. FuzzEndpoint now varies the key as well.

--- a/internal/adapter/peergrpc/codec.go
+++ b/internal/adapter/peergrpc/codec.go
@@ -29,12 +29,24 @@
 // in flight to each host of its failure domain.
 type messageCodec struct{}
 
-// Marshal implements encoding.CodecV2.
+// Marshal implements encoding.CodecV2. It leaves out what has text that cannot be sent.
 func (messageCodec) Marshal(v any) (mem.BufferSlice, error) {
 	message, ok := v.(proto.Message)
 	if !ok {
 		return nil, fmt.Errorf("encode %T: not a protocol buffer message", v)
 	}
+	out, err := encode(message)
+	if err == nil {
+		return out, nil
+	}
+	if valid, changed := withValidText(message); changed {
+		return encode(valid)
+	}
+	return nil, err
+}
+
+// encode encodes a message into a buffer of the pool, unless it is small.
+func encode(message proto.Message) (mem.BufferSlice, error) {
 	size := proto.Size(message)
 	if mem.IsBelowBufferPoolingThreshold(size) {
 		data, err := proto.Marshal(message)
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -277,23 +277,21 @@
 	next model.Position
 }
 
-// decodeEndpoints decodes records of the list of endpoints. It skips entries that
-// cannot be decoded.
+// decodeEndpoints decodes records of the list of endpoints. An entry that cannot be decoded
+// is one of another writer and names no endpoint, so that an entry before it under its name
+// is gone, like in the full list.
 func (g *Gateway) decodeEndpoints(batch port.KeyedBatch, full bool) listUpdate {
 	update := listUpdate{full: full, next: batch.Next}
 	for _, rec := range batch.Records {
-		item := port.ListRecord{At: rec.Offset, Name: model.EndpointName(rec.Key)}
-		if len(rec.Value) == 0 {
-			item.Removed = true
-			update.records = append(update.records, item)
-			continue
-		}
-		entry, err := g.opts.Decoder.Endpoint(rec.Key, rec.Value)
-		if err != nil {
-			g.opts.Log.WithError(err).WithField("endpoint", rec.Key).Warn("lists: entry skipped, cannot be decoded")
-			continue
+		item := port.ListRecord{At: rec.Offset, Name: model.EndpointName(rec.Key), Removed: true}
+		if len(rec.Value) > 0 {
+			entry, err := g.opts.Decoder.Endpoint(rec.Key, rec.Value)
+			if err != nil {
+				g.skippedEntries.log(g.opts.Log, rec.Key, err)
+			} else {
+				item.Entry, item.Removed = entry, false
+			}
 		}
-		item.Entry = entry
 		update.records = append(update.records, item)
 	}
 	return update
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,9 @@
 	// watchingCrashes reports whether endpoints that begin to answer must be recorded, as
 	// crashes or suspects are known.
 	watchingCrashes atomic.Bool
+	// skippedEntries logs entries that cannot be decoded, for the reader of the list of
+	// endpoints.
+	skippedEntries skippedEntries
 	// reading reports whether this host reads the platform's lists itself.
 	// readListNow requests an immediate read of the list of endpoints.
 	reading     atomic.Bool
@@ -103,7 +106,10 @@
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.Discard()
 	}
-	g := &Gateway{opts: opts, loop: loop.New(), rng: newLockedRand(opts.Seed), readListNow: make(chan struct{}, 1), readConfigNow: make(chan struct{}, 1)}
+	g := &Gateway{
+		opts: opts, loop: loop.New(), rng: newLockedRand(opts.Seed), skippedEntries: newSkippedEntries(),
+		readListNow: make(chan struct{}, 1), readConfigNow: make(chan struct{}, 1),
+	}
 	g.reading.Store(true)
 	g.control = newControl(g)
 	return g
