Give up a silent endpoint only once another one has a place

Cause: an attempt at an endpoint that was silent for 5 times the route's gap, 1.2 s at least, was canceled because another attempt was allowed in principle. Whether it could be placed was decided afterwards: with a used-up retry budget, with no other endpoint of the stream's version or with a version in doubt, a sound stream that its engine had preempted was cut in the middle.

Ruled out: a longer timeout (a preempted stream may wait for any time), a check of the budget before the cancellation (streams that fall silent together would all pass it).

Change: on a timeout the next attempt is placed first, on the control loop, with its retry charged and only at endpoints that have not failed the request. Only then the attempt is canceled, and the request goes on with that place. Otherwise it stays, and the check is repeated every 500 ms. A leaving host gives up no stream that its caller has received a part of, since the next endpoint may still refuse it. The timers are stopped as soon as events have arrived, before anything else is done with them.

TestEmptyStreamHasFirstResponseTime passes the context that startWatch now takes; what it checks is unchanged.

--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -152,6 +152,9 @@
 			best.priority = best.enginePriority(now, req)
 			return best, ""
 		}
+		if req.OnlyOthers {
+			return choice{retryAfter: p.timeToNextEndpoint(now)}, ReasonNoEndpoint
+		}
 	}
 	if wait, limited := b.timeToLimitedRequest(now, p); limited {
 		return choice{retryAfter: wait}, ReasonLimit
--- a/internal/core/balance/decision.go
+++ b/internal/core/balance/decision.go
@@ -25,6 +25,9 @@
 	Software model.SoftwareVersion
 	// Avoid lists the endpoints that have failed or refused the request.
 	Avoid []model.EndpointName
+	// OnlyOthers excludes the endpoints in Avoid and those in unreachable domains, which
+	// are chosen otherwise if there is nothing else.
+	OnlyOthers bool
 	// Retry reports whether an endpoint has already received the request, so
 	// that sending it again is charged to the retry budget.
 	Retry bool
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -58,6 +58,8 @@
 	delivered    int
 	possibleRuns int
 	unreachable  int
+	// reserved is the next attempt; nil unless the last one was given up.
+	reserved *reservation
 	// began reports whether the first event of the response was recorded; the rest must
 	// come from the version in req.
 	began bool
@@ -198,11 +200,9 @@
 // returns false when the caller has left or the response is incomplete.
 func (x *exchange) run(ctx context.Context) bool {
 	defer x.endTrial()
+	defer x.releaseReserved()
 	for {
-		// A new ID per attempt keeps late events of an earlier attempt from
-		// affecting this one.
-		x.req.ID = x.gateway.nextID(x.call.ID)
-		decision, ok := x.placeNext(ctx)
+		decision, ok := x.nextAttempt(ctx)
 		if !ok {
 			// The control loop may still have placed the request.
 			x.gateway.finish(x.req.ID, balance.Result{})
@@ -231,6 +231,20 @@
 	}
 }
 
+// nextAttempt returns the attempt that was reserved before the last one was given up, or
+// places the next one.
+func (x *exchange) nextAttempt(ctx context.Context) (placement, bool) {
+	if r := x.reserved; r != nil && r.request.Software == x.req.Software {
+		x.reserved, x.req = nil, r.request
+		return r.placement, true
+	}
+	x.releaseReserved()
+	// A new ID per attempt keeps late events of an earlier attempt from
+	// affecting this one.
+	x.req.ID = x.gateway.nextID(x.call.ID)
+	return x.placeNext(ctx)
+}
+
 // canRetry counts a failed attempt and reports whether another may follow.
 func (x *exchange) canRetry(ctx context.Context, result attemptResult) bool {
 	if result.failure == balance.FailureUnreachable {
@@ -241,23 +255,32 @@
 	if result.outcome != model.OutcomeNotRun {
 		x.possibleRuns++
 	}
-	if result.final || x.unreachable >= maxUnreachable {
+	if result.final || x.unreachable >= maxUnreachable || ctx.Err() != nil {
 		return false
 	}
+	return x.allowsAttempt(x.delivered, x.possibleRuns) &&
+		attempt.IsRetryAllowed(time.Now().Add(minRetryTime), x.failedAttempt(result.outcome))
+}
+
+// allowsAttempt reports whether another attempt may follow the given numbers of attempts
+// that reached an endpoint and that may have run.
+func (x *exchange) allowsAttempt(delivered, possibleRuns int) bool {
 	if x.began && x.req.Software == "" {
 		// Another endpoint may run another version.
 		return false
 	}
-	if ctx.Err() != nil || x.delivered >= maxDelivered || x.possibleRuns >= max(x.route.MaxAttempts, 1) {
-		return false
-	}
-	return attempt.IsRetryAllowed(time.Now().Add(minRetryTime), attempt.FailedAttempt{
+	return delivered < maxDelivered && possibleRuns < max(x.route.MaxAttempts, 1)
+}
+
+// failedAttempt describes an attempt that has ended with an outcome now.
+func (x *exchange) failedAttempt(outcome model.Outcome) attempt.FailedAttempt {
+	return attempt.FailedAttempt{
 		Idempotent: x.route.CanRetry(),
-		Outcome:    result.outcome,
+		Outcome:    outcome,
 		Relayed:    x.eventsSent,
 		CanResume:  x.route.Resumable,
 		Deadline:   x.deadline,
-	})
+	}
 }
 
 // noEndpointError is the error when no endpoint was found for the next attempt.
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/wigeonsail/wigeonsail/internal/core/attempt"
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
@@ -23,36 +25,72 @@
 	// stallAfter is the time without an event after which a stream's endpoint
 	// is avoided. Engines produce an event every few tens of milliseconds.
 	stallAfter = 400 * time.Millisecond
+	// giveUpInterval is the time between two attempts to find a place for a request whose
+	// endpoint is silent.
+	giveUpInterval = 500 * time.Millisecond
 )
 
 // stallWatch monitors an attempt's response. It reports to the control loop when
-// a stream stalls, and cancels the attempt when its endpoint is silent for long
-// and another one could run the request.
+// a stream stalls, and gives the attempt up when its endpoint is silent for long
+// and another one has a place for the request.
 type stallWatch struct {
 	exchange *exchange
 	id       model.RequestID
 	endpoint model.EndpointName
 	address  string
-	// timeout cancels the attempt; nil when it may not be repeated.
+	// ctx is the context of the attempt, which cancel ends.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// timeout gives up the attempt; nil if the request can never be sent again.
 	timeout *time.Timer
 	// stall reports a stall; nil before the first event.
 	stall    *time.Timer
 	mu       sync.Mutex
 	reported bool
+	// silence numbers the times of silence, so that a decision about one does not end a
+	// later one.
+	silence int
+	next    nextAttempt
+	// reserved is the next attempt after this one was given up.
+	reserved *reservation
+	// logged reports whether it was logged that the attempt was not given up.
+	logged bool
+}
+
+// nextAttempt is what follows if an attempt is given up. It is a copy for the timers.
+type nextAttempt struct {
+	request balance.Request
+	// allowed reports whether an attempt may follow this one within its time limit, began
+	// whether the caller has received the beginning of the response.
+	allowed, began bool
+	failed         attempt.FailedAttempt
 }
 
 // startWatch returns a watch on an attempt and starts the timeout for its first
-// response, which calls cancel. Requests that may not be repeated wait until
-// their time limit.
-func (x *exchange) startWatch(cancel context.CancelCauseFunc, decision balance.Decision) *stallWatch {
-	w := &stallWatch{exchange: x, id: x.req.ID, endpoint: decision.Endpoint, address: decision.Address}
+// response. Requests that may not be repeated wait until their time limit.
+func (x *exchange) startWatch(ctx context.Context, cancel context.CancelCauseFunc, decision balance.Decision) *stallWatch {
+	w := &stallWatch{exchange: x, id: x.req.ID, endpoint: decision.Endpoint, address: decision.Address, ctx: ctx, cancel: cancel}
+	w.next = w.describeNext()
 	if x.route.CanRetry() && x.possibleRuns+1 < x.route.MaxAttempts {
 		limit := max(firstResponseFactor*x.route.LatencyTarget, minFirstResponseTimeout)
-		w.timeout = time.AfterFunc(limit, func() { cancel(errSilent) })
+		w.timeout = time.AfterFunc(limit, w.giveUp)
 	}
 	return w
 }
 
+// describeNext returns what follows if the attempt is given up now. Only the goroutine of
+// the request may call it.
+func (w *stallWatch) describeNext() nextAttempt {
+	x := w.exchange
+	out := nextAttempt{
+		request: x.req, began: x.headerSent, failed: x.failedAttempt(model.OutcomeUnknown),
+		allowed: x.allowsAttempt(x.delivered+1, x.possibleRuns+1),
+	}
+	out.request.Avoid = append(slices.Clone(x.req.Avoid), w.endpoint)
+	out.request.Retry, out.request.OnlyOthers = true, true
+	return out
+}
+
 // resume starts the timeouts for the next event: that of the attempt, and that
 // after which a stall is reported.
 func (w *stallWatch) resume() {
@@ -60,6 +98,10 @@
 		w.timeout.Reset(max(eventGapFactor*w.exchange.route.MaxGap, minEventTimeout))
 	}
 	if w.stall == nil {
+		next := w.describeNext()
+		w.mu.Lock()
+		w.next = next
+		w.mu.Unlock()
 		w.stall = time.AfterFunc(stallAfter, func() { w.report(true) })
 		return
 	}
@@ -72,14 +114,103 @@
 	if w.timeout != nil {
 		w.timeout.Stop()
 	}
+	w.mu.Lock()
+	w.silence++
+	w.mu.Unlock()
 	if w.stall != nil {
 		w.stall.Stop()
 		w.report(false)
 	}
 }
 
-// stop ends the monitoring and reports the end of a stall.
-func (w *stallWatch) stop() { w.pause() }
+// stop ends the monitoring and reports the end of a stall. It returns the attempt that
+// follows if this one was given up.
+func (w *stallWatch) stop() *reservation {
+	w.pause()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.reserved
+}
+
+// giveUp cancels the attempt if another endpoint has a place for the request. Otherwise it
+// tries again after giveUpInterval, since a silent endpoint may be sound: an engine that has
+// preempted a stream goes on with it later.
+func (w *stallWatch) giveUp() {
+	w.mu.Lock()
+	silence, next := w.silence, w.next
+	w.mu.Unlock()
+	reserved, reason := w.reserve(next)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ended := silence != w.silence || w.ctx.Err() != nil
+	switch {
+	case reserved != nil && ended:
+		w.exchange.gateway.finish(reserved.request.ID, balance.Result{})
+	case reserved != nil:
+		w.reserved = reserved
+		w.cancel(errSilent)
+	case !ended:
+		w.logKept(reason)
+		w.timeout.Reset(giveUpInterval)
+	}
+}
+
+// reservation is a placed attempt that has not begun.
+type reservation struct {
+	placement placement
+	request   balance.Request
+}
+
+// Reasons why a silent attempt is not given up, other than those of a balance.Decision.
+const (
+	keptLeaving    balance.Reason = "leaving"
+	keptNoAttempt  balance.Reason = "no_attempt_left"
+	keptNoDecision balance.Reason = "no_decision"
+)
+
+// reserve places the next attempt at another endpoint, within the retry budget. It returns
+// the reason if it cannot be placed.
+func (w *stallWatch) reserve(next nextAttempt) (*reservation, balance.Reason) {
+	g := w.exchange.gateway
+	if next.began && g.leaving.Load() {
+		// What fails on the way to another endpoint cannot be made up for any more.
+		return nil, keptLeaving
+	}
+	if !next.allowed || !attempt.IsRetryAllowed(time.Now().Add(2*minRetryTime), next.failed) {
+		return nil, keptNoAttempt
+	}
+	next.request.ID = g.nextID(w.exchange.call.ID)
+	decision, ok := g.place(w.ctx, next.request, w.exchange.fingerprint, false)
+	if !ok {
+		// The control loop may still have placed the request.
+		g.finish(next.request.ID, balance.Result{})
+		return nil, keptNoDecision
+	}
+	if decision.IsRefused() {
+		return nil, decision.Reason
+	}
+	next.request.OnlyOthers = false
+	return &reservation{placement: decision, request: next.request}, ""
+}
+
+// releaseReserved frees the reserved attempt, if there is one.
+func (x *exchange) releaseReserved() {
+	if x.reserved != nil {
+		x.gateway.finish(x.reserved.request.ID, balance.Result{})
+		x.reserved = nil
+	}
+}
+
+// logKept logs once that the attempt is silent and not given up. The caller must hold mu.
+func (w *stallWatch) logKept(reason balance.Reason) {
+	if w.logged {
+		return
+	}
+	w.logged = true
+	w.exchange.gateway.opts.Log.WithFields(fields{
+		"request": w.exchange.call.ID, "endpoint": w.endpoint, "reason": string(reason),
+	}).Info("request: silent endpoint not given up")
+}
 
 // report reports a change to the control loop. On a stall it also drops the open
 // connections to the endpoint.
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -19,8 +19,8 @@
 func (x *exchange) tryEndpoint(ctx context.Context, decision balance.Decision) attemptResult {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := x.startWatch(cancel, decision)
-	defer watch.stop()
+	watch := x.startWatch(ctx, cancel, decision)
+	defer func() { x.reserved = watch.stop() }()
 	reply, err := x.gateway.opts.Endpoints.Send(ctx, port.RoutedAttempt{
 		Call:        x.call,
 		Endpoint:    decision.Endpoint,
@@ -121,7 +121,6 @@
 // breaks, and reports the first ones to the balancer. While it writes to the
 // caller, watch is paused.
 func (x *exchange) forwardStream(ctx context.Context, reply port.EndpointResponse, software model.SoftwareVersion, watch *stallWatch) attemptResult {
-	defer watch.stop()
 	events := 0
 	for {
 		batch, err := reply.Next()
@@ -137,6 +136,9 @@
 			result.events = events
 			return result
 		}
+		// Stop the timers while writing, so that a slow caller does not look
+		// like a silent endpoint.
+		watch.pause()
 		if events == 0 {
 			x.gateway.recordFirstResponse(x.req.ID)
 		}
@@ -146,9 +148,6 @@
 		if x.eventsSent == 0 {
 			x.firstResponseAt = time.Now()
 		}
-		// Stop the timers while writing, so that a slow caller does not look
-		// like a silent endpoint.
-		watch.pause()
 		if err := x.forwardEvents(reply, batch); err != nil {
 			return attemptResult{outcome: model.OutcomeRan, delivered: true, err: err}
 		}
