Bound the memory for requests in progress

Cause: the ingress read each body whole, ReadAll with its growing buffers, and the attempt made a second copy. Nothing bounded the sum over all requests, and the memory limit of the Go runtime bounds only garbage: bodies within max_body_bytes, in a burst, pushed hosts over memory_mb. A caller that reads slowly held up the endpoint, which cuts off a response that remains unread.

Ruled out: a limit on the number of requests (small ones would pay for large ones), a lower limit of the runtime (what is live stays), buffers outside the heap (a write that is still in progress would fault).

Change: internal/core/bytebudget is one account of a host. A request holds its stated length and an overhead before its body is read; a body of unknown length holds each buffer. Large bodies are accepted up to 0.8 of the limit, those up to 64 kB up to 0.9, the rest is for responses. Refusals are 503 with Retry-After, outcome not_run, sent before the body is read; the body is then discarded in small pieces for 5 s at most, so that callers which send all of it first get the refusal and keep their connection. Bodies are read into buffers of their length and sent from them without a copy. Responses that are not streamed are held before they are read. When a write of events takes over 200 ms, later events are read from the endpoint and held; a caller that keeps up costs no goroutine and no copy. Only if a response has no room, the caller of the lowest rank that has read nothing for longest, a second at least, is cut off. limits.requests_mb sets the limit; 45 % of memory_mb if not set. Metrics and log lines show what is held, refused and shed.

The fixture of the server tests gets the memory of its hosts. Existing tests: the list of keys in limits and the arguments of forwardStream follow the code; nothing is eased.

--- /dev/null
+++ b/internal/core/bytebudget/budget.go
@@ -0,0 +1,145 @@
+// Package bytebudget accounts for the memory that a host holds for the requests in
+// progress: their bodies, and the bytes of responses that callers have not read yet. It
+// decides which bodies are accepted and which caller is shed if there is no room for a
+// response. It is a state machine without I/O, clock and locks.
+package bytebudget
+
+import "time"
+
+const (
+	// SmallBody is the size up to which the body of a request counts as small.
+	SmallBody = 64 << 10
+	// requestOverhead is what a request takes apart from bodies and events: buffers of two
+	// connections, headers and the stacks of its goroutines.
+	requestOverhead = 16 << 10
+	// largeShare and smallShare are the shares of the limit that may be in use when a large
+	// or a small body is accepted. The rest is for small ones, and for responses.
+	largeShare = 0.8
+	smallShare = 0.9
+	// minWait is how long a caller must have read nothing before it may be shed.
+	minWait = time.Second
+)
+
+// Holder is what is held for one request.
+type Holder struct {
+	// rank orders the callers that are shed: the largest first.
+	rank int
+	// body and unread are the bytes of the request and of its response.
+	body, unread int64
+	// waitingSince is since when the caller has read nothing that was sent; zero if nothing
+	// is being sent.
+	waitingSince time.Time
+	shed         bool
+}
+
+// Budget is the account of a host. It is not safe for concurrent use.
+type Budget struct {
+	limit int64
+	// used are the bytes that are held, unread those of them that belong to responses.
+	used, unread int64
+	holders      map[*Holder]struct{}
+}
+
+// New returns an empty account with a limit in bytes.
+func New(limit int64) *Budget {
+	return &Budget{limit: limit, holders: make(map[*Holder]struct{})}
+}
+
+// Used returns the bytes that are held.
+func (b *Budget) Used() int64 { return b.used }
+
+// Limit returns the limit in bytes.
+func (b *Budget) Limit() int64 { return b.limit }
+
+// Count returns the number of requests in progress.
+func (b *Budget) Count() int { return len(b.holders) }
+
+// Admit accepts a request with a body of a size, or returns nil if there is no room.
+func (b *Budget) Admit(body int64) *Holder {
+	h := &Holder{}
+	if !b.fits(h, body+requestOverhead) {
+		return nil
+	}
+	b.holders[h] = struct{}{}
+	b.addBody(h, body+requestOverhead)
+	return h
+}
+
+// GrowBody adds bytes to the body of a request. It returns false if there is no room.
+func (b *Budget) GrowBody(h *Holder, n int64) bool {
+	if !b.fits(h, n) {
+		return false
+	}
+	b.addBody(h, n)
+	return true
+}
+
+// fits reports whether there is room for n more bytes of a request.
+func (b *Budget) fits(h *Holder, n int64) bool {
+	share := largeShare
+	if h.body+n <= SmallBody+requestOverhead {
+		share = smallShare
+	}
+	return float64(b.used+n) <= share*float64(b.limit)
+}
+
+func (b *Budget) addBody(h *Holder, n int64) {
+	h.body += n
+	b.used += n
+}
+
+// SetRank sets the rank of a request; callers with the largest one are shed first.
+func (b *Budget) SetRank(h *Holder, rank int) { h.rank = rank }
+
+// AddUnread adds bytes of a response that the caller has not read. It returns false if there
+// is no room, and then the request to shed for it; nil if none may be shed. One response
+// always fits, so that a request that was accepted can be answered.
+func (b *Budget) AddUnread(now time.Time, h *Holder, n int64) (bool, *Holder) {
+	if b.used+n > b.limit && b.unread > 0 {
+		return false, b.shedSlowest(now)
+	}
+	h.unread += n
+	b.unread += n
+	b.used += n
+	return true, nil
+}
+
+// shedSlowest marks the request to shed: of those with the largest rank whose callers have
+// read nothing for minWait, the one whose caller has done so for longest.
+func (b *Budget) shedSlowest(now time.Time) *Holder {
+	var slowest *Holder
+	for h := range b.holders {
+		if h.shed || h.unread == 0 || h.waitingSince.IsZero() || now.Sub(h.waitingSince) < minWait {
+			continue
+		}
+		if slowest == nil || h.rank > slowest.rank || h.rank == slowest.rank && h.waitingSince.Before(slowest.waitingSince) {
+			slowest = h
+		}
+	}
+	if slowest != nil {
+		slowest.shed = true
+	}
+	return slowest
+}
+
+// Send records that bytes of the response are being sent to the caller.
+func (b *Budget) Send(now time.Time, h *Holder) { h.waitingSince = now }
+
+// Read removes bytes that the caller has read.
+func (b *Budget) Read(now time.Time, h *Holder, n int64) {
+	n = min(n, h.unread)
+	h.unread -= n
+	b.unread -= n
+	h.waitingSince = now
+	b.used -= n
+}
+
+// Release removes a request. It may be repeated.
+func (b *Budget) Release(h *Holder) {
+	if _, found := b.holders[h]; !found {
+		return
+	}
+	delete(b.holders, h)
+	b.unread -= h.unread
+	b.used -= h.body + h.unread
+}
--- a/internal/gateway/crashfleet_test.go
+++ b/internal/gateway/crashfleet_test.go
@@ -212,6 +212,7 @@
 func (s *crashableStream) RequestLimit() (port.RequestLimit, error) { return port.RequestLimit{}, nil }
 func (s *crashableStream) IsEventStream() bool                      { return !s.plain }
 func (s *crashableStream) Body() ([]byte, error)                    { return nil, nil }
+func (s *crashableStream) KeepBatch()                               {}
 func (s *crashableStream) Close()                                   {}
 
 func (s *crashableStream) Next() (port.EventBatch, error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,6 +51,9 @@
 	Seeds       []string
 	// MinDigestInterval is the minimum time between two load digests to a peer.
 	MinDigestInterval time.Duration
+	// MemoryLimit is the number of bytes that may be held for the requests in progress; 0 for
+	// no limit.
+	MemoryLimit int64
 	// LinkMbps is the speed of this host's network link in Mbit/s.
 	LinkMbps float64
 	// Budget limits the retries of all hosts together.
@@ -86,6 +89,7 @@
 	// readConfigNow requests an immediate read of the configuration.
 	readConfigNow chan struct{}
 	rng           lockedRand
+	memory        *memoryAccount
 	// sequence numbers the requests.
 	sequence atomic.Uint64
 	ctx      context.Context
@@ -105,6 +109,7 @@
 	}
 	g := &Gateway{opts: opts, loop: loop.New(), rng: newLockedRand(opts.Seed), readListNow: make(chan struct{}, 1), readConfigNow: make(chan struct{}, 1)}
 	g.reading.Store(true)
+	g.memory = newMemoryAccount(g, opts.MemoryLimit)
 	g.control = newControl(g)
 	return g
 }
--- a/internal/gateway/listchanges_test.go
+++ b/internal/gateway/listchanges_test.go
@@ -249,7 +249,7 @@
 func TestEmptyStreamHasFirstResponseTime(t *testing.T) {
 	c, _ := newTestControl(t)
 	x := &exchange{gateway: c.gateway, w: discardResponse{}, route: &routing.Route{}}
-	result := x.forwardStream(t.Context(), emptyStream{}, "v1", x.startWatch(t.Context(), func(error) {}, balance.Decision{}))
+	result := x.forwardStream(t.Context(), newReadAhead(t.Context(), nil, emptyStream{}, nil), "v1", x.startWatch(t.Context(), func(error) {}, balance.Decision{}))
 	must.True(t, result.answered)
 	must.False(t, x.firstResponseAt.IsZero())
 }
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -140,6 +140,7 @@
 		Arrived: call.Arrived,
 	}
 	x.deadline = call.Arrived.Add(x.timeLimit())
+	holdOf(call).setRank(tier, route.Tier)
 	return x, nil
 }
 
@@ -297,6 +298,10 @@
 // the response is incomplete.
 func (x *exchange) fail(ctx context.Context, result attemptResult) bool {
 	cause := context.Cause(ctx)
+	if errors.Is(cause, port.ErrShed) {
+		x.logShed()
+		return false
+	}
 	if cause != nil && !errors.Is(cause, errDeadline) {
 		x.logCanceled()
 		return false
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -194,5 +194,6 @@
 	m.SetListAge(c.knownReadAge(now), uint64(c.nextInList.Era))
 	m.SetLimitedEndpoints(c.balancer.CountLimited())
 	m.SetQuarantined(c.quarantine.Count(quarantine.KindPart), c.quarantine.Count(quarantine.KindRequest))
+	m.SetMemoryHeld(c.gateway.memory.held())
 	m.SetConfigAge(c.gateway.configAge(now))
 }
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -55,7 +55,9 @@
 	case !reply.HasSignature():
 		return attemptResult{outcome: model.OutcomeUnknown, delivered: true, failure: balance.FailureBroken, err: errUnsigned}
 	case reply.IsEventStream():
-		return x.forwardStream(ctx, reply, decision.Software, watch)
+		events := newReadAhead(ctx, cancel, reply, holdOf(x.call))
+		defer events.stop()
+		return x.forwardStream(ctx, events, decision.Software, watch)
 	default:
 		return x.forwardBuffered(ctx, reply)
 	}
@@ -72,6 +74,7 @@
 	x.clearParts()
 	x.clearRequest()
 	x.firstResponseAt = time.Now()
+	holdOf(x.call).send()
 	return attemptResult{
 		answered:  x.w.Respond(reply.Status(), reply.Header(), body) == nil,
 		outcome:   model.OutcomeRan,
@@ -120,10 +123,11 @@
 // forwardStream forwards a stream's events as they arrive, until it ends or
 // breaks, and reports the first ones to the balancer. While it writes to the
 // caller, watch is paused.
-func (x *exchange) forwardStream(ctx context.Context, reply port.EndpointResponse, software model.SoftwareVersion, watch *stallWatch) attemptResult {
+func (x *exchange) forwardStream(ctx context.Context, stream *readAhead, software model.SoftwareVersion, watch *stallWatch) attemptResult {
+	reply := stream.reply
 	events := 0
 	for {
-		batch, err := reply.Next()
+		batch, err := stream.next()
 		if errors.Is(err, io.EOF) {
 			if events < minProgressEvents {
 				x.clearParts()
@@ -148,7 +152,10 @@
 		if x.eventsSent == 0 {
 			x.firstResponseAt = time.Now()
 		}
-		if err := x.forwardEvents(reply, batch); err != nil {
+		stream.beginWrite()
+		err = x.forwardEvents(reply, batch)
+		stream.endWrite()
+		if err != nil {
 			return attemptResult{outcome: model.OutcomeRan, delivered: true, err: err}
 		}
 		watch.resume()
--- a/internal/metrics/events.go
+++ b/internal/metrics/events.go
@@ -97,6 +97,16 @@
 // SetLimitedEndpoints sets the number of endpoints that have stated a request limit.
 func (m *Metrics) SetLimitedEndpoints(count int) { m.limited.Update(float64(count)) }
 
+// SetMemoryHeld sets the number of bytes that are held for the requests in progress, and
+// their limit.
+func (m *Metrics) SetMemoryHeld(bytes, limit int64) {
+	m.memoryHeld.Update(float64(bytes))
+	m.memoryLimit.Update(float64(limit))
+}
+
+// ShedReader counts a response that was cut off because its caller reads slowly.
+func (m *Metrics) ShedReader(class model.ClassName) { m.shedReaders.with(string(class), "").Inc(1) }
+
 // SetQuarantined sets the numbers of parts of prompts and of requests that are in
 // quarantine.
 func (m *Metrics) SetQuarantined(parts, requests int) {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -52,6 +52,7 @@
 	preemptions    *vec[tally.Counter]
 	drains         *vec[tally.Counter]
 	wasted         *vec[tally.Counter]
+	shedReaders    *vec[tally.Counter]
 	peerErrors     *vec[tally.Counter]
 	platformErrors *vec[tally.Counter]
 
@@ -66,6 +67,7 @@
 	limited                               tally.Gauge
 	quarantinedParts, quarantinedRequests tally.Gauge
 	storeEra                              tally.Gauge
+	memoryHeld, memoryLimit               tally.Gauge
 }
 
 // Error is returned if the metrics cannot be set up.
@@ -116,6 +118,7 @@
 	m.preemptions = counter("preemptions_total", "class")
 	m.drains = counter("drains_total", "pool", "source")
 	m.wasted = counter("wasted_tokens_total", "class", "cause")
+	m.shedReaders = counter("shed_readers_total", "class")
 	m.peerErrors = counter("peer_errors_total", "op")
 	m.platformErrors = counter("platform_errors_total", "op", "outcome")
 }
@@ -138,6 +141,8 @@
 	m.limited = m.scope.Gauge("limited_endpoints")
 	m.quarantinedParts = m.scope.Gauge("quarantined_parts")
 	m.quarantinedRequests = m.scope.Gauge("quarantined_requests")
+	m.memoryHeld = m.scope.Gauge("memory_held_bytes")
+	m.memoryLimit = m.scope.Gauge("memory_limit_bytes")
 	m.configAge = m.scope.Gauge("config_age_seconds")
 	m.storeEra = m.scope.Gauge("store_era")
 }
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -30,6 +30,8 @@
 	// the API key and without headers that only this system may set.
 	Header http.Header
 	Body   []byte
+	// Memory is what is held for the request; nil if that is not accounted for.
+	Memory MemoryHold
 	// CallerTimeout is the time that the caller waits, counted from Arrived; 0 if
 	// the caller did not set one.
 	CallerTimeout time.Duration
@@ -62,6 +64,9 @@
 	// response failed. The connection must then be closed, so that a caller that is
 	// still there sees that the response is truncated.
 	Route(ctx context.Context, call *RoutedCall, w RoutedResponseWriter) bool
+	// HoldMemory holds the memory for a request before its body of a length, 0 if it is not
+	// known, is read. It returns the error to send to the caller if there is no room.
+	HoldMemory(bodyLength int64) (MemoryHold, *RequestError)
 	// Limits returns the limits on the requests of callers.
 	Limits() routing.Limits
 	// Ready reports whether the host should get new connections.
@@ -145,6 +150,8 @@
 	// Next returns the next events, io.EOF at the end of a complete response, or
 	// an *EndpointError. The Data is valid until the next call.
 	Next() (EventBatch, error)
+	// KeepBatch makes the Data of the last batch valid beyond the next call of Next.
+	KeepBatch()
 	// Close ends the response, and cancels the request if it is still running.
 	Close()
 }
--- /dev/null
+++ b/internal/port/memory.go
@@ -0,0 +1,26 @@
+package port
+
+import (
+	"context"
+	"errors"
+)
+
+// ErrShed is the cause with which the response to a caller that reads slowly is cut off, as
+// the memory is needed for others.
+var ErrShed = errors.New("the caller reads too slowly, and the memory for responses is used up")
+
+// MemoryHold is the memory that is held for one request and its response. A nil value of a
+// RoutedCall stands for memory that is not accounted for.
+type MemoryHold interface {
+	// GrowBody adds bytes of the request's body, of which the length was not known. It
+	// returns the error to send to the caller if there is no room; nil otherwise.
+	GrowBody(bytes int64) *RequestError
+	// AddUnread adds bytes of the response before they are read from the endpoint. It waits
+	// until there is room, and fails when ctx ends before.
+	AddUnread(ctx context.Context, bytes int64) error
+	// OnShed sets what cuts the response off, if its caller reads too slowly. It must be
+	// called before AddUnread.
+	OnShed(cut func())
+	// Release frees all of it.
+	Release()
+}
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -80,6 +80,7 @@
 		PeerAddress:       listeners[listenPeers].Addr().String(),
 		Seeds:             s.Peers.Seeds,
 		MinDigestInterval: s.Peers.ShareEvery.Std(),
+		MemoryLimit:       s.Limits.RequestMemory(),
 		LinkMbps:          s.Limits.Link,
 		Budget:            retryBudget(s),
 		Warm:              !s.FirstStart,
--- a/internal/server/gateway_fixture_test.go
+++ b/internal/server/gateway_fixture_test.go
@@ -41,6 +41,8 @@
 	replicas map[string]*replica.Server
 	// sequence numbers list entries and attempt IDs.
 	sequence int
+	// memoryMB is the memory of hosts that start from now on; 0 for the default.
+	memoryMB int
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -119,6 +121,9 @@
 	s.Peers.Secret = "secret-of-the-tests"
 	s.Peers.Seeds = seeds
 	s.Shutdown.Linger = opconfig.Duration(50 * time.Millisecond)
+	if f.memoryMB > 0 {
+		s.Limits.Memory = f.memoryMB
+	}
 	g, err := NewGateway(&s, &log.Logger{Handler: discard.New()})
 	must.NoError(f.t, err)
 	g.Start()
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -96,11 +96,25 @@
 type GatewayLimits struct {
 	// Memory is the memory of the process in MB.
 	Memory int `toml:"memory_mb" allowed:"a whole number of megabytes over 0"`
+	// Requests is the part of it for the requests in progress: their bodies, and what callers
+	// have not read of the responses.
+	Requests int `toml:"requests_mb" allowed:"a whole number of megabytes, at most half of memory_mb; 45 % of it if not set"`
 	// Link is the bandwidth of the machine's network link in Mbit/s. Hosts with
 	// slow links forward less for other hosts.
 	Link float64 `toml:"link_mbps" allowed:"a number over 0"`
 }
 
+// defaultRequestShare is the part of the memory for the requests in progress, if it is not set.
+const defaultRequestShare = 0.45
+
+// RequestMemory returns the number of bytes for the requests in progress.
+func (l *GatewayLimits) RequestMemory() int64 {
+	if l.Requests > 0 {
+		return int64(l.Requests) << 20
+	}
+	return int64(defaultRequestShare * float64(int64(l.Memory)<<20))
+}
+
 // DefaultGateway returns the settings of a gateway.toml that sets no key.
 func DefaultGateway() Gateway {
 	return Gateway{
@@ -212,6 +226,9 @@
 	if s.Limits.Memory <= 0 {
 		return &violation{key: "limits.memory_mb", problem: "not over 0"}
 	}
+	if s.Limits.Requests < 0 || s.Limits.Requests > s.Limits.Memory/2 {
+		return &violation{key: "limits.requests_mb", problem: "not from 0 to half of limits.memory_mb"}
+	}
 	if s.Limits.Link <= 0 {
 		return &violation{key: "limits.link_mbps", problem: "not over 0"}
 	}
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -41,12 +41,13 @@
 
 func TestLoadGatewayRejectsInvalidSettings(t *testing.T) {
 	cases := []struct{ name, from, to, want string }{
-		{"unknown key", "[limits]", "[limits]\nother = 1", "limits.other: unknown key; allowed: memory_mb, link_mbps"},
+		{"unknown key", "[limits]", "[limits]\nother = 1", "limits.other: unknown key; allowed: memory_mb, requests_mb, link_mbps"},
 		{"no name", `host = "front-a-1"`, "", "host: missing; allowed: a name that no other host has"},
 		{"no address", "10.200.1.7:8223", "store", `platform.address: "store" is not an address; allowed: an address as ip:port`},
 		{"no unit", `grace = "8s"`, "grace = 8", "shutdown.grace: "},
 		{"bad seed", "10.2.0.29:8229", "10.2.0.29", "peers.seeds: "},
 		{"no memory", "memory_mb = 134", "memory_mb = 0", "limits.memory_mb: not over 0"},
+		{"too much for requests", "memory_mb = 134", "memory_mb = 134\nrequests_mb = 68", "limits.requests_mb: not from 0 to half of limits.memory_mb"},
 		{"no link", "link_mbps = 1000.0", "link_mbps = 0", "limits.link_mbps: not over 0"},
 		{"short secret", "wigeonsail-entry-hosts", "short", "peers.secret: shorter than 16 characters"},
 		{"negative budget", "ratio = 0.2", "ratio = -1", "retries: below 0"},
