Cut off a shed response only while its request is held

Cause, by reading: the function that cuts off a response was called outside the lock of the account. The request could end in between, and the write deadline in the past would have hit the next response on the caller's connection.

Change: it is called under the lock, which Release takes too. Covered by TestSlowestReaderIsShedWithoutMemory; the race itself has no test of its own.

--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -144,13 +144,10 @@
 		return nil
 	}
 	for {
-		ok, cut, freed := h.tryAddUnread(bytes)
+		ok, freed := h.tryAddUnread(bytes)
 		if ok {
 			return nil
 		}
-		if cut != nil {
-			cut()
-		}
 		timer := time.NewTimer(memoryWaitInterval)
 		select {
 		case <-freed:
@@ -163,21 +160,22 @@
 	}
 }
 
-// tryAddUnread adds bytes of the response if there is room. Otherwise it returns what cuts
-// off the response to shed, nil for none, and a channel that is closed when memory is freed.
-func (h *memoryHold) tryAddUnread(bytes int64) (ok bool, cut func(), freed <-chan struct{}) {
+// tryAddUnread adds bytes of the response if there is room. Otherwise it cuts off the response
+// to shed, if there is one, and returns a channel that is closed when memory is freed.
+func (h *memoryHold) tryAddUnread(bytes int64) (ok bool, freed <-chan struct{}) {
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	ok, victim := a.budget.AddUnread(time.Now(), h.holder, bytes)
 	if ok {
-		return true, nil, nil
+		return true, nil
 	}
 	a.waiting++
-	if victim == nil {
-		return false, nil, a.freed
+	if cut := a.cuts[victim]; cut != nil {
+		// It must not run after Release: the connection may serve the next request then.
+		cut()
 	}
-	return false, a.cuts[victim], a.freed
+	return false, a.freed
 }
 
 // OnShed implements port.MemoryHold.
--- a/internal/port/memory.go
+++ b/internal/port/memory.go
@@ -19,7 +19,8 @@
 	// until there is room, and fails when ctx ends before.
 	AddUnread(ctx context.Context, bytes int64) error
 	// OnShed sets what cuts the response off, if its caller reads too slowly. It must be
-	// called before AddUnread.
+	// called before AddUnread. cut must not block or use the hold, and is not called after
+	// Release.
 	OnShed(cut func())
 	// Release frees all of it.
 	Release()
