Hosts elect one of them for the calls of the duties

One lease for all duties and hosts, on one stream of the platform's log, with the lease package that the orders use. Only hosts that read the platform's lists are candidates. The holder counts its time on CLOCK_BOOTTIME, checks it again right before a call is sent, and never calls again with a fencing number that was refused; it claims a higher one. control.duties.call paces the calls of all duties together. The client of the platform's calls is platform.Duties.

A lease keeper can now begin a new term for the same process, as no other host can hold the lease in between: a record is valid only at the offset that its author expected.

--- a/internal/core/lease/keeper.go
+++ b/internal/core/lease/keeper.go
@@ -82,7 +82,24 @@
 	}
 	k.next = offset + 1
 	rec, err := decodeRecord(data)
-	if err != nil || rec.Expected != offset {
+	if err != nil {
+		return
+	}
+	k.apply(now, offset, rec)
+}
+
+// ApplyRecord is like Apply for a record that was decoded.
+func (k *Keeper) ApplyRecord(now time.Time, offset model.Offset, rec *Record) {
+	if offset < k.next {
+		return
+	}
+	k.next = offset + 1
+	k.apply(now, offset, rec)
+}
+
+// apply processes a record that was not applied before.
+func (k *Keeper) apply(now time.Time, offset model.Offset, rec *Record) {
+	if rec.Expected != offset {
 		return
 	}
 	k.lastValid = rec
@@ -118,10 +135,13 @@
 	return k.lastValid.fencingNumber(), true
 }
 
+// Until returns the time until which this host may give orders, by its own clock.
+func (k *Keeper) Until() time.Time { return k.heldUntil.Add(-k.opts.Margin) }
+
 // isHolder reports whether this host holds the lease at the time now, by its own
 // clock and with the margin deducted.
 func (k *Keeper) isHolder(now time.Time) bool {
-	return now.Before(k.heldUntil.Add(-k.opts.Margin))
+	return now.Before(k.Until())
 }
 
 // DueRecord returns the record to append now, if any: a renewal of this host's
@@ -143,6 +163,27 @@
 	return k.prepareAppend(now, &Record{Nonce: nonce}), true
 }
 
+// ClaimableAt returns the time from which this host may claim the lease if it does not
+// hold it.
+func (k *Keeper) ClaimableAt() time.Time { return k.claimableAt() }
+
+// ClaimAnew returns the record that begins a new term of this process, with a higher
+// fencing number, or false if another holder may have followed. It gives no more orders
+// until the record was read back. The caller must have read the stream to its end.
+func (k *Keeper) ClaimAnew(now time.Time, nonce uint64) (*Record, bool) {
+	if k.lastValid == nil || !k.isOwn(k.lastValid) || k.lastValid.Released {
+		return nil, false
+	}
+	if k.pending != nil && now.Before(k.pendingSince.Add(k.opts.Duration/renewalsPerLease)) {
+		return nil, false
+	}
+	if !k.restoredAt.IsZero() && !k.isHolder(now) && now.Before(k.claimableAt()) {
+		return nil, false
+	}
+	k.heldUntil = time.Time{}
+	return k.prepareAppend(now, &Record{Nonce: nonce}), true
+}
+
 // Release returns the record that ends this host's own term early, or false if
 // this host does not hold the lease. From then on it gives no more orders.
 func (k *Keeper) Release(now time.Time, nonce uint64) (*Record, bool) {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -65,6 +65,8 @@
 	// peers were last reviewed.
 	metricsAt  time.Time
 	reviewedAt time.Time
+	// duties decides whether this host makes the calls of the duties; nil if there are none.
+	duties *dutyKeeper
 	// missing describes list changes that peers have and this host lacks.
 	missing missingChanges
 }
@@ -82,6 +84,7 @@
 		loggedReserved: make(map[model.PoolName]int),
 	}
 	c.peers = newPeerTable(g)
+	c.duties = newDutyKeeper(c)
 	return c
 }
 
@@ -94,6 +97,7 @@
 	c.fetchMissingChanges(now)
 	c.reviewPeers(now)
 	c.peers.tick(now, c)
+	c.duties.tick(now)
 	c.updateMetrics(now)
 	for pool, count := range c.balancer.ReservedEngines() {
 		if c.loggedReserved[pool] != count {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,8 @@
 	LinkMbps float64
 	// Budget limits the retries of all hosts together.
 	Budget attempt.SharedBudgetOptions
+	// Duties are the calls to the platform that one host at a time makes; nil for none.
+	Duties *Duties
 	// Warm reports that the endpoints have already served other hosts.
 	Warm bool
 	Log  log.Interface
@@ -120,6 +122,9 @@
 	g.workers.Go(func() { g.followEndpoints(g.ctx) })
 	g.workers.Go(func() { g.loadQuarantine(g.ctx) })
 	g.workers.Go(func() { g.loadVersions(g.ctx) })
+	if g.control.duties != nil {
+		g.workers.Go(func() { g.control.duties.follow(g.ctx) })
+	}
 	g.Configure(g.opts.Budget, g.opts.Seeds)
 }
 
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -234,3 +234,18 @@
 func logRelay(entry log.Interface, isRelay bool, localRelays, receivers []string) {
 	entry.WithFields(fields{"relay": isRelay, "local_relays": localRelays, "receivers": receivers}).Info("peers: relay role changed")
 }
+
+// logDutyHolder logs that this host has begun or ceased to hold the duties, with its
+// fencing number.
+func logDutyHolder(logger log.Interface, holds bool, fence, before model.Offset) {
+	if holds {
+		logger.WithField("fence", fence).Info("duties: this host holds the duties")
+		return
+	}
+	logger.WithField("fence", before).Info("duties: this host no longer holds the duties")
+}
+
+// logDutyRefused logs that the platform refused a call of a duty.
+func logDutyRefused(logger log.Interface, holder port.DutyHolder, failure *port.DutyError) {
+	logger.WithError(failure).WithFields(fields{"duty": failure.Duty.String(), "fence": holder.Fence}).Warn("duties: call refused")
+}
--- a/internal/metrics/events.go
+++ b/internal/metrics/events.go
@@ -103,3 +103,17 @@
 	m.quarantinedParts.Update(float64(parts))
 	m.quarantinedRequests.Update(float64(requests))
 }
+
+// DutyCall counts a call of a duty to the platform by outcome.
+func (m *Metrics) DutyCall(duty, outcome string) { m.dutyCalls.with(duty, outcome).Inc(1) }
+
+// SetDutyHolder sets whether this host makes the calls of the duties.
+func (m *Metrics) SetDutyHolder(holds bool) {
+	m.dutyHolder.Update(0)
+	if holds {
+		m.dutyHolder.Update(1)
+	}
+}
+
+// SetUsageReportAge sets the time from the end of a window until its report was taken.
+func (m *Metrics) SetUsageReportAge(age time.Duration) { m.usageReportAge.Update(age.Seconds()) }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -54,6 +54,7 @@
 	wasted         *vec[tally.Counter]
 	peerErrors     *vec[tally.Counter]
 	platformErrors *vec[tally.Counter]
+	dutyCalls      *vec[tally.Counter]
 
 	firstToken    *vec[tally.Histogram]
 	betweenTokens *vec[tally.Histogram]
@@ -66,6 +67,8 @@
 	limited                               tally.Gauge
 	quarantinedParts, quarantinedRequests tally.Gauge
 	storeEra                              tally.Gauge
+	dutyHolder                            tally.Gauge
+	usageReportAge                        tally.Gauge
 }
 
 // Error is returned if the metrics cannot be set up.
@@ -117,6 +120,7 @@
 	m.drains = counter("drains_total", "pool", "source")
 	m.wasted = counter("wasted_tokens_total", "class", "cause")
 	m.peerErrors = counter("peer_errors_total", "op")
+	m.dutyCalls = counter("duty_calls_total", "duty", "outcome")
 	m.platformErrors = counter("platform_errors_total", "op", "outcome")
 }
 
@@ -139,6 +143,8 @@
 	m.quarantinedParts = m.scope.Gauge("quarantined_parts")
 	m.quarantinedRequests = m.scope.Gauge("quarantined_requests")
 	m.configAge = m.scope.Gauge("config_age_seconds")
+	m.dutyHolder = m.scope.Gauge("duty_holder")
+	m.usageReportAge = m.scope.Gauge("usage_report_age_seconds")
 	m.storeEra = m.scope.Gauge("store_era")
 }
 
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wigeonsail/wigeonsail/internal/adapter/peergrpc"
+	"github.com/wigeonsail/wigeonsail/internal/clock"
 	"github.com/wigeonsail/wigeonsail/internal/core/attempt"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/gateway"
@@ -31,6 +32,7 @@
 	gateway    *gateway.Gateway
 	replicas   *platform.Replicas
 	store      *platform.Store
+	duties     *platform.Duties
 	ingress    *platform.Ingress
 	peers      *peergrpc.Server
 	peerClient *peergrpc.Client
@@ -65,6 +67,9 @@
 		store:      platform.NewStore(platform.StoreOptions{URL: "http://" + s.Platform.Address, Host: model.HostID(s.Host)}),
 		peerClient: peerClient,
 	}
+	if s.Duties.Address != "" {
+		g.duties = platform.NewDuties(s.Duties.Address)
+	}
 	g.gateway = gateway.New(gateway.Options{
 		Host:              model.HostID(s.Host),
 		Domain:            model.DomainName(s.Domain),
@@ -81,6 +86,7 @@
 		Seeds:             s.Peers.Seeds,
 		MinDigestInterval: s.Peers.ShareEvery.Std(),
 		LinkMbps:          s.Limits.Link,
+		Duties:            g.dutyOptions(),
 		Budget:            retryBudget(s),
 		Warm:              !s.FirstStart,
 		Log:               logger,
@@ -94,6 +100,19 @@
 	return g, nil
 }
 
+// dutyOptions returns the calls that one host at a time makes to the platform, nil for none.
+func (g *Gateway) dutyOptions() *gateway.Duties {
+	if g.duties == nil {
+		return nil
+	}
+	s := &g.settings.Duties
+	return &gateway.Duties{
+		Client: g.duties, Log: g.store, Held: platform.ParseDuties(s.Names), Lease: s.Lease.Std(),
+		UsageWindow: s.UsageWindow.Std(), UsageDue: s.UsageDue.Std(), CallsPerSecond: s.CallsPerSecond,
+		Steady: clock.Boot, Wall: time.Now,
+	}
+}
+
 // Keys of the listeners in the settings, without "listen.".
 const (
 	listenCallers   = "callers"
@@ -193,6 +212,9 @@
 	g.peerClient.Close()
 	g.replicas.Close()
 	g.store.Close()
+	if g.duties != nil {
+		g.duties.Close()
+	}
 	served := g.serving.Wait()
 	g.log.Info("host: left")
 	return errors.Join(drained, closed, served, g.metrics.Close())
