Usage of client accounts is counted by all hosts and reported by the holder

Each request counts once, when its first event or its response arrives, in the window of the true time at that moment. The holder fixes the counts of a window on the stream of the duties before it sends them. Reports that may have been fixed and lost are not sent.

--- a/internal/core/usage/table.go
+++ b/internal/core/usage/table.go
@@ -70,12 +70,12 @@
 // Changes returns the number of the last change.
 func (t *Table) Changes() int64 { return t.changes }
 
-// ChangedSince returns the counts of a source that have changed since a change, in parts of
-// records; all of them for 0.
-func (t *Table) ChangedSince(source Source, change int64) []Record {
+// ChangedSince returns the counts of a source in the windows from the one given on that have
+// changed since a change, in parts of records; all of them for 0.
+func (t *Table) ChangedSince(source Source, from Window, change int64) []Record {
 	var out []Record
 	for key, c := range t.cells {
-		if key.source != source {
+		if key.source != source || key.window < from {
 			continue
 		}
 		counts := make(Counts)
@@ -99,11 +99,11 @@
 }
 
 // DomainChangedSince is like ChangedSince for the sum over the hosts of a failure domain.
-func (t *Table) DomainChangedSince(domain model.DomainName, change int64) []Record {
+func (t *Table) DomainChangedSince(domain model.DomainName, from Window, change int64) []Record {
 	sums := make(map[Window]Counts)
 	changed := make(map[Window]Counts)
 	for key, c := range t.cells {
-		if c.domain != domain || key.source == DomainSource(domain) {
+		if c.domain != domain || key.source == DomainSource(domain) || key.window < from {
 			continue
 		}
 		if sums[key.window] == nil {
@@ -165,8 +165,7 @@
 	return total
 }
 
-// Forget drops the counts of windows before the one given, and returns whether there were
-// any.
+// Forget drops the counts of windows before the one given.
 func (t *Table) Forget(before Window) {
 	maps.DeleteFunc(t.cells, func(key cellKey, _ *cell) bool { return key.window < before })
 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -67,6 +67,8 @@
 	reviewedAt time.Time
 	// duties decides whether this host makes the calls of the duties; nil if there are none.
 	duties *dutyKeeper
+	// usage counts and reports the requests of accounts; nil if that is no duty.
+	usage *usageReporter
 	// missing describes list changes that peers have and this host lacks.
 	missing missingChanges
 }
@@ -85,6 +87,7 @@
 	}
 	c.peers = newPeerTable(g)
 	c.duties = newDutyKeeper(c)
+	c.usage = newUsageReporter(c)
 	return c
 }
 
--- a/internal/gateway/digests.go
+++ b/internal/gateway/digests.go
@@ -211,6 +211,7 @@
 	d := c.digest(now)
 	d.Loads = c.balancer.LocalLoad(now)
 	d.StreamBegins = c.streams.TakeUnsent(now, c.isListCurrent(now))
+	d.Usage = c.usage.takeDirect(now)
 	d.CacheUpdates, s.nextDirectCacheUpdate = c.balancer.LocalCacheUpdatesSince(s.nextDirectCacheUpdate)
 	for address, p := range s.table.peers {
 		if s.isDirect(address, p) {
@@ -242,6 +243,7 @@
 		ReadsList: c.gateway.reading.Load(), ListReadFailing: c.listReadFailing,
 	}
 	c.reportCrashes(now, &d)
+	c.usage.fill(&d)
 	return d
 }
 
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -209,6 +209,7 @@
 	}
 	k.publishTerm(steady)
 	k.logHolding(steady)
+	k.control.usage.tick(now)
 }
 
 // situation returns what decides whether this host should hold the duties. Only hosts that
@@ -232,7 +233,7 @@
 	}
 	_, holds := k.keeper.Fence(k.opts.Steady())
 	isolated := heard*minHeardFraction < known
-	s.Candidate = g.reading.Load() && !(isolated && holds)
+	s.Candidate = g.reading.Load() && (!isolated || !holds)
 	if isolated {
 		s.Rank += isolatedRank
 	}
--- a/internal/gateway/dutystream.go
+++ b/internal/gateway/dutystream.go
@@ -40,6 +40,9 @@
 			continue
 		}
 		batch, err := k.opts.Log.Read(ctx, duty.StreamName, next, dutyReadMax, wait)
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			g.opts.Metrics.PlatformError("read duties", model.OutcomeNotRun)
 			g.opts.Log.WithError(err).Warn("duties: reading the stream failed")
@@ -48,6 +51,10 @@
 			continue
 		}
 		wait, pause = dutyReadWait, 0
+		if k.term.Load() != nil {
+			// The holder must know soon what became of its record.
+			wait = 0
+		}
 		if !k.deliver(ctx, batch) {
 			return
 		}
@@ -104,11 +111,13 @@
 		g.loop.Post(loop.Func(func(now time.Time) {
 			k.appending = false
 			k.checkSoon(now)
-			if err != nil || offset != rec.Expected() || offset != k.keeper.Next() {
+			switch {
+			case err != nil || offset != rec.Expected() || offset > k.keeper.Next():
 				k.caughtUp = false
-				return
+			default:
+				// The record may have been read already.
+				k.keeper.Apply(k.opts.Steady(), offset, data)
 			}
-			k.keeper.Apply(k.opts.Steady(), offset, data)
 		}))
 	})
 }
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -10,6 +10,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
 	"github.com/wigeonsail/wigeonsail/internal/core/resume"
+	"github.com/wigeonsail/wigeonsail/internal/core/usage"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -249,3 +250,12 @@
 func logDutyRefused(logger log.Interface, holder port.DutyHolder, failure *port.DutyError) {
 	logger.WithError(failure).WithFields(fields{"duty": failure.Duty.String(), "fence": holder.Fence}).Warn("duties: call refused")
 }
+
+// logUsageReported logs that the platform has taken the report of a window, and the time
+// since the window's end.
+func logUsageReported(logger log.Interface, report usage.Report, holder port.DutyHolder, late time.Duration) {
+	logger.WithFields(fields{
+		"window": report.Window, "requests": report.Counts.Sum(), "accounts": len(report.Counts),
+		"fence": holder.Fence, "after_ms": late.Milliseconds(),
+	}).Info("usage: window reported")
+}
--- a/internal/gateway/mailbox.go
+++ b/internal/gateway/mailbox.go
@@ -6,6 +6,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/resume"
+	"github.com/wigeonsail/wigeonsail/internal/core/usage"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -42,6 +43,7 @@
 	}
 	newer.CacheUpdates = mergeCacheUpdates(older.CacheUpdates, newer.CacheUpdates)
 	newer.StreamBegins = mergeBegins(older.StreamBegins, newer.StreamBegins)
+	newer.Usage = usage.MergeRecords(older.Usage, newer.Usage)
 	newer.Changes = mergeChanges(older.Changes, newer.Changes)
 	if len(newer.Hosts) == 0 {
 		newer.Hosts = older.Hosts
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -302,6 +302,7 @@
 	c.applyLeaving(now, d.LeavingEndpoints)
 	c.receiveLimits(now, d)
 	c.receiveCrashes(now, d)
+	c.usage.receive(d)
 	for _, begin := range d.StreamBegins {
 		c.streams.RecordReport(now, begin)
 	}
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -61,6 +61,8 @@
 	// began reports whether the first event of the response was recorded; the rest must
 	// come from the version in req.
 	began bool
+	// counted reports that the request was counted for its account.
+	counted bool
 	// headerSent reports whether the response's header was sent to the caller.
 	headerSent bool
 	// firstResponseAt is when the first events of a stream, or the whole of
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -39,6 +39,8 @@
 	LeavingEndpoints []model.EndpointName `json:"leaving_endpoints"`
 	// LimitedEndpoints are the endpoints that have stated a request limit.
 	LimitedEndpoints []LimitView `json:"limited_endpoints"`
+	// Duties is what the host knows of the duties; missing if there are none.
+	Duties *DutyStatus `json:"duties,omitempty"`
 	// Suspects are what crashes endpoints.
 	Suspects []SuspectView `json:"suspects"`
 	Peers    []PeerView    `json:"peers"`
@@ -104,7 +106,7 @@
 		LocalRelays: slices.Clone(digests.localRelays), Receivers: slices.Clone(digests.remoteReceivers),
 		FleetHosts: c.balancer.CountHosts(now), Reading: c.gateway.reading.Load(),
 		ListAge: c.knownReadAge(now).Seconds(), Era: c.nextInList.Era, Offset: c.nextInList.Offset, Version: c.version(),
-		ConfigAge: c.gateway.configAge(now).Seconds(),
+		ConfigAge: c.gateway.configAge(now).Seconds(), Duties: c.duties.status(),
 	}
 	for _, instance := range c.directory.Leaving() {
 		out.LeavingEndpoints = append(out.LeavingEndpoints, instance.Name)
--- a/internal/gateway/totals.go
+++ b/internal/gateway/totals.go
@@ -79,6 +79,7 @@
 	total := port.DomainLoad{Domain: d.Domain, Hosts: c.balancer.CountLocalHosts(), Loads: c.balancer.LocalDomainLoad(now).List()}
 	total.CacheUpdates, s.nextRemoteCacheUpdate = c.balancer.DomainCacheUpdatesSince(s.nextRemoteCacheUpdate)
 	d.Domains = []port.DomainLoad{total}
+	d.Usage = c.usage.takeRemote(now)
 	for address, p := range s.table.peers {
 		subscribed := !s.table.isLocal(p) && now.Before(p.subscribedUntil)
 		if subscribed || slices.Contains(s.remoteReceivers, address) {
@@ -86,6 +87,7 @@
 		}
 	}
 	if !s.relayLocal {
+		d.Usage = nil
 		s.forwardTotals(s.localAddresses(), d, s.takeUnforwarded())
 	}
 }
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -69,6 +69,7 @@
 		return classifyError(ctx, err)
 	}
 	x.gateway.recordFirstResponse(x.req.ID)
+	x.countBegin()
 	x.clearParts()
 	x.clearRequest()
 	x.firstResponseAt = time.Now()
@@ -139,6 +140,7 @@
 		}
 		if events == 0 {
 			x.gateway.recordFirstResponse(x.req.ID)
+			x.countBegin()
 		}
 		x.recordBegin(software)
 		x.recordProgress(events, events+batch.Events)
--- a/internal/server/gateway_fixture_test.go
+++ b/internal/server/gateway_fixture_test.go
@@ -39,6 +39,8 @@
 	storeURL string
 	// replicas are the started replicas by instance name.
 	replicas map[string]*replica.Server
+	// configure changes the settings of hosts that start from now on; nil for none.
+	configure func(s *settings.Gateway)
 	// sequence numbers list entries and attempt IDs.
 	sequence int
 }
@@ -119,6 +121,9 @@
 	s.Peers.Secret = "secret-of-the-tests"
 	s.Peers.Seeds = seeds
 	s.Shutdown.Linger = opconfig.Duration(50 * time.Millisecond)
+	if f.configure != nil {
+		f.configure(&s)
+	}
 	g, err := NewGateway(&s, &log.Logger{Handler: discard.New()})
 	must.NoError(f.t, err)
 	g.Start()
