--- a/internal/server/gateway_duties_test.go
+++ b/internal/server/gateway_duties_test.go
@@ -34,7 +34,7 @@
 	t.Cleanup(server.CloseClientConnections)
 	f.configure = func(s *settings.Gateway) {
 		s.Duties = settings.GatewayDuties{
-			Address: strings.TrimPrefix(server.URL, "http://"), Names: []string{"usage"},
+			Address: strings.TrimPrefix(server.URL, "http://"), Names: []string{"usage_report"},
 			Lease: opconfig.Duration(testLease), UsageWindow: opconfig.Duration(testWindow),
 			UsageDue: opconfig.Duration(8 * testWindow), CallsPerSecond: 50,
 		}
