--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -10,6 +10,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
 	"github.com/wigeonsail/wigeonsail/internal/core/resume"
+	"github.com/wigeonsail/wigeonsail/internal/core/usage"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -234,3 +235,27 @@
 func logRelay(entry log.Interface, isRelay bool, localRelays, receivers []string) {
 	entry.WithFields(fields{"relay": isRelay, "local_relays": localRelays, "receivers": receivers}).Info("peers: relay role changed")
 }
+
+// logDutyHolder logs that this host has begun or ceased to hold the duties, with its
+// fencing number.
+func logDutyHolder(logger log.Interface, holds bool, fence, before model.Offset) {
+	if holds {
+		logger.WithField("fence", fence).Info("duties: this host holds the duties")
+		return
+	}
+	logger.WithField("fence", before).Info("duties: this host no longer holds the duties")
+}
+
+// logDutyRefused logs that the platform refused a call of a duty.
+func logDutyRefused(logger log.Interface, holder port.DutyHolder, failure *port.DutyError) {
+	logger.WithError(failure).WithFields(fields{"duty": failure.Duty.String(), "fence": holder.Fence}).Warn("duties: call refused")
+}
+
+// logUsageReported logs that the platform has taken the report of a window, and the time
+// since the window's end.
+func logUsageReported(logger log.Interface, report usage.Report, holder port.DutyHolder, late time.Duration) {
+	logger.WithFields(fields{
+		"window": report.Window, "requests": report.Counts.Sum(), "accounts": len(report.Counts),
+		"fence": holder.Fence, "after_ms": late.Milliseconds(),
+	}).Info("usage: window reported")
+}
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -71,6 +71,7 @@
 		return classifyError(ctx, err)
 	}
 	x.gateway.recordFirstResponse(x.req.ID)
+	x.countBegin()
 	x.clearParts()
 	x.clearRequest()
 	x.firstResponseAt = time.Now()
@@ -145,6 +146,7 @@
 		watch.pause()
 		if events == 0 {
 			x.gateway.recordFirstResponse(x.req.ID)
+			x.countBegin()
 		}
 		x.recordBegin(software)
 		x.recordProgress(events, events+batch.Events)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -55,6 +55,7 @@
 	shedReaders    *vec[tally.Counter]
 	peerErrors     *vec[tally.Counter]
 	platformErrors *vec[tally.Counter]
+	dutyCalls      *vec[tally.Counter]
 
 	firstToken    *vec[tally.Histogram]
 	betweenTokens *vec[tally.Histogram]
@@ -68,6 +69,8 @@
 	quarantinedParts, quarantinedRequests tally.Gauge
 	storeEra                              tally.Gauge
 	memoryHeld, memoryLimit               tally.Gauge
+	dutyHolder                            tally.Gauge
+	usageReportAge                        tally.Gauge
 }
 
 // Error is returned if the metrics cannot be set up.
@@ -120,6 +123,7 @@
 	m.wasted = counter("wasted_tokens_total", "class", "cause")
 	m.shedReaders = counter("shed_readers_total", "class")
 	m.peerErrors = counter("peer_errors_total", "op")
+	m.dutyCalls = counter("duty_calls_total", "duty", "outcome")
 	m.platformErrors = counter("platform_errors_total", "op", "outcome")
 }
 
@@ -144,6 +148,8 @@
 	m.memoryHeld = m.scope.Gauge("memory_held_bytes")
 	m.memoryLimit = m.scope.Gauge("memory_limit_bytes")
 	m.configAge = m.scope.Gauge("config_age_seconds")
+	m.dutyHolder = m.scope.Gauge("duty_holder")
+	m.usageReportAge = m.scope.Gauge("usage_report_age_seconds")
 	m.storeEra = m.scope.Gauge("store_era")
 }
 
