Capacity: the holder of the duty orders endpoints

Change: every host counts what its callers request by pool, and digests carry the rates: of each host to its direct peers, of each domain through relays. The host that holds the duty plans from them and from the load and sends the orders that are due. Nothing is counted or sent without the duty and a pool with scaling.

GET /peers shows ordered, serving, booting and leaving endpoints by pool, domain and kind.

--- a/internal/core/capacity/planner.go
+++ b/internal/core/capacity/planner.go
@@ -71,9 +71,10 @@
 const (
 	// OutcomeAccepted: the platform has accepted the order.
 	OutcomeAccepted Outcome = iota
-	// OutcomeUnavailable: there are no such endpoints at the moment, or the platform takes no
-	// order of this host.
+	// OutcomeUnavailable: there are no such endpoints at the moment.
 	OutcomeUnavailable
+	// OutcomeNotSent: the platform has not got the order.
+	OutcomeNotSent
 	// OutcomeUnknown: the order may take effect, also seconds later.
 	OutcomeUnknown
 )
@@ -83,6 +84,8 @@
 	switch o {
 	case OutcomeUnavailable:
 		return "unavailable"
+	case OutcomeNotSent:
+		return "not_sent"
 	case OutcomeUnknown:
 		return "unknown"
 	default:
@@ -95,6 +98,8 @@
 	// available. It doubles with each refusal in a row.
 	minPause = 2 * time.Second
 	maxPause = 8 * time.Second
+	// notSentPause is the time after which an order that was not sent is due again.
+	notSentPause = 300 * time.Millisecond
 )
 
 // group is the state of a group.
@@ -112,6 +117,8 @@
 	refused     bool
 	refusals    int
 	pausedUntil time.Time
+	// notBefore is when an order that was not sent is due again.
+	notBefore time.Time
 	// reclaimed reports that serving endpoints were lost since the last order.
 	reclaimed bool
 	// seen is what was listed last.
@@ -224,7 +231,7 @@
 		for _, reclaimable := range []bool{true, false} {
 			id := Group{Pool: v.Pool, Domain: domain, Reclaimable: reclaimable}
 			g := p.group(id)
-			if g.inFlight || now.Before(g.pausedUntil) {
+			if g.inFlight || now.Before(g.pausedUntil) || now.Before(g.notBefore) {
 				continue
 			}
 			want, reason := p.wanted(now, v, id, goal)
@@ -254,13 +261,17 @@
 func (p *Planner) Record(now time.Time, o Order, outcome Outcome) {
 	g := p.group(Group{Pool: o.Pool, Domain: o.Domain, Reclaimable: o.Reclaimable})
 	g.inFlight = false
-	g.unknown, g.refused = outcome == OutcomeUnknown, outcome == OutcomeUnavailable
-	if !g.refused {
+	g.unknown = outcome == OutcomeUnknown
+	g.refused = outcome == OutcomeUnavailable || outcome == OutcomeNotSent
+	switch outcome {
+	case OutcomeUnavailable:
+		g.pausedUntil = now.Add(min(minPause<<min(g.refusals, 8), maxPause))
+		g.refusals++
+	case OutcomeNotSent:
+		g.notBefore = now.Add(notSentPause)
+	default:
 		g.refusals, g.pausedUntil = 0, time.Time{}
-		return
 	}
-	g.pausedUntil = now.Add(min(minPause<<min(g.refusals, 8), maxPause))
-	g.refusals++
 }
 
 // GroupStatus is the state of a group.
--- a/internal/core/directory/leaving.go
+++ b/internal/core/directory/leaving.go
@@ -57,6 +57,12 @@
 	return e
 }
 
+// IsDraining reports whether the endpoint is listed as draining or has reported that it is
+// leaving.
+func (d *Directory) IsDraining(name model.EndpointName) bool {
+	return d.withLeaving(d.entries[name]).Draining
+}
+
 // expireLeaving forgets the reports of endpoints that have restarted, or that have
 // not been listed for removalMemory.
 func (d *Directory) expireLeaving(now time.Time) {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -69,6 +69,9 @@
 	duties *dutyKeeper
 	// missing describes list changes that peers have and this host lacks.
 	missing missingChanges
+	// capacity sends the orders of endpoints, demand is what callers request.
+	capacity *capacityDriver
+	demand   *demandMeter
 }
 
 func newControl(g *Gateway) *control {
@@ -85,6 +88,8 @@
 	}
 	c.peers = newPeerTable(g)
 	c.duties = newDutyKeeper(c)
+	c.capacity = newCapacityDriver(g, c.duties)
+	c.demand = newDemandMeter()
 	return c
 }
 
@@ -96,8 +101,10 @@
 	c.gateway.usable.Store(c.balancer.HasUsableEndpoint(now))
 	c.fetchMissingChanges(now)
 	c.reviewPeers(now)
+	c.demand.tick(now)
 	c.peers.tick(now, c)
 	c.duties.tick(now)
+	c.capacity.tick(now, c)
 	c.updateMetrics(now)
 	for pool, count := range c.balancer.ReservedEngines() {
 		if c.loggedReserved[pool] != count {
@@ -206,6 +213,7 @@
 	c.gateway.table.Store(routing.NewTable(cfg))
 	c.gateway.record.Store(&rec)
 	c.balancer.SetPools(cfg.Pools)
+	c.capacity.setPools(cfg.Pools)
 	c.freshness.SetVersion(cfg.Version)
 	c.publishFreshness()
 	c.peers.requestDigests()
--- a/internal/gateway/digests.go
+++ b/internal/gateway/digests.go
@@ -210,6 +210,7 @@
 	s.direct = sendState{sentAt: now}
 	d := c.digest(now)
 	d.Loads = c.balancer.LocalLoad(now)
+	d.Demand = c.directDemand(now)
 	d.StreamBegins = c.streams.TakeUnsent(now, c.isListCurrent(now))
 	d.CacheUpdates, s.nextDirectCacheUpdate = c.balancer.LocalCacheUpdatesSince(s.nextDirectCacheUpdate)
 	for address, p := range s.table.peers {
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"github.com/apex/log"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
+	"github.com/wigeonsail/wigeonsail/internal/core/capacity"
 	"github.com/wigeonsail/wigeonsail/internal/core/directory"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
@@ -249,3 +251,20 @@
 func logDutyRefused(logger log.Interface, holder port.DutyHolder, failure *port.DutyError) {
 	logger.WithError(failure).WithFields(fields{"duty": failure.Duty.String(), "fence": holder.Fence}).Warn("duties: call refused")
 }
+
+// logOrder logs an order of endpoints and its result.
+func logOrder(logger log.Interface, d capacity.Decision, err error) {
+	kind := "steady"
+	if d.Order.Reclaimable {
+		kind = "reclaimable"
+	}
+	entry := logger.WithFields(fields{
+		"pool": d.Order.Pool, "domain": d.Order.Domain, "kind": kind, "count": d.Order.Count, "before": d.Before,
+		"serving": d.Serving, "need": math.Round(d.Need), "reason": d.Reason,
+	})
+	if err != nil {
+		entry.WithError(err).Warn("capacity: order failed")
+		return
+	}
+	entry.Info("capacity: endpoints ordered")
+}
--- a/internal/gateway/mailbox.go
+++ b/internal/gateway/mailbox.go
@@ -41,6 +41,7 @@
 		newer.LoadsUnchanged = false
 	}
 	newer.CacheUpdates = mergeCacheUpdates(older.CacheUpdates, newer.CacheUpdates)
+	newer.Demand = mergeDemand(older.Demand, newer.Demand)
 	newer.StreamBegins = mergeBegins(older.StreamBegins, newer.StreamBegins)
 	newer.Changes = mergeChanges(older.Changes, newer.Changes)
 	if len(newer.Hosts) == 0 {
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/wigeonsail/wigeonsail/internal/core/capacity"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
 )
@@ -39,6 +40,8 @@
 	LeavingEndpoints []model.EndpointName `json:"leaving_endpoints"`
 	// LimitedEndpoints are the endpoints that have stated a request limit.
 	LimitedEndpoints []LimitView `json:"limited_endpoints"`
+	// Capacity are the endpoints of the pools that can be scaled.
+	Capacity []CapacityView `json:"capacity,omitempty"`
 	// Suspects are what crashes endpoints.
 	Suspects []SuspectView `json:"suspects"`
 	Peers    []PeerView    `json:"peers"`
@@ -53,6 +56,25 @@
 	Age       float64 `json:"age_s"`
 }
 
+// CapacityView are the endpoints of one kind of a pool in a failure domain.
+type CapacityView struct {
+	Pool        model.PoolName   `json:"pool"`
+	Domain      model.DomainName `json:"domain"`
+	Reclaimable bool             `json:"reclaimable"`
+	// Need is the number of endpoints in all domains that carry the load of the pool.
+	Need float64 `json:"need"`
+	// Ordered is -1 if this host has given no order. Serving, Booting and Leaving are the
+	// endpoints that accept requests, are ordered but not listed, and are draining.
+	Ordered int `json:"ordered"`
+	Serving int `json:"serving"`
+	Booting int `json:"booting"`
+	Leaving int `json:"leaving"`
+	// Unavailable reports that the platform has refused the last order, Why is the reason of
+	// that order.
+	Unavailable bool            `json:"unavailable"`
+	Why         capacity.Reason `json:"why,omitempty"`
+}
+
 // SuspectView is a part of prompts, or a whole request, that is in quarantine or suspended.
 type SuspectView struct {
 	Suspect quarantine.Suspect `json:"suspect"`
@@ -120,6 +142,7 @@
 			Source: c.suspectSources[s.Suspect],
 		})
 	}
+	out.Capacity = c.capacity.views(now)
 	for address, p := range c.peers.peers {
 		out.Peers = append(out.Peers, c.peers.view(now, address, p))
 	}
--- a/internal/gateway/totals.go
+++ b/internal/gateway/totals.go
@@ -28,6 +28,7 @@
 func (s *digestScheduler) sendLocalTotals(now time.Time, c *control) {
 	d := c.digest(now)
 	d.ViaRelay = true
+	d.Demand = c.localDemand(now)
 	remoteTotals := s.takeUnforwarded()
 	totals := c.balancer.LocalDomainLoad(now)
 	hosts := c.balancer.CountLocalHosts()
@@ -76,6 +77,7 @@
 func (s *digestScheduler) sendRemoteTotals(now time.Time, c *control) {
 	d := c.digest(now)
 	d.ViaRelay = true
+	d.Demand = c.remoteDemand(now)
 	total := port.DomainLoad{Domain: d.Domain, Hosts: c.balancer.CountLocalHosts(), Loads: c.balancer.LocalDomainLoad(now).List()}
 	total.CacheUpdates, s.nextRemoteCacheUpdate = c.balancer.DomainCacheUpdatesSince(s.nextRemoteCacheUpdate)
 	d.Domains = []port.DomainLoad{total}
@@ -86,6 +88,7 @@
 		}
 	}
 	if !s.relayLocal {
+		d.Demand = c.localDemand(now)
 		s.forwardTotals(s.localAddresses(), d, s.takeUnforwarded())
 	}
 }
--- a/internal/metrics/events.go
+++ b/internal/metrics/events.go
@@ -117,3 +117,17 @@
 
 // SetUsageReportAge sets the time from the end of a window until its report was taken.
 func (m *Metrics) SetUsageReportAge(age time.Duration) { m.usageReportAge.Update(age.Seconds()) }
+
+// Ordered counts an order of endpoints by its outcome: "accepted", "unavailable", "not_sent"
+// or "unknown".
+func (m *Metrics) Ordered(pool model.PoolName, outcome string) {
+	m.orders.with(string(pool), outcome).Inc(1)
+}
+
+// SetCapacity sets the numbers of endpoints of the pools that can be scaled.
+func (m *Metrics) SetCapacity(ordered, serving, booting, leaving int) {
+	m.orderedEndpoints.Update(float64(ordered))
+	m.servingEndpoints.Update(float64(serving))
+	m.bootingEndpoints.Update(float64(booting))
+	m.leavingEndpoints.Update(float64(leaving))
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -55,6 +55,7 @@
 	peerErrors     *vec[tally.Counter]
 	platformErrors *vec[tally.Counter]
 	dutyCalls      *vec[tally.Counter]
+	orders         *vec[tally.Counter]
 
 	firstToken    *vec[tally.Histogram]
 	betweenTokens *vec[tally.Histogram]
@@ -69,6 +70,8 @@
 	storeEra                              tally.Gauge
 	dutyHolder                            tally.Gauge
 	usageReportAge                        tally.Gauge
+	orderedEndpoints, servingEndpoints    tally.Gauge
+	bootingEndpoints, leavingEndpoints    tally.Gauge
 }
 
 // Error is returned if the metrics cannot be set up.
@@ -122,6 +125,7 @@
 	m.peerErrors = counter("peer_errors_total", "op")
 	m.dutyCalls = counter("duty_calls_total", "duty", "outcome")
 	m.platformErrors = counter("platform_errors_total", "op", "outcome")
+	m.orders = counter("capacity_orders_total", "pool", "outcome")
 }
 
 func (m *Metrics) addHistograms(maxValues int) {
@@ -146,6 +150,10 @@
 	m.dutyHolder = m.scope.Gauge("duty_holder")
 	m.usageReportAge = m.scope.Gauge("usage_report_age_seconds")
 	m.storeEra = m.scope.Gauge("store_era")
+	m.orderedEndpoints = m.scope.Gauge("ordered_endpoints")
+	m.servingEndpoints = m.scope.Gauge("serving_endpoints")
+	m.bootingEndpoints = m.scope.Gauge("booting_endpoints")
+	m.leavingEndpoints = m.scope.Gauge("leaving_endpoints")
 }
 
 // Handler returns a handler that serves the metrics in the text format of
