Capacity: pauses outlast a lost term, and full-price orders are bounded

Change: a term of the same host that follows within 2 s goes on; pauses survive a new term in any case. Where reclaimable endpoints are refused, endpoints of full price are ordered only up to half of the need.

--- a/internal/core/capacity/goal.go
+++ b/internal/core/capacity/goal.go
@@ -33,7 +33,7 @@
 	singleSurplus = 1.25
 	// shortShare is the share of the need below which endpoints of full price are worth
 	// ordering.
-	shortShare = 0.7
+	shortShare = 0.5
 )
 
 // goal is what a pool should have.
@@ -153,22 +153,25 @@
 	switch {
 	case keep < have:
 		return p.giveUp(now, v, g, keep, goal)
-	case now.Before(other.pausedUntil) && p.isShort(v, goal):
-		return p.due(now, v, g, min(keep, v.Scaling.Max-other.seen.Serving), false)
+	case other.refused:
+		missing := int(math.Ceil(p.shortfall(v, goal) / float64(len(v.Domains))))
+		want := min(have+missing, v.Scaling.Max-other.seen.Serving)
+		return p.due(now, v, g, max(want, have, goal.steady), false)
 	default:
 		return p.due(now, v, g, max(have, goal.steady), false)
 	}
 }
 
-// isShort reports whether the endpoints that serve or boot do not carry the load.
-func (p *Planner) isShort(v PoolView, goal goal) bool {
+// shortfall returns the number of endpoints that are missing beside those that serve or boot
+// so that most of the load is carried.
+func (p *Planner) shortfall(v PoolView, goal goal) float64 {
 	sum := 0
 	for _, domain := range v.Domains {
 		for _, reclaimable := range []bool{false, true} {
 			sum += p.group(Group{Pool: v.Pool, Domain: domain, Reclaimable: reclaimable}).count()
 		}
 	}
-	return float64(sum) < shortShare*goal.need
+	return max(shortShare*goal.need-float64(sum), 0)
 }
 
 // giveUp returns the next smaller count of a group whose replacements serve. While there is
@@ -205,7 +208,7 @@
 		}
 		return max(want, have-max(int(giveUpShare*float64(have)), minDeadband)), ReasonShrinks
 	case g.refused:
-		return g.ordered, ReasonRepeat
+		return max(want, g.seen.Serving), ReasonRepeat
 	case g.ordered >= 0 && g.isUnmet() && now.Sub(g.orderedAt) >= p.repeatAfter(v, g):
 		return g.ordered, ReasonRepeat
 	default:
--- a/internal/core/capacity/need.go
+++ b/internal/core/capacity/need.go
@@ -21,7 +21,7 @@
 const (
 	// prefillSeconds is the time to read a prompt token. It is the prior of a large model;
 	// engines differ by a factor of two.
-	prefillSeconds = 0.000022
+	prefillSeconds = 0.000018
 	// prefillShare is the share of the time in which an endpoint may read prompts,
 	// slotShare that of its slots and memoryShare that of its memory which may be taken:
 	// the rest of the memory holds shared prompt prefixes.
@@ -68,7 +68,7 @@
 	meanTime  = 6 * time.Second
 	burstRoom = 2
 	// maxGrowth bounds the growth that is expected until ordered endpoints serve.
-	maxGrowth = 1.5
+	maxGrowth = 1.25
 	// idleAfter is the time without requests after which a pool counts as idle. Before, it
 	// may be about to get its first ones.
 	idleAfter = 5 * time.Minute
--- a/internal/core/capacity/planner.go
+++ b/internal/core/capacity/planner.go
@@ -97,7 +97,7 @@
 	// minPause and maxPause bound the time without orders of a group after it was not
 	// available. It doubles with each refusal in a row.
 	minPause = 2 * time.Second
-	maxPause = 8 * time.Second
+	maxPause = 4 * time.Second
 	// notSentPause is the time after which an order that was not sent is due again.
 	notSentPause = 300 * time.Millisecond
 )
@@ -205,11 +205,12 @@
 	return g
 }
 
-// TakeOver begins the orders of this host. What was ordered before is not known.
+// TakeOver begins the orders of this host. What was ordered before is not known, but what was
+// not available still counts.
 func (p *Planner) TakeOver(now time.Time) {
 	p.since = now
 	for _, g := range p.groups {
-		*g = group{ordered: -1, seen: g.seen}
+		*g = group{ordered: -1, seen: g.seen, refused: g.refused, refusals: g.refusals, pausedUntil: g.pausedUntil}
 	}
 }
 
--- a/internal/core/capacity/planner_test.go
+++ b/internal/core/capacity/planner_test.go
@@ -135,3 +135,37 @@
 	v.Scaling.ReclaimablePrice = 0
 	must.Eq(t, map[Group]int{steady("a"): 20, steady("b"): 20}, plan(p, at(0), v))
 }
+
+func TestANewTermKeepsThePauseAfterARefusal(t *testing.T) {
+	p := NewPlanner()
+	p.TakeOver(at(0))
+	v := view(map[Group]int{steady("a"): 20, steady("b"): 20}, 0)
+	p.Observe(at(0), v)
+	for _, d := range p.Plan(at(0), v) {
+		p.Record(at(0), d.Order, OutcomeUnavailable)
+	}
+	p.Stop()
+	p.TakeOver(at(1))
+	must.MapEmpty(t, plan(p, at(1), v))
+	must.Eq(t, map[Group]int{reclaimable("a"): 19, reclaimable("b"): 19}, plan(p, at(2), v))
+}
+
+func TestEndpointsOfFullPriceAreOrderedOnlyAsFarAsTheLoadIsNotCarried(t *testing.T) {
+	p := NewPlanner()
+	p.TakeOver(at(0))
+	have := map[Group]int{steady("a"): 1, steady("b"): 1, reclaimable("a"): 20, reclaimable("b"): 20}
+	must.MapEmpty(t, over(p, 0, 2, view(have, 80)))
+	delete(have, reclaimable("a"))
+	delete(have, reclaimable("b"))
+	v := view(have, 80)
+	for s := 2.0; s < 4; s += 0.5 {
+		p.Observe(at(s), v)
+		for _, d := range p.Plan(at(s), v) {
+			if !d.Order.Reclaimable {
+				must.Eq(t, 5, d.Order.Count)
+			}
+			p.Record(at(s), d.Order, OutcomeUnavailable)
+		}
+	}
+	must.Eq(t, 5, p.group(steady("a")).ordered)
+}
--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -17,6 +17,9 @@
 const (
 	// capacityInterval is the time between two reviews of the pools.
 	capacityInterval = 250 * time.Millisecond
+	// maxTermGap is the time between two terms of this host in which another one has hardly
+	// given orders: after a refused call, the host claims the duty again at once.
+	maxTermGap = 2 * time.Second
 )
 
 // orderHolder tells whether this host gives the orders, and sends them. *dutyKeeper
@@ -34,8 +37,8 @@
 	// pools are the pools whose endpoints can be ordered.
 	pools      map[model.PoolName]routing.Pool
 	reviewedAt time.Time
-	// fence is that of the term in which this host gives orders; 0 if it gives none.
-	fence model.Offset
+	// heldAt is when this host was last seen to hold the duty.
+	heldAt time.Time
 }
 
 func newCapacityDriver(g *Gateway, duty orderHolder) *capacityDriver {
@@ -78,12 +81,15 @@
 	d.setMetrics(now)
 	holder, holds := d.duty.holder(now)
 	if !holds {
-		d.fence = 0
-		d.planner.Stop()
+		if now.Sub(d.heldAt) > maxTermGap {
+			d.planner.Stop()
+		}
 		return
 	}
-	if holder.Fence != d.fence {
-		d.begin(now, holder)
+	d.heldAt = now
+	if !d.planner.HasTakenOver() {
+		d.planner.TakeOver(now)
+		d.gateway.opts.Log.WithField("fence", holder.Fence).Info("capacity: this host orders endpoints")
 	}
 	for _, v := range views {
 		for _, decision := range d.planner.Plan(now, v) {
@@ -92,15 +98,6 @@
 	}
 }
 
-// begin begins a term. In a new term of the same host, what it has ordered is still known.
-func (d *capacityDriver) begin(now time.Time, holder port.DutyHolder) {
-	d.fence = holder.Fence
-	if !d.planner.HasTakenOver() {
-		d.planner.TakeOver(now)
-	}
-	d.gateway.opts.Log.WithField("fence", holder.Fence).Info("capacity: this host orders endpoints")
-}
-
 // send sends an order in the background.
 func (d *capacityDriver) send(holder port.DutyHolder, decision capacity.Decision) {
 	g := d.gateway
--- a/internal/gateway/capacity_test.go
+++ b/internal/gateway/capacity_test.go
@@ -74,7 +74,7 @@
 }
 
 func (f *fakeOrders) holder(time.Time) (port.DutyHolder, bool) {
-	return port.DutyHolder{Host: "h", Fence: 7}, true
+	return port.DutyHolder{Host: "h", Fence: 0}, true
 }
 
 func (f *fakeOrders) call(_ port.DutyHolder, _ port.Duty, send func(ctx context.Context) error, done func(now time.Time, err error)) {
