--- a/internal/core/capacity/goal.go
+++ b/internal/core/capacity/goal.go
@@ -45,6 +45,9 @@
 	// those that are not reclaimable.
 	total  map[model.DomainName]int
 	steady int
+	// missing is the number of endpoints by domain that are missing, beside those that serve
+	// or boot, so that most of the load is carried.
+	missing int
 	// mayShrink reports whether groups may get smaller because of the load.
 	mayShrink bool
 }
@@ -54,6 +57,7 @@
 	h := p.history[v.Pool]
 	out := goal{total: make(map[model.DomainName]int)}
 	out.need, out.known = h.peak()
+	out.missing = int(math.Ceil(p.shortfall(v, out.need) / float64(len(v.Domains))))
 	out.mayShrink = out.known && v.Current && h.isComplete(now) && now.Sub(p.since) >= observeTime
 	each := p.perDomain(now, v, out.need)
 	smallest := math.MaxInt
@@ -154,8 +158,7 @@
 	case keep < have:
 		return p.giveUp(now, v, g, keep, goal)
 	case other.refused:
-		missing := int(math.Ceil(p.shortfall(v, goal) / float64(len(v.Domains))))
-		want := min(have+missing, v.Scaling.Max-other.seen.Serving)
+		want := min(have+goal.missing, v.Scaling.Max-other.seen.Serving)
 		return p.due(now, v, g, max(want, have, goal.steady), false)
 	default:
 		return p.due(now, v, g, max(have, goal.steady), false)
@@ -164,14 +167,14 @@
 
 // shortfall returns the number of endpoints that are missing beside those that serve or boot
 // so that most of the load is carried.
-func (p *Planner) shortfall(v PoolView, goal goal) float64 {
+func (p *Planner) shortfall(v PoolView, need float64) float64 {
 	sum := 0
 	for _, domain := range v.Domains {
 		for _, reclaimable := range []bool{false, true} {
 			sum += p.group(Group{Pool: v.Pool, Domain: domain, Reclaimable: reclaimable}).count()
 		}
 	}
-	return max(shortShare*goal.need-float64(sum), 0)
+	return max(shortShare*need-float64(sum), 0)
 }
 
 // giveUp returns the next smaller count of a group whose replacements serve. While there is
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -67,6 +67,8 @@
 	reviewedAt time.Time
 	// duties decides whether this host makes the calls of the duties; nil if there are none.
 	duties *dutyKeeper
+	// usage counts and reports the requests of accounts; nil if that is no duty.
+	usage *usageReporter
 	// missing describes list changes that peers have and this host lacks.
 	missing missingChanges
 	// capacity sends the orders of endpoints, demand is what callers request.
@@ -90,6 +92,7 @@
 	c.duties = newDutyKeeper(c)
 	c.capacity = newCapacityDriver(g, c.duties)
 	c.demand = newDemandMeter()
+	c.usage = newUsageReporter(c)
 	return c
 }
 
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -12,6 +12,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
 	"github.com/wigeonsail/wigeonsail/internal/core/resume"
+	"github.com/wigeonsail/wigeonsail/internal/core/usage"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -268,3 +269,12 @@
 	}
 	entry.Info("capacity: endpoints ordered")
 }
+
+// logUsageReported logs that the platform has taken the report of a window, and the time
+// since the window's end.
+func logUsageReported(logger log.Interface, report usage.Report, holder port.DutyHolder, late time.Duration) {
+	logger.WithFields(fields{
+		"window": report.Window, "requests": report.Counts.Sum(), "accounts": len(report.Counts),
+		"fence": holder.Fence, "after_ms": late.Milliseconds(),
+	}).Info("usage: window reported")
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -303,6 +303,7 @@
 	c.receiveLimits(now, d)
 	c.demand.receive(now, d)
 	c.receiveCrashes(now, d)
+	c.usage.receive(d)
 	for _, begin := range d.StreamBegins {
 		c.streams.RecordReport(now, begin)
 	}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -42,6 +42,8 @@
 	LimitedEndpoints []LimitView `json:"limited_endpoints"`
 	// Capacity are the endpoints of the pools that can be scaled.
 	Capacity []CapacityView `json:"capacity,omitempty"`
+	// Duties is what the host knows of the duties; missing if there are none.
+	Duties *DutyStatus `json:"duties,omitempty"`
 	// Suspects are what crashes endpoints.
 	Suspects []SuspectView `json:"suspects"`
 	Peers    []PeerView    `json:"peers"`
@@ -126,7 +128,7 @@
 		LocalRelays: slices.Clone(digests.localRelays), Receivers: slices.Clone(digests.remoteReceivers),
 		FleetHosts: c.balancer.CountHosts(now), Reading: c.gateway.reading.Load(),
 		ListAge: c.knownReadAge(now).Seconds(), Era: c.nextInList.Era, Offset: c.nextInList.Offset, Version: c.version(),
-		ConfigAge: c.gateway.configAge(now).Seconds(),
+		ConfigAge: c.gateway.configAge(now).Seconds(), Duties: c.duties.status(),
 	}
 	for _, instance := range c.directory.Leaving() {
 		out.LeavingEndpoints = append(out.LeavingEndpoints, instance.Name)
