--- a/internal/gateway/mailbox.go
+++ b/internal/gateway/mailbox.go
@@ -42,6 +42,7 @@
 		newer.LoadsUnchanged = false
 	}
 	newer.CacheUpdates = mergeCacheUpdates(older.CacheUpdates, newer.CacheUpdates)
+	newer.Demand = mergeDemand(older.Demand, newer.Demand)
 	newer.StreamBegins = mergeBegins(older.StreamBegins, newer.StreamBegins)
 	newer.Usage = usage.MergeRecords(older.Usage, newer.Usage)
 	newer.Changes = mergeChanges(older.Changes, newer.Changes)
