Ask a peer what has ended when a host starts after a restoration

Cause: a host that starts while others withhold entries of a restored store reads the copy and uses what it lists, until the store removes it 3.6 s after its return. It has seen no end, and asked nobody.

Change: a host whose first list is of a later era than the first one fetches the list of the peer with the newest read once, within 5 s, and withholds what that withholds. Costs one list at a start after a restoration, none otherwise.

Test: TestNewHostLearnsWhatHasEnded.

--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -191,13 +191,10 @@
 // Replace applies a complete list: entries that are not in it are removed. Its sender
 // withholds further entries.
 func (d *Directory) Replace(now time.Time, list []Entry, withheld ...Entry) []Change {
-	var out []Change
+	out := d.AdoptWithheld(now, withheld)
 	seen := make(map[model.EndpointName]bool, len(list)+len(withheld))
 	for _, e := range withheld {
 		seen[e.Name] = true
-		if c, changed := d.adoptWithheld(now, e); changed {
-			out = append(out, c)
-		}
 	}
 	for _, e := range list {
 		seen[e.Name] = true
--- a/internal/core/directory/restored.go
+++ b/internal/core/directory/restored.go
@@ -128,6 +128,18 @@
 	return change, listed
 }
 
+// AdoptWithheld withholds entries that another host withholds. It returns the removals of
+// those that are listed here.
+func (d *Directory) AdoptWithheld(now time.Time, withheld []Entry) []Change {
+	var out []Change
+	for _, e := range withheld {
+		if c, changed := d.adoptWithheld(now, e); changed {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // isOutdated reports whether an entry comes from before the store was restored, so
 // that what is known of the endpoint is newer. It withholds the entry of a removed
 // endpoint.
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -56,6 +56,10 @@
 	lastListRead   time.Time
 	nextInList     model.Position
 	lastListChange model.Position
+	// firstListAt is when this host got its first list. knowsEnds reports whether it has
+	// asked a peer since what has ended.
+	firstListAt time.Time
+	knowsEnds   bool
 	// listReadFailing reports whether this host's last read of the list failed.
 	listReadFailing bool
 	// loggedReserved is the last logged number of engines reserved for urgent
--- a/internal/gateway/listchanges.go
+++ b/internal/gateway/listchanges.go
@@ -82,6 +82,9 @@
 		replace = c.directory.Restore
 		c.gateway.opts.Log.WithFields(fields{"era": list.Next.Era, "before": c.nextInList.Era}).Warn("lists: store was restored, keeping newer entries")
 	}
+	if c.nextInList == (model.Position{}) {
+		c.firstListAt = now
+	}
 	c.nextInList = model.LaterPosition(c.nextInList, list.Next)
 	c.applyEndpointChanges(now, replace(now, list.Entries, list.Withheld...), source)
 }
--- a/internal/gateway/listchanges_test.go
+++ b/internal/gateway/listchanges_test.go
@@ -213,6 +213,31 @@
 	must.SliceEmpty(t, c.peers.digests.unsentChanges.Records)
 }
 
+// A host that starts after a restoration and reads the copy asks a peer once for what has
+// ended. It does not use what the peer withholds.
+func TestNewHostLearnsWhatHasEnded(t *testing.T) {
+	c, peers := newTestControl(t)
+	restored := model.Position{Era: 2, Offset: 5}
+	c.applyListRead(at(0), listUpdate{full: true, records: []port.ListRecord{listRecord("a"), listRecord("b")}, next: restored})
+	c.refreshStaleList(at(0))
+	must.Eq(t, 0, len(peers.fetches), must.Sprint("no peer is known"))
+	addPeer(c, "peer", "north", 1)
+	c.refreshStaleList(at(0))
+	must.Eq(t, "peer", <-peers.fetches)
+	c.fetchingList = false
+	answer := port.EndpointList{Entries: []directory.Entry{listRecord("b").Entry}, Withheld: []directory.Entry{listRecord("a").Entry}, Next: offset(9)}
+	c.adoptList(at(0), answer, "peer")
+	must.True(t, isListed(c.directory, "a"), must.Sprint("the peer has not read the copy yet"))
+	c.refreshStaleList(at(listFetchInterval))
+	must.Eq(t, "peer", <-peers.fetches)
+	c.fetchingList = false
+	answer.Next = restored
+	c.adoptList(at(listFetchInterval), answer, "peer")
+	must.Eq(t, answer.Entries, c.directory.Entries())
+	c.refreshStaleList(at(2 * listFetchInterval))
+	must.Eq(t, 0, len(peers.fetches), must.Sprint("it has asked"))
+}
+
 // A host that lacks changes takes no newer read for evidence of what is listed.
 func TestListIsNotYoungerThanItsChanges(t *testing.T) {
 	c, _ := newTestControl(t)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -360,62 +360,6 @@
 	return age
 }
 
-// refreshStaleList fetches the list of endpoints from the peer with the newest
-// copy while the platform's store does not answer this host.
-func (c *control) refreshStaleList(now time.Time) {
-	if c.fetchingList || c.directory.Age(now) < staleListAge {
-		return
-	}
-	best := ""
-	for address, p := range c.peers.peers {
-		if p.lastSeen.IsZero() || now.Sub(p.lastSeen) > heartbeatInterval*2 {
-			continue
-		}
-		if best == "" || p.knownReadAge < c.peers.peers[best].knownReadAge {
-			best = address
-		}
-	}
-	if best == "" || c.directory.Len() > 0 && c.peers.peers[best].knownReadAge > staleListAge {
-		return
-	}
-	c.fetchList(now, best)
-}
-
-// fetchList starts to fetch the list of endpoints from a peer and adopts it if it
-// is newer. It does nothing while a fetch is in progress or within
-// listFetchInterval of the last one.
-func (c *control) fetchList(now time.Time, address string) {
-	if c.fetchingList || now.Sub(c.lastListFetch) < listFetchInterval {
-		return
-	}
-	c.fetchingList = true
-	c.lastListFetch = now
-	g := c.gateway
-	g.background(func(ctx context.Context) {
-		list, err := g.opts.Peers.FetchEndpoints(ctx, address)
-		if err != nil {
-			g.opts.Log.WithError(err).WithField("address", address).Warn("peers: fetching the list of endpoints failed")
-		}
-		g.loop.Post(loop.Func(func(now time.Time) {
-			c.fetchingList = false
-			if err == nil {
-				c.adoptList(now, list, address)
-			}
-		}))
-	})
-}
-
-// adoptList applies the list of the peer at an address if it is newer than this
-// host's.
-func (c *control) adoptList(now time.Time, list port.EndpointList, address string) {
-	if !list.Next.IsAfter(c.nextInList) {
-		return
-	}
-	c.replaceList(now, list, "list of peer "+address)
-	// Changes that this host publishes from now on follow the adopted list.
-	c.lastListChange = list.Next
-}
-
 // HandleFetchConfig returns the configuration in force if it is newer than
 // newerThan, else the zero record. It implements port.LoadHandler.
 func (g *Gateway) HandleFetchConfig(_ context.Context, newerThan model.Version) (port.ConfigRecord, error) {
@@ -426,21 +370,6 @@
 	return *rec, nil
 }
 
-// endpointList returns this host's list for other hosts.
-func (c *control) endpointList() port.EndpointList {
-	return port.EndpointList{Entries: c.directory.Entries(), Withheld: c.directory.Withheld(), Next: c.nextInList}
-}
-
-// HandleFetchEndpoints returns this host's list of endpoints. It implements
-// port.LoadHandler.
-func (g *Gateway) HandleFetchEndpoints(ctx context.Context) (port.EndpointList, error) {
-	list, ok := queryLoop(ctx, g, func(time.Time) port.EndpointList { return g.control.endpointList() })
-	if !ok {
-		return port.EndpointList{}, errStopped
-	}
-	return list, nil
-}
-
 // sendDigests sends digests to a peer until ctx ends. It reopens a broken
 // stream after a delay.
 func (g *Gateway) sendDigests(ctx context.Context, address string, mailbox <-chan port.LoadDigest) {
