--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/wigeonsail/wigeonsail/internal/standin/cut"
 	"github.com/wigeonsail/wigeonsail/internal/standin/replica"
 	"github.com/wigeonsail/wigeonsail/internal/standin/users"
 )
@@ -150,10 +151,19 @@
 }
 
 // checkRecovery checks that, after the faults, each host serves all routes with
-// the newest configuration.
+// the newest configuration and the newest list of endpoints: another writer adds an entry, and
+// all endpoints are replaced.
 func (c *checker) checkRecovery(ctx context.Context) {
 	c.environment.publish()
+	c.environment.store.Put("keyed.servers", foreignKey, []byte(foreignEntry))
+	before := c.environment.endpoints()
+	for _, e := range before {
+		c.faults.replaceEndpoint(e)
+	}
 	sleep(ctx, maxConfigDelay)
+	for _, e := range before {
+		e.link.SetMode(cut.ModeCut)
+	}
 	key := c.environment.newestKey()
 	for _, h := range c.environment.hosts {
 		for _, route := range []string{"confirm", "read", "draft", "brief"} {
--- a/internal/soak/platformfaults.go
+++ b/internal/soak/platformfaults.go
@@ -1,14 +1,16 @@
 package soak
 
 import (
+	"strings"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/standin/logstore"
 	"github.com/wigeonsail/wigeonsail/internal/standin/replica"
 )
 
-// Faults of what the platform states: the store is restored from an older copy, and
-// endpoints state in their responses that they are leaving or want no requests.
+// Faults of what the platform states: the store is restored from an older copy, another
+// writer adds entries to the list of endpoints, and endpoints state in their responses that
+// they are leaving or want no requests.
 
 const (
 	// platformFaultPause is the time between the starts of two of these faults.
@@ -18,6 +20,13 @@
 	// republishDelay is the time after which the operator and the endpoints write
 	// again to a restored store. The platform states about 2 s.
 	republishDelay = 500 * time.Millisecond
+	// maxKeyBytes and maxRecordBytes bound the keys and the records of the store.
+	maxKeyBytes    = 255
+	maxRecordBytes = 1 << 20
+	// foreignKey is a key of another writer, in Latin-1. foreignEntry is an entry of a service
+	// that no route names.
+	foreignKey   = "stock-z\xfcrich-1"
+	foreignEntry = `{"service":"stock","address":"127.0.0.1:9","zone":"north","version":"7","slots":4,"state":"ready","sequence":1}`
 )
 
 // tickPlatform starts the next fault if it is due.
@@ -30,11 +39,13 @@
 	duration := minFaultDuration + time.Duration(f.platformRNG.Int64N(int64(maxFaultDuration-minFaultDuration)))
 	all := f.environment.endpoints()
 	e := all[f.platformRNG.IntN(len(all))]
-	switch f.platformRNG.IntN(3) {
+	switch f.platformRNG.IntN(4) {
 	case 0:
 		f.restoreStore(now, duration)
 	case 1:
 		f.reportLeaving(now, e, duration)
+	case 2:
+		f.addForeignEntry()
 	default:
 		f.environment.trace("refuse with a Retry-After at %s for %s", e.Instance(), duration.Round(time.Millisecond))
 		e.SetFaults(replica.Faults{QueueFull: true, RetryAfter: "0.7"})
@@ -55,6 +66,19 @@
 	f.scheduleEnd(now, duration+restoreOutage+republishDelay, env.republish)
 }
 
+// addForeignEntry lets another writer write an entry that names no endpoint to use, or remove
+// one that it has written.
+func (f *faultInjector) addForeignEntry() {
+	keys := []string{foreignKey, "stock-1", strings.Repeat("\xff", maxKeyBytes), "\n"}
+	values := []string{
+		"", foreignEntry, strings.Replace(foreignEntry, "stock", "z\xfcrich", 1), strings.Replace(foreignEntry, "stock", strings.Repeat("s", maxRecordBytes/2), 1),
+		strings.Replace(foreignEntry, ":4", ":9223372036854775807", 1), `{"service":7}`, "\x00\xff", strings.Repeat("[", maxRecordBytes/2),
+	}
+	key, value := f.platformRNG.IntN(len(keys)), f.platformRNG.IntN(len(values))
+	f.environment.trace("foreign entry %d under key %d", value, key)
+	f.environment.store.Put("keyed.servers", keys[key], []byte(values[value]))
+}
+
 // reportLeaving lets an endpoint state that it is leaving, before it is listed as
 // draining and replaced.
 func (f *faultInjector) reportLeaving(now time.Time, e *endpoint, duration time.Duration) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -16,7 +16,8 @@
 // a violation are added after it.
 var seeds = []uint64{1}
 
-// The router's guarantees must hold for real processes under faults.
+// The router's guarantees must hold for real processes under faults. Two of three hosts read the
+// lists, the third gets them from those.
 func TestGuaranteesHoldUnderFaults(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "wigeonsail")
 	build := exec.Command("go", "build", "-o", binary, "github.com/wigeonsail/wigeonsail/cmd/wigeonsail")
@@ -24,7 +25,7 @@
 	must.NoError(t, build.Run())
 	for _, seed := range seeds {
 		opts := soak.DefaultOptions()
-		opts.Seed, opts.Duration, opts.Hosts = seed, 3*time.Second, 2
+		opts.Seed, opts.Duration, opts.Hosts = seed, 3*time.Second, 3
 		opts.Binary, opts.Dir, opts.Trace = binary, t.TempDir(), t.Output()
 		report, err := soak.Run(t.Context(), opts)
 		must.NoError(t, err)
--- a/internal/standin/logstore/records.go
+++ b/internal/standin/logstore/records.go
@@ -63,7 +63,8 @@
 	if len(data) == 0 || int(data[0]) > len(data)-1 {
 		return "", nil, false
 	}
-	return string(data[1 : 1+data[0]]), data[1+data[0]:], true
+	end := 1 + int(data[0])
+	return string(data[1:end]), data[end:], true
 }
 
 // appendRecord appends a record and, in a keyed topic, updates the latest
