Bound the changes of the list that wait for a peer

Cause: changes that wait for a peer which takes no digests were merged without bound. Another writer that writes all the time makes the digest larger than a message may be.

Change: above 4,096 changes only the newer ones are kept, as if some were missing between them; the peer fetches the list. Test, red before: TestMergedChangesAreBounded.

--- a/internal/gateway/listchanges_test.go
+++ b/internal/gateway/listchanges_test.go
@@ -280,6 +280,17 @@
 	must.Eq(t, newer.Changes, mergeDigests(older, newer).Changes, must.Sprint("changes are missing between the two"))
 }
 
+// A peer that takes no digests for long does not make its next one grow without bound.
+func TestMergedChangesAreBounded(t *testing.T) {
+	changes := func(after, upto model.Offset) port.ListChanges {
+		return port.ListChanges{After: offset(after), UpTo: offset(upto), Records: make([]port.ListRecord, upto-after)}
+	}
+	merged := mergeChanges(changes(0, maxMergedChanges-1), changes(maxMergedChanges-1, maxMergedChanges))
+	must.Len(t, maxMergedChanges, merged.Records)
+	newest := changes(maxMergedChanges, maxMergedChanges+1)
+	must.Eq(t, newest, mergeChanges(merged, newest), must.Sprint("the receiver fetches the list"))
+}
+
 // A digest that withdraws the sender's loads is replaced in the queue by one that
 // leaves them unchanged, or itself replaces one with cache updates. Neither the
 // withdrawal nor the updates are lost.
--- a/internal/gateway/mailbox.go
+++ b/internal/gateway/mailbox.go
@@ -60,13 +60,17 @@
 	return newer
 }
 
+// maxMergedChanges bounds the changes that wait for a peer, so that they fit into a message
+// however many entries other writers have written.
+const maxMergedChanges = 4096
+
 // mergeChanges returns the changes of both, or only the newer ones when changes
-// are missing between them. Receivers then fetch the full list.
+// are missing between them or there are too many. Receivers then fetch the full list.
 func mergeChanges(older, newer port.ListChanges) port.ListChanges {
 	switch {
 	case len(newer.Records) == 0:
 		return older
-	case len(older.Records) == 0 || older.UpTo != newer.After:
+	case len(older.Records) == 0 || older.UpTo != newer.After || len(older.Records)+len(newer.Records) > maxMergedChanges:
 		return newer
 	}
 	records := append(slices.Clone(older.Records), newer.Records...)
