--- a/internal/core/bytebudget/budget.go
+++ b/internal/core/bytebudget/budget.go
@@ -14,8 +14,8 @@
 	requestOverhead = 16 << 10
 	// largeShare and smallShare are the shares of the limit that may be in use when a large
 	// or a small body is accepted. The rest is for small ones, and for responses.
-	largeShare = 0.8
-	smallShare = 0.9
+	largeShare = 0.85
+	smallShare = 0.95
 	// minWait is how long a caller must have read nothing before it may be shed.
 	minWait = time.Second
 )
