Soak: long bodies, silent streams and a bound on memory

Streams are silent for 1.5 s, as if they were preempted, as one of the faults of an endpoint. The stand-in of a replica records the first 4 kB of a body only.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,6 +21,9 @@
 const (
 	// callerTimeout is how long a caller waits for a response.
 	callerTimeout = 2500 * time.Millisecond
+	// longBodyShare is the share of requests that have a long body, if their route takes one.
+	longBodyShare = 0.1
+	longBodyBytes = 1 << 20
 	// maxCallerPause is the longest pause of a caller between two requests.
 	maxCallerPause = 20 * time.Millisecond
 )
@@ -89,7 +93,11 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 	defer client.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
-		r := c.send(client, h, fmt.Sprintf("%s-%d", name, n), weightedRoutes[rng.IntN(len(weightedRoutes))])
+		route, bodyBytes := weightedRoutes[rng.IntN(len(weightedRoutes))], 0
+		if rng.Float64() < longBodyShare && route != "read" {
+			bodyBytes = longBodyBytes
+		}
+		r := c.send(client, h, fmt.Sprintf("%s-%d", name, n), route, bodyBytes)
 		c.mu.Lock()
 		c.results = append(c.results, r)
 		c.mu.Unlock()
@@ -99,15 +107,16 @@
 
 // send sends one request. It isn't canceled when the callers stop, so that no
 // response is lost.
-func (c *callers) send(client *http.Client, h *hostProcess, id, route string) *result {
+func (c *callers) send(client *http.Client, h *hostProcess, id, route string, bodyBytes int) *result {
 	c.mu.Lock()
 	c.sentIDs[id] = true
 	c.mu.Unlock()
-	return sendRequest(client, h, id, route, initialKey)
+	return sendRequest(client, h, id, route, initialKey, bodyBytes)
 }
 
-// sendRequest sends a request with a caller key and returns its outcome.
-func sendRequest(client *http.Client, h *hostProcess, id, route, key string) *result {
+// sendRequest sends a request with a caller key and a body of a length, and returns its
+// outcome.
+func sendRequest(client *http.Client, h *hostProcess, id, route, key string, bodyBytes int) *result {
 	r := &result{id: id, route: route, host: h, sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
@@ -115,7 +124,7 @@
 	if route == "read" {
 		method = http.MethodGet
 	}
-	req, err := users.NewRequest(ctx, method, h.callerAddress, "/"+route+"/1", "", id, key)
+	req, err := users.NewRequest(ctx, method, h.callerAddress, "/"+route+"/1", strings.Repeat("x", bodyBytes), id, key)
 	if err != nil {
 		return r
 	}
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -75,6 +75,7 @@
 		c.checkLeaving(e, own, results)
 	}
 	c.checkLimits(results)
+	c.checkMemory()
 	for _, res := range results {
 		c.checkResult(res, executions[res.id])
 	}
@@ -168,7 +169,7 @@
 // recoveryAttempts.
 func (c *checker) isServing(h *hostProcess, route, key string) bool {
 	for n := range recoveryAttempts {
-		res := sendRequest(http.DefaultClient, h, fmt.Sprintf("probe-%s-%s-%d", h.name, route, n), route, key)
+		res := sendRequest(http.DefaultClient, h, fmt.Sprintf("probe-%s-%s-%d", h.name, route, n), route, key, 0)
 		if res.status == http.StatusOK && res.complete {
 			return true
 		}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -250,6 +250,7 @@
 	all := []replica.Faults{
 		{LoseResponse: true}, {Status: 500}, {Status: 503}, {QueueFull: true}, {DuplicateResponse: true}, {Unsigned: true},
 		{TruncateStreamAfter: 3}, {TruncateBody: true}, {NoResponse: true},
+		{PauseAfter: 2},
 	}
 	return all[f.rng.IntN(len(all))]
 }
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -93,7 +93,11 @@
 [shutdown]
 grace = %q
 linger = %q
-`, h.name, listen[0], listen[1], listen[2], listen[3], storeAddress, seeds, grace, linger)
+
+[limits]
+memory_mb = %d
+requests_mb = %d
+`, h.name, listen[0], listen[1], listen[2], listen[3], storeAddress, seeds, grace, linger, hostMemoryMB, hostRequestsMB)
 	return h, os.WriteFile(h.settingsPath, []byte(text), 0o600)
 }
 
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -58,6 +58,9 @@
 	// DripAfter, unless 0, sends this number of events of a stream and then one
 	// byte of the next event at a time, for ever.
 	DripAfter int
+	// PauseAfter, unless 0, makes streams silent for PauseTime after this number of events,
+	// as if they were preempted.
+	PauseAfter int
 	// Unsigned omits the signature of responses.
 	Unsigned bool
 	// TruncateStreamAfter closes the connection of streams after this number of
@@ -73,6 +76,7 @@
 	ID     string
 	Method string
 	URI    string
+	// Body is the beginning of the body, of maxKeptBody bytes at most.
 	Body   string
 	Header http.Header
 	// FirstEvent is the number of the first event to send, in a stream.
@@ -88,6 +92,13 @@
 // the host removed it.
 func (e *Execution) CallerKey() string { return e.Header.Get("X-Wigeonsail-Key") }
 
+// PauseTime is how long a stream with Faults.PauseAfter is silent. It exceeds the shortest
+// time after which a gateway sends a silent stream elsewhere.
+const PauseTime = 1500 * time.Millisecond
+
+// maxKeptBody bounds the bytes of a request's body that are recorded.
+const maxKeptBody = 4 << 10
+
 const headerSignature = "X-Wigeonsail-Response-Signature"
 
 // signature returns the response signature for a request.
@@ -279,7 +290,10 @@
 }
 
 func readBody(r *http.Request) (string, error) {
-	body, err := io.ReadAll(r.Body)
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxKeptBody))
+	if err == nil {
+		_, err = io.Copy(io.Discard, r.Body)
+	}
 	return string(body), err
 }
 
@@ -311,10 +325,10 @@
 	s.executions = append(s.executions, e)
 }
 
-// simulateWork pauses for the service time. It returns false if the client
-// disconnects first.
-func (s *Server) simulateWork(r *http.Request) bool {
-	timer := time.NewTimer(s.opts.ServiceTime)
+// simulateWork pauses for some time. It returns false if the client disconnects
+// first.
+func (s *Server) simulateWork(r *http.Request, work time.Duration) bool {
+	timer := time.NewTimer(work)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -329,7 +343,7 @@
 
 // servePlain responds as a plain service.
 func (s *Server) servePlain(w http.ResponseWriter, r *http.Request, faults Faults) {
-	if !s.simulateWork(r) {
+	if !s.simulateWork(r, s.opts.ServiceTime) {
 		return
 	}
 	body := ResponseBody(w.Header().Get("X-Wigeonsail-Attempt-Id"))
@@ -384,7 +398,11 @@
 			s.drip(w, r)
 			return
 		}
-		if !s.simulateWork(r) {
+		work := s.opts.ServiceTime
+		if faults.PauseAfter > 0 && from == 0 && i == faults.PauseAfter+1 {
+			work += PauseTime
+		}
+		if !s.simulateWork(r, work) {
 			return
 		}
 		writeText(w, formatEvent(i))
