Usage counts requests that endpoints have run and failed

Hosts that rely on relays read the stream of the duties only after they have read the platform's lists for 6 s: in a failure domain that was cut off, 28 hosts began to read it at once.

The simulation orders endpoints as well, so that calls of different subjects check the order of the holders.

--- a/internal/core/duty/simulation_test.go
+++ b/internal/core/duty/simulation_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,7 +22,10 @@
 	simStep  = 100 * time.Millisecond
 	simLease = 3 * time.Second
 	simCall  = time.Second
-	simHosts = 4
+	simHosts = 3
+	// simPools is the number of pools with orders of endpoints. The platform keeps the
+	// highest fence for each.
+	simPools = 3
 	simQuiet = 25 * time.Second
 )
 
@@ -40,8 +44,9 @@
 
 // simKinds are the kinds of faults. A restored store loses some of the newest records, a
 // trimmed one the oldest. Lost and late appends and calls have their effect without an
-// answer, at once or seconds later; those that are dropped have none.
-var simKinds = []string{"freeze", "cut", "stop", "store down", "restore", "trim", "lose", "late", "drop"}
+// answer, at once or seconds later; those that are dropped have none. An idle host is no
+// candidate, and does not read. Calls that are refused say nothing of their fence.
+var simKinds = []string{"freeze", "cut", "stop", "idle", "store down", "restore", "trim", "lose", "late", "drop", "refuse"}
 
 // later is an effect at a time.
 type laterEffect struct {
@@ -60,12 +65,13 @@
 	records [][]byte
 	trimmed int
 	era     model.Era
-	// fence is the highest one that the platform has seen, author who has sent it.
-	fence   model.Offset
-	author  string
+	// fences are the highest ones that the platform has seen by subject, authors the hosts
+	// that sent them.
+	fences  map[string]model.Offset
+	authors map[model.Offset]string
 	reports map[usage.Window]usage.Counts
-	// acted are the accepted calls, in the order in which they were sent.
-	acted []acceptedCall
+	// accepted are the accepted calls.
+	accepted []acceptedCall
 }
 
 // acceptedCall is an accepted call.
@@ -82,6 +88,8 @@
 	caughtUp  bool
 	busyUntil time.Time
 	reported  map[usage.Window]bool
+	// refused is the highest fence with which a call was refused.
+	refused model.Offset
 }
 
 func (s *simulation) active(kind string, host int) bool {
@@ -102,23 +110,27 @@
 		Lease: simLease, CallTimeout: simCall, Margin: simLease / 10,
 	})
 	h.caughtUp, h.busyUntil = false, time.Time{}
-	h.reported = make(map[usage.Window]bool)
+	h.reported, h.refused = make(map[usage.Window]bool), 0
 }
 
 // step runs a host. It acts before it reads, so that a host which wakes acts on what it
 // knew before.
 func (h *simHost) step() {
 	s := h.sim
-	leaving := s.active("stop", h.index)
+	leaving, idle := s.active("stop", h.index), s.active("idle", h.index)
 	rec, due := h.keeper.Due(s.now, Situation{
-		Candidate: !leaving, Rank: h.index, Leaving: leaving, Busy: s.now.Before(h.busyUntil), CaughtUp: h.caughtUp,
+		Candidate: !leaving && !idle, Rank: h.index, Leaving: leaving, Busy: s.now.Before(h.busyUntil), CaughtUp: h.caughtUp,
 	}, s.rng.Uint64())
 	if due {
 		h.append(rec)
 	} else if _, ok := h.keeper.Fence(s.now); ok && !s.now.Before(h.busyUntil) && h.caughtUp {
 		h.report()
 	}
-	if s.rng.Float64() < 0.8 {
+	_, holds := h.keeper.Fence(s.now)
+	switch {
+	case idle && !holds:
+		h.caughtUp = false
+	case s.rng.Float64() < 0.8:
 		h.read()
 	}
 }
@@ -132,10 +144,13 @@
 		IsReported: func(w usage.Window) bool { return h.reported[w] || w <= h.keeper.Done() },
 	})
 	if !ok {
+		if s.rng.IntN(4) == 0 {
+			h.call(fmt.Sprintf("pool %d", s.rng.IntN(simPools)), 0, nil)
+		}
 		return
 	}
 	if counts, fixed := h.keeper.Report(window); fixed {
-		h.call(window, counts)
+		h.call(reportSubject, window, counts)
 		return
 	}
 	counts := usage.Counts{"a": s.rng.Int64N(1000)}
@@ -208,17 +223,27 @@
 	h.caughtUp = true
 }
 
-// call sends a report.
-func (h *simHost) call(window usage.Window, counts usage.Counts) {
+// reportSubject is the subject of the reports. Other subjects are orders.
+const reportSubject = "usage"
+
+// call sends a report or an order.
+func (h *simHost) call(subject string, window usage.Window, counts usage.Counts) {
 	s := h.sim
 	fence, ok := h.keeper.Fence(s.now)
 	must.True(s.t, ok)
+	must.True(s.t, h.refused == 0 || fence > h.refused, must.Sprint("a call with a fence that was refused"))
 	h.keeper.RecordCall(s.now)
 	sentAt, accepted := s.now, false
-	if s.carryOut(s.fate(h.index), func() { accepted = s.accept(h.name(), fence, sentAt, window, counts) }) {
+	if s.active("refuse", h.index) {
+		h.refused = fence
+		h.keeper.Refuse(fence)
+		return
+	}
+	if s.carryOut(s.fate(h.index), func() { accepted = s.accept(h.name(), fence, sentAt, subject, window, counts) }) {
 		if accepted {
 			h.reported[window] = true
 		} else {
+			h.refused = fence
 			h.keeper.Refuse(fence)
 		}
 		return
@@ -227,34 +252,37 @@
 }
 
 // accept is the platform's side of a call. It returns false for a conflict.
-func (s *simulation) accept(host string, fence model.Offset, sentAt time.Time, window usage.Window, counts usage.Counts) bool {
-	if fence < s.fence {
+func (s *simulation) accept(host string, fence model.Offset, sentAt time.Time, subject string, window usage.Window, counts usage.Counts) bool {
+	if fence < s.fences[subject] {
 		return false
 	}
-	if fence == s.fence && s.author != "" && s.author != host {
-		s.t.Fatalf("%s and %s sent the fence %d", s.author, host, fence)
+	if before, used := s.authors[fence]; used && before != host {
+		s.t.Fatalf("%s and %s sent the fence %d", before, host, fence)
+	}
+	s.fences[subject], s.authors[fence] = fence, host
+	s.accepted = append(s.accepted, acceptedCall{host, sentAt})
+	if subject != reportSubject {
+		return true
 	}
-	s.fence, s.author = fence, host
 	if before, known := s.reports[window]; known && !maps.Equal(before, counts) {
 		s.t.Fatalf("window %d was reported with %v and by %s with %v", window, before, host, counts)
 	}
 	s.reports[window] = counts
-	s.checkOrder(acceptedCall{host, sentAt})
 	return true
 }
 
 // checkOrder checks that no holder acts again, within the duration of a lease, after
-// another one has acted.
-func (s *simulation) checkOrder(c acceptedCall) {
-	other := false
-	for i := len(s.acted) - 1; i >= 0; i-- {
-		before := s.acted[i]
-		if other && before.host == c.host && c.at.Sub(before.at) < simLease {
-			s.t.Fatalf("%s acts again %s after it was followed by another holder", c.host, c.at.Sub(before.at))
+// another one has acted. The calls count when they were sent.
+func (s *simulation) checkOrder() {
+	slices.SortStableFunc(s.accepted, func(a, b acceptedCall) int { return a.at.Compare(b.at) })
+	last := make(map[string]time.Time)
+	before := ""
+	for _, c := range s.accepted {
+		if at, acted := last[c.host]; acted && before != c.host && c.at.Sub(at) < simLease {
+			s.t.Fatalf("%s acts again %s after it was followed by another holder", c.host, c.at.Sub(at))
 		}
-		other = other || before.host != c.host
+		last[c.host], before = c.at, c.host
 	}
-	s.acted = append(s.acted, c)
 }
 
 // tick advances the time and runs all hosts.
@@ -291,7 +319,7 @@
 		s.records = s.records[:s.trimmed+s.rng.IntN(len(s.records)-s.trimmed+1)]
 		s.era++
 	case "trim":
-		s.trimmed += s.rng.IntN(len(s.records) - s.trimmed + 1)
+		s.trimmed = len(s.records) - s.rng.IntN(2)*s.rng.IntN(len(s.records)-s.trimmed+1)
 	}
 }
 
@@ -301,11 +329,11 @@
 		if f.kind == "store down" {
 			f.host = 0
 		}
-		f.from = simStart.Add(time.Duration(rapid.IntRange(40, 500).Draw(t, "from")) * simStep)
-		f.to = f.from.Add(time.Duration(rapid.IntRange(1, 90).Draw(t, "for")) * simStep)
+		f.from = simStart.Add(time.Duration(rapid.IntRange(40, 300).Draw(t, "from")) * simStep)
+		f.to = f.from.Add(time.Duration(rapid.IntRange(1, 120).Draw(t, "for")) * simStep)
 		return f
 	})
-	return rapid.SliceOfN(draw, 0, 24).Draw(t, "faults")
+	return rapid.SliceOfN(draw, 0, 30).Draw(t, "faults")
 }
 
 // No schedule of faults yields two holders with one fence, holders that alternate within
@@ -316,6 +344,7 @@
 		s := &simulation{
 			t: t, rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), now: simStart, era: 1,
 			faults: drawFaults(t), reports: make(map[usage.Window]usage.Counts),
+			fences: make(map[string]model.Offset), authors: make(map[model.Offset]string),
 		}
 		end := simStart.Add(10 * time.Second)
 		for _, f := range s.faults {
@@ -331,6 +360,7 @@
 		for s.now.Before(end.Add(simQuiet)) {
 			s.tick()
 		}
+		s.checkOrder()
 		for window := simWindows.Of(end.Add(10 * time.Second)); window < simWindows.Of(end.Add(20*time.Second)); window++ {
 			_, reported := s.reports[window]
 			must.True(t, reported, must.Sprintf("window %d is not reported after the faults", window))
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -74,6 +74,9 @@
 	appending bool
 	calls     int
 	checkedAt time.Time
+	// memberReadsSince is since when this host reads the platform's lists although it relies
+	// on relays; zero if it does not.
+	memberReadsSince time.Time
 	// loggedFence is the fencing number that was logged last, if loggedHolding.
 	loggedFence   model.Offset
 	loggedHolding bool
@@ -233,14 +236,31 @@
 	}
 	_, holds := k.keeper.Fence(k.opts.Steady())
 	isolated := heard*minHeardFraction < known
-	s.Candidate = g.reading.Load() && (!isolated || !holds)
+	s.Candidate = g.reading.Load() && (!isolated || !holds) && !k.leavesToRelays(now)
 	if isolated {
 		s.Rank += isolatedRank
 	}
 	return s
 }
 
+// leavesToRelays reports whether this host relies on relays, which are to hold the duties:
+// counts of other hosts reach them first, and there are few. Its own reads show that the
+// relays cannot read, but all hosts of a failure domain may begin to read at once.
+func (k *dutyKeeper) leavesToRelays(now time.Time) bool {
+	if !k.control.gateway.reading.Load() || !k.control.peers.digests.isMember(now) {
+		k.memberReadsSince = time.Time{}
+		return false
+	}
+	if k.memberReadsSince.IsZero() {
+		k.memberReadsSince = now
+	}
+	return now.Sub(k.memberReadsSince) < memberCandidateAfter
+}
+
 const (
+	// memberCandidateAfter is how long a host that relies on relays reads the platform's
+	// lists until it may hold the duties.
+	memberCandidateAfter = 6 * time.Second
 	// minHeardFraction is the reciprocal of the part of the known hosts that a holder must
 	// hear from: a host that is cut off from the others does not know what they count.
 	minHeardFraction = 3
--- a/internal/gateway/dutystream.go
+++ b/internal/gateway/dutystream.go
@@ -21,7 +21,7 @@
 	// checks whether to read.
 	dutyReadWait  = time.Second
 	dutyReadMax   = 200
-	dutyReadRetry = 300 * time.Millisecond
+	dutyReadRetry = 600 * time.Millisecond
 	dutyIdle      = 50 * time.Millisecond
 )
 
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -94,6 +94,7 @@
 		return classifyError(ctx, err)
 	}
 	if reply.HasSignature() && !impliesNotRun(status) {
+		x.countBegin()
 		x.fallback = &bufferedResponse{status: status, header: reply.Header(), body: body}
 	}
 	if status < http.StatusInternalServerError && !impliesNotRun(status) {
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -70,8 +70,9 @@
 // trueTime returns the estimate of the true time now.
 func (u *usageReporter) trueTime() time.Time { return u.clock.At(u.opts.Steady()) }
 
-// countBegin counts a request of the exchange's account that has begun to run, once. A
-// stream that goes on after a lost connection to the caller began before.
+// countBegin counts a request of the exchange's account that has begun to run, once, also
+// if it failed then. A stream that goes on after a lost connection to the caller began
+// before.
 func (x *exchange) countBegin() {
 	u := x.gateway.control.usage
 	if u == nil || x.counted || x.account == "" || x.call.LastEventID != "" {
--- a/internal/server/gateway_duties_test.go
+++ b/internal/server/gateway_duties_test.go
@@ -143,3 +143,16 @@
 		})
 	}
 }
+
+// Requests that endpoints have run count also if they failed. Each counts once, although
+// the endpoint was asked again.
+func TestFailedRequestsCountAsUsage(t *testing.T) {
+	f := newDutyFleet(t)
+	f.replicas["i-1"].SetFaults(replica.Faults{Status: 500})
+	g := f.startReadyHost("h1")
+	f.within(10*time.Second, func() bool { return f.holder() != "" })
+	for range 5 {
+		must.Eq(t, http.StatusInternalServerError, f.send(g, http.MethodGet, "/read/1", "", nil).status)
+	}
+	f.within(10*time.Second, func() bool { return f.reported() == 5 })
+}
