--- a/internal/core/usage/planner.go
+++ b/internal/core/usage/planner.go
@@ -69,6 +69,15 @@
 	return window > w.lastFixable(k.LostAt) || k.IsCovered && window > k.Covered
 }
 
+// IsSettled reports whether a window can be reported at a true time.
+func (w Windows) IsSettled(at time.Time, window Window) bool { return window <= w.lastSettled(at) }
+
+// IsLeftOut reports whether a window is not reported since another report of it may have
+// been fixed.
+func (w Windows) IsLeftOut(window Window, k Knowledge) bool {
+	return !k.IsReported(window) && !k.IsFixed(window) && !k.mayFix(w, window)
+}
+
 // NextReport returns the window to report next at a true time, if any. Windows are fixed in
 // order: none is once a later one was.
 func (w Windows) NextReport(at time.Time, k Knowledge) (Window, bool) {
--- a/internal/core/usage/usage_test.go
+++ b/internal/core/usage/usage_test.go
@@ -158,26 +158,30 @@
 		fixed, reported func(Window) bool
 		// want is the window to report, counted from the first one; -1 for none.
 		want Window
+		// leftOut reports whether the first window is left out.
+		leftOut bool
 	}{
-		{"the window has not settled", 7.4, 0, 0, false, none, none, -1},
-		{"the first window", 7.6, 0, 0, false, none, none, 0},
-		{"it is reported", 7.6, 0, 0, false, only(0), only(0), -1},
-		{"it is fixed", 7.6, 100, 0, false, only(0), none, 0},
-		{"the oldest one first", 17.6, 0, 0, false, none, none, 0},
-		{"the next one", 17.6, 0, 0, false, only(0), only(0), 1},
-		{"none once a later one is fixed", 17.6, 0, 0, false, only(2), none, 2},
-		{"a report may be lost", 12.6, 7.6, 0, false, none, none, 1},
-		{"no report was possible then", 12.6, 6.9, 0, false, none, none, 0},
-		{"later reports are known", 17.6, 17.6, 1, true, only(1), only(1), 2},
-		{"too old", 31, 0, 0, false, none, none, 1},
+		{"the window has not settled", 7.4, 0, 0, false, none, none, -1, false},
+		{"the first window", 7.6, 0, 0, false, none, none, 0, false},
+		{"it is reported", 7.6, 0, 0, false, only(0), only(0), -1, false},
+		{"it is fixed", 7.6, 100, 0, false, only(0), none, 0, false},
+		{"the oldest one first", 17.6, 0, 0, false, none, none, 0, false},
+		{"the next one", 17.6, 0, 0, false, only(0), only(0), 1, false},
+		{"none once a later one is fixed", 17.6, 0, 0, false, only(2), none, 2, false},
+		{"a report may be lost", 12.6, 7.6, 0, false, none, none, 1, true},
+		{"no report was possible then", 12.6, 6.9, 0, false, none, none, 0, false},
+		{"later reports are known", 17.6, 17.6, 1, true, only(1), only(1), 2, true},
+		{"too old", 31, 0, 0, false, none, none, 1, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			got, ok := windows.NextReport(at(c.now), Knowledge{
+			knowledge := Knowledge{
 				LostAt: at(c.lost), Covered: first + c.covered, IsCovered: c.isCovered, IsFixed: c.fixed,
 				IsReported: func(w Window) bool { return w < first || c.reported(w) },
-			})
+			}
+			got, ok := windows.NextReport(at(c.now), knowledge)
 			must.Eq(t, c.want >= 0, ok)
+			must.Eq(t, c.leftOut, windows.IsLeftOut(first, knowledge))
 			if ok {
 				must.Eq(t, c.want, got-first)
 			}
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -42,6 +42,8 @@
 	reported map[usage.Window]bool
 	sending  bool
 	retryAt  time.Time
+	// checkedWindow is the last window of which it was checked whether it is left out.
+	checkedWindow usage.Window
 }
 
 // usageCursor is the state of the digests with counts to a group of peers.
@@ -57,13 +59,14 @@
 	if !opts.has(port.DutyUsage) {
 		return nil
 	}
+	windows := usage.Windows{Length: opts.UsageWindow, Due: opts.UsageDue}
 	return &usageReporter{
-		control: c, opts: opts,
-		windows:  usage.Windows{Length: opts.UsageWindow, Due: opts.UsageDue},
-		table:    usage.NewTable(),
-		clock:    usage.NewClock(opts.Steady(), opts.Wall()),
-		self:     usage.Source{Host: c.gateway.opts.Host, Incarnation: c.gateway.opts.Incarnation},
-		reported: make(map[usage.Window]bool),
+		control: c, opts: opts, windows: windows,
+		table:         usage.NewTable(),
+		clock:         usage.NewClock(opts.Steady(), opts.Wall()),
+		self:          usage.Source{Host: c.gateway.opts.Host, Incarnation: c.gateway.opts.Incarnation},
+		reported:      make(map[usage.Window]bool),
+		checkedWindow: windows.Of(opts.Wall()) - 1,
 	}
 }
 
@@ -181,6 +184,7 @@
 	}
 	window, ok := u.windows.NextReport(u.trueTime(), u.knowledge())
 	if !ok {
+		u.logLeftOut()
 		return
 	}
 	if counts, fixed := k.keeper.Report(window); fixed {
@@ -193,6 +197,18 @@
 	}
 }
 
+// logLeftOut logs the windows since this host's start that no host reports. It is called
+// while no report is due.
+func (u *usageReporter) logLeftOut() {
+	at, knowledge := u.trueTime(), u.knowledge()
+	for window := max(u.checkedWindow+1, u.windows.Oldest(at)); u.windows.IsSettled(at, window); window++ {
+		u.checkedWindow = window
+		if u.windows.IsLeftOut(window, knowledge) {
+			u.control.gateway.opts.Log.WithField("window", window).Warn("usage: window left out, another report of it may have been sent")
+		}
+	}
+}
+
 // knowledge returns what this host knows of earlier reports.
 func (u *usageReporter) knowledge() usage.Knowledge {
 	k := u.control.duties.keeper
