--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -36,12 +36,16 @@
 	// direct and remote are the states of the digests with this host's counts to direct
 	// peers, and of those of a relay with the sums of its domain.
 	direct, remote usageCursor
+	// counted is the last change of the counts by this host itself.
+	counted int64
 	correctedAt    time.Time
 	// reported are the windows of which the platform has taken a report by this host.
 	// sending is true while a report is being sent, retryAt when to send the next one.
 	reported map[usage.Window]bool
 	sending  bool
 	retryAt  time.Time
+	// checkedWindow is the last window of which it was checked whether it is left out.
+	checkedWindow usage.Window
 }
 
 // usageCursor is the state of the digests with counts to a group of peers.
@@ -57,21 +61,23 @@
 	if !opts.has(port.DutyUsage) {
 		return nil
 	}
+	windows := usage.Windows{Length: opts.UsageWindow, Due: opts.UsageDue}
 	return &usageReporter{
-		control: c, opts: opts,
-		windows:  usage.Windows{Length: opts.UsageWindow, Due: opts.UsageDue},
-		table:    usage.NewTable(),
-		clock:    usage.NewClock(opts.Steady(), opts.Wall()),
-		self:     usage.Source{Host: c.gateway.opts.Host, Incarnation: c.gateway.opts.Incarnation},
-		reported: make(map[usage.Window]bool),
+		control: c, opts: opts, windows: windows,
+		table:         usage.NewTable(),
+		clock:         usage.NewClock(opts.Steady(), opts.Wall()),
+		self:          usage.Source{Host: c.gateway.opts.Host, Incarnation: c.gateway.opts.Incarnation},
+		reported:      make(map[usage.Window]bool),
+		checkedWindow: windows.Of(opts.Wall()) - 1,
 	}
 }
 
 // trueTime returns the estimate of the true time now.
 func (u *usageReporter) trueTime() time.Time { return u.clock.At(u.opts.Steady()) }
 
-// countBegin counts a request of the exchange's account that has begun to run, once. A
-// stream that goes on after a lost connection to the caller began before.
+// countBegin counts a request of the exchange's account that has begun to run, once, also
+// if it failed then. A stream that goes on after a lost connection to the caller began
+// before.
 func (x *exchange) countBegin() {
 	u := x.gateway.control.usage
 	if u == nil || x.counted || x.account == "" || x.call.LastEventID != "" {
@@ -79,9 +85,19 @@
 	}
 	x.counted = true
 	account, at := x.account, u.opts.Steady()
-	x.gateway.loop.Post(loop.Func(func(time.Time) {
-		u.table.Add(u.self, x.gateway.opts.Domain, u.windows.Of(u.clock.At(at)), account)
-	}))
+	x.gateway.loop.Post(loop.Func(func(time.Time) { u.add(at, account) }))
+}
+
+// add counts a request that has begun at a time of the steady clock.
+func (u *usageReporter) add(steady time.Time, account model.AccountName) {
+	u.table.Add(u.self, u.control.gateway.opts.Domain, u.windows.Of(u.clock.At(steady)), account)
+	u.counted = u.table.Changes()
+}
+
+// isDue reports whether this host has counted requests that its direct peers should learn
+// of now.
+func (u *usageReporter) isDue(now time.Time) bool {
+	return u != nil && u.counted > u.direct.change && now.Sub(u.direct.sentAt) >= usageInterval
 }
 
 // fill adds the clock to a digest.
@@ -180,6 +196,7 @@
 	}
 	window, ok := u.windows.NextReport(u.trueTime(), u.knowledge())
 	if !ok {
+		u.logLeftOut()
 		return
 	}
 	if counts, fixed := k.keeper.Report(window); fixed {
@@ -192,6 +209,18 @@
 	}
 }
 
+// logLeftOut logs the windows since this host's start that no host reports. It is called
+// while no report is due.
+func (u *usageReporter) logLeftOut() {
+	at, knowledge := u.trueTime(), u.knowledge()
+	for window := max(u.checkedWindow+1, u.windows.Oldest(at)); u.windows.IsSettled(at, window); window++ {
+		u.checkedWindow = window
+		if u.windows.IsLeftOut(window, knowledge) {
+			u.control.gateway.opts.Log.WithField("window", window).Warn("usage: window left out, another report of it may have been sent")
+		}
+	}
+}
+
 // knowledge returns what this host knows of earlier reports.
 func (u *usageReporter) knowledge() usage.Knowledge {
 	k := u.control.duties.keeper
