The announced end of an endpoint is no crash

Cause: a reclaimed endpoint ends with the requests that are still in progress, and refuses connections from then on. Prompts with shared parts could so be put in quarantine by reclaims.

Change: the directory keeps when an endpoint ends that has announced it. A broken response from a second before that time on is no crash.

TestAnAnnouncedEndIsNoCrash failed before for an end at and after the announced time; a crash long before it counts as ever.

--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -86,6 +86,8 @@
 	restored restoredState
 	// leaving are the endpoints that have reported that they are leaving.
 	leaving map[model.EndpointName]leavingMark
+	// departures are when endpoints end that have announced it.
+	departures map[model.EndpointName]departure
 }
 
 // New returns an empty directory.
@@ -95,6 +97,8 @@
 		missing:  make(map[model.EndpointName]time.Time),
 		restored: newRestoredState(),
 		leaving:  make(map[model.EndpointName]leavingMark),
+
+		departures: make(map[model.EndpointName]departure),
 	}
 }
 
@@ -154,6 +158,7 @@
 	if d.isOutdated(now, e) {
 		return Change{}, false
 	}
+	d.recordDeparture(now, e)
 	return d.store(e)
 }
 
@@ -219,6 +224,7 @@
 		}
 	}
 	d.expireLeaving(now)
+	d.expireDepartures(now)
 	return append(out, d.expireRestored(now)...)
 }
 
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -134,8 +134,13 @@
 	}
 }
 
-// recordCrash applies a crash that this host has seen.
+// recordCrash applies a crash that this host has seen. The announced end of an endpoint is
+// none.
 func (c *control) recordCrash(now time.Time, crash quarantine.Crash) {
+	if c.directory.HasEnded(crash.Endpoint, crash.At) {
+		c.gateway.opts.Log.WithField("endpoint", crash.Endpoint.Name).Info("endpoints: ended as announced, with a request in progress")
+		return
+	}
 	c.balancer.RecordCrash(crash.At, crash.Endpoint)
 	changes, added := c.quarantine.RecordCrash(now, crash)
 	if added {
