Streams are moved before their endpoint ends

Change: 1.3 s before the announced end, a host stops each of its streams there and copies its memory to an endpoint that the balancer chooses, then sends the request there with the handle. A run is continued only with a handle that the source has returned, so that no request runs twice; after a lost answer nothing is sent unless the stream may be resumed. Own port and adapter; nothing changes where engines cannot move runs.

Tests: moved, target full, run ended, answer lost with and without resuming, source gone.

--- a/internal/core/directory/departures.go
+++ b/internal/core/directory/departures.go
@@ -55,3 +55,6 @@
 		}
 	}
 }
+
+// HasDepartures reports whether any endpoint has announced its end of late.
+func (d *Directory) HasDepartures() bool { return len(d.departures) > 0 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -108,6 +108,7 @@
 	c.peers.tick(now, c)
 	c.duties.tick(now)
 	c.capacity.tick(now, c)
+	c.startMoves(now)
 	c.updateMetrics(now)
 	for pool, count := range c.balancer.ReservedEngines() {
 		if c.loggedReserved[pool] != count {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,8 @@
 	Seed uint64
 	// Endpoints sends requests to endpoints.
 	Endpoints port.EndpointClient
+	// Mover moves runs between endpoints; nil if they stay where they are.
+	Mover port.RunMover
 	// Lists reads the platform's lists; Decoder decodes their values.
 	Lists   port.ListReader
 	Decoder port.ListDecoder
@@ -78,6 +80,8 @@
 	// usable reports whether any endpoint accepts requests.
 	usable  atomic.Bool
 	leaving atomic.Bool
+	// moves are the streams that can be moved.
+	moves runMoves
 	// watchingCrashes reports whether endpoints that begin to answer must be recorded, as
 	// crashes or suspects are known.
 	watchingCrashes atomic.Bool
--- /dev/null
+++ b/internal/gateway/move.go
@@ -0,0 +1,234 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/balance"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+// Streams at an endpoint that ends soon are moved to others with their memory, shortly before
+// the end. See docs/design/leaving-endpoints.md.
+
+const (
+	// moveLead is the time before the latest end of an endpoint at which its streams are
+	// moved. The end may come up to a second earlier than known.
+	moveLead = 1300 * time.Millisecond
+	// moveTimeout bounds a move. Its run may be stopped all the same after that.
+	moveTimeout = 800 * time.Millisecond
+)
+
+// runMoves holds the streams that can be moved, by endpoint. It is safe for concurrent use.
+type runMoves struct {
+	mu    sync.Mutex
+	moves map[model.Instance]map[*runMove]bool
+}
+
+// runMove is a stream that can be moved.
+type runMove struct {
+	exchange *exchange
+	source   balance.Decision
+	// req is what is to be placed elsewhere.
+	req balance.Request
+	// started is closed when the move begins, done when its result is known.
+	start         sync.Once
+	started, done chan struct{}
+	moved         movedRun
+}
+
+// movedRun is a stopped run that an endpoint can continue; the handle is empty for none.
+type movedRun struct {
+	port.MovedRun
+	id       model.RequestID
+	decision balance.Decision
+}
+
+// watchMove prepares the stream of an attempt that has begun for a move. It returns nil if it
+// cannot be moved.
+func (x *exchange) watchMove(decision balance.Decision) *runMove {
+	g := x.gateway
+	table := g.table.Load()
+	if g.opts.Mover == nil || table == nil || x.stays {
+		return nil
+	}
+	if p, known := table.Pool(x.req.Pool); !known || p.Engine == nil || !p.Engine.CanMove {
+		return nil
+	}
+	m := &runMove{exchange: x, source: decision, req: x.req, started: make(chan struct{}), done: make(chan struct{})}
+	m.req.Avoid = append(append([]model.EndpointName(nil), x.req.Avoid...), decision.Endpoint)
+	m.req.Retry = false
+	instance := m.instance()
+	g.moves.mu.Lock()
+	defer g.moves.mu.Unlock()
+	if g.moves.moves == nil {
+		g.moves.moves = make(map[model.Instance]map[*runMove]bool)
+	}
+	if g.moves.moves[instance] == nil {
+		g.moves.moves[instance] = make(map[*runMove]bool)
+	}
+	g.moves.moves[instance][m] = true
+	return m
+}
+
+func (m *runMove) instance() model.Instance {
+	return model.Instance{Name: m.source.Endpoint, Started: m.source.Started}
+}
+
+// stopWatching ends the preparation for a move.
+func (m *runMove) stopWatching() {
+	if m == nil {
+		return
+	}
+	moves, instance := &m.exchange.gateway.moves, m.instance()
+	moves.mu.Lock()
+	defer moves.mu.Unlock()
+	delete(moves.moves[instance], m)
+	if len(moves.moves[instance]) == 0 {
+		delete(moves.moves, instance)
+	}
+}
+
+// instances returns the endpoints that have streams that can be moved.
+func (r *runMoves) instances() []model.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []model.Instance
+	for instance := range r.moves {
+		out = append(out, instance)
+	}
+	return out
+}
+
+// at returns the streams at an endpoint that can be moved.
+func (r *runMoves) at(instance model.Instance) []*runMove {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []*runMove
+	for m := range r.moves[instance] {
+		out = append(out, m)
+	}
+	return out
+}
+
+// startMoves moves the streams of the endpoints that end soon.
+func (c *control) startMoves(now time.Time) {
+	if !c.directory.HasDepartures() {
+		return
+	}
+	for _, instance := range c.gateway.moves.instances() {
+		end, known := c.directory.EndsAt(instance)
+		if !known || now.Before(end.Add(-moveLead)) {
+			continue
+		}
+		for _, m := range c.gateway.moves.at(instance) {
+			m.start.Do(func() {
+				close(m.started)
+				c.gateway.background(m.run)
+			})
+		}
+	}
+}
+
+// run moves the stream to an endpoint that the balancer chooses.
+func (m *runMove) run(ctx context.Context) {
+	defer close(m.done)
+	g := m.exchange.gateway
+	m.req.ID = g.nextID(m.exchange.call.ID)
+	target, ok := queryLoop(ctx, g, func(now time.Time) balance.Decision { return g.control.balancer.Submit(now, m.req) })
+	if !ok || target.IsRefused() {
+		g.finish(m.req.ID, balance.Result{})
+		m.log("no target", nil)
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, moveTimeout)
+	defer cancel()
+	run, err := g.opts.Mover.MoveRun(callCtx, m.source.Address, m.exchange.call.ID, target.Address)
+	if err != nil || run.AtSource {
+		g.finish(m.req.ID, balance.Result{})
+	}
+	if err != nil {
+		m.log("failed", err)
+		return
+	}
+	decision := target
+	if run.AtSource {
+		decision = m.source
+	}
+	m.moved = movedRun{MovedRun: run, id: m.req.ID, decision: decision}
+	m.log("stopped", nil)
+}
+
+// log logs and counts the result of a move.
+func (m *runMove) log(result string, err error) {
+	g := m.exchange.gateway
+	entry := g.opts.Log.WithFields(fields{"request": m.exchange.call.ID, "endpoint": m.source.Endpoint, "to": m.moved.decision.Endpoint, "result": result})
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	entry.Info("request: move of the run")
+	g.opts.Metrics.Moved(model.ClassName(m.exchange.route.Name), result)
+}
+
+// await returns the stopped run after the stream has ended, if a move of it had begun. The
+// result is false if there is none to continue.
+func (m *runMove) await(ctx context.Context) (movedRun, bool) {
+	if m == nil {
+		return movedRun{}, false
+	}
+	m.stopWatching()
+	select {
+	case <-m.started:
+	default:
+		// The stream has ended before a move of it begins.
+		m.start.Do(func() { close(m.started); close(m.done) })
+	}
+	select {
+	case <-m.done:
+		return m.moved, m.moved.Handle != ""
+	case <-ctx.Done():
+		// What is still placed ends with the result of the move.
+		m.exchange.gateway.background(func(context.Context) {
+			<-m.done
+			if m.moved.Handle != "" {
+				m.exchange.gateway.finish(m.moved.id, balance.Result{})
+			}
+		})
+		return movedRun{}, false
+	}
+}
+
+// errMoved is the error of an attempt whose run goes on elsewhere.
+var errMoved = errors.New("the run was stopped to be moved")
+
+// noteMoved notes the result of an attempt for the next one. It returns true if the run of the
+// attempt goes on there.
+func (x *exchange) noteMoved(result *attemptResult) bool {
+	if x.movedFrom != "" && result.outcome == model.OutcomeNotRun {
+		// The run that was to be continued has run elsewhere.
+		result.outcome = model.OutcomeRan
+	}
+	x.movedFrom = ""
+	x.movedRun = result.moved
+	return result.moved.Handle != ""
+}
+
+// placeMovedOrNext returns the placement of the run that was stopped to be moved, or places
+// the next attempt of the request. A run whose target had no room goes on where it was.
+func (x *exchange) placeMovedOrNext(ctx context.Context) (placement, bool) {
+	run := x.movedRun
+	if run.Handle == "" {
+		return x.placeNext(ctx)
+	}
+	if run.AtSource {
+		// It is not stopped there once more.
+		x.stays = true
+	} else {
+		x.req.ID = run.id
+	}
+	x.movedFrom = run.Handle
+	return placement{Decision: run.decision, generation: 1}, true
+}
--- /dev/null
+++ b/internal/gateway/move_test.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/shoenig/test/must"
+
+	"github.com/wigeonsail/wigeonsail/internal/clock"
+	"github.com/wigeonsail/wigeonsail/internal/core/attempt"
+	"github.com/wigeonsail/wigeonsail/internal/core/directory"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/routing"
+	"github.com/wigeonsail/wigeonsail/internal/loop"
+	"github.com/wigeonsail/wigeonsail/internal/port"
+)
+
+// movableEndpoints are endpoints whose runs can be moved. Endpoint "old" ends.
+type movableEndpoints struct {
+	versionedEndpoints
+	mu sync.Mutex
+	// stop ends the stream of a run at "old".
+	stop context.CancelFunc
+	// move is the result of a move, stops reports whether it stops the run.
+	move  func() (port.MovedRun, error)
+	stops bool
+	// sent are the attempts, in order.
+	sent []port.RoutedAttempt
+}
+
+func (e *movableEndpoints) Send(ctx context.Context, a port.RoutedAttempt) (port.EndpointResponse, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sent = append(e.sent, a)
+	if len(e.sent) == 1 {
+		ctx, e.stop = context.WithCancel(ctx)
+	}
+	return e.versionedEndpoints.Send(ctx, a)
+}
+
+func (e *movableEndpoints) MoveRun(context.Context, string, model.RequestID, string) (port.MovedRun, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stops {
+		e.stop()
+	}
+	return e.move()
+}
+
+// playMove lets a caller get a stream of a second from "old", which announces after 300 ms
+// that it ends in 600 ms, and returns what the caller got.
+func playMove(t *testing.T, e *movableEndpoints, resumable bool) *versionedCaller {
+	t.Helper()
+	e.software = map[model.EndpointName]string{"old": "v1"}
+	g := New(Options{Host: "h", Domain: "a", Log: &log.Logger{Handler: discard.New()}, Endpoints: e, Mover: e,
+		Budget: attempt.SharedBudgetOptions{Window: 10 * time.Second, Slack: 10}})
+	ctx, stop := context.WithCancel(context.Background())
+	g.ctx = ctx
+	g.workers.Go(func() { g.loop.Run(ctx, tickInterval, g.control.tick) })
+	list := func(entry directory.Entry) {
+		g.loop.Post(loop.Func(func(now time.Time) {
+			if change, changed := g.control.directory.Put(now, entry); changed {
+				g.control.balancer.Apply(change)
+			}
+		}))
+	}
+	cfg := &routing.Config{
+		Version: 1, Pools: []routing.Pool{{Name: "p", Engine: &routing.Engine{Slots: 10, CacheTokens: 1000, CanMove: true}}},
+		Routes: []routing.Route{{
+			Name: "r", Host: "host", PathPrefix: "/", Kind: routing.Streaming, Timeout: 10 * time.Second, LatencyTarget: time.Second,
+			MaxGap: time.Second, Targets: []routing.Target{{Pool: "p", Weight: 1}}, MaxAttempts: 2, Public: true, Resumable: resumable,
+		}},
+	}
+	g.loop.Post(loop.Func(func(time.Time) { g.control.applyConfig(cfg, port.ConfigRecord{Version: 1}, "test") }))
+	old := directory.Entry{Name: "old", Pool: "p", Address: "old", Domain: "a", Software: "v1", Slots: 10, Started: 1, Reclaimable: true}
+	list(old)
+	caller := &versionedCaller{}
+	served := make(chan bool, 1)
+	clock.Sleep(ctx, 100*time.Millisecond)
+	go func() {
+		call := &port.RoutedCall{ID: "1", Host: "host", Path: "/", Method: http.MethodPost, Header: http.Header{}, Arrived: time.Now()}
+		served <- g.Route(ctx, call, &versionedWriter{caller: caller, request: "1"})
+	}()
+	clock.Sleep(ctx, 300*time.Millisecond)
+	e.versionedEndpoints.mu.Lock()
+	e.software["new"] = "v1"
+	e.versionedEndpoints.mu.Unlock()
+	list(directory.Entry{Name: "new", Pool: "p", Address: "new", Domain: "a", Software: "v1", Slots: 10, Started: 1})
+	old.Draining, old.Leaves, old.Sequence = true, 600*time.Millisecond, 1
+	list(old)
+	caller.complete = <-served
+	stop()
+	g.workers.Wait()
+	return caller
+}
+
+func TestAStreamIsMovedBeforeItsEndpointEnds(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		run   port.MovedRun
+		err   error
+		stops bool
+		// to is the endpoint of the second attempt, empty for none, handle what it continues.
+		to, handle          model.EndpointName
+		resumable, complete bool
+	}{
+		{name: "moved", run: port.MovedRun{Handle: "old/7"}, stops: true, to: "new", handle: "old/7", complete: true},
+		{name: "target full", run: port.MovedRun{Handle: "old/7", AtSource: true}, stops: true, to: "old", handle: "old/7", complete: true},
+		{name: "run has ended", err: &port.MoveError{Outcome: model.OutcomeNotRun}, complete: true},
+		{name: "answer lost", err: &port.MoveError{Outcome: model.OutcomeUnknown}, stops: true},
+		{name: "answer lost, resumable", err: &port.MoveError{Outcome: model.OutcomeUnknown}, stops: true, to: "new", resumable: true, complete: true},
+		{name: "source gone", err: &port.MoveError{Outcome: model.OutcomeUnknown, Cause: errors.New("refused")}, complete: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &movableEndpoints{stops: c.stops, move: func() (port.MovedRun, error) { return c.run, c.err }}
+				caller := playMove(t, e, c.resumable)
+				must.Eq(t, c.complete, caller.complete)
+				if c.complete {
+					must.SliceLen(t, versionedEvents, caller.events)
+					must.Eq(t, fmt.Sprint(versionedEvents), caller.last)
+				}
+				if c.to == "" {
+					must.SliceLen(t, 1, e.sent)
+					return
+				}
+				must.SliceLen(t, 2, e.sent)
+				must.Eq(t, c.to, e.sent[1].Endpoint)
+				must.Eq(t, string(c.handle), e.sent[1].MovedFrom)
+				must.NotEq(t, "", e.sent[1].LastEventID)
+			})
+		})
+	}
+}
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -75,6 +75,14 @@
 	// longest time between two events.
 	lastEventAt time.Time
 	longestGap  time.Duration
+	// placed is where the present attempt was placed.
+	placed balance.Decision
+	// movedRun is a stopped run that goes on with the next attempt, movedFrom that of the
+	// present one.
+	movedRun  movedRun
+	movedFrom string
+	// stays reports that the run is not moved any more.
+	stays bool
 	// fallback is an endpoint's own error response. The caller receives it when
 	// no other endpoint succeeds.
 	fallback *bufferedResponse
@@ -193,7 +201,9 @@
 	// was given up because it sent nothing more.
 	events int
 	silent bool
-	err    error
+	// moved is the run of the attempt if it was stopped to go on elsewhere.
+	moved movedRun
+	err   error
 }
 
 // run tries endpoints until one answers or no further attempt is allowed. It
@@ -204,7 +214,7 @@
 		// A new ID per attempt keeps late events of an earlier attempt from
 		// affecting this one.
 		x.req.ID = x.gateway.nextID(x.call.ID)
-		decision, ok := x.placeNext(ctx)
+		decision, ok := x.placeMovedOrNext(ctx)
 		if !ok {
 			// The control loop may still have placed the request.
 			x.gateway.finish(x.req.ID, balance.Result{})
@@ -215,6 +225,10 @@
 			return x.fail(ctx, attemptResult{outcome: model.OutcomeNotRun, err: &noEndpointError{decision: decision.Decision}})
 		}
 		result := x.tryEndpoint(ctx, decision.Decision)
+		if x.noteMoved(&result) {
+			x.gateway.finish(x.req.ID, balance.Result{})
+			continue
+		}
 		x.gateway.finish(x.req.ID, balance.Result{Failure: result.failure, RetryAfter: result.retryAfter})
 		x.logAttemptFailed(decision, result)
 		confirmed := x.reportIfCrashed(decision, result)
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -20,6 +20,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := x.startWatch(cancel, decision)
+	x.placed = decision
 	defer watch.stop()
 	reply, err := x.gateway.opts.Endpoints.Send(ctx, port.RoutedAttempt{
 		Call:        x.call,
@@ -30,6 +31,7 @@
 		Priority:    decision.Priority,
 		CacheSource: decision.FetchFrom,
 		LastEventID: x.lastEvent,
+		MovedFrom:   x.movedFrom,
 	})
 	if err != nil {
 		if cause := context.Cause(ctx); errors.Is(cause, errSilent) || errors.Is(cause, errDeadline) {
@@ -124,8 +126,15 @@
 func (x *exchange) forwardStream(ctx context.Context, reply port.EndpointResponse, software model.SoftwareVersion, watch *stallWatch) attemptResult {
 	defer watch.stop()
 	events := 0
+	var move *runMove
+	defer func() { move.stopWatching() }()
 	for {
 		batch, err := reply.Next()
+		if err != nil {
+			if run, stopped := move.await(ctx); stopped {
+				return attemptResult{outcome: model.OutcomeRan, delivered: true, events: events, moved: run, err: errMoved}
+			}
+		}
 		if errors.Is(err, io.EOF) {
 			if events < minProgressEvents {
 				x.clearParts()
@@ -143,6 +152,9 @@
 			x.countBegin()
 		}
 		x.recordBegin(software)
+		if events == 0 {
+			move = x.watchMove(x.placed)
+		}
 		x.recordProgress(events, events+batch.Events)
 		events += batch.Events
 		if x.eventsSent == 0 {
--- a/internal/metrics/events.go
+++ b/internal/metrics/events.go
@@ -131,3 +131,9 @@
 	m.bootingEndpoints.Update(float64(booting))
 	m.leavingEndpoints.Update(float64(leaving))
 }
+
+// Moved counts a stream that was to be moved to another endpoint. The result is a fixed text,
+// for example "stopped".
+func (m *Metrics) Moved(class model.ClassName, result string) {
+	m.moves.with(string(class), result).Inc(1)
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -56,6 +56,7 @@
 	platformErrors *vec[tally.Counter]
 	dutyCalls      *vec[tally.Counter]
 	orders         *vec[tally.Counter]
+	moves          *vec[tally.Counter]
 
 	firstToken    *vec[tally.Histogram]
 	betweenTokens *vec[tally.Histogram]
@@ -125,6 +126,7 @@
 	m.peerErrors = counter("peer_errors_total", "op")
 	m.dutyCalls = counter("duty_calls_total", "duty", "outcome")
 	m.platformErrors = counter("platform_errors_total", "op", "outcome")
+	m.moves = counter("moves_total", "class", "result")
 	m.orders = counter("capacity_orders_total", "pool", "outcome")
 }
 
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -87,6 +87,8 @@
 	CacheSource string
 	// LastEventID resumes a resumable stream after the event with this ID.
 	LastEventID string
+	// MovedFrom is the handle of a stopped run that the endpoint continues; empty for none.
+	MovedFrom string
 }
 
 // EndpointClient sends attempts to endpoints.
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -31,6 +31,7 @@
 	metrics    *metrics.Metrics
 	gateway    *gateway.Gateway
 	replicas   *platform.Replicas
+	mover      *platform.Mover
 	store      *platform.Store
 	duties     *platform.Duties
 	ingress    *platform.Ingress
@@ -64,6 +65,7 @@
 		log:        logger,
 		metrics:    m,
 		replicas:   platform.NewReplicas(),
+		mover:      platform.NewMover(),
 		store:      platform.NewStore(platform.StoreOptions{URL: "http://" + s.Platform.Address, Host: model.HostID(s.Host)}),
 		peerClient: peerClient,
 	}
@@ -76,6 +78,7 @@
 		Incarnation:       model.Incarnation(now.UnixNano()),
 		Seed:              uint64(now.UnixNano()),
 		Endpoints:         g.replicas,
+		Mover:             g.mover,
 		Lists:             g.store,
 		Decoder:           platform.Decoder{},
 		Quarantine:        g.store,
@@ -211,6 +214,7 @@
 	g.gateway.Close()
 	g.peerClient.Close()
 	g.replicas.Close()
+	g.mover.Close()
 	g.store.Close()
 	if g.duties != nil {
 		g.duties.Close()
