--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -6,8 +6,11 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/loop"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -17,7 +20,9 @@
 const (
 	// moveLead is the time before the latest end of an endpoint at which its streams are
 	// moved. The end may come up to a second earlier than known.
-	moveLead = 1300 * time.Millisecond
+	moveLead = 1200 * time.Millisecond
+	// timeLeftTimeout bounds the question to an endpoint when it ends.
+	timeLeftTimeout = 400 * time.Millisecond
 	// moveTimeout bounds a move. Its run may be stopped all the same after that.
 	moveTimeout = 800 * time.Millisecond
 )
@@ -26,6 +31,8 @@
 type runMoves struct {
 	mu    sync.Mutex
 	moves map[model.Instance]map[*runMove]bool
+	// asked are the endpoints that were asked when they end. The control loop owns it.
+	asked map[model.Instance]bool
 }
 
 // runMove is a stream that can be moved.
@@ -117,11 +124,19 @@
 // startMoves moves the streams of the endpoints that end soon.
 func (c *control) startMoves(now time.Time) {
 	if !c.directory.HasDepartures() {
+		c.gateway.moves.asked = nil
 		return
 	}
 	for _, instance := range c.gateway.moves.instances() {
+		if !c.directory.IsDeparting(instance) {
+			continue
+		}
 		end, known := c.directory.EndsAt(instance)
-		if !known || now.Before(end.Add(-moveLead)) {
+		if !known {
+			c.askTimeLeft(instance)
+			continue
+		}
+		if now.Before(end.Add(-moveLead)) {
 			continue
 		}
 		for _, m := range c.gateway.moves.at(instance) {
@@ -133,6 +148,38 @@
 	}
 }
 
+// askTimeLeft asks an endpoint once when it ends.
+func (c *control) askTimeLeft(instance model.Instance) {
+	g := c.gateway
+	entry, listed := c.directory.Lookup(instance.Name)
+	if !listed || g.moves.asked[instance] {
+		return
+	}
+	if g.moves.asked == nil {
+		g.moves.asked = make(map[model.Instance]bool)
+	}
+	g.moves.asked[instance] = true
+	g.background(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, timeLeftTimeout)
+		defer cancel()
+		left, known, err := g.opts.Mover.TimeLeft(ctx, entry.Address)
+		logTimeLeft(g.opts.Log, instance, left, known, err)
+		if err != nil || !known {
+			return
+		}
+		g.loop.Post(loop.Func(func(now time.Time) { c.directory.SetEnd(instance, now.Add(left)) }))
+	})
+}
+
+// logTimeLeft logs when an endpoint ends that has announced it.
+func logTimeLeft(logger log.Interface, instance model.Instance, left time.Duration, known bool, err error) {
+	entry := logger.WithFields(fields{"endpoint": instance.Name, "known": known, "left_ms": left.Milliseconds()})
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	entry.Info("endpoints: end is announced")
+}
+
 // run moves the stream to an endpoint that the balancer chooses.
 func (m *runMove) run(ctx context.Context) {
 	defer close(m.done)
--- a/internal/port/move.go
+++ b/internal/port/move.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
@@ -12,6 +13,9 @@
 	// MoveRun stops the run of a request at the endpoint at an address and copies its memory
 	// to a target. Its stream is then closed without its end. Errors are *MoveError.
 	MoveRun(ctx context.Context, address string, request model.RequestID, target string) (MovedRun, error)
+	// TimeLeft returns the time until the endpoint at an address ends, and false if it does
+	// not know. Errors are *MoveError.
+	TimeLeft(ctx context.Context, address string) (time.Duration, bool, error)
 }
 
 // MovedRun is the memory of a stopped run.
@@ -23,7 +27,8 @@
 	AtSource bool
 }
 
-// MoveError is a move that has not been carried out, as far as known.
+// MoveError is a move that has not been carried out, as far as known, or a question without
+// an answer.
 type MoveError struct {
 	// Outcome is OutcomeNotRun if the run goes on, or has ended, as without the move.
 	Outcome model.Outcome
