Load reports are compared in one pass, and own loads found without all endpoints

Cause: with each report of a host or a total of a failure domain, the loads of the report before were subtracted and the new ones added, each with a look-up by name, and a relay cloned the map of all totals for each receiver. Next in the profile was LocalLoad, which went over all endpoints up to 25 times a second.

Lists of loads are now sorted by the hash of the name. The old and the new report are compared in one pass, endpoints whose load is the same are left alone, and the endpoints of a report are found once until the list changes. Endpoints with requests of this host are kept in a set.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -38,7 +38,13 @@
 	opts      Options
 	pools     map[model.PoolName]*pool
 	endpoints map[model.EndpointName]*endpoint
-	running   map[model.RequestID]*runningRequest
+	// byKey holds the endpoints by key. listing counts how often it has changed.
+	byKey   map[EndpointKey]*endpoint
+	listing int
+	// inUse are the endpoints to which this host has sent requests, until localLoads
+	// finds that they have ended.
+	inUse   map[*endpoint]bool
+	running map[model.RequestID]*runningRequest
 	// peers holds the latest load report of each other host, and of each other
 	// failure domain under domainLoadID.
 	peers map[model.HostID]*peerLoad
@@ -119,6 +125,8 @@
 		opts:         opts,
 		pools:        make(map[model.PoolName]*pool),
 		endpoints:    make(map[model.EndpointName]*endpoint),
+		inUse:        make(map[*endpoint]bool),
+		byKey:        make(map[EndpointKey]*endpoint),
 		running:      make(map[model.RequestID]*runningRequest),
 		peers:        make(map[model.HostID]*peerLoad),
 		lastHeard:    make(map[model.HostID]hostContact),
@@ -189,6 +197,8 @@
 		e = newEndpoint(c.Entry)
 		e.watched = b.watched
 		b.endpoints[e.Name] = e
+		b.byKey[EndpointKey(e.hash)] = e
+		b.listing++
 		b.pool(e.Pool).insertByHash(e)
 		b.sumRemoteLoad(e)
 		return
@@ -199,6 +209,8 @@
 // remove drops an endpoint. Requests in flight there end on their own.
 func (b *Balancer) remove(e *endpoint) {
 	delete(b.endpoints, e.Name)
+	delete(b.byKey, EndpointKey(e.hash))
+	b.listing++
 	delete(b.limitReports, e.Name)
 	b.cacheIndex.dropEndpoint(e.Name)
 	if e.inDomainRound {
@@ -267,6 +279,7 @@
 		OwnPrefill:    c.prefill,
 	}
 	e.limit.takeRequest(now)
+	b.inUse[e] = true
 	e.localLoad.add(c.priority, r.pendingPrefill, r.memory, 1)
 	if req.isUrgent() {
 		e.localLoad.Urgent++
--- a/internal/core/balance/peers.go
+++ b/internal/core/balance/peers.go
@@ -1,7 +1,7 @@
 package balance
 
 import (
-	"maps"
+	"slices"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
@@ -16,31 +16,40 @@
 	hostTTL = 30 * time.Second
 )
 
-// EndpointLoad is the load of a host, or of a failure domain, at one endpoint.
-type EndpointLoad struct {
-	Endpoint model.EndpointName
-	Load
-}
-
 // peerLoad is a load report from another host, or from a relay for its domain.
 type peerLoad struct {
 	receivedAt time.Time
 	// domain is the failure domain of the host; empty for the total of a
 	// domain.
 	domain model.DomainName
-	loads  []EndpointLoad
+	// loads are sorted by key. endpoints are the endpoints of loads, as of listing; nil
+	// for those that are not listed.
+	loads     []EndpointLoad
+	endpoints []*endpoint
+	listing   int
+	// report is the number by which the host knows the report.
+	report int64
 }
 
-// LocalLoad returns this host's load by endpoint, with refreshed estimates, and
+// LocalLoad returns this host's load by endpoint, sorted by key, with refreshed estimates, and
 // clears LocalLoadChanged.
 func (b *Balancer) LocalLoad(now time.Time) []EndpointLoad {
 	b.refreshEstimates(now)
 	b.localLoadChanged = false
-	var out []EndpointLoad
-	for name, e := range b.endpoints {
-		if e.localLoad.Count > 0 {
-			out = append(out, EndpointLoad{Endpoint: name, Load: e.localLoad})
+	out := b.localLoads()
+	slices.SortFunc(out, compareKeys)
+	return out
+}
+
+// localLoads returns this host's load by endpoint in no particular order.
+func (b *Balancer) localLoads() []EndpointLoad {
+	out := make([]EndpointLoad, 0, len(b.inUse))
+	for e := range b.inUse {
+		if b.endpoints[e.Name] != e || e.localLoad.Count == 0 {
+			delete(b.inUse, e)
+			continue
 		}
+		out = append(out, EndpointLoad{Endpoint: e.Name, Key: EndpointKey(e.hash), Load: e.localLoad})
 	}
 	return out
 }
@@ -68,7 +77,23 @@
 	b.applyCacheUpdates(now, updates, domain == b.opts.Domain)
 	b.lastHeard[host] = hostContact{at: now, domain: domain}
 	b.domain(domain).recordContact(now)
-	b.replaceLoad(host, &peerLoad{receivedAt: now, domain: domain, loads: loads})
+	b.replaceLoad(now, host, domain, loads)
+}
+
+// SetPeerReport sets the number by which another host knows its latest load report.
+func (b *Balancer) SetPeerReport(host model.HostID, report int64) {
+	if p := b.peers[host]; p != nil {
+		p.report = report
+	}
+}
+
+// PeerReport returns the number by which another host knows its latest load report; 0 for
+// no report.
+func (b *Balancer) PeerReport(host model.HostID) int64 {
+	if p := b.peers[host]; p != nil {
+		return p.report
+	}
+	return 0
 }
 
 // RecordPeerHeartbeat records that another host sent a message without a load
@@ -90,7 +115,14 @@
 func (b *Balancer) SetDomainLoad(now time.Time, domain model.DomainName, loads []EndpointLoad, updates []CacheUpdate) {
 	b.applyCacheUpdates(now, updates, false)
 	b.domain(domain).recordContact(now)
-	b.replaceLoad(domainLoadID(domain), &peerLoad{receivedAt: now, loads: loads})
+	b.replaceLoad(now, domainLoadID(domain), "", loads)
+}
+
+// RecordDomainUpdates records that a relay of a failure domain sent a total that cannot be
+// used, and applies its cache updates.
+func (b *Balancer) RecordDomainUpdates(now time.Time, domain model.DomainName, updates []CacheUpdate) {
+	b.applyCacheUpdates(now, updates, false)
+	b.domain(domain).recordContact(now)
 }
 
 // domainLoadID returns the key in peers for the total load of a domain. Host
@@ -110,17 +142,21 @@
 
 // replaceLoad replaces the load report kept under a host ID or domainLoadID, and
 // updates the remote load of the endpoints.
-func (b *Balancer) replaceLoad(name model.HostID, load *peerLoad) {
-	b.dropLoad(name)
-	b.peers[name] = load
-	b.addRemoteLoad(load.loads, 1)
+func (b *Balancer) replaceLoad(now time.Time, name model.HostID, domain model.DomainName, loads []EndpointLoad) {
+	p := b.peers[name]
+	if p == nil {
+		p = &peerLoad{listing: b.listing}
+		b.peers[name] = p
+	}
+	p.receivedAt, p.domain, p.report = now, domain, 0
+	b.setLoads(p, loads)
 }
 
 // dropLoad removes the load report kept under a host ID or domainLoadID, if there
 // is one, and subtracts it from the remote load of the endpoints.
 func (b *Balancer) dropLoad(name model.HostID) {
 	if old := b.peers[name]; old != nil {
-		b.addRemoteLoad(old.loads, -1)
+		b.setLoads(old, nil)
 		delete(b.peers, name)
 	}
 }
@@ -130,30 +166,13 @@
 func (b *Balancer) DropDomainLoad(domain model.DomainName) { b.dropLoad(domainLoadID(domain)) }
 
 // LoadTotals is the total load of the hosts of a failure domain by endpoint.
-type LoadTotals map[model.EndpointName]Load
-
-// List returns the totals as a slice in no particular order, without endpoints
-// that have no load.
-func (s LoadTotals) List() []EndpointLoad {
-	out := make([]EndpointLoad, 0, len(s))
-	for name, sum := range s {
-		if sum != (Load{}) {
-			out = append(out, EndpointLoad{Endpoint: name, Load: sum})
-		}
-	}
-	return out
-}
+type LoadTotals []EndpointLoad
+
+// List returns the totals, sorted by key, without endpoints that have no load.
+func (s LoadTotals) List() []EndpointLoad { return s }
 
 // Without returns the totals minus the load of one host, as List does.
-func (s LoadTotals) Without(loads []EndpointLoad) []EndpointLoad {
-	rest := maps.Clone(s)
-	for _, l := range loads {
-		sum := rest[l.Endpoint]
-		sum.addScaled(l.Load, -1)
-		rest[l.Endpoint] = sum
-	}
-	return rest.List()
-}
+func (s LoadTotals) Without(loads []EndpointLoad) []EndpointLoad { return Subtract(s, loads) }
 
 // PeerLoad returns the latest load report of another host; nil for none.
 func (b *Balancer) PeerLoad(host model.HostID) []EndpointLoad {
@@ -168,23 +187,34 @@
 // the other hosts there.
 func (b *Balancer) LocalDomainLoad(now time.Time) LoadTotals {
 	b.refreshEstimates(now)
-	sums := make(LoadTotals)
-	for name, e := range b.endpoints {
-		if e.localLoad.Count > 0 {
-			sums[name] = e.localLoad
+	sums := make(map[EndpointKey]*EndpointLoad, len(b.endpoints))
+	add := func(loads []EndpointLoad) {
+		for i := range loads {
+			sum := sums[loads[i].Key]
+			if sum == nil {
+				sum = &EndpointLoad{Key: loads[i].Key}
+				sums[sum.Key] = sum
+			}
+			sum.addLoad(loads[i].Load)
 		}
 	}
+	add(b.localLoads())
 	for _, p := range b.peers {
-		if p.domain != b.opts.Domain {
-			continue
+		if p.domain == b.opts.Domain {
+			add(p.loads)
 		}
-		for _, l := range p.loads {
-			sum := sums[l.Endpoint]
-			sum.addLoad(l.Load)
-			sums[l.Endpoint] = sum
+	}
+	out := make(LoadTotals, 0, len(sums))
+	for key, sum := range sums {
+		if e := b.byKey[key]; e != nil {
+			sum.Endpoint = e.Name
+		}
+		if sum.Load != (Load{}) {
+			out = append(out, *sum)
 		}
 	}
-	return sums
+	slices.SortFunc(out, compareKeys)
+	return out
 }
 
 // SetCrossDomainInterval sets the time between two digests that hosts of
@@ -277,21 +307,11 @@
 // whole domains.
 func (b *Balancer) CountPeers() int { return len(b.peers) }
 
-// addRemoteLoad adds a load report to the endpoints, or subtracts it with sign
-// -1.
-func (b *Balancer) addRemoteLoad(loads []EndpointLoad, sign int) {
-	for _, l := range loads {
-		if e := b.endpoints[l.Endpoint]; e != nil {
-			e.remoteLoad.addScaled(l.Load, sign)
-		}
-	}
-}
-
 // sumRemoteLoad adds up all load reports for a newly listed endpoint.
 func (b *Balancer) sumRemoteLoad(e *endpoint) {
 	for _, p := range b.peers {
 		for _, l := range p.loads {
-			if l.Endpoint == e.Name {
+			if l.Key == EndpointKey(e.hash) {
 				e.remoteLoad.addLoad(l.Load)
 			}
 		}
--- a/internal/gateway/control_bench_test.go
+++ b/internal/gateway/control_bench_test.go
@@ -14,10 +14,10 @@
 )
 
 // The work of each host of a measured fleet: requests that begin at regular intervals at
-// pools of benchPoolSize endpoints.
+// benchPools pools.
 const (
 	benchDomains       = 4
-	benchPoolSize      = 24
+	benchPools         = 12
 	benchRequestEvery  = 320 * time.Millisecond
 	benchRequestsAlive = 9
 )
@@ -31,21 +31,24 @@
 // control loops have used. The hosts run one after the other.
 type benchFleet struct {
 	*fleet
-	pools, requests    int
+	requests           int
 	members, relays    time.Duration
+	served             time.Duration
 	sentLoads, sentAll int
 }
 
 func newBenchFleet(b *testing.B, hosts, endpoints int) *benchFleet {
-	f := &benchFleet{fleet: newFleet(b, benchDomains, hosts/benchDomains), pools: (endpoints + benchPoolSize - 1) / benchPoolSize}
+	f := &benchFleet{fleet: newFleet(b, benchDomains, hosts/benchDomains)}
+	var entries []directory.Entry
+	for i := range endpoints {
+		entries = append(entries, directory.Entry{
+			Name: model.EndpointName(fmt.Sprintf("i-%010d", i)), Pool: benchPool(i % benchPools), Address: fmt.Sprint("a", i),
+			Domain: model.DomainName(fmt.Sprint("d", i%benchDomains)), Slots: 32, Started: 1,
+		})
+	}
 	for _, c := range f.hosts {
 		c.gateway.opts.Endpoints = reachableEndpoints{}
-		for i := range endpoints {
-			c.balancer.Apply(directory.Change{Entry: directory.Entry{
-				Name: model.EndpointName(fmt.Sprintf("i-%010d", i)), Pool: benchPool(i / benchPoolSize), Address: fmt.Sprint("a", i),
-				Domain: model.DomainName(fmt.Sprint("d", i%benchDomains)), Slots: 32, Started: 1,
-			}})
-		}
+		c.replaceList(f.now, entries, offset(model.Offset(endpoints)), sourceStore)
 	}
 	return f
 }
@@ -55,16 +58,18 @@
 // serve begins a request at each host, answers an earlier one and ends an older one.
 func (f *benchFleet) serve() {
 	f.requests++
+	started := cpuTime()
 	for h, address := range f.order {
 		c := f.hosts[address]
 		id := func(n int) model.RequestID { return model.RequestID(fmt.Sprint(address, "/", n)) }
 		c.balancer.Finish(f.now, id(f.requests-benchRequestsAlive), balance.Result{})
 		c.balancer.RecordFirstResponse(f.now, id(f.requests-benchRequestsAlive/2))
 		c.balancer.Submit(f.now, balance.Request{
-			ID: id(f.requests), Pool: benchPool((f.requests + h) % f.pools), Target: 10 * time.Second, Arrived: f.now,
+			ID: id(f.requests), Pool: benchPool((f.requests + h) % benchPools), Target: 10 * time.Second, Arrived: f.now,
 			Prompt: model.Prompt{Parts: []model.Part{{ID: model.PartID(1 + (h+f.requests)%40), Tokens: 1500}, {ID: 1 << 60, Tokens: 500}}, InputTokens: 2000, MaxOutputTokens: 200},
 		})
 	}
+	f.served += cpuTime() - started
 }
 
 // second runs the fleet for a simulated second.
@@ -123,14 +128,14 @@
 // BenchmarkControl measures the control loops of a fleet: what a relay and another host
 // use per second. The number of requests of a host is the same at all sizes.
 func BenchmarkControl(b *testing.B) {
-	for _, size := range []struct{ hosts, endpoints int }{{32, 90}, {100, 140}, {300, 320}} {
+	for _, size := range []struct{ hosts, endpoints int }{{32, 300}, {100, 1000}, {300, 3000}} {
 		b.Run(fmt.Sprintf("hosts=%d", size.hosts), func(b *testing.B) {
 			f := newBenchFleet(b, size.hosts, size.endpoints)
 			for range 8 {
 				f.second()
 			}
 			started := f.members + f.relays
-			f.members, f.relays, f.sentAll, f.sentLoads = 0, 0, 0, 0
+			f.members, f.relays, f.served, f.sentAll, f.sentLoads = 0, 0, 0, 0, 0
 			for b.Loop() {
 				f.second()
 			}
@@ -140,6 +145,7 @@
 			b.ReportMetric(float64(started.Microseconds())/float64(len(f.order)), "start-us/host")
 			b.ReportMetric(float64(f.members.Microseconds())/members/seconds, "member-us/s")
 			b.ReportMetric(float64(f.relays.Microseconds())/relays/seconds, "relay-us/s")
+			b.ReportMetric(float64(f.served.Microseconds())/float64(len(f.order))/seconds, "serve-us/s")
 			b.ReportMetric(float64(f.sentAll)/float64(len(f.order))/seconds, "digests/host/s")
 			b.ReportMetric(float64(f.sentLoads)/float64(len(f.order))/seconds, "loads/host/s")
 		})
