A relay makes and encodes a total once for all its receivers

Cause: a relay made the total of its failure domain without the receiver's own load for each receiver, converted and encoded it for each, and each load was a message of its own with the endpoint's name: 0.9 us and 30 bytes an endpoint, receiver and 60 ms, and as much to decode at the receiver.

Reports of loads are now numbered. Towards a host whose digests say that it understands it, a relay sends the whole total with the number of the receiver's report that it includes, and the receiver subtracts that report. Loads are columns, and endpoints are named by the 64-bit hash of their names. Other hosts receive what they received before.

Ruled out: a dictionary of names for each stream (encoded for each receiver still); only the endpoints that have changed (with this load nearly all change within 60 ms); longer times between totals (older views).

--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	grpcgzip "google.golang.org/grpc/encoding/gzip"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/wigeonsail/wigeonsail/api/peer"
@@ -54,7 +56,11 @@
 
 // Send implements port.LoadStream.
 func (s *loadStream) Send(d port.LoadDigest) error {
-	err := s.stream.Send(loadDigestToWire(d))
+	message, err := digestToWire(d)
+	if err != nil {
+		return peerError(shareOp, s.address, s.flag, err)
+	}
+	err = s.stream.Send(message)
 	if errors.Is(err, io.EOF) {
 		// The status of the stream contains the reason why it ended.
 		_, err = s.stream.CloseAndRecv()
@@ -108,7 +114,12 @@
 		if err != nil {
 			return err
 		}
-		s.handler.HandleDigest(loadDigestFromWire(d))
+		digest, err := digestFromWire(d)
+		if err != nil {
+			// The sender logs the status.
+			return status.Error(codes.InvalidArgument, err.Error())
+		}
+		s.handler.HandleDigest(digest)
 	}
 }
 
--- a/internal/adapter/peergrpc/share_bench_test.go
+++ b/internal/adapter/peergrpc/share_bench_test.go
@@ -46,6 +46,82 @@
 	}
 }
 
+// BenchmarkTotal encodes the total of a failure domain for 75 hosts and decodes it at one of
+// them, by number of endpoints.
+func BenchmarkTotal(b *testing.B) {
+	const receivers = 75
+	for _, endpoints := range []int{90, 320, 3000} {
+		for _, packed := range []bool{false, true} {
+			b.Run(fmt.Sprintf("endpoints=%d/packed=%t", endpoints, packed), func(b *testing.B) {
+				d := digestOf(endpoints)
+				total := port.DomainLoad{Domain: d.Domain, Hosts: receivers, Loads: d.Loads}
+				d.Loads, d.PackLoads = nil, packed
+				var encode, decode time.Duration
+				size := 0
+				for b.Loop() {
+					total.Encoded = new(port.EncodedLoads)
+					d.Domains = []port.DomainLoad{total}
+					var data []byte
+					started := time.Now()
+					for range receivers {
+						message, err := digestToWire(d)
+						must.NoError(b, err)
+						data, err = proto.Marshal(message)
+						must.NoError(b, err)
+					}
+					encode += time.Since(started)
+					started = time.Now()
+					var back peer.LoadDigest
+					must.NoError(b, proto.Unmarshal(data, &back))
+					_, err := digestFromWire(&back)
+					must.NoError(b, err)
+					decode += time.Since(started)
+					size = len(data)
+				}
+				b.ReportMetric(float64(encode.Nanoseconds())/1000/receivers/float64(b.N), "encode-us/receiver")
+				b.ReportMetric(float64(decode.Nanoseconds())/1000/float64(b.N), "decode-us")
+				b.ReportMetric(float64(size), "wire-B")
+			})
+		}
+	}
+}
+
+func TestPackedDigestRoundTrips(t *testing.T) {
+	want := digestOf(3)
+	want.Loads[1].Urgent, want.Loads[2].PendingPrefill = 1, [balance.NumPriorities]int{0: 7, 9: 1}
+	want.Domains = []port.DomainLoad{{Domain: "luzon-b", Hosts: 4, Loads: digestOf(2).Loads, Included: 5}, {Domain: "luzon-c"}}
+	want.Unpacks, want.PackLoads, want.Report = true, true, 9
+	message, err := digestToWire(want)
+	must.NoError(t, err)
+	must.SliceEmpty(t, message.GetLoads())
+	got, err := digestFromWire(message)
+	must.NoError(t, err)
+	byKey := func(loads []balance.EndpointLoad) {
+		for i := range loads {
+			loads[i].Key, loads[i].Endpoint = loads[i].HashKey(), ""
+		}
+	}
+	byKey(want.Loads)
+	byKey(want.Domains[0].Loads)
+	want.Domains[1].Loads, want.PackLoads = []balance.EndpointLoad{}, false
+	must.Eq(t, want, got)
+}
+
+// Columns that do not fit together are refused, and never read out of range.
+func TestMalformedPackedLoadsAreRefused(t *testing.T) {
+	for _, in := range []*peer.PackedLoads{
+		{Keys: []uint64{1}},
+		{Keys: []uint64{1}, Counts: []int64{1}, Memory: []int64{1}},
+		{Keys: []uint64{1}, Counts: []int64{1}, Memory: []int64{1}, Pending: []int64{3, 1}},
+		{Keys: []uint64{1}, Counts: []int64{1}, Memory: []int64{1}, Urgent: []int64{1, 1}, Pending: []int64{0}},
+	} {
+		data, err := proto.Marshal(in)
+		must.NoError(t, err)
+		_, err = unpackLoads(data)
+		must.ErrorIs(t, err, errMalformedLoads)
+	}
+}
+
 func TestLoadDigestRoundTrips(t *testing.T) {
 	want := digestOf(3)
 	want.ReadsList, want.ListReadFailing, want.ListChange = true, true, model.Position{Era: 2, Offset: 7}
--- a/internal/core/balance/loadlist.go
+++ b/internal/core/balance/loadlist.go
@@ -28,8 +28,8 @@
 	Load
 }
 
-// key returns the key of the endpoint.
-func (l *EndpointLoad) key() EndpointKey {
+// HashKey returns the key of the endpoint, also if the report has only its name.
+func (l *EndpointLoad) HashKey() EndpointKey {
 	if l.Key == 0 {
 		return KeyOf(l.Endpoint)
 	}
@@ -46,7 +46,7 @@
 	}
 	out := slices.Clone(loads)
 	for i := range out {
-		out[i].Key = out[i].key()
+		out[i].Key = out[i].HashKey()
 	}
 	slices.SortFunc(out, compareKeys)
 	return out
@@ -115,6 +115,10 @@
 		if j >= 0 {
 			endpoints[j] = e
 		}
+		if j >= 0 && e != nil && loads[j].Endpoint == "" {
+			// Relays forward the loads to hosts of earlier builds by name.
+			loads[j].Endpoint = e.Name
+		}
 		if e == nil || i >= 0 && j >= 0 && p.loads[i].Load == loads[j].Load {
 			return
 		}
--- a/internal/core/balance/peers.go
+++ b/internal/core/balance/peers.go
@@ -165,15 +165,6 @@
 // their load themselves from now on.
 func (b *Balancer) DropDomainLoad(domain model.DomainName) { b.dropLoad(domainLoadID(domain)) }
 
-// LoadTotals is the total load of the hosts of a failure domain by endpoint.
-type LoadTotals []EndpointLoad
-
-// List returns the totals, sorted by key, without endpoints that have no load.
-func (s LoadTotals) List() []EndpointLoad { return s }
-
-// Without returns the totals minus the load of one host, as List does.
-func (s LoadTotals) Without(loads []EndpointLoad) []EndpointLoad { return Subtract(s, loads) }
-
 // PeerLoad returns the latest load report of another host; nil for none.
 func (b *Balancer) PeerLoad(host model.HostID) []EndpointLoad {
 	if p := b.peers[host]; p != nil {
@@ -183,9 +174,9 @@
 }
 
 // LocalDomainLoad returns the total load of this host's failure domain by
-// endpoint: this host's load, with refreshed estimates, and the load reports of
+// endpoint, sorted by key: this host's load, with refreshed estimates, and the load reports of
 // the other hosts there.
-func (b *Balancer) LocalDomainLoad(now time.Time) LoadTotals {
+func (b *Balancer) LocalDomainLoad(now time.Time) []EndpointLoad {
 	b.refreshEstimates(now)
 	sums := make(map[EndpointKey]*EndpointLoad, len(b.endpoints))
 	add := func(loads []EndpointLoad) {
@@ -204,7 +195,7 @@
 			add(p.loads)
 		}
 	}
-	out := make(LoadTotals, 0, len(sums))
+	out := make([]EndpointLoad, 0, len(sums))
 	for key, sum := range sums {
 		if e := b.byKey[key]; e != nil {
 			sum.Endpoint = e.Name
--- a/internal/gateway/digests.go
+++ b/internal/gateway/digests.go
@@ -81,6 +81,8 @@
 	// unforwarded are the totals of other failure domains that are still to be
 	// forwarded in the local one.
 	unforwarded map[model.DomainName]port.DomainLoad
+	// reports are this host's newest load reports.
+	reports sentReports
 	// hosts is the state of the digests that list hosts.
 	hosts sendState
 	// unsentChanges are the changes of the list of endpoints still to be sent.
@@ -210,6 +212,7 @@
 	s.direct = sendState{sentAt: now}
 	d := c.digest(now)
 	d.Loads = c.balancer.LocalLoad(now)
+	d.Report = s.reports.record(now, d.Loads)
 	d.StreamBegins = c.streams.TakeUnsent(now, c.isListCurrent(now))
 	d.CacheUpdates, s.nextDirectCacheUpdate = c.balancer.LocalCacheUpdatesSince(s.nextDirectCacheUpdate)
 	for address, p := range s.table.peers {
@@ -238,7 +241,7 @@
 		LinkSpeedMbps: opts.LinkMbps, Leaving: c.gateway.leaving.Load(), Version: c.version(),
 		ListReadAge: min(now.Sub(c.lastListRead), maxReadAge), ListChange: c.lastListChange, LeavingEndpoints: c.directory.Leaving(),
 		ListKnownAge: c.knownReadAge(now), ConfigAge: c.gateway.configAge(now),
-		Limits:    c.knownLimits(now),
+		Limits: c.knownLimits(now), Unpacks: true,
 		ReadsList: c.gateway.reading.Load(), ListReadFailing: c.listReadFailing,
 	}
 	c.reportCrashes(now, &d)
@@ -254,6 +257,7 @@
 	switch {
 	case !d.ViaRelay:
 		c.balancer.SetPeerLoad(now, d.Host, d.Domain, d.Loads, d.CacheUpdates)
+		c.balancer.SetPeerReport(d.Host, d.Report)
 	default:
 		// A digest that withdraws loads may have been merged with an earlier one
 		// that has cache updates.
@@ -267,7 +271,11 @@
 		if total.Domain == own && (c.peers.digests.isRelay || d.Domain != own) {
 			continue
 		}
-		c.balancer.SetDomainLoad(now, total.Domain, total.Loads, total.CacheUpdates)
+		if loads, known := c.othersLoad(total); known {
+			c.balancer.SetDomainLoad(now, total.Domain, loads, total.CacheUpdates)
+		} else {
+			c.balancer.RecordDomainUpdates(now, total.Domain, total.CacheUpdates)
+		}
 		c.balancer.SetDomainHosts(now, total.Domain, total.Hosts)
 		if d.Domain != own {
 			c.peers.digests.queueTotal(total)
--- a/internal/gateway/digests_test.go
+++ b/internal/gateway/digests_test.go
@@ -29,6 +29,8 @@
 	// isCut reports whether nothing passes from one host to another; nil for a
 	// network without partitions.
 	isCut func(from, to *control) bool
+	// older are the addresses of hosts that do not understand packed loads.
+	older map[string]bool
 	sent  int
 }
 
@@ -111,6 +113,12 @@
 		case d := <-p.mailbox:
 			f.sent++
 			if to := f.hosts[address]; f.passes(c, to) {
+				if f.older[c.gateway.opts.PeerAddress] {
+					d.Unpacks, d.Report = false, 0
+				}
+				if f.older[address] {
+					d = withoutPacking(d)
+				}
 				to.receiveDigest(f.now, d)
 			}
 		default:
@@ -118,6 +126,23 @@
 	}
 }
 
+// withoutPacking returns a digest as a host receives it that does not understand packed
+// loads: loads have names only, and totals no report.
+func withoutPacking(d port.LoadDigest) port.LoadDigest {
+	byName := func(loads []balance.EndpointLoad) []balance.EndpointLoad {
+		loads = slices.Clone(loads)
+		for i := range loads {
+			loads[i].Key = 0
+		}
+		return loads
+	}
+	d.Loads, d.Domains = byName(d.Loads), slices.Clone(d.Domains)
+	for i := range d.Domains {
+		d.Domains[i].Loads, d.Domains[i].Included = byName(d.Domains[i].Loads), 0
+	}
+	return d
+}
+
 // links returns the number of links that a host has opened.
 func (c *control) links() int {
 	count := 0
@@ -185,6 +210,18 @@
 	}
 }
 
+// Hosts that understand packed loads and hosts that do not learn the load of each other, as
+// relays and otherwise.
+func TestHostsOfEarlierBuildsLearnTotalLoad(t *testing.T) {
+	f := newFleet(t, 4, 15)
+	f.older = make(map[string]bool)
+	for i, address := range f.order {
+		f.older[address] = i%2 == 0
+	}
+	f.run(5 * time.Second)
+	f.checkTotalLoad("every second host of an earlier build")
+}
+
 // relays returns the addresses of the relays.
 func (f *fleet) relays() []string {
 	var out []string
--- a/internal/gateway/mailbox.go
+++ b/internal/gateway/mailbox.go
@@ -21,7 +21,7 @@
 	if !p.isLinked() {
 		return
 	}
-	d.Subscribes = p.subscribes
+	d.Subscribes, d.PackLoads = p.subscribes, p.unpacks
 	select {
 	case queued := <-p.mailbox:
 		d = mergeDigests(queued, d)
@@ -35,7 +35,7 @@
 func mergeDigests(older, newer port.LoadDigest) port.LoadDigest {
 	switch {
 	case newer.ViaRelay && newer.LoadsUnchanged && !older.ViaRelay:
-		newer.ViaRelay, newer.LoadsUnchanged, newer.Loads = false, false, older.Loads
+		newer.ViaRelay, newer.LoadsUnchanged, newer.Loads, newer.Report = false, false, older.Loads, older.Report
 	case newer.ViaRelay && newer.LoadsUnchanged && !older.LoadsUnchanged:
 		// The older digest withdraws the sender's loads.
 		newer.LoadsUnchanged = false
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -97,6 +97,8 @@
 	knownReadAge time.Duration
 	reading      bool
 	failing      bool
+	// unpacks reports whether the host understands packed loads.
+	unpacks bool
 }
 
 // isLinked reports whether this host sends digests to the peer.
@@ -280,6 +282,7 @@
 	}
 	p.lastSeen, p.host, p.domain, p.linkMbps = now, d.Host, d.Domain, d.LinkSpeedMbps
 	p.readAge, p.reading, p.failing = d.ListReadAge, d.ReadsList, d.ListReadFailing
+	p.unpacks = d.Unpacks
 	p.knownReadAge = min(d.ListKnownAge, d.ListReadAge)
 	if d.ListReadFailing {
 		c.directory.RecordReadFailure()
--- a/internal/gateway/totals.go
+++ b/internal/gateway/totals.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/wigeonsail/wigeonsail/internal/core/balance"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -29,16 +28,15 @@
 	d := c.digest(now)
 	d.ViaRelay = true
 	remoteTotals := s.takeUnforwarded()
-	totals := c.balancer.LocalDomainLoad(now)
-	hosts := c.balancer.CountLocalHosts()
-	var updates []balance.CacheUpdate
-	updates, s.nextLocalCacheUpdate = c.balancer.DomainCacheUpdatesSince(s.nextLocalCacheUpdate)
+	own := port.DomainLoad{
+		Domain: d.Domain, Hosts: c.balancer.CountLocalHosts(), Loads: c.balancer.LocalDomainLoad(now), Encoded: new(port.EncodedLoads),
+	}
+	own.CacheUpdates, s.nextLocalCacheUpdate = c.balancer.DomainCacheUpdatesSince(s.nextLocalCacheUpdate)
 	for address, p := range s.table.peers {
 		if !s.table.isLocal(p) || !now.Before(p.subscribedUntil) || slices.Contains(s.localRelays, address) {
 			continue
 		}
-		total := port.DomainLoad{Domain: d.Domain, Hosts: hosts, Loads: totals.Without(c.balancer.PeerLoad(p.host)), CacheUpdates: updates}
-		d.Domains = append(slices.Clone(remoteTotals), total)
+		d.Domains = append(slices.Clone(remoteTotals), c.totalFor(p, own))
 		p.enqueue(d)
 	}
 	s.forwardTotals(s.localRelays, d, remoteTotals)
@@ -76,7 +74,7 @@
 func (s *digestScheduler) sendRemoteTotals(now time.Time, c *control) {
 	d := c.digest(now)
 	d.ViaRelay = true
-	total := port.DomainLoad{Domain: d.Domain, Hosts: c.balancer.CountLocalHosts(), Loads: c.balancer.LocalDomainLoad(now).List()}
+	total := port.DomainLoad{Domain: d.Domain, Hosts: c.balancer.CountLocalHosts(), Loads: c.balancer.LocalDomainLoad(now), Encoded: new(port.EncodedLoads)}
 	total.CacheUpdates, s.nextRemoteCacheUpdate = c.balancer.DomainCacheUpdatesSince(s.nextRemoteCacheUpdate)
 	d.Domains = []port.DomainLoad{total}
 	for address, p := range s.table.peers {
@@ -105,5 +103,6 @@
 // queueTotal queues the total of another failure domain for the hosts of the
 // local one.
 func (s *digestScheduler) queueTotal(total port.DomainLoad) {
+	total.Encoded = new(port.EncodedLoads)
 	s.unforwarded[total.Domain] = mergeTotals(s.unforwarded[total.Domain], total)
 }
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -98,8 +98,13 @@
 	Usage []usage.Record
 	// Demand is the work that callers of the sender have requested.
 	Demand []capacity.Demand
-	// Loads is the host's load by endpoint.
-	Loads []balance.EndpointLoad
+	// Loads is the host's load by endpoint. Report numbers it; 0 without Loads.
+	Loads  []balance.EndpointLoad
+	Report int64
+	// Unpacks reports that the sender understands packed loads and numbers its reports.
+	// PackLoads reports that the receiver does; it is not sent.
+	Unpacks   bool
+	PackLoads bool
 	// CacheUpdates are the sender's prefix cache updates since the last digest
 	// with Loads: which endpoints hold shared prompt prefixes in their prefix
 	// caches, or are computing them.
@@ -133,6 +138,12 @@
 	Hosts        int
 	Loads        []balance.EndpointLoad
 	CacheUpdates []balance.CacheUpdate
+	// Included is the report of the receiver whose loads Loads include nevertheless; 0 for
+	// none.
+	Included int64
+	// Encoded keeps the encoded form of Loads for all receivers; nil to encode them for
+	// each one.
+	Encoded *EncodedLoads
 }
 
 // HostInfo describes a host to other hosts.
