Simulation of engines of different speed, and the spread of load

Cause: engines of one pool that differ in speed could not be simulated, and nothing reported how evenly the load is spread.

--- a/cmd/wigeonsail/load_virtual.go
+++ b/cmd/wigeonsail/load_virtual.go
@@ -62,7 +62,8 @@
 // all requests. MEDIAN and P95 are times to the first event. ERROR is the median
 // ratio of actual to expected times. The last line of a policy has the tokens of
 // shared prefixes, in thousands, that were prefilled again ("read again") and
-// that were fetched from another engine's cache ("moved").
+// that were fetched from another engine's cache ("moved"), and how evenly the load
+// was spread over the engines.
 func printFleet(reports map[string]fleet.Report) error {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "POLICY\tCLASS\tOFFERED\tIN TIME\tLATE\tLEFT\tREFUSED\tWORTH\tMEDIAN\tP95\tERROR")
@@ -73,7 +74,8 @@
 			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.0fms\t%.0fms\t%.2f\n",
 				name, class, c.Offered, c.InTime, c.Late, c.Abandoned, c.Refused, c.Worth, c.MedianMS, c.P95MS, c.ActualToExpected)
 		}
-		fmt.Fprintf(w, "%s\tworth %.3f\tread again %dk\tmoved %dk\trejected %d\n", name, r.Worth, r.RepeatedPrefillK, r.FetchedK, r.Rejected)
+		fmt.Fprintf(w, "%s\tworth %.3f\tread again %dk\tmoved %dk\trejected %d\tbusiest tenth %.2f\tidle while queued %.2f\n",
+			name, r.Worth, r.RepeatedPrefillK, r.FetchedK, r.Rejected, r.Spread.BusiestTenth, r.Spread.IdleWhileQueued)
 	}
 	return w.Flush()
 }
--- a/internal/virtual/fleet/engine.go
+++ b/internal/virtual/fleet/engine.go
@@ -45,8 +45,13 @@
 // token for each decoding request of the batch, and prefills up to
 // EngineSpec.PrefillChunk prompt tokens.
 type engine struct {
-	name    model.EndpointName
-	domain  model.DomainName
+	name   model.EndpointName
+	domain model.DomainName
+	// index is the number of the engine, speed the factor on its speed.
+	index int
+	speed float64
+	// busyMS is the time that its steps took so far.
+	busyMS  float64
 	spec    *EngineSpec
 	clock   *eventclock.Clock
 	cache   prefixCache
@@ -123,6 +128,8 @@
 	}
 	e.stepping = true
 	stepMS, prefills := e.planStep()
+	stepMS *= e.fleet.opts.Slowdowns.factor(e.fleet.opts.Seed, e.index, e.clock.Now().Sub(time.Unix(0, 0))) / e.speed
+	e.busyMS += stepMS
 	e.clock.After(milliseconds(stepMS), func() {
 		e.stepping = false
 		e.finishStep(prefills)
--- a/internal/virtual/fleet/fleet.go
+++ b/internal/virtual/fleet/fleet.go
@@ -23,6 +23,8 @@
 	// maxRetries is the number of endpoints that are tried after the first one
 	// has rejected a request.
 	maxRetries = 3
+	// maxSpeeds is the largest number of engines whose speed a digest reports.
+	maxSpeeds = 8
 	// retryWaitDivisor bounds how long a refused caller waits before it retries:
 	// at most its remaining patience divided by retryWaitDivisor.
 	retryWaitDivisor = 3
@@ -45,8 +47,12 @@
 	Hosts   int
 	Engines int
 	Engine  EngineSpec
-	Classes []Class
-	Surges  []Surge
+	// Speeds are factors on the speed of the engines' steps, which the engines
+	// have in turn; none if all have the speed of Engine.
+	Speeds    []float64
+	Slowdowns Slowdowns
+	Classes   []Class
+	Surges    []Surge
 	// Duration is the time during which requests arrive.
 	Duration time.Duration
 	Sharing  Sharing
@@ -58,7 +64,10 @@
 	clock   *eventclock.Clock
 	hosts   []*host
 	engines map[model.EndpointName]*engine
-	calls   []*call
+	// order lists the engines.
+	order  []*engine
+	spread spreadStats
+	calls  []*call
 	// submitted counts the submissions to engines so far.
 	submitted int
 	stats     stats
@@ -117,6 +126,7 @@
 	}
 	f.scheduleDigests(opts.Sharing.LocalInterval, func(a, b *host) bool { return a.domain == b.domain })
 	f.scheduleDigests(opts.Sharing.CrossDomainInterval, func(a, b *host) bool { return a.domain != b.domain })
+	f.clock.Every(spreadInterval, spreadInterval, f.arrivalsEnded, f.sampleSpread)
 	f.clock.Drain()
 	return f.report()
 }
@@ -129,8 +139,9 @@
 	for i := range f.opts.Engines {
 		e := &engine{
 			name: model.EndpointName(fmt.Sprintf("engine-%d", i)), domain: f.domainOf(i),
-			spec: &f.opts.Engine, clock: f.clock, fleet: f,
+			index: i, speed: f.opts.speed(i), spec: &f.opts.Engine, clock: f.clock, fleet: f,
 		}
+		f.order = append(f.order, e)
 		f.engines[e.name] = e
 	}
 }
@@ -187,9 +198,11 @@
 	loads := h.balancer.LocalLoad(now)
 	updates, next := h.balancer.LocalCacheUpdatesSince(*sent)
 	*sent = next
+	speeds := h.balancer.EngineSpeeds(now, false, maxSpeeds)
 	for _, p := range peers {
 		h.fleet.clock.After(latency(h.domain, p.domain), func() {
 			p.balancer.SetPeerLoad(h.fleet.clock.Now(), h.id, h.domain, loads, updates)
+			p.balancer.ApplyEngineSpeeds(h.fleet.clock.Now(), speeds)
 		})
 	}
 }
--- a/internal/virtual/fleet/report.go
+++ b/internal/virtual/fleet/report.go
@@ -33,8 +33,9 @@
 	// RepeatedPrefillK and FetchedK count tokens of shared prefixes, in
 	// thousands, that were prefilled although some engine had prefilled them
 	// before, and that were fetched from another engine's cache.
-	RepeatedPrefillK int `json:"read_again_k"`
-	FetchedK         int `json:"moved_k"`
+	RepeatedPrefillK int    `json:"read_again_k"`
+	FetchedK         int    `json:"moved_k"`
+	Spread           Spread `json:"spread"`
 }
 
 // ClassReport is the result of one class.
@@ -73,7 +74,7 @@
 func (f *Fleet) report() Report {
 	r := Report{
 		Classes: make(map[model.ClassName]ClassReport), Rejected: f.stats.rejected,
-		RepeatedPrefillK: f.stats.repeatedPrefill / 1000, FetchedK: f.stats.fetched / 1000,
+		RepeatedPrefillK: f.stats.repeatedPrefill / 1000, FetchedK: f.stats.fetched / 1000, Spread: f.spreadReport(),
 	}
 	earned, possible := 0.0, 0.0
 	for i := range f.opts.Classes {
