Speed of engines is learned and shared by digests

Cause: the time to prefill a token and the base were constants for all engines of all deployments, although engines differ by a factor of two within a pool and more between pools. A ratio for each endpoint corrected the sum only, was forgotten within seconds, and each host sees a response of an engine every ten seconds.

Change: internal/core/enginespeed learns base and level of a pool and the ratio of each engine to its pool. Digests report at most 8 engines, relays pass on what they adopt; the estimate with the most evidence is kept. The constants are defaults only.

--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -195,6 +195,7 @@
 		ClockMs:          clockToWire(d.Clock),
 		Usage:            convert(d.Usage, usageToWire),
 		Demand:           convert(d.Demand, poolDemandToWire),
+		EngineSpeeds:     convert(d.EngineSpeeds, engineSpeedToWire),
 	}
 	out.QuarantinedParts, out.SuspectedRequests = suspectsToWire(d.Suspects)
 	out.StreamBegins = beginsToWire(d.StreamBegins)
@@ -234,6 +235,7 @@
 		Clock:            clockFromWire(d.GetClockMs()),
 		Usage:            convert(d.GetUsage(), usageFromWire),
 		Demand:           convert(d.GetDemand(), poolDemandFromWire),
+		EngineSpeeds:     convert(d.GetEngineSpeeds(), engineSpeedFromWire),
 	}
 }
 
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -14,6 +14,7 @@
 
 	"github.com/wigeonsail/wigeonsail/internal/core/attempt"
 	"github.com/wigeonsail/wigeonsail/internal/core/directory"
+	"github.com/wigeonsail/wigeonsail/internal/core/enginespeed"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/routing"
 )
@@ -77,6 +78,7 @@
 	budget          *attempt.SharedBudget
 	urgentReserve   urgentReserve
 	queueCorrection queueCorrection
+	speed           *enginespeed.Pool
 }
 
 // runningRequest is a request in flight at an endpoint.
@@ -103,6 +105,10 @@
 	// in milliseconds, that were expected on placement outside and in the
 	// queue.
 	unqueuedMS, queuedMS float64
+	// speedSample is the sample of the engine's speed without the measured time.
+	// baseMS is the part of the expected time that no prefill takes.
+	speedSample enginespeed.Observation
+	baseMS      float64
 	// answered reports whether the first response has arrived.
 	answered bool
 	// stalled reports whether the stream has been silent for longer than usual,
@@ -162,7 +168,7 @@
 func (b *Balancer) pool(name model.PoolName) *pool {
 	p := b.pools[name]
 	if p == nil {
-		p = &pool{budget: attempt.NewSharedBudget(b.opts.Budget)}
+		p = &pool{budget: attempt.NewSharedBudget(b.opts.Budget), speed: enginespeed.NewPool()}
 		b.pools[name] = p
 	}
 	return p
@@ -244,6 +250,8 @@
 		unqueuedMS:     c.unqueuedMS * e.latencyRatio,
 		queuedMS:       c.queuedMS * e.latencyRatio,
 		priority:       c.priority,
+		speedSample:    c.speedSample,
+		baseMS:         b.pool(e.Pool).speed.BaseMS(),
 	}
 	b.running[req.ID] = r
 	b.localLoadChanged = true
--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -5,21 +5,14 @@
 	"slices"
 	"time"
 
+	"github.com/wigeonsail/wigeonsail/internal/core/enginespeed"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
 
-// Latency model of an engine, from the published times of its steps, its
-// chunked prefill between the decode steps of other requests, and its cache
-// transfers. Deviations of a single endpoint are learned as its latencyRatio.
+// Latency model of an engine: its chunked prefill between the decode steps of
+// other requests, at the learned speed, and its cache transfers. Short-term
+// deviations of a single endpoint are learned as its latencyRatio.
 const (
-	// firstEventBaseMS is the time to the first event of an idle engine for an
-	// empty prompt, in milliseconds.
-	firstEventBaseMS = 95.0
-	// prefillMSPerToken is the time to prefill a prompt token, in milliseconds.
-	// prefillMSPerTokenPerRequest is what each request in flight adds to it,
-	// since their decode steps run in between.
-	prefillMSPerToken           = 0.028
-	prefillMSPerTokenPerRequest = 0.0006
 	// fetchBaseMS and fetchMSPerToken are the time to transfer cached tokens
 	// from another endpoint, in milliseconds: the fixed part and the part per
 	// token.
@@ -116,6 +109,9 @@
 	// the queue, in milliseconds, before scaling by the endpoint's
 	// latencyRatio.
 	unqueuedMS, queuedMS float64
+	// speedSample is the sample of the engine's speed that the response will
+	// complete.
+	speedSample enginespeed.Observation
 	// priority is the priority to send to the engine.
 	priority int
 	// retryAfter is when to retry if no endpoint was found.
@@ -262,8 +258,9 @@
 	e := c.endpoint
 	total := e.totalLoad()
 	fetchMS := b.planSharedPrefix(now, req, c, loc)
-	perTokenMS := prefillMSPerToken + prefillMSPerTokenPerRequest*float64(total.Count)
-	queueMS := total.prefillAhead(req.priority()) * perTokenMS
+	perTokenMS := e.speed.perTokenMS(total.Count)
+	ahead := total.prefillAhead(req.priority())
+	queueMS := ahead * perTokenMS
 	ownMS := float64(c.prefill) * perTokenMS
 	c.cost += p.urgentReserve.reservationCost(req, e)
 	c.cost += crowdingCost * ownMS / 1000 * total.prefillAhead(NumPriorities-1) * perTokenMS / 1000
@@ -273,8 +270,13 @@
 	if float64(total.Memory+estimatedMemory(&req.Prompt)) > memoryLimitShare*float64(p.engine.CacheTokens) {
 		c.cost += overMemoryCost
 	}
-	c.unqueuedMS = firstEventBaseMS + ownMS + fetchMS
+	c.unqueuedMS = p.speed.BaseMS() + ownMS + fetchMS
 	c.queuedMS = queueMS
+	c.speedSample = enginespeed.Observation{
+		OtherMS:      fetchMS,
+		OwnTokens:    float64(c.prefill) * slowdown(total.Count),
+		QueuedTokens: ahead * slowdown(total.Count) * p.queueCorrection.factor(),
+	}
 	return c.unqueuedMS + queueMS*p.queueCorrection.factor()
 }
 
--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -65,6 +65,7 @@
 	pausedUntil         time.Time
 	backoff             backoff
 	limit               requestLimit
+	speed               engineSpeed
 	// unreachable reports whether the last connection could not be opened.
 	// nextCheck is when that is checked again.
 	unreachable bool
--- a/internal/core/balance/queuecorrection.go
+++ b/internal/core/balance/queuecorrection.go
@@ -43,8 +43,8 @@
 	q.meanRatio = min(max(mean, minQueueFactor), maxQueueFactor)
 }
 
-// recordResponseTime updates the latency ratio of the endpoint and the queue
-// correction of its pool with the time from placement to the first response,
+// recordResponseTime updates the latency ratio and the speed of the endpoint and
+// the queue correction of its pool with the time from placement to the first response,
 // which is now. Requests with the lowest priority are skipped: they are delayed
 // on purpose, so their latency does not show that the endpoint is slow.
 func (b *Balancer) recordResponseTime(now time.Time, r *runningRequest) {
@@ -53,6 +53,7 @@
 	}
 	took := now.Sub(r.placedAt)
 	r.endpoint.recordLatency(now, took, r.expected)
+	b.observeSpeed(now, r, took)
 	b.pool(r.endpoint.Pool).queueCorrection.record(r, took)
 }
 
--- a/internal/core/balance/refresh.go
+++ b/internal/core/balance/refresh.go
@@ -26,6 +26,9 @@
 		return
 	}
 	b.refreshedAt = now
+	for _, p := range b.pools {
+		p.refreshSpeeds(now)
+	}
 	for _, r := range b.running {
 		if r.answered {
 			continue
@@ -45,8 +48,8 @@
 // not prefilled yet. It assumes that the prefill takes the last part of the
 // expected time.
 func (r *runningRequest) remainingPrefill(now time.Time) int {
-	prefillMS := float64(r.prefill) * prefillMSPerToken
-	start := float64(r.expected.Milliseconds()) - firstEventBaseMS - prefillMS
+	prefillMS := float64(r.prefill) * r.endpoint.speed.perTokenMS(0)
+	start := float64(r.expected.Milliseconds()) - r.baseMS - prefillMS
 	elapsed := float64(now.Sub(r.placedAt).Milliseconds())
 	share := 1 - (elapsed-start)/max(prefillMS, 1)
 	return int(float64(r.prefill) * min(max(share, minPendingShare), 1))
--- a/internal/core/balance/reserve.go
+++ b/internal/core/balance/reserve.go
@@ -72,7 +72,7 @@
 	if !r.req.isUrgent() || r.initialPrefill == 0 || took <= 0 {
 		return
 	}
-	share := min(float64(r.initialPrefill)*prefillMSPerToken/1000/took, 1)
+	share := min(float64(r.initialPrefill)*r.endpoint.speed.perTokenMS(0)/1000/took, 1)
 	s.prefillShare = s.expectedPrefillShare() + prefillShareWeight*(share-s.expectedPrefillShare())
 }
 
--- a/internal/gateway/digests.go
+++ b/internal/gateway/digests.go
@@ -45,6 +45,8 @@
 	minStatusInterval = 250 * time.Millisecond
 	// relaySelectionInterval is the time between two selections of relays.
 	relaySelectionInterval = 500 * time.Millisecond
+	// maxEngineSpeeds is the largest number of engines whose speed a digest reports.
+	maxEngineSpeeds = 8
 	// hostsInterval is the time between digests that list other hosts. It is
 	// minHostsInterval after the known hosts have changed.
 	hostsInterval    = 3 * time.Second
@@ -238,8 +240,9 @@
 		LinkSpeedMbps: opts.LinkMbps, Leaving: c.gateway.leaving.Load(), Version: c.version(),
 		ListReadAge: min(now.Sub(c.lastListRead), maxReadAge), ListChange: c.lastListChange, LeavingEndpoints: c.directory.Leaving(),
 		ListKnownAge: c.knownReadAge(now), ConfigAge: c.gateway.configAge(now),
-		Limits:    c.knownLimits(now),
-		ReadsList: c.gateway.reading.Load(), ListReadFailing: c.listReadFailing,
+		Limits:       c.knownLimits(now),
+		EngineSpeeds: c.balancer.EngineSpeeds(now, c.peers.digests.isRelay, maxEngineSpeeds),
+		ReadsList:    c.gateway.reading.Load(), ListReadFailing: c.listReadFailing,
 	}
 	c.reportCrashes(now, &d)
 	return d
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -301,6 +301,7 @@
 	c.learnFreshness(freshness.Claim{Version: d.Version, At: now.Add(-d.ConfigAge - readAgePerHop)})
 	c.applyLeaving(now, d.LeavingEndpoints)
 	c.receiveLimits(now, d)
+	c.balancer.ApplyEngineSpeeds(now, d.EngineSpeeds)
 	c.receiveCrashes(now, d)
 	for _, begin := range d.StreamBegins {
 		c.streams.RecordReport(now, begin)
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -98,6 +98,8 @@
 	Usage []usage.Record
 	// Demand is the work that callers of the sender have requested.
 	Demand []capacity.Demand
+	// EngineSpeeds is what the sender has learned of late of the speed of engines.
+	EngineSpeeds []balance.EngineSpeed
 	// Loads is the host's load by endpoint.
 	Loads []balance.EndpointLoad
 	// CacheUpdates are the sender's prefix cache updates since the last digest
