Requests that no engine can begin in time are refused at once

Cause: a request was queued at an engine however long the queue was, so that it failed at its time limit and its caller learned of it too late to come back.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -228,6 +228,9 @@
 	if choice.endpoint == nil {
 		return refuse(reason, choice.retryAfter)
 	}
+	if wait, refused := b.refusesInTime(now, p, &req, &choice); refused {
+		return refuse(ReasonNotInTime, wait)
+	}
 	if req.Retry && !p.budget.TakeRetry(now, b.CountHosts(now)) {
 		return refuse(ReasonRetryBudget, choice.expected)
 	}
--- a/internal/core/balance/decision.go
+++ b/internal/core/balance/decision.go
@@ -20,6 +20,8 @@
 	Target time.Duration
 	// Arrived is when the caller sent the request.
 	Arrived time.Time
+	// Deadline is when the caller stops waiting for the response; zero for never.
+	Deadline time.Time
 	// Software is the version at which a stream has begun; only endpoints of this version
 	// are chosen. It is empty for a request that any endpoint may serve.
 	Software model.SoftwareVersion
@@ -69,6 +71,8 @@
 	ReasonSuspended Reason = "suspended"
 	// ReasonSoftware means that no endpoint has the version at which the stream has begun.
 	ReasonSoftware Reason = "software_version"
+	// ReasonNotInTime means that no endpoint can answer within the remaining time.
+	ReasonNotInTime Reason = "not_in_time"
 	// ReasonTooLarge means that the prompt exceeds the cache of every endpoint.
 	ReasonTooLarge Reason = "too_large"
 )
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -138,6 +138,7 @@
 		Arrived: call.Arrived,
 	}
 	x.deadline = call.Arrived.Add(x.timeLimit())
+	x.req.Deadline = x.deadline
 	return x, nil
 }
 
--- a/internal/virtual/fleet/fleet.go
+++ b/internal/virtual/fleet/fleet.go
@@ -229,7 +229,7 @@
 	now := f.clock.Now()
 	d := c.host.balancer.Submit(now, balance.Request{
 		ID: c.id, Pool: enginePool, Prompt: c.prompt, Tier: 1, Rank: c.class.Rank,
-		Target: c.class.Target, Arrived: c.arrived, Avoid: c.avoid, Retry: c.attempts > 0,
+		Target: c.class.Target, Arrived: c.arrived, Deadline: c.arrived.Add(c.class.Patience), Avoid: c.avoid, Retry: c.attempts > 0,
 	})
 	if d.IsRefused() {
 		f.refuse(c, d.RetryAfter)
