Decisions without powers and repeated decay

Cause: for each of 140 candidates a decision computed a power for the probability of being late and one for the decay of the learned averages.

Change: the third power is multiplied out, and averages decay at most every 10 ms, the interval of all other estimates.

--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -79,11 +78,8 @@
 
 // Parameters of the probability that a response is late. It is one half when
 // the expected time is evenOddsShare of the target, and its odds grow with the
-// ratio to the power of lateExponent.
-const (
-	evenOddsShare = 0.75
-	lateExponent  = 3.0
-)
+// third power of the ratio.
+const evenOddsShare = 0.75
 
 // maxSampled is the largest number of endpoints that are compared for one
 // request, in addition to the home and the cache holders of its shared prefix.
@@ -201,7 +197,9 @@
 // estimateCost estimates the latency and the cost of a request at an endpoint,
 // after decaying the endpoint's learned averages. The priority is not set.
 func (b *Balancer) estimateCost(now time.Time, p *pool, req *Request, e *endpoint, loc cacheLocation) choice {
-	e.decay(now)
+	if now.Sub(e.decayedAt) >= refreshInterval {
+		e.decay(now)
+	}
 	c := choice{endpoint: e}
 	var ms float64
 	if p.engine == nil {
@@ -241,7 +239,8 @@
 	}
 	ms += float64(now.Sub(req.Arrived).Milliseconds())
 	ratio := ms / target
-	lateProbability := 1 / (1 + math.Pow(evenOddsShare/ratio, lateExponent))
+	odds := ratio / evenOddsShare
+	lateProbability := 1 - 1/(1+odds*odds*odds)
 	return lateProbability*latenessCost[req.rank()] + latencyCost*ratio
 }
 
--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -163,7 +163,7 @@
 // decay moves the learned averages back towards their defaults, in proportion to
 // the time since the last call.
 func (e *endpoint) decay(now time.Time) {
-	if !e.decayedAt.IsZero() {
+	if !e.decayedAt.IsZero() && (e.latencyRatio != 1 || e.failureRate != 0) {
 		keep := math.Exp2(-now.Sub(e.decayedAt).Seconds() / learnedHalfLife.Seconds())
 		e.latencyRatio = 1 + (e.latencyRatio-1)*keep
 		e.failureRate *= keep
