--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -1,25 +1,17 @@
 package balance
 
 import (
-	"math"
 	"slices"
 	"time"
 
+	"github.com/wigeonsail/wigeonsail/internal/core/enginespeed"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
 
-// Latency model of an engine, from the published times of its steps, its
-// chunked prefill between the decode steps of other requests, and its cache
-// transfers. Deviations of a single endpoint are learned as its latencyRatio.
+// Latency model of an engine: its chunked prefill between the decode steps of
+// other requests, at the learned speed, and its cache transfers. Short-term
+// deviations of a single endpoint are learned as its latencyRatio.
 const (
-	// firstEventBaseMS is the time to the first event of an idle engine for an
-	// empty prompt, in milliseconds.
-	firstEventBaseMS = 95.0
-	// prefillMSPerToken is the time to prefill a prompt token, in milliseconds.
-	// prefillMSPerTokenPerRequest is what each request in flight adds to it,
-	// since their decode steps run in between.
-	prefillMSPerToken           = 0.028
-	prefillMSPerTokenPerRequest = 0.0006
 	// fetchBaseMS and fetchMSPerToken are the time to transfer cached tokens
 	// from another endpoint, in milliseconds: the fixed part and the part per
 	// token.
@@ -86,11 +78,8 @@
 
 // Parameters of the probability that a response is late. It is one half when
 // the expected time is evenOddsShare of the target, and its odds grow with the
-// ratio to the power of lateExponent.
-const (
-	evenOddsShare = 0.75
-	lateExponent  = 3.0
-)
+// third power of the ratio.
+const evenOddsShare = 0.75
 
 // maxSampled is the largest number of endpoints that are compared for one
 // request, in addition to the home and the cache holders of its shared prefix.
@@ -116,6 +105,9 @@
 	// the queue, in milliseconds, before scaling by the endpoint's
 	// latencyRatio.
 	unqueuedMS, queuedMS float64
+	// speedSample is the sample of the engine's speed that the response will
+	// complete.
+	speedSample enginespeed.Observation
 	// priority is the priority to send to the engine.
 	priority int
 	// retryAfter is when to retry if no endpoint was found.
@@ -208,7 +200,9 @@
 // estimateCost estimates the latency and the cost of a request at an endpoint,
 // after decaying the endpoint's learned averages. The priority is not set.
 func (b *Balancer) estimateCost(now time.Time, p *pool, req *Request, e *endpoint, loc cacheLocation) choice {
-	e.decay(now)
+	if now.Sub(e.decayedAt) >= refreshInterval {
+		e.decay(now)
+	}
 	c := choice{endpoint: e}
 	var ms float64
 	if p.engine == nil {
@@ -248,7 +242,8 @@
 	}
 	ms += float64(now.Sub(req.Arrived).Milliseconds())
 	ratio := ms / target
-	lateProbability := 1 / (1 + math.Pow(evenOddsShare/ratio, lateExponent))
+	odds := ratio / evenOddsShare
+	lateProbability := 1 - 1/(1+odds*odds*odds)
 	return lateProbability*latenessCost[req.rank()] + latencyCost*ratio
 }
 
@@ -265,8 +260,9 @@
 	e := c.endpoint
 	total := e.totalLoad()
 	fetchMS := b.planSharedPrefix(now, req, c, loc)
-	perTokenMS := prefillMSPerToken + prefillMSPerTokenPerRequest*float64(total.Count)
-	queueMS := total.prefillAhead(req.priority()) * perTokenMS
+	perTokenMS := e.speed.perTokenMS(total.Count)
+	ahead := total.prefillAhead(req.priority())
+	queueMS := ahead * perTokenMS
 	ownMS := float64(c.prefill) * perTokenMS
 	c.cost += p.urgentReserve.reservationCost(req, e)
 	c.cost += crowdingCost * ownMS / 1000 * total.prefillAhead(NumPriorities-1) * perTokenMS / 1000
@@ -276,8 +272,13 @@
 	if float64(total.Memory+estimatedMemory(&req.Prompt)) > memoryLimitShare*float64(p.engine.CacheTokens) {
 		c.cost += overMemoryCost
 	}
-	c.unqueuedMS = firstEventBaseMS + ownMS + fetchMS
+	c.unqueuedMS = p.speed.BaseMS() + ownMS + fetchMS
 	c.queuedMS = queueMS
+	c.speedSample = enginespeed.Observation{
+		OtherMS:      fetchMS,
+		OwnTokens:    float64(c.prefill) * slowdown(total.Count),
+		QueuedTokens: ahead * slowdown(total.Count) * p.queueCorrection.factor(),
+	}
 	return c.unqueuedMS + queueMS*p.queueCorrection.factor()
 }
 
--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -65,6 +65,7 @@
 	pausedUntil         time.Time
 	backoff             backoff
 	limit               requestLimit
+	speed               engineSpeed
 	// unreachable reports whether the last connection could not be opened.
 	// nextCheck is when that is checked again.
 	unreachable bool
@@ -164,7 +165,7 @@
 // decay moves the learned averages back towards their defaults, in proportion to
 // the time since the last call.
 func (e *endpoint) decay(now time.Time) {
-	if !e.decayedAt.IsZero() {
+	if !e.decayedAt.IsZero() && (e.latencyRatio != 1 || e.failureRate != 0) {
 		keep := math.Exp2(-now.Sub(e.decayedAt).Seconds() / learnedHalfLife.Seconds())
 		e.latencyRatio = 1 + (e.latencyRatio-1)*keep
 		e.failureRate *= keep
--- a/internal/gateway/digests.go
+++ b/internal/gateway/digests.go
@@ -45,6 +45,8 @@
 	minStatusInterval = 250 * time.Millisecond
 	// relaySelectionInterval is the time between two selections of relays.
 	relaySelectionInterval = 500 * time.Millisecond
+	// maxEngineSpeeds is the largest number of engines whose speed a digest reports.
+	maxEngineSpeeds = 8
 	// hostsInterval is the time between digests that list other hosts. It is
 	// minHostsInterval after the known hosts have changed.
 	hostsInterval    = 3 * time.Second
@@ -244,7 +246,8 @@
 		ListReadAge: min(now.Sub(c.lastListRead), maxReadAge), ListChange: c.lastListChange, LeavingEndpoints: c.directory.Leaving(),
 		ListKnownAge: c.listAge(now), ConfigAge: c.gateway.configAge(now),
 		Limits: c.knownLimits(now), Unpacks: true,
-		ReadsList: c.gateway.reading.Load(), ListReadFailing: c.listReadFailing,
+		EngineSpeeds: c.balancer.EngineSpeeds(now, c.peers.digests.isRelay, maxEngineSpeeds),
+		ReadsList:    c.gateway.reading.Load(), ListReadFailing: c.listReadFailing,
 	}
 	c.reportCrashes(now, &d)
 	c.usage.fill(&d)
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -151,6 +151,7 @@
 	}
 	x.deadline = call.Arrived.Add(x.timeLimit())
 	holdOf(call).setRank(tier, route.Tier)
+	x.req.Deadline = x.deadline
 	return x, nil
 }
 
