--- a/internal/core/lease/keeper_test.go
+++ b/internal/core/lease/keeper_test.go
@@ -177,3 +177,41 @@
 	must.True(t, ok)
 	must.Eq(t, eraStart, fencing)
 }
+
+// A process that holds the lease, or held it last, begins a new term with a higher fencing
+// number at once. It fails if another host has claimed meanwhile.
+func TestHolderClaimsAnew(t *testing.T) {
+	s, a, b := newHeldLease(t)
+	_, ok := b.ClaimAnew(at(13), 2)
+	must.False(t, ok, must.Sprint("b is not the holder"))
+	rec, ok := a.ClaimAnew(at(13), 2)
+	must.True(t, ok)
+	must.False(t, isPermitted(a, at(13)), must.Sprint("the old term is over"))
+	s.append(rec)
+	s.read(at(13.1), a, b)
+	fencing, ok := a.FencingNumber(at(13.1))
+	must.True(t, ok)
+	must.Eq(t, 1, fencing)
+
+	claim, due := b.DueRecord(at(26), 3)
+	must.True(t, due)
+	s.append(claim)
+	late, ok := a.ClaimAnew(at(26), 4)
+	must.True(t, ok, must.Sprint("a has not read the claim"))
+	s.append(late)
+	s.read(at(26.1), a, b)
+	must.False(t, isPermitted(a, at(26.1)))
+	must.True(t, isPermitted(b, at(26.1)))
+	_, ok = a.ClaimAnew(at(26.1), 5)
+	must.False(t, ok)
+}
+
+// After the stream was restored, the claim of another host may be lost.
+func TestRestoredStreamDelaysNewTerm(t *testing.T) {
+	_, a, _ := newHeldLease(t)
+	a.BeginEra(at(30), 1<<40)
+	_, ok := a.ClaimAnew(at(31), 2)
+	must.False(t, ok)
+	_, ok = a.ClaimAnew(at(42), 2)
+	must.True(t, ok)
+}
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -37,8 +37,8 @@
 	// peers, and of those of a relay with the sums of its domain.
 	direct, remote usageCursor
 	// counted is the last change of the counts by this host itself.
-	counted int64
-	correctedAt    time.Time
+	counted     int64
+	correctedAt time.Time
 	// reported are the windows of which the platform has taken a report by this host.
 	// sending is true while a report is being sent, retryAt when to send the next one.
 	reported map[usage.Window]bool
