--- a/internal/core/duty/keeper.go
+++ b/internal/core/duty/keeper.go
@@ -66,6 +66,9 @@
 	isRefused bool
 	// idleSince is since when this host holds the lease although it should not.
 	idleSince time.Time
+	// releasing reports that it makes no new calls, and releases the lease after the last
+	// one.
+	releasing bool
 	// claimedAt is when this host last prepared a claim, lastCallAt when it last had a
 	// call in progress.
 	claimedAt, lastCallAt time.Time
@@ -146,12 +149,18 @@
 // not make one.
 func (k *Keeper) Fence(now time.Time) (model.Offset, bool) {
 	fence, ok := k.lease.FencingNumber(now)
-	if !ok || k.isRefused && fence <= k.refused {
+	if !ok || k.releasing || k.isRefused && fence <= k.refused {
 		return 0, false
 	}
 	return fence, true
 }
 
+// Holds reports whether this host holds the lease, also if it makes no calls with it.
+func (k *Keeper) Holds(now time.Time) bool {
+	_, ok := k.lease.FencingNumber(now)
+	return ok
+}
+
 // Refuse records that the platform refused a call with a fencing number. This host makes
 // no more calls with it or a lower one.
 func (k *Keeper) Refuse(fence model.Offset) {
@@ -168,10 +177,11 @@
 func (k *Keeper) Due(now time.Time, s Situation, nonce uint64) (*Record, bool) {
 	fence, holds := k.lease.FencingNumber(now)
 	if !holds {
-		k.idleSince = time.Time{}
+		k.idleSince, k.releasing = time.Time{}, false
 		return k.dueClaim(now, s, nonce)
 	}
-	if k.mustRelease(now, s) {
+	k.releasing = k.mustRelease(now, s)
+	if k.releasing {
 		if s.Busy {
 			return nil, false
 		}
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -200,7 +200,7 @@
 	k.checkedAt = now
 	steady := k.opts.Steady()
 	situation := k.situation(now)
-	_, holds := k.keeper.Fence(steady)
+	holds := k.keeper.Holds(steady)
 	k.following.Store(!situation.Leaving && (holds && !k.caughtUp || !holds && situation.Candidate))
 	if !holds && !k.following.Load() {
 		k.caughtUp = false
@@ -234,7 +234,7 @@
 			s.Rank++
 		}
 	}
-	_, holds := k.keeper.Fence(k.opts.Steady())
+	holds := k.keeper.Holds(k.opts.Steady())
 	isolated := heard*minHeardFraction < known
 	s.Candidate = g.reading.Load() && (!isolated || !holds) && !k.leavesToRelays(now)
 	if isolated {
