--- a/cmd/wigeonsail/load_virtual.go
+++ b/cmd/wigeonsail/load_virtual.go
@@ -13,12 +13,14 @@
 
 	"github.com/wigeonsail/wigeonsail/internal/virtual"
 	"github.com/wigeonsail/wigeonsail/internal/virtual/fleet"
+	"github.com/wigeonsail/wigeonsail/internal/virtual/scaling"
 )
 
 // virtualFlags are the flags of `load --virtual`.
 type virtualFlags struct {
 	Overload    float64       `default:"1" help:"With --virtual: offered load relative to the capacity."`
 	DigestDelay time.Duration `default:"200ms" help:"With --virtual: age of the digests that hosts have of each other."`
+	Scaling     bool          `help:"With --virtual: simulate a pool whose endpoints are ordered from a platform, with a burst while a domain is reclaimed, and compare how orders are decided."`
 	Engines     int           `help:"With --virtual: simulate gateways in front of this many engines of a large model, with surges, and compare how hosts share load information."`
 }
 
@@ -29,6 +31,9 @@
 	if f.Overload <= 0 || duration <= 0 || f.DigestDelay < 0 {
 		return &usageError{cause: errors.New("load: --overload and --duration must be above 0, --digest-delay at least 0")}
 	}
+	if f.Scaling {
+		return runScaling(duration, asJSON)
+	}
 	if f.Engines > 0 {
 		return f.runFleet(seed, duration, asJSON)
 	}
@@ -57,6 +62,28 @@
 	return printFleet(reports)
 }
 
+// runScaling simulates a pool with each way of deciding orders and prints the reports.
+func runScaling(duration time.Duration, asJSON bool) error {
+	reports := scaling.Compare(scaling.Trouble(duration))
+	if asJSON {
+		return json.NewEncoder(os.Stdout).Encode(reports)
+	}
+	return printScaling(reports)
+}
+
+// printScaling prints the reports as a table. IN TIME is the share of the work that was read
+// in time, PRICE that of the endpoints relative to a fixed fleet, LEAST and MOST the numbers of
+// endpoints that served while there were requests.
+func printScaling(reports map[string]scaling.Report) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "POLICY\tIN TIME\tPRICE\tORDERS\tREFUSED\tLEAST\tMOST")
+	for _, name := range slices.Sorted(maps.Keys(reports)) {
+		r := reports[name]
+		fmt.Fprintf(w, "%s\t%.4f\t%.3f\t%d\t%d\t%d\t%d\n", name, r.InTime, r.Relative, r.Orders, r.Unavailable, r.Least, r.Most)
+	}
+	return w.Flush()
+}
+
 // printFleet prints the reports as a table. LEFT counts the requests that callers
 // abandoned. WORTH is the worth of the responses relative to timely responses to
 // all requests. MEDIAN and P95 are times to the first event. ERROR is the median
--- a/internal/core/capacity/goal.go
+++ b/internal/core/capacity/goal.go
@@ -201,6 +201,9 @@
 		deadband = 1
 	}
 	switch {
+	case g.reclaimed && now.Sub(g.orderedAt) < lostSettleTime:
+		// The endpoints of a domain may vanish from the list one after the other.
+		return 0, ""
 	case g.reclaimed:
 		return max(want, 0), ReasonReclaimed
 	case want-have >= deadband:
--- a/internal/core/capacity/planner_test.go
+++ b/internal/core/capacity/planner_test.go
@@ -169,3 +169,16 @@
 	}
 	must.Eq(t, 6, p.group(steady("a")).ordered)
 }
+
+func TestEndpointsThatVanishOneAfterTheOtherAreOrderedOnce(t *testing.T) {
+	p := NewPlanner()
+	p.TakeOver(at(0))
+	have := map[Group]int{steady("a"): 1, steady("b"): 1, reclaimable("a"): 19, reclaimable("b"): 19}
+	must.MapEmpty(t, over(p, 0, 2, view(have, 80)))
+	orders := 0
+	for s := 2.0; s < 3; s += 0.25 {
+		have[reclaimable("a")] = int(9 - 8*(s-2))
+		orders += len(plan(p, at(s), view(have, 80)))
+	}
+	must.Eq(t, 1, orders)
+}
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -169,6 +170,7 @@
 	if g.moves.asked == nil {
 		g.moves.asked = make(map[model.Instance]asked)
 	}
+	maps.DeleteFunc(g.moves.asked, func(other model.Instance, _ asked) bool { return !c.directory.IsDeparting(other) })
 	g.moves.asked[instance] = asked{times: before.times + 1, at: now}
 	g.background(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, timeLeftTimeout)
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -50,7 +50,9 @@
 			return placement{Decision: balance.Decision{Reason: balance.ReasonSuspended, RetryAfter: suspendedRetryAfter}, suspect: evidence.Suspect}
 		}
 		out := placement{Decision: g.control.balancer.Submit(now, req), generation: 1}
-		g.control.demand.recordRequest(&req, out.Decision)
+		if g.control.capacity.isScaled(req.Pool) {
+			g.control.demand.recordRequest(&req, out.Decision)
+		}
 		if state.IsWatching() {
 			out.generation = state.Generation(f)
 		}
--- a/internal/virtual/scaling/pool.go
+++ b/internal/virtual/scaling/pool.go
@@ -68,6 +68,17 @@
 	}
 }
 
+// Trouble returns a pool with a burst while the reclaimable endpoints of a domain are taken
+// away and none are available there, in the middle of a duration.
+func Trouble(duration time.Duration) Options {
+	out := Defaults()
+	out.Duration = duration
+	at := out.Lead + (duration-out.Lead)/2
+	out.Bursts = []Burst{{At: at, For: 8 * time.Second, Factor: 2.4}}
+	out.Reclaims = []Reclaim{{At: at, Domain: "b", Dry: 10 * time.Second}}
+	return out
+}
+
 // step is the resolution of the simulation.
 const step = 250 * time.Millisecond
 
--- a/internal/virtual/scaling/scaling_test.go
+++ b/internal/virtual/scaling/scaling_test.go
@@ -15,10 +15,7 @@
 }
 
 func TestBurstWhileADomainIsReclaimedAndDryIsServed(t *testing.T) {
-	opts := Defaults()
-	opts.Bursts = []Burst{{At: 40 * time.Second, For: 8 * time.Second, Factor: 2.4}}
-	opts.Reclaims = []Reclaim{{At: 40 * time.Second, Domain: "b", Dry: 10 * time.Second}}
-	r := Compare(opts)
+	r := Compare(Trouble(time.Minute))
 	must.GreaterEq(t, 0.99, r[PolicyPlanner].InTime)
 	must.Less(t, r[PolicyThreshold].Price, r[PolicyPlanner].Price)
 	must.Less(t, 0.4, r[PolicyPlanner].Relative)
