Walks over all known hosts leave the tick of 20 ms

Cause: each tick went over all known hosts to forget silent ones, to expire their loads and to count the direct peers, and over all pools for a log message. All known hosts are those of the failure domain and four of each other one, so the work a host grew with its domain.

The expiry, the silent addresses and the message are part of the review of all peers every 100 ms; their times are 2 s and more. The direct peers are counted when relays are selected, which a change of the members triggers.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -87,7 +87,6 @@
 
 // tick runs the periodic work of the control loop.
 func (c *control) tick(now time.Time) {
-	c.balancer.ExpirePeers(now)
 	c.checkEndpoints(now)
 	c.applyEndpointChanges(now, c.directory.Expire(now), sourceTimer)
 	c.gateway.usable.Store(c.balancer.HasUsableEndpoint(now))
@@ -95,6 +94,10 @@
 	c.reviewPeers(now)
 	c.peers.tick(now, c)
 	c.updateMetrics(now)
+}
+
+// logReservations logs the numbers of reserved engines that have changed.
+func (c *control) logReservations() {
 	for pool, count := range c.balancer.ReservedEngines() {
 		if c.loggedReserved[pool] != count {
 			c.loggedReserved[pool] = count
@@ -107,12 +110,15 @@
 const reviewInterval = 100 * time.Millisecond
 
 // reviewPeers decides, at most once per reviewInterval, what follows from the states
-// of all peers: whether this host reads the platform's lists, and what it fetches.
+// of all peers: which of them are forgotten, whether this host reads the platform's lists,
+// and what it fetches.
 func (c *control) reviewPeers(now time.Time) {
 	if now.Sub(c.reviewedAt) < reviewInterval {
 		return
 	}
 	c.reviewedAt = now
+	c.balancer.ExpirePeers(now)
+	c.peers.forgetSilent(now)
 	c.updateReading(now)
 	c.updateLiveHosts(now)
 	c.refreshStaleList(now)
@@ -120,6 +126,7 @@
 	c.recordSucceeded(now)
 	c.expireQuarantine(now)
 	c.fetchNewerConfig(now)
+	c.logReservations()
 }
 
 // checkEndpoints opens the connections that test whether endpoints are
--- a/internal/gateway/digests.go
+++ b/internal/gateway/digests.go
@@ -81,6 +81,8 @@
 	// unforwarded are the totals of other failure domains that are still to be
 	// forwarded in the local one.
 	unforwarded map[model.DomainName]port.DomainLoad
+	// directPeers is the number of direct peers when relays were last selected.
+	directPeers int
 	// reports are this host's newest load reports.
 	reports sentReports
 	// hosts is the state of the digests that list hosts.
@@ -163,13 +165,18 @@
 
 // directInterval returns the minimum time between two digests to direct peers.
 func (s *digestScheduler) directInterval() time.Duration {
+	return max(s.table.gateway.opts.MinDigestInterval, time.Duration(s.directPeers)*time.Second/maxDirectDigestsPerSecond)
+}
+
+// countDirect returns the number of direct peers.
+func (s *digestScheduler) countDirect() int {
 	count := 0
 	for address, p := range s.table.peers {
 		if s.isDirect(address, p) {
 			count++
 		}
 	}
-	return max(s.table.gateway.opts.MinDigestInterval, time.Duration(count)*time.Second/maxDirectDigestsPerSecond)
+	return count
 }
 
 // sendHosts lists the hosts that this host knows to the linked peers. A host that
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -29,6 +29,7 @@
 		logRelay(s.table.gateway.opts.Log, s.isRelay, s.localRelays, s.remoteReceivers)
 	}
 	s.updateLinks(now)
+	s.directPeers = s.countDirect()
 	if s.isRelay || !s.relayLocal {
 		c.balancer.DropDomainLoad(s.table.gateway.opts.Domain)
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -148,9 +148,8 @@
 	}
 }
 
-// tick drops addresses that have been silent for too long, finds more hosts, and
-// sends the digests that are due.
-func (t *peerTable) tick(now time.Time, c *control) {
+// forgetSilent drops addresses that have been silent for too long.
+func (t *peerTable) forgetSilent(now time.Time) {
 	for address, p := range t.peers {
 		if !p.seed && now.Sub(later(p.heardAt(), p.added)) > forgetPeerAfter {
 			p.unlink()
@@ -158,6 +157,10 @@
 			t.gateway.opts.Log.WithField("address", address).Info("peers: silent address dropped")
 		}
 	}
+}
+
+// tick finds more hosts and sends the digests that are due.
+func (t *peerTable) tick(now time.Time, c *control) {
 	t.joiner.tick(now, t)
 	t.digests.tick(now, c)
 }
