Operators see the learned speed of engines

Change: three gauges (engines of known speed, the fastest and the slowest), and engine_speeds in the view of a host's peers. The test's requests choose their engine, so that all three are observed whatever the placement.

TestSlowEngineIsKnownToOtherHosts covers the view; the page of metrics is compared by TestScrapeReturnsEveryMetric.

--- a/internal/core/balance/speeds.go
+++ b/internal/core/balance/speeds.go
@@ -110,6 +110,21 @@
 	return out
 }
 
+// KnownSpeeds returns the engines of whose speed there is enough evidence, with the time
+// to prefill a token without much load.
+func (b *Balancer) KnownSpeeds(now time.Time) []EngineSpeed {
+	var out []EngineSpeed
+	for _, e := range b.endpoints {
+		if !e.speed.IsTrusted(now) {
+			continue
+		}
+		known := enginespeed.Estimate{PrefillMS: e.speed.perTokenMS(0), Weight: e.speed.Estimate(now).Weight}
+		out = append(out, EngineSpeed{Instance: model.Instance{Name: e.Name, Started: e.Started}, Estimate: known})
+	}
+	slices.SortFunc(out, func(x, y EngineSpeed) int { return cmp.Compare(x.Instance.Name, y.Instance.Name) })
+	return out
+}
+
 // ApplyEngineSpeeds applies the reports of another host. Those on an earlier start of
 // an endpoint are ignored.
 func (b *Balancer) ApplyEngineSpeeds(now time.Time, reports []EngineSpeed) {
--- a/internal/core/balance/speeds_test.go
+++ b/internal/core/balance/speeds_test.go
@@ -13,13 +13,11 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
 
-// answerAll lets the host send requests to idle engines, of which slow takes five
-// times as long as the others, until each has answered some.
+// answerAll lets the host send requests to three idle engines in turn, of which slow
+// takes five times as long as the others.
 func (b *fixture) answerAll(now time.Time, slow model.EndpointName) time.Time {
 	for i := range 60 {
-		req := draft(0)
-		req.Prompt = prompt(model.PartID(1000+i), 1, 6000)
-		id, d := b.submit(now, req)
+		id, d := b.submit(now, onlyAt(model.EndpointName(fmt.Sprint("engines-", i%3))))
 		took := 200 * time.Millisecond
 		if d.Endpoint == slow {
 			took *= 5
@@ -31,6 +29,18 @@
 	return now
 }
 
+// onlyAt returns a request with a long prompt for one of three engines.
+func onlyAt(name model.EndpointName) balance.Request {
+	req := draft(0)
+	req.Prompt = prompt(5000, 1, 6000)
+	for i := range 3 {
+		if other := model.EndpointName(fmt.Sprint("engines-", i)); other != name {
+			req.Avoid = append(req.Avoid, other)
+		}
+	}
+	return req
+}
+
 // One host learns that an engine is slow. Another one that has never used it expects
 // so after a report, and forgets it when the endpoint restarts.
 func TestSlowEngineIsKnownToOtherHosts(t *testing.T) {
@@ -41,19 +51,15 @@
 	must.Len(t, 3, reports)
 	b.ApplyEngineSpeeds(now, reports)
 	expectedAt := func(name model.EndpointName) time.Duration {
-		req := draft(0)
-		req.Prompt = prompt(5000, 1, 6000)
-		for i := range 3 {
-			if other := model.EndpointName(fmt.Sprint("engines-", i)); other != name {
-				req.Avoid = append(req.Avoid, other)
-			}
-		}
-		id, d := b.submit(now, req)
+		id, d := b.submit(now, onlyAt(name))
 		must.Eq(t, name, d.Endpoint)
 		b.Finish(now, id, balance.Result{})
 		return d.Expected
 	}
 	must.Greater(t, 2*expectedAt("engines-0"), expectedAt(slow))
+	known := b.KnownSpeeds(now)
+	must.Len(t, 3, known)
+	must.Greater(t, 2*known[0].PrefillMS, known[1].PrefillMS)
 
 	// What is known of another start does not apply.
 	reports[0].Instance.Started++
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -39,6 +39,8 @@
 	LeavingEndpoints []model.EndpointName `json:"leaving_endpoints"`
 	// LimitedEndpoints are the endpoints that have stated a request limit.
 	LimitedEndpoints []LimitView `json:"limited_endpoints"`
+	// EngineSpeeds are the engines of whose speed it has enough evidence.
+	EngineSpeeds []SpeedView `json:"engine_speeds"`
 	// Suspects are what crashes endpoints.
 	Suspects []SuspectView `json:"suspects"`
 	Peers    []PeerView    `json:"peers"`
@@ -114,6 +116,7 @@
 			out.LimitedEndpoints = append(out.LimitedEndpoints, LimitView{Endpoint: l.Instance.Name, PerSecond: l.PerSecond, Age: l.Age.Seconds()})
 		}
 	}
+	out.EngineSpeeds = c.engineSpeeds(now)
 	for _, s := range c.quarantine.Suspects() {
 		out.Suspects = append(out.Suspects, SuspectView{
 			Suspect: s.Suspect, Quarantined: s.IsQuarantined(), Crashes: s.Crashes, Age: now.Sub(s.At).Seconds(),
@@ -193,6 +196,7 @@
 	m.SetPeers(len(c.peers.peers), links, c.peers.digests.isRelay)
 	m.SetListAge(c.knownReadAge(now), uint64(c.nextInList.Era))
 	m.SetLimitedEndpoints(c.balancer.CountLimited())
+	m.SetEngineSpeeds(speedRange(c.balancer.KnownSpeeds(now)))
 	m.SetQuarantined(c.quarantine.Count(quarantine.KindPart), c.quarantine.Count(quarantine.KindRequest))
 	m.SetConfigAge(c.gateway.configAge(now))
 }
--- a/internal/metrics/events.go
+++ b/internal/metrics/events.go
@@ -94,6 +94,18 @@
 // newest one.
 func (m *Metrics) SetConfigAge(age time.Duration) { m.configAge.Update(age.Seconds()) }
 
+// SetEngineSpeeds sets the number of engines whose speed is known well enough to rely on
+// it, and the times that the fastest and the slowest of them take to prefill a token.
+func (m *Metrics) SetEngineSpeeds(known int, fastest, slowest time.Duration) {
+	m.knownSpeeds.Update(float64(known))
+	m.fastest.Update(microseconds(fastest))
+	m.slowest.Update(microseconds(slowest))
+}
+
+func microseconds(d time.Duration) float64 {
+	return float64(d.Nanoseconds()) / float64(time.Microsecond)
+}
+
 // SetLimitedEndpoints sets the number of endpoints that have stated a request limit.
 func (m *Metrics) SetLimitedEndpoints(count int) { m.limited.Update(float64(count)) }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -64,6 +64,7 @@
 	listAge                               tally.Gauge
 	configAge                             tally.Gauge
 	limited                               tally.Gauge
+	knownSpeeds, fastest, slowest         tally.Gauge
 	quarantinedParts, quarantinedRequests tally.Gauge
 	storeEra                              tally.Gauge
 }
@@ -136,6 +137,9 @@
 	m.relay = m.scope.Gauge("relay")
 	m.listAge = m.scope.Gauge("list_age_seconds")
 	m.limited = m.scope.Gauge("limited_endpoints")
+	m.knownSpeeds = m.scope.Gauge("engines_of_known_speed")
+	m.fastest = m.scope.Gauge("fastest_engine_prefill_us")
+	m.slowest = m.scope.Gauge("slowest_engine_prefill_us")
 	m.quarantinedParts = m.scope.Gauge("quarantined_parts")
 	m.quarantinedRequests = m.scope.Gauge("quarantined_requests")
 	m.configAge = m.scope.Gauge("config_age_seconds")
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -113,5 +113,6 @@
 	m.SetListAge(time.Second, 1)
 	m.SetConfigAge(time.Second)
 	m.SetLimitedEndpoints(1)
+	m.SetEngineSpeeds(2, time.Microsecond, time.Millisecond)
 	m.SetQuarantined(2, 1)
 }
