New prefixes are prefilled at their home if they are long

Cause: prefilling a new shared prefix away from its home cost .15 whatever its length, so that a short queue at the home sent hosts elsewhere. Hosts that choose in the same second, and hosts that do not hear of each other, then prefill it several times.

Change: its tokens cost as much as tokens that are prefilled again. A short prefix now goes where there is room. TestHostsMeetAtHomeOfNewPrefix fails before.

--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -35,13 +35,10 @@
 const (
 	// transferCost is the cost of transferring 1,000 cached tokens between
 	// endpoints. recomputeCost is that of prefilling 1,000 tokens that another
-	// endpoint already caches or is prefilling.
+	// endpoint already caches or is prefilling, or that other hosts will prefill at
+	// its home.
 	transferCost  = 0.022
 	recomputeCost = 0.075
-	// awayFromHomeCost is the cost of prefilling a shared prefix for the first
-	// time at an endpoint other than its home: hosts that do so at the same
-	// time prefill it twice.
-	awayFromHomeCost = 0.15
 	// crossDomainCost is the cost of traffic between failure domains,
 	// newConnectionCost that of opening a connection.
 	crossDomainCost   = 0.02
@@ -307,7 +304,9 @@
 	case c.endpoint == loc.home && loc.assumedAtHome:
 		return 0
 	case c.endpoint != loc.home:
-		c.cost += awayFromHomeCost
+		// Hosts that do so at the same time prefill it twice, and so do those that
+		// do not learn of it.
+		c.cost += recomputeCost * thousands
 		if loc.home != nil {
 			// If the home does not cache the prefix after all, nothing is
 			// transferred.
