--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -44,6 +44,8 @@
 	Capacity []CapacityView `json:"capacity,omitempty"`
 	// Duties is what the host knows of the duties; missing if there are none.
 	Duties *DutyStatus `json:"duties,omitempty"`
+	// EngineSpeeds are the engines of whose speed it has enough evidence.
+	EngineSpeeds []SpeedView `json:"engine_speeds"`
 	// Suspects are what crashes endpoints.
 	Suspects []SuspectView `json:"suspects"`
 	Peers    []PeerView    `json:"peers"`
@@ -138,6 +140,7 @@
 			out.LimitedEndpoints = append(out.LimitedEndpoints, LimitView{Endpoint: l.Instance.Name, PerSecond: l.PerSecond, Age: l.Age.Seconds()})
 		}
 	}
+	out.EngineSpeeds = c.engineSpeeds(now)
 	for _, s := range c.quarantine.Suspects() {
 		out.Suspects = append(out.Suspects, SuspectView{
 			Suspect: s.Suspect, Quarantined: s.IsQuarantined(), Crashes: s.Crashes, Age: now.Sub(s.At).Seconds(),
@@ -218,6 +221,7 @@
 	m.SetPeers(len(c.peers.peers), links, c.peers.digests.isRelay)
 	m.SetListAge(c.knownReadAge(now), uint64(c.nextInList.Era))
 	m.SetLimitedEndpoints(c.balancer.CountLimited())
+	m.SetEngineSpeeds(speedRange(c.balancer.KnownSpeeds(now)))
 	m.SetQuarantined(c.quarantine.Count(quarantine.KindPart), c.quarantine.Count(quarantine.KindRequest))
 	m.SetMemoryHeld(c.gateway.memory.held())
 	m.SetConfigAge(c.gateway.configAge(now))
