Capacity: the fake platform of the tests is locked

Cause: the race detector reported TestTheHolderOrdersReclaimableEndpointsAndRepeatsARefusedOrder: the test read the orders while calls appended to them.

--- a/internal/gateway/capacity_test.go
+++ b/internal/gateway/capacity_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -69,8 +70,9 @@
 // fakeOrders holds the duty and answers orders with errors by domain.
 type fakeOrders struct {
 	gateway *Gateway
-	orders  []capacity.Order
 	errors  map[model.DomainName]error
+	mu      sync.Mutex
+	orders  []capacity.Order
 }
 
 func (f *fakeOrders) holder(time.Time) (port.DutyHolder, bool) {
@@ -87,6 +89,8 @@
 func (f *fakeOrders) ReportUsage(context.Context, port.DutyHolder, usage.Report) error { return nil }
 
 func (f *fakeOrders) OrderCapacity(_ context.Context, holder port.DutyHolder, o capacity.Order) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.orders = append(f.orders, o)
 	return f.errors[o.Domain]
 }
@@ -115,9 +119,9 @@
 		clock.Sleep(ctx, time.Second)
 		ordered := capacity.Order{Pool: "p", Domain: "a", Reclaimable: true, Count: 9}
 		refused := capacity.Order{Pool: "p", Domain: "b", Reclaimable: true, Count: 9}
-		must.Eq(t, []capacity.Order{ordered, refused}, sortedOrders(fake.orders))
+		must.Eq(t, []capacity.Order{ordered, refused}, fake.sorted())
 		clock.Sleep(ctx, 2*time.Second)
-		must.Eq(t, []capacity.Order{ordered, refused, refused}, sortedOrders(fake.orders))
+		must.Eq(t, []capacity.Order{ordered, refused, refused}, fake.sorted())
 		status, ok := g.PeerStatus(ctx)
 		must.True(t, ok)
 		must.SliceContains(t, status.Capacity, CapacityView{
@@ -132,9 +136,11 @@
 	})
 }
 
-// sortedOrders returns the orders by domain.
-func sortedOrders(orders []capacity.Order) []capacity.Order {
-	out := slices.Clone(orders)
+// sorted returns the orders by domain.
+func (f *fakeOrders) sorted() []capacity.Order {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := slices.Clone(f.orders)
 	slices.SortStableFunc(out, func(a, b capacity.Order) int { return int(a.Domain[0]) - int(b.Domain[0]) })
 	return out
 }
