Capacity: prompts may take half of the time, insurance below .85 of the need

Change: prompts may take half of the time of an endpoint. The share of the need below which endpoints of full price are ordered is .85, so that about as many bridge a shortage as before.

--- a/internal/core/capacity/goal.go
+++ b/internal/core/capacity/goal.go
@@ -33,7 +33,7 @@
 	singleSurplus = 1.25
 	// shortShare is the share of the need below which endpoints of full price are worth
 	// ordering.
-	shortShare = 0.6
+	shortShare = 0.85
 )
 
 // goal is what a pool should have.
--- a/internal/core/capacity/need.go
+++ b/internal/core/capacity/need.go
@@ -25,7 +25,7 @@
 	// prefillShare is the share of the time in which an endpoint may read prompts,
 	// slotShare that of its slots and memoryShare that of its memory which may be taken:
 	// the rest of the memory holds shared prompt prefixes.
-	prefillShare = 0.35
+	prefillShare = 0.5
 	slotShare    = 0.4
 	memoryShare  = 0.5
 	// urgentShare is the share of the slots that requests of the first rank may take while
