Hosts that are cut off keep engines for urgent requests

Cause: the number of engines reserved for urgent requests follows from the load that a host knows. A host that no longer hears the others knows its own only, reserves none, and sends long prompts to the engines that all others keep for urgent requests.

Change: its own urgent requests and queues are multiplied by the ratio of the hosts that it knows to those whose load it knows. TestHostCutOffFromOthersKeepsReservation fails before.

Ruled out: a change of the reservation's size (fewer urgent requests for each engine): questions gain, drafts lose more.

--- a/internal/core/balance/reserve.go
+++ b/internal/core/balance/reserve.go
@@ -143,24 +143,27 @@
 }
 
 // urgentEnginesNeeded returns the number of engines that the urgent requests of
-// all hosts need, a whole number of at most reservePoolShare of the available
+// all hosts need, those of hosts whose load is not known included, a whole number of at most reservePoolShare of the available
 // engines. It is 0 without urgent requests, or if the other prefill queued per
 // available engine is below reservePressure.
 func (p *pool) urgentEnginesNeeded(now time.Time, b *Balancer) float64 {
-	urgent, available, queued := 0, 0, 0.0
+	urgent, available, queued := 0.0, 0, 0.0
 	for _, e := range p.endpoints {
 		total := e.totalLoad()
-		urgent += total.Urgent
+		urgent += float64(total.Urgent)
 		queued += total.nonUrgentPrefill()
 		if b.isAvailable(now, e) {
 			available++
 		}
 	}
+	unseen := b.unseenFactor(now)
+	urgent *= unseen
+	queued *= unseen
 	if urgent == 0 || queued < reservePressure*float64(available) {
 		return 0
 	}
-	bySlots := float64(urgent) / (reserveSlotShare * float64(max(p.engine.Slots, 1)))
-	byPrefill := float64(urgent) * p.urgentReserve.expectedPrefillShare() / reservePrefillShare
+	bySlots := urgent / (reserveSlotShare * float64(max(p.engine.Slots, 1)))
+	byPrefill := urgent * p.urgentReserve.expectedPrefillShare() / reservePrefillShare
 	return min(math.Ceil(max(bySlots, byPrefill)), math.Floor(reservePoolShare*float64(available)))
 }
 
