A bound for the spread of load over uneven engines

Change: the simulation of 45 engines of different speed over 20 s keeps the busiest tenth within 1.3 times the mean.

--- a/internal/virtual/fleet/fleet_test.go
+++ b/internal/virtual/fleet/fleet_test.go
@@ -41,6 +41,15 @@
 	}
 }
 
+// Engines that differ in speed by a factor of two are loaded evenly: the busiest tenth
+// works at most 1.3 times as long as the mean.
+func TestUnevenEnginesAreLoadedEvenly(t *testing.T) {
+	r := fleet.Run(fleet.Uneven(45))
+	must.Between(t, 1, r.Spread.BusiestTenth, 1.3)
+	must.Between(t, 0, r.Spread.IdleWhileQueued, 0.3)
+	must.Greater(t, 0.7, r.Worth)
+}
+
 // Without surges the load is the usual one, which leaves the engines spare
 // capacity.
 func TestBaseLoadMeetsTargets(t *testing.T) {
