The balancer explains a decision and what it rests on

Cause: an operator sees only the endpoint that got a request, and not which others were compared, at what cost, or what excluded them.

Change: the costs of a choice are added by named terms, in the same order as before, and kept only when a decision is explained. Explain copies the state that a decision changes, and Submit itself decides on the copy: the explanation can't drift from the decision, also when Submit gets new refusals. The copy draws from a copy of the random source, so that a large pool's sample is the one of the next Submit.

Ruled out: a second function that repeats the steps of choose (it drifts), and undoing what choose has changed (decay, estimates, reservation and limit shares are in four files).

Test: a property test plays two balancers by the same random steps, one of which is asked to explain, twice, before each Submit. All decisions and loads are equal. It fails if Explain works on the original, if the cache index is shared, or if the random source is shared (each tried).

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -59,7 +59,11 @@
 	refreshedAt time.Time
 	// startedAt is the time of the first request.
 	startedAt time.Time
-	rng       *rand.Rand
+	// rng draws from source, which is kept so that Explain can draw from a copy.
+	rng    *rand.Rand
+	source *rand.PCG
+	// trace records the costs of the candidates; nil unless the decision is explained.
+	trace *trace
 	// domains holds the reachability of each failure domain. domainChanges are
 	// the changes since the last TakeDomainChanges.
 	domains       map[model.DomainName]*domain
@@ -119,6 +123,7 @@
 
 // New returns a Balancer without pools or endpoints.
 func New(opts Options) *Balancer {
+	source := rand.NewPCG(opts.Seed, opts.Seed^0x9e3779b97f4a7c15)
 	return &Balancer{
 		opts:         opts,
 		pools:        make(map[model.PoolName]*pool),
@@ -130,7 +135,8 @@
 		cacheIndex:   newCacheIndex(),
 		domains:      make(map[model.DomainName]*domain),
 		limitReports: make(map[model.EndpointName]*endpoint),
-		rng:          rand.New(rand.NewPCG(opts.Seed, opts.Seed^0x9e3779b97f4a7c15)),
+		source:       source,
+		rng:          rand.New(source),
 	}
 }
 
--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -98,8 +98,10 @@
 	endpoint *endpoint
 	// expected is the estimated time to the first response.
 	expected time.Duration
-	// cost is the sum of the costs of the choice; lower is better.
-	cost float64
+	// cost is the sum of the costs of the choice; lower is better. terms are the
+	// costs by what causes them; nil unless the decision is explained.
+	cost  float64
+	terms *costTerms
 	// prefill is the number of prompt tokens that the endpoint has to prefill.
 	prefill int
 	// fetchFrom is the address of an endpoint to fetch the shared prefix from;
@@ -171,6 +173,7 @@
 			continue
 		}
 		c := b.estimateCost(now, p, req, e, loc)
+		b.trace.record(&c)
 		if best.endpoint == nil || c.cost < best.cost {
 			best = c
 		}
@@ -205,7 +208,7 @@
 // after decaying the endpoint's learned averages. The priority is not set.
 func (b *Balancer) estimateCost(now time.Time, p *pool, req *Request, e *endpoint, loc cacheLocation) choice {
 	e.decay(now)
-	c := choice{endpoint: e}
+	c := choice{endpoint: e, terms: b.trace.newTerms()}
 	var ms float64
 	if p.engine == nil {
 		ms = e.expectedServiceMS()
@@ -214,22 +217,22 @@
 	}
 	ms *= e.latencyRatio
 	c.expected = time.Duration(ms * float64(time.Millisecond))
-	c.cost += lateCost(req, now, ms)
+	c.add(termLateness, lateCost(req, now, ms))
 	if e.Domain != b.opts.Domain {
-		c.cost += crossDomainCost + staleViewCost*b.crossDomainInterval.Seconds()
+		c.add(termCrossDomain, crossDomainCost+staleViewCost*b.crossDomainInterval.Seconds())
 	}
 	if e.localLoad.Count >= e.peakInFlight {
-		c.cost += newConnectionCost
+		c.add(termConnection, newConnectionCost)
 	}
-	c.cost += e.failureRate * failureCost
+	c.add(termFailures, e.failureRate*failureCost)
 	if e.stalled > 0 || e.overdue > 0 {
-		c.cost += silentEndpointCost
+		c.add(termSilent, silentEndpointCost)
 	}
 	if e.limit.needsTest(now) {
-		c.cost -= limitTestGain
+		c.add(termLimitTest, -limitTestGain)
 	}
 	if b.domain(e.Domain).isSuspect() {
-		c.cost += suspectDomainCost
+		c.add(termSuspectDomain, suspectDomainCost)
 	}
 	return c
 }
@@ -265,13 +268,13 @@
 	ahead := total.prefillAhead(req.priority())
 	queueMS := ahead * perTokenMS
 	ownMS := float64(c.prefill) * perTokenMS
-	c.cost += p.urgentReserve.reservationCost(req, e)
-	c.cost += crowdingCost * ownMS / 1000 * total.prefillAhead(NumPriorities-1) * perTokenMS / 1000
+	c.add(termReservation, p.urgentReserve.reservationCost(req, e))
+	c.add(termCrowding, crowdingCost*ownMS/1000*total.prefillAhead(NumPriorities-1)*perTokenMS/1000)
 	if over := total.Count + 1 - p.engine.Slots; over > 0 {
-		c.cost += float64(over) * overSlotsCost
+		c.add(termOverSlots, float64(over)*overSlotsCost)
 	}
 	if float64(total.Memory+estimatedMemory(&req.Prompt)) > memoryLimitShare*float64(p.engine.CacheTokens) {
-		c.cost += overMemoryCost
+		c.add(termOverMemory, overMemoryCost)
 	}
 	c.unqueuedMS = p.speed.BaseMS() + ownMS + fetchMS
 	c.queuedMS = queueMS
@@ -304,21 +307,21 @@
 		return 0
 	case loc.source != nil:
 		c.fetchFrom = loc.source.Address
-		c.cost += transferCost * thousands
+		c.add(termTransfer, transferCost*thousands)
 		return fetchBaseMS + fetchMSPerToken*float64(loc.tokens)
 	case loc.prefilling:
-		c.cost += recomputeCost * thousands
+		c.add(termRecompute, recomputeCost*thousands)
 	case c.endpoint == loc.home && loc.assumedAtHome:
 		return 0
 	case c.endpoint != loc.home:
-		c.cost += awayFromHomeCost
+		c.add(termAwayFromHome, awayFromHomeCost)
 		if loc.home != nil {
 			// If the home does not cache the prefix after all, nothing is
 			// transferred.
 			c.fetchFrom = loc.home.Address
 		}
 		if loc.assumedAtHome {
-			c.cost += transferCost * thousands
+			c.add(termTransfer, transferCost*thousands)
 			return fetchBaseMS + fetchMSPerToken*float64(loc.tokens)
 		}
 	}
