Gateways serve GET /explain on the metrics address

Cause: what a host would decide can only be seen by sending a request.

Change: the control loop answers a query for a route, account, prompt, limits and body with the decision for each pool of the route, the candidates, the memory account, quarantine or suspension, and the ages of what that rests on. The request is made by the code that makes those of callers (newExchange, checkSuspects), without drawing a pool. A name that the configuration lacks is answered with 404 and the nearest names.

Tests: the endpoint that is named gets the request, 100 of 100, with four engines and seven shared prefixes, and nothing else arrives there; all pools of a split route with shares; quarantine; parameters.

--- a/internal/core/bytebudget/budget.go
+++ b/internal/core/bytebudget/budget.go
@@ -56,15 +56,18 @@
 
 // Admit accepts a request with a body of a size, or returns nil if there is no room.
 func (b *Budget) Admit(body int64) *Holder {
-	h := &Holder{}
-	if !b.fits(h, body+requestOverhead) {
+	if !b.CanAdmit(body) {
 		return nil
 	}
+	h := &Holder{}
 	b.holders[h] = struct{}{}
 	b.addBody(h, body+requestOverhead)
 	return h
 }
 
+// CanAdmit reports whether Admit would accept a request with a body of a size.
+func (b *Budget) CanAdmit(body int64) bool { return b.fits(&Holder{}, body+requestOverhead) }
+
 // GrowBody adds bytes to the body of a request. It returns false if there is no room.
 func (b *Budget) GrowBody(h *Holder, n int64) bool {
 	if !b.fits(h, n) {
--- a/internal/core/model/fingerprint.go
+++ b/internal/core/model/fingerprint.go
@@ -36,3 +36,10 @@
 
 // MarshalText implements encoding.TextMarshaler: JSON numbers are not exact enough.
 func (f Fingerprint) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (f *Fingerprint) UnmarshalText(text []byte) error {
+	n, err := strconv.ParseUint(string(text), 16, 64)
+	*f = Fingerprint(n)
+	return err
+}
--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -204,6 +204,12 @@
 // Limits returns the limits on what callers may send.
 func (t *Table) Limits() Limits { return t.cfg.Limits }
 
+// Routes returns all routes. The slice must not be modified.
+func (t *Table) Routes() []Route { return t.cfg.Routes }
+
+// Accounts returns all client accounts. The slice must not be modified.
+func (t *Table) Accounts() []Account { return t.cfg.Accounts }
+
 // Pools returns all pools. The slice must not be modified.
 func (t *Table) Pools() []Pool { return t.cfg.Pools }
 
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -118,23 +118,31 @@
 	if !ok {
 		return nil, g.deny(unknownRouteError(call.Host, call.Path))
 	}
-	x := &exchange{gateway: g, call: call, w: w, route: route, version: table.Version(), lastEvent: call.LastEventID}
-	tier := route.Tier
+	var account *routing.Account
 	if !route.Public {
-		account, ok := table.Account(call.Key)
-		if !ok {
+		if account, ok = table.Account(call.Key); !ok {
 			return nil, g.deny(unauthorizedError())
 		}
-		if account != nil {
-			x.account = account.Name
-			if account.HasTier {
-				tier = account.Tier
-			}
+	}
+	x := newExchange(g, call, table.Version(), route, account)
+	x.w = w
+	x.req.Pool = route.PickPool(g.rng.fraction())
+	return x, nil
+}
+
+// newExchange returns the state of a request on a route without its pool. The account is nil
+// for a public route, and if the configuration has no accounts.
+func newExchange(g *Gateway, call *port.RoutedCall, version model.Version, route *routing.Route, account *routing.Account) *exchange {
+	x := &exchange{gateway: g, call: call, route: route, version: version, lastEvent: call.LastEventID}
+	tier := route.Tier
+	if account != nil {
+		x.account = account.Name
+		if account.HasTier {
+			tier = account.Tier
 		}
 	}
 	x.fingerprint = model.NewFingerprint(call.Host, call.Method, call.URI, x.account, call.Body)
 	x.req = balance.Request{
-		Pool:    route.PickPool(g.rng.fraction()),
 		Prompt:  call.Prompt,
 		Tier:    tier,
 		Rank:    route.Tier,
@@ -143,7 +151,7 @@
 	}
 	x.deadline = call.Arrived.Add(x.timeLimit())
 	holdOf(call).setRank(tier, route.Tier)
-	return x, nil
+	return x
 }
 
 // maxDenialAge is the longest time since the configuration in force was known to be the
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -41,13 +41,8 @@
 func (g *Gateway) place(ctx context.Context, req balance.Request, f model.Fingerprint, onTrial bool) (placement, bool) {
 	return queryLoop(ctx, g, func(now time.Time) placement {
 		state := g.control.quarantine
-		evidence, found := state.Check(now, req.Prompt, f)
-		switch {
-		case found && evidence.IsQuarantined():
-			until := evidence.At.Add(quarantine.Duration)
-			return placement{Decision: balance.Decision{Reason: balance.ReasonQuarantine, RetryAfter: until.Sub(now)}, suspect: evidence.Suspect}
-		case found && !onTrial:
-			return placement{Decision: balance.Decision{Reason: balance.ReasonSuspended, RetryAfter: suspendedRetryAfter}, suspect: evidence.Suspect}
+		if refusal, refused := g.control.checkSuspects(now, req.Prompt, f, onTrial); refused {
+			return refusal
 		}
 		out := placement{Decision: g.control.balancer.Submit(now, req), generation: 1}
 		g.control.demand.recordRequest(&req, out.Decision)
@@ -58,6 +53,21 @@
 	})
 }
 
+// checkSuspects returns the refusal of a request under which endpoints crash. It returns false
+// if the request may be sent, as it may on trial unless it is in quarantine.
+func (c *control) checkSuspects(now time.Time, p model.Prompt, f model.Fingerprint, onTrial bool) (placement, bool) {
+	evidence, found := c.quarantine.Check(now, p, f)
+	switch {
+	case found && evidence.IsQuarantined():
+		until := evidence.At.Add(quarantine.Duration)
+		return placement{Decision: balance.Decision{Reason: balance.ReasonQuarantine, RetryAfter: until.Sub(now)}, suspect: evidence.Suspect}, true
+	case found && !onTrial:
+		return placement{Decision: balance.Decision{Reason: balance.ReasonSuspended, RetryAfter: suspendedRetryAfter}, suspect: evidence.Suspect}, true
+	default:
+		return placement{}, false
+	}
+}
+
 // placeNext places the next attempt of the request. A suspended request goes on trial
 // unless that was tried before, it may have run, or another request is on trial.
 func (x *exchange) placeNext(ctx context.Context) (placement, bool) {
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -101,6 +101,9 @@
 	return g, nil
 }
 
+// PartID returns the ID for the name that callers give a part of a prompt.
+func PartID(name string) model.PartID { return platform.PartID(name) }
+
 // dutyOptions returns the calls that one host at a time makes to the platform, nil for none.
 func (g *Gateway) dutyOptions() *gateway.Duties {
 	if g.duties == nil {
@@ -171,6 +174,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", g.metrics.Handler())
 	mux.HandleFunc("GET /peers", g.gateway.ServePeers)
+	mux.HandleFunc("GET /explain", g.gateway.ServeExplain)
 	mux.HandleFunc("DELETE /suspects/{suspect}", g.gateway.ServeLift)
 	g.serveAux(g.listeners[listenMetrics], mux)
 	g.log.WithFields(log.Fields{
