Command explain: where a gateway would send a request, and why

The command prints a table or JSON of GET /explain. Scenarios need the users' platform as real processes: `standin users` runs its store and endpoints. The scenario's `http` command now takes the Host header.

--- a/cmd/wigeonsail/cli.go
+++ b/cmd/wigeonsail/cli.go
@@ -25,6 +25,7 @@
 	Hosts      hostsCmd      `cmd:"" help:"List or drain hosts."`
 	Endpoints  endpointsCmd  `cmd:"" help:"List, drain or resume endpoints."`
 	Quarantine quarantineCmd `cmd:"" help:"List or lift the quarantine of requests that crash endpoints."`
+	Explain    explainCmd    `cmd:"" help:"Explain where a gateway would send a request now, and why, without sending it."`
 	Report     reportCmd     `cmd:"" help:"Report on service levels."`
 	Handover   handoverCmd   `cmd:"" help:"Summarize a shift: changes, versions in force, service-level burn, and what is draining."`
 	Load       loadCmd       `cmd:"" help:"Send load to hosts and report the results."`
--- a/cmd/wigeonsail/scenario_commands_test.go
+++ b/cmd/wigeonsail/scenario_commands_test.go
@@ -57,7 +57,7 @@
 	}
 	req, err := http.NewRequest(args[0], args[1], body)
 	ts.Check(err)
-	req.Header = header
+	req.Header, req.Host = header, header.Get("Host")
 	client := &http.Client{Timeout: scenarioTimeout}
 	res, err := client.Do(req)
 	if err != nil {
--- a/cmd/wigeonsail/standin.go
+++ b/cmd/wigeonsail/standin.go
@@ -20,6 +20,7 @@
 	Engine   standinEngineCmd   `cmd:"" help:"Run a stand-in for a model engine."`
 	Service  standinServiceCmd  `cmd:"" help:"Run a stand-in for a plain service."`
 	Platform standinPlatformCmd `cmd:"" help:"Run a stand-in for the platform's log, host list and weight store."`
+	Users    standinUsersCmd    `cmd:"" help:"Run stand-ins for the store and the endpoints of the users' platform."`
 	Cut      standinCutCmd      `cmd:"" help:"Run a TCP relay whose link can be cut or stalled."`
 }
 
