Release the place of a moved run whose caller leaves

Cause: a stream that ends by a failed write to its caller forgot the move of its run. If the move had begun, the place at its target stayed in flight for ever: nothing finishes it, and the load of the endpoint never falls again. This happens with callers that leave, and with slow readers that are shed, while the move runs. Ruled out: streams that end at the endpoint, or by the time limit. They await the move. Change: a failed write abandons the move, which releases the place once the result of the move is known. Test: TestPlaceOfAMoveIsReleasedWhenTheCallerLeaves fails before (one request in flight) and passes now. All cases of moves now check that nothing stays in flight.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -248,17 +248,31 @@
 	case <-m.done:
 		return m.moved, m.moved.Handle != ""
 	case <-ctx.Done():
-		// What is still placed ends with the result of the move.
-		m.exchange.gateway.background(func(context.Context) {
-			<-m.done
-			if m.moved.Handle != "" {
-				m.exchange.gateway.finish(m.moved.id, balance.Result{})
-			}
-		})
+		m.releasePlaced()
 		return movedRun{}, false
 	}
 }
 
+// abandon ends a move, or the preparation for it, whose caller receives nothing more.
+func (m *runMove) abandon() {
+	if m == nil {
+		return
+	}
+	m.stopWatching()
+	m.start.Do(func() { close(m.started); close(m.done) })
+	m.releasePlaced()
+}
+
+// releasePlaced releases what the move has placed, once its result is known.
+func (m *runMove) releasePlaced() {
+	m.exchange.gateway.background(func(context.Context) {
+		<-m.done
+		if m.moved.Handle != "" {
+			m.exchange.gateway.finish(m.moved.id, balance.Result{})
+		}
+	})
+}
+
 // errMoved is the error of an attempt whose run goes on elsewhere.
 var errMoved = errors.New("the run was stopped to be moved")
 
--- a/internal/gateway/move_test.go
+++ b/internal/gateway/move_test.go
@@ -35,6 +35,8 @@
 	asked int
 	// sent are the attempts, in order.
 	sent []port.RoutedAttempt
+	// caller is who receives the stream.
+	caller *versionedCaller
 }
 
 func (e *movableEndpoints) Send(ctx context.Context, a port.RoutedAttempt) (port.EndpointResponse, error) {
@@ -74,6 +76,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	g.ctx = ctx
 	g.workers.Go(func() { g.loop.Run(ctx, tickInterval, g.control.tick) })
+	defer g.workers.Wait()
+	defer stop()
 	list := func(entry directory.Entry) {
 		g.loop.Post(loop.Func(func(now time.Time) {
 			if change, changed := g.control.directory.Put(now, entry); changed {
@@ -92,6 +96,7 @@
 	old := directory.Entry{Name: "old", Pool: "p", Address: "old", Domain: "a", Software: "v1", Slots: 10, Started: 1, Reclaimable: true}
 	list(old)
 	caller := &versionedCaller{}
+	e.caller = caller
 	served := make(chan bool, 1)
 	clock.Sleep(ctx, 100*time.Millisecond)
 	go func() {
@@ -106,8 +111,10 @@
 	old.Draining, old.Sequence = true, 1
 	list(old)
 	caller.complete = <-served
-	stop()
-	g.workers.Wait()
+	clock.Sleep(ctx, moveTimeout)
+	inFlight, ok := queryLoop(ctx, g, func(now time.Time) int { return len(g.control.balancer.LocalLoad(now)) })
+	must.True(t, ok)
+	must.Zero(t, inFlight)
 	return caller
 }
 
@@ -149,3 +156,18 @@
 		})
 	}
 }
+
+// What a move has placed is released if the caller leaves before the run has stopped.
+func TestPlaceOfAMoveIsReleasedWhenTheCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &movableEndpoints{}
+		e.move = func() (port.MovedRun, error) {
+			e.caller.mu.Lock()
+			defer e.caller.mu.Unlock()
+			e.caller.gone = true
+			return port.MovedRun{Handle: "old/7"}, nil
+		}
+		must.False(t, playMove(t, e, false).complete)
+		must.SliceLen(t, 1, e.sent)
+	})
+}
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -171,6 +171,7 @@
 		err = x.forwardEvents(reply, batch)
 		stream.endWrite()
 		if err != nil {
+			move.abandon()
 			return attemptResult{outcome: model.OutcomeRan, delivered: true, err: err}
 		}
 		watch.resume()
--- a/internal/gateway/versionfleet_test.go
+++ b/internal/gateway/versionfleet_test.go
@@ -112,6 +112,8 @@
 	takeUps, wentOn int
 	refusal         *port.RequestError
 	complete        bool
+	// gone reports that the caller has closed its connection.
+	gone bool
 }
 
 // versionedWriter receives the response to one request of a caller.
@@ -127,6 +129,9 @@
 func (w *versionedWriter) Write(data []byte) error {
 	w.caller.mu.Lock()
 	defer w.caller.mu.Unlock()
+	if w.caller.gone {
+		return errCallerGone
+	}
 	if w.caller.first == "" {
 		w.caller.first = w.request
 	}
