A timeout that expires while events arrive gives nothing up

Cause: the timeout of a silent attempt was stopped outside of the lock, and its function took the number of the silence when it ran, not when it expired. If it expired just before events arrived, which is likely on a host that has been frozen or is busy, the function ran after them, found a place elsewhere and cancelled a sound stream; or it armed the timer again although the stream was being forwarded. Ruled out: the number of the silence alone. It only covers events that arrive between the start of the function and its decision. Change: the time at which the timeout expires is kept under the lock and cleared while events are forwarded; the function does nothing before it. Test: TestTimeoutBesideEventsGivesNothingUp fails before (the attempt is cancelled after its events have arrived) and passes now.

--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -10,8 +10,10 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/attempt"
+	"github.com/wigeonsail/wigeonsail/internal/core/balance"
 	"github.com/wigeonsail/wigeonsail/internal/core/directory"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/routing"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -180,3 +182,29 @@
 		must.Zero(t, load)
 	})
 }
+
+// A timeout that has expired while events arrived must not end the attempt.
+func TestTimeoutBesideEventsGivesNothingUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newVersionFleet(1)
+		defer f.close()
+		f.addVersions(2, "v1")
+		f.run()
+		g := f.gateways[0]
+		ctx, cancel := context.WithCancelCause(t.Context())
+		defer cancel(nil)
+		x := &exchange{gateway: g, call: &port.RoutedCall{ID: "1"}, deadline: time.Now().Add(time.Hour)}
+		x.route = &routing.Route{Kind: routing.Streaming, LatencyTarget: time.Second, MaxGap: time.Second, MaxAttempts: 2, Resumable: true}
+		x.req = balance.Request{Pool: "p", Software: "v1", Target: time.Second}
+		w := x.startWatch(ctx, cancel, balance.Decision{Endpoint: "e-0"})
+		w.pause()
+		w.giveUp()
+		must.NoError(t, context.Cause(ctx))
+		w.resume()
+		w.giveUp()
+		must.NoError(t, context.Cause(ctx))
+		time.Sleep(time.Minute)
+		must.ErrorIs(t, context.Cause(ctx), errSilent)
+		must.NotNil(t, w.stop())
+	})
+}
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -50,7 +50,10 @@
 	// silence numbers the times of silence, so that a decision about one does not end a
 	// later one.
 	silence int
-	next    nextAttempt
+	// due is when timeout expires; zero while paused. A timer that has expired runs its
+	// function later on a busy host, also after events have arrived.
+	due  time.Time
+	next nextAttempt
 	// reserved is the next attempt after this one was given up.
 	reserved *reservation
 	// logged reports whether it was logged that the attempt was not given up.
@@ -73,7 +76,10 @@
 	w.next = w.describeNext()
 	if x.route.CanRetry() && x.possibleRuns+1 < x.route.MaxAttempts {
 		limit := max(firstResponseFactor*x.route.LatencyTarget, minFirstResponseTimeout)
+		w.mu.Lock()
+		w.due = time.Now().Add(limit)
 		w.timeout = time.AfterFunc(limit, w.giveUp)
+		w.mu.Unlock()
 	}
 	return w
 }
@@ -95,7 +101,9 @@
 // after which a stall is reported.
 func (w *stallWatch) resume() {
 	if w.timeout != nil {
-		w.timeout.Reset(max(eventGapFactor*w.exchange.route.MaxGap, minEventTimeout))
+		w.mu.Lock()
+		w.expectWithin(max(eventGapFactor*w.exchange.route.MaxGap, minEventTimeout))
+		w.mu.Unlock()
 	}
 	if w.stall == nil {
 		next := w.describeNext()
@@ -108,14 +116,21 @@
 	w.stall.Reset(stallAfter)
 }
 
+// expectWithin restarts the timeout. The caller must hold mu.
+func (w *stallWatch) expectWithin(d time.Duration) {
+	w.due = time.Now().Add(d)
+	w.timeout.Reset(d)
+}
+
 // pause stops the timeouts when events have arrived, and reports the end of a
 // stall.
 func (w *stallWatch) pause() {
+	w.mu.Lock()
+	w.silence++
+	w.due = time.Time{}
 	if w.timeout != nil {
 		w.timeout.Stop()
 	}
-	w.mu.Lock()
-	w.silence++
 	w.mu.Unlock()
 	if w.stall != nil {
 		w.stall.Stop()
@@ -138,7 +153,11 @@
 func (w *stallWatch) giveUp() {
 	w.mu.Lock()
 	silence, next := w.silence, w.next
+	expired := !w.due.IsZero() && !time.Now().Before(w.due)
 	w.mu.Unlock()
+	if !expired {
+		return
+	}
 	reserved, reason := w.reserve(next)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -151,7 +170,7 @@
 		w.cancel(errSilent)
 	case !ended:
 		w.logKept(reason)
-		w.timeout.Reset(giveUpInterval)
+		w.expectWithin(giveUpInterval)
 	}
 }
 
