A caller that has read all its events does not count as waiting

Cause: the time since when a caller has read nothing ran on while the endpoint was silent. With the next event, a caller that had read everything looked as if it had not read for all the silence, and could be shed at once in place of a slow one. Change: the time starts anew when the first unread bytes arrive. Test: TestCallerThatHasReadAllIsNotShed fails before and passes now.

--- a/internal/core/bytebudget/budget.go
+++ b/internal/core/bytebudget/budget.go
@@ -26,8 +26,8 @@
 	rank int
 	// body and unread are the bytes of the request and of its response.
 	body, unread int64
-	// waitingSince is since when the caller has read nothing that was sent; zero if nothing
-	// is being sent.
+	// waitingSince is since when the caller has read nothing although there was something
+	// for it; zero if nothing is being sent.
 	waitingSince time.Time
 	shed         bool
 }
@@ -98,6 +98,10 @@
 	if b.used+n > b.limit && b.unread > 0 {
 		return false, b.shedSlowest(now)
 	}
+	if h.unread == 0 && !h.waitingSince.IsZero() {
+		// The caller had read everything.
+		h.waitingSince = now
+	}
 	h.unread += n
 	b.unread += n
 	b.used += n
--- a/internal/core/bytebudget/budget_test.go
+++ b/internal/core/bytebudget/budget_test.go
@@ -64,6 +64,24 @@
 	must.True(t, ok)
 }
 
+// A caller that has read all there was for it does not wait: the endpoint was silent.
+func TestCallerThatHasReadAllIsNotShed(t *testing.T) {
+	now := time.Unix(100, 0)
+	b := bytebudget.New(10 << 20)
+	reader, other := b.Admit(0), b.Admit(0)
+	b.Send(now, reader)
+	b.AddUnread(now, reader, 1000)
+	b.Read(now, reader, 1000)
+	now = now.Add(10 * time.Second)
+	b.AddUnread(now, reader, 1000)
+	ok, victim := b.AddUnread(now, other, 10<<20)
+	must.False(t, ok)
+	must.Nil(t, victim)
+	ok, victim = b.AddUnread(now.Add(2*time.Second), other, 10<<20)
+	must.False(t, ok)
+	must.True(t, victim == reader)
+}
+
 // Whatever happens, no more than the limit is held, and nothing when all requests have ended.
 func TestBudgetIsKept(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
