Reports of engine speeds do not come back to their sender as new ones

Cause: the evidence of an estimate decays with its age, but not while a report is on its way. So a report that came back had more evidence than the estimate that it was made from, by the time of the way, and was adopted and reported again. Relays kept reporting the same engines to each other for ever, and these took the few places of a digest from new observations. Ruled out: reporting only what this host has observed, since relays pass on what the hosts of their failure domain have observed. Change: a report must have more evidence after a decay of 300 ms, more than a digest is on its way. Test: TestReportsOfSpeedEndBetweenRelays fails before (three reports, 10 s after the last observation) and passes now.

--- a/internal/core/enginespeed/enginespeed.go
+++ b/internal/core/enginespeed/enginespeed.go
@@ -46,6 +46,9 @@
 	// the prefill was for the requests ahead in the queue, whose number is
 	// known less well.
 	queuedShare = 0.2
+	// maxTransit is how long a report is on its way, during which its evidence does not
+	// decay. A report with more evidence by less than that may be one that comes back.
+	maxTransit = 300 * time.Millisecond
 	// trustedWeight is the evidence from which an estimate is trustworthy.
 	trustedWeight = 2.0
 )
@@ -118,8 +121,12 @@
 
 // weightAt returns the evidence that is left at a time.
 func (e *Engine) weightAt(now time.Time) float64 {
-	age := max(now.Sub(e.weighedAt), 0)
-	return e.weight * math.Exp2(-age.Seconds()/weightHalfLife.Seconds())
+	return e.weight * decayAfter(now.Sub(e.weighedAt))
+}
+
+// decayAfter returns the share of evidence that is left of an age.
+func decayAfter(age time.Duration) float64 {
+	return math.Exp2(-max(age, 0).Seconds() / weightHalfLife.Seconds())
 }
 
 // PrefillMS returns the time to prefill a token without much load, in
@@ -144,10 +151,10 @@
 }
 
 // Adopt replaces the estimate by that of another host if it rests on more
-// evidence. It reports whether it did.
+// evidence, also with the decay on its way. It reports whether it did.
 func (e *Engine) Adopt(now time.Time, est Estimate) bool {
 	weight := min(est.Weight, maxWeight)
-	if !(est.PrefillMS > 0) || math.IsInf(est.PrefillMS, 0) || !(weight > e.weightAt(now)) {
+	if !(est.PrefillMS > 0) || math.IsInf(est.PrefillMS, 0) || !(weight*decayAfter(maxTransit) > e.weightAt(now)) {
 		return false
 	}
 	e.logPrefill = bounded(math.Log(est.PrefillMS), DefaultPrefillMS)
