The speed of a small pool does not count twice

Cause: the mean that the engines of a pool are compared with always held a share of the default speed. A pool of one engine that is four times as fast as the default was taken for an engine faster than its pool: 0.56 of its true time per token was expected; slower engines were taken for slower still, so that requests could be refused as not in time although they were. With n engines the error is the n+1st part of the difference from the default, so that large pools do not show it. Ruled out: dropping the prior, since the mean would jump to the first engine with any evidence. Change: the prior of the mean is the mean before, which starts at the default. Test: TestSmallPoolDiffersFromTheDefault fails before (0.56 for one engine) and passes now.

--- a/internal/core/enginespeed/enginespeed.go
+++ b/internal/core/enginespeed/enginespeed.go
@@ -34,7 +34,7 @@
 	weightHalfLife = 20 * time.Second
 	// baseWeight is the weight of the present base against one observation.
 	baseWeight = 50.0
-	// meanPriorWeight is the weight of the default in the mean of the engines.
+	// meanPriorWeight is the weight of the mean before in the mean of the engines.
 	meanPriorWeight = 2.0
 	// levelQuantile is the quantile of the measured times that is the level of a
 	// pool, levelStep the step by which the level follows. levelEvidence is the least
@@ -84,9 +84,11 @@
 // milliseconds.
 func (p *Pool) BaseMS() float64 { return math.Exp(p.logBase) }
 
-// Refresh updates the mean speed that the engines of the pool are compared with.
+// Refresh updates the mean speed that the engines of the pool are compared with. It moves
+// from the mean before to that of the engines with evidence, so that the speed of a whole
+// pool is not taken for a difference of its engines.
 func (p *Pool) Refresh(now time.Time, engines iter.Seq[*Engine]) {
-	sum, weights := meanPriorWeight*math.Log(DefaultPrefillMS), meanPriorWeight
+	sum, weights := meanPriorWeight*p.logMean, meanPriorWeight
 	for e := range engines {
 		weight := min(e.weightAt(now), trustedWeight)
 		sum += weight * e.logPrefill
--- a/internal/core/enginespeed/enginespeed_test.go
+++ b/internal/core/enginespeed/enginespeed_test.go
@@ -136,3 +136,30 @@
 	must.LessEq(t, 16.1*enginespeed.DefaultPrefillMS, e.PrefillMS(start, pool))
 	must.LessEq(t, 16.1*enginespeed.DefaultBaseMS, pool.BaseMS())
 }
+
+// The engines of a pool that are all slower or faster than the default count as such, but
+// not once more as slower or faster than their pool, however few they are.
+func TestSmallPoolDiffersFromTheDefault(t *testing.T) {
+	const tokens = 100_000
+	for _, factor := range []float64{0.25, 4} {
+		for _, count := range []int{1, 3} {
+			pool := enginespeed.NewPool()
+			engines := make([]enginespeed.Engine, count)
+			now := start
+			for i := range 1000 {
+				now = now.Add(50 * time.Millisecond)
+				ms := enginespeed.DefaultBaseMS + tokens*factor*enginespeed.DefaultPrefillMS
+				took := time.Duration(ms * float64(time.Millisecond))
+				engines[i%count].Observe(now, pool, enginespeed.Observation{Took: took, OwnTokens: tokens})
+				pool.Refresh(now, func(yield func(*enginespeed.Engine) bool) {
+					for i := range engines {
+						if !yield(&engines[i]) {
+							return
+						}
+					}
+				})
+			}
+			must.InDelta(t, 1, engines[0].PrefillMS(now, pool)/(factor*enginespeed.DefaultPrefillMS), 0.1)
+		}
+	}
+}
