--- a/internal/core/enginespeed/enginespeed.go
+++ b/internal/core/enginespeed/enginespeed.go
@@ -34,7 +34,7 @@
 	weightHalfLife = 20 * time.Second
 	// baseWeight is the weight of the present base against one observation.
 	baseWeight = 50.0
-	// meanPriorWeight is the weight of the default in the mean of the engines.
+	// meanPriorWeight is the weight of the mean before in the mean of the engines.
 	meanPriorWeight = 2.0
 	// levelQuantile is the quantile of the measured times that is the level of a
 	// pool, levelStep the step by which the level follows. levelEvidence is the least
@@ -46,6 +46,9 @@
 	// the prefill was for the requests ahead in the queue, whose number is
 	// known less well.
 	queuedShare = 0.2
+	// maxTransit is how long a report is on its way, during which its evidence does not
+	// decay. A report with more evidence by less than that may be one that comes back.
+	maxTransit = 300 * time.Millisecond
 	// trustedWeight is the evidence from which an estimate is trustworthy.
 	trustedWeight = 2.0
 )
@@ -81,9 +84,11 @@
 // milliseconds.
 func (p *Pool) BaseMS() float64 { return math.Exp(p.logBase) }
 
-// Refresh updates the mean speed that the engines of the pool are compared with.
+// Refresh updates the mean speed that the engines of the pool are compared with. It moves
+// from the mean before to that of the engines with evidence, so that the speed of a whole
+// pool is not taken for a difference of its engines.
 func (p *Pool) Refresh(now time.Time, engines iter.Seq[*Engine]) {
-	sum, weights := meanPriorWeight*math.Log(DefaultPrefillMS), meanPriorWeight
+	sum, weights := meanPriorWeight*p.logMean, meanPriorWeight
 	for e := range engines {
 		weight := min(e.weightAt(now), trustedWeight)
 		sum += weight * e.logPrefill
@@ -118,8 +123,12 @@
 
 // weightAt returns the evidence that is left at a time.
 func (e *Engine) weightAt(now time.Time) float64 {
-	age := max(now.Sub(e.weighedAt), 0)
-	return e.weight * math.Exp2(-age.Seconds()/weightHalfLife.Seconds())
+	return e.weight * decayAfter(now.Sub(e.weighedAt))
+}
+
+// decayAfter returns the share of evidence that is left of an age.
+func decayAfter(age time.Duration) float64 {
+	return math.Exp2(-max(age, 0).Seconds() / weightHalfLife.Seconds())
 }
 
 // PrefillMS returns the time to prefill a token without much load, in
@@ -144,10 +153,10 @@
 }
 
 // Adopt replaces the estimate by that of another host if it rests on more
-// evidence. It reports whether it did.
+// evidence, also with the decay on its way. It reports whether it did.
 func (e *Engine) Adopt(now time.Time, est Estimate) bool {
 	weight := min(est.Weight, maxWeight)
-	if !(est.PrefillMS > 0) || math.IsInf(est.PrefillMS, 0) || !(weight > e.weightAt(now)) {
+	if !(est.PrefillMS > 0) || math.IsInf(est.PrefillMS, 0) || !(weight*decayAfter(maxTransit) > e.weightAt(now)) {
 		return false
 	}
 	e.logPrefill = bounded(math.Log(est.PrefillMS), DefaultPrefillMS)
