Relays pass on only demand that they know first-hand

Relays of a failure domain sent each other the sums of all domains, their own included, took the larger one and sent that on: a sum that had once been high stayed, and the records of a domain that was cut off never became outdated. So the need of a pool never fell on fleets with relays, and a domain without reports counted as reporting.

Records of a domain are passed on only by hosts of that domain, from what its hosts reported, and by a relay that has them from there. A second-hand record does not replace one that is known first-hand.

Ruled out: that hosts' own records never expire.

--- a/internal/gateway/capacity_test.go
+++ b/internal/gateway/capacity_test.go
@@ -51,6 +51,34 @@
 	}
 }
 
+// Relays of a failure domain send each other what they know. Neither a demand that has
+// fallen nor that of a domain that is cut off may be kept alive by that.
+func TestRelaysDoNotKeepOldDemandAlive(t *testing.T) {
+	f := newFleet(t, 3, 30)
+	setDemand := func(requests float64) {
+		for _, c := range f.hosts {
+			c.demand.before = []map[model.PoolName]capacity.Demand{{"p": {Requests: requests}}}
+		}
+	}
+	for _, c := range f.hosts {
+		c.gateway.opts.Duties = &Duties{Held: []port.Duty{port.DutyCapacity}}
+		c.capacity.setPools([]routing.Pool{scaledPool()})
+	}
+	setDemand(10)
+	f.run(12 * time.Second)
+	setDemand(1)
+	f.run(8 * time.Second)
+	for address, c := range f.hosts {
+		must.Eq(t, 180, c.poolViews(f.now)[0].Demand.Requests, must.Sprint(address))
+	}
+	isApart := func(c *control) bool { return c.gateway.opts.Domain == "d2" }
+	f.isCut = func(from, to *control) bool { return isApart(from) != isApart(to) }
+	f.run(2 * demandLife)
+	for address, c := range f.hosts {
+		must.True(t, isApart(c) || c.demand.domains["d2"].at.IsZero(), must.Sprint(address))
+	}
+}
+
 func TestNoDemandIsSentWithoutTheDuty(t *testing.T) {
 	f := newFleet(t, 1, 2)
 	c := f.hosts["h-0-0"]
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -20,6 +20,8 @@
 //     of all domains to the hosts of its own. Such records name the domain.
 //  3. The sum of a domain is the larger one of what its hosts and what its relay have
 //     reported: neither counts work that was not requested.
+//  4. A relay passes on only what it knows first-hand: from hosts, and from relays of their
+//     own domain if that is another one. Relays of one domain would keep old sums alive.
 
 const (
 	// demandInterval is the time over which requests are counted and between two digests
@@ -53,6 +55,8 @@
 	at      time.Time
 	domain  model.DomainName
 	demands []capacity.Demand
+	// firstHand reports that the sender belongs to the failure domain.
+	firstHand bool
 }
 
 func newDemandMeter() *demandMeter {
@@ -92,6 +96,11 @@
 		m.before = m.before[excess:]
 	}
 	m.counts, m.countedFrom = make(map[model.PoolName]capacity.Demand), now
+	m.expire(now)
+}
+
+// expire drops outdated records.
+func (m *demandMeter) expire(now time.Time) {
 	for host, r := range m.hosts {
 		if now.Sub(r.at) > demandLife {
 			delete(m.hosts, host)
@@ -127,12 +136,26 @@
 			m.hosts[d.Host] = demandReport{at: now, domain: d.Domain, demands: demands}
 			continue
 		}
-		m.domains[domain] = demandReport{at: now, domain: domain, demands: demands}
+		firstHand := d.Domain == domain
+		if !firstHand && m.domains[domain].firstHand {
+			continue
+		}
+		m.domains[domain] = demandReport{at: now, domain: domain, demands: demands, firstHand: firstHand}
 	}
 }
 
 // byDomain returns the sums by failure domain, own is that of this host.
 func (m *demandMeter) byDomain(own model.DomainName) map[model.DomainName]demandSum {
+	return m.sums(own, func(demandReport) bool { return true })
+}
+
+// firstHand is like byDomain for the sums that a relay passes on.
+func (m *demandMeter) firstHand(own model.DomainName) map[model.DomainName]demandSum {
+	return m.sums(own, func(r demandReport) bool { return r.firstHand && r.domain != own })
+}
+
+// sums returns the sums by failure domain of the hosts and of the relays' reports that count.
+func (m *demandMeter) sums(own model.DomainName, counts func(demandReport) bool) map[model.DomainName]demandSum {
 	out := map[model.DomainName]demandSum{own: m.own()}
 	for _, r := range m.hosts {
 		if out[r.domain] == nil {
@@ -143,6 +166,9 @@
 		}
 	}
 	for domain, r := range m.domains {
+		if !counts(r) {
+			continue
+		}
 		total := make(demandSum)
 		for _, n := range r.demands {
 			total.add(n, 1)
@@ -224,7 +250,7 @@
 		return nil
 	}
 	var out []capacity.Demand
-	for domain, sum := range c.demand.byDomain(c.gateway.opts.Domain) {
+	for domain, sum := range c.demand.firstHand(c.gateway.opts.Domain) {
 		out = append(out, sum.records(domain, c.capacity.pools)...)
 	}
 	return out[:min(len(out), maxDemandRecords)]
@@ -236,7 +262,7 @@
 		return nil
 	}
 	own := c.gateway.opts.Domain
-	return c.demand.byDomain(own)[own].records(own, c.capacity.pools)
+	return c.demand.firstHand(own)[own].records(own, c.capacity.pools)
 }
 
 // mergeDemand returns the records of both digests, the newer ones where both have some of a
--- a/internal/gateway/digests_test.go
+++ b/internal/gateway/digests_test.go
@@ -97,6 +97,7 @@
 		for _, address := range f.order {
 			c := f.hosts[address]
 			c.balancer.ExpirePeers(f.now)
+			c.demand.expire(f.now)
 			c.reviewPeers(f.now)
 			c.peers.tick(f.now, c)
 		}
