Orders stay within the bound of both kinds together

The endpoints of full price that the first rank needs were ordered whatever the bound of the pool was, and beside the reclaimable ones that were ordered before. A pool of at most 50 in a domain was ordered up to 125 of full price beside 40 reclaimable ones. The count is bounded by what the other kind leaves; it grows as the reclaimable ones shrink. The new test failed before.

--- a/internal/core/capacity/goal.go
+++ b/internal/core/capacity/goal.go
@@ -71,7 +71,7 @@
 		out.total[domain] = min(max(n, v.Scaling.Min, 1), v.Scaling.Max)
 		smallest = min(smallest, out.total[domain])
 	}
-	out.steady = steadyEach(len(v.Domains), smallest, h.urgent, v.Scaling.Min)
+	out.steady = min(steadyEach(len(v.Domains), smallest, h.urgent, v.Scaling.Min), smallest)
 	return out
 }
 
@@ -154,14 +154,15 @@
 	other := p.group(Group{Pool: id.Pool, Domain: id.Domain, Reclaimable: true})
 	keep := max(total-other.seen.Serving, goal.steady)
 	have := g.count()
+	// The endpoints of both kinds together stay within the bound.
+	most := max(v.Scaling.Max-other.count(), have)
 	switch {
 	case keep < have:
 		return p.giveUp(now, v, g, keep, total, goal)
 	case other.refused:
-		want := min(have+goal.missing, v.Scaling.Max-other.seen.Serving)
-		return p.due(now, v, g, max(want, have, goal.steady), false)
+		return p.due(now, v, g, min(max(have+goal.missing, goal.steady), most), false)
 	default:
-		return p.due(now, v, g, max(have, goal.steady), false)
+		return p.due(now, v, g, min(max(have, goal.steady), most), false)
 	}
 }
 
--- a/internal/core/capacity/planner_test.go
+++ b/internal/core/capacity/planner_test.go
@@ -169,3 +169,14 @@
 	}
 	must.Eq(t, 6, p.group(steady("a")).ordered)
 }
+
+func TestTheFirstRankIsOrderedWithinTheBounds(t *testing.T) {
+	p := NewPlanner()
+	p.TakeOver(at(0))
+	v := view(map[Group]int{steady("a"): 5, steady("b"): 5, reclaimable("a"): 40, reclaimable("b"): 40}, 1000)
+	v.Load.Urgent = 1000
+	for id, n := range plan(p, at(0), v) {
+		other := Group{Pool: id.Pool, Domain: id.Domain, Reclaimable: !id.Reclaimable}
+		must.LessEq(t, v.Scaling.Max, n+p.group(other).count(), must.Sprint(id))
+	}
+}
