A reclaim does not shrink a group while the load is not known

After a reclaim, a group is ordered anew whatever the difference to the last order is. While the load is not known, the total is that of the larger kind, less the endpoints of full price: so each reclaim ordered fewer than before, without any knowledge of the load. The new test failed before, with 29 in place of 30.

--- a/internal/core/capacity/goal.go
+++ b/internal/core/capacity/goal.go
@@ -135,6 +135,10 @@
 	if want < 0 {
 		return 0, ""
 	}
+	if !goal.mayShrink {
+		// A reclaim must not shrink the group either.
+		want = max(want, g.count())
+	}
 	count, reason := p.due(now, v, g, want, goal.mayShrink)
 	if reason == ReasonGrows && steady.count() > goal.steady {
 		reason = ReasonCheaper
--- a/internal/core/capacity/planner_test.go
+++ b/internal/core/capacity/planner_test.go
@@ -180,3 +180,17 @@
 		must.LessEq(t, v.Scaling.Max, n+p.group(other).count(), must.Sprint(id))
 	}
 }
+
+func TestAReclaimDoesNotShrinkThePoolWithoutKnowledgeOfTheLoad(t *testing.T) {
+	p := NewPlanner()
+	p.TakeOver(at(0))
+	have := map[Group]int{steady("a"): 3, steady("b"): 3}
+	ordered := plan(p, at(0), view(have, 0))[reclaimable("a")]
+	have[reclaimable("a")], have[reclaimable("b")] = ordered, ordered
+	v := view(have, 0)
+	v.Current = false
+	must.MapEmpty(t, over(p, 1, 3, v))
+	p.groups[reclaimable("a")].ordered = 30
+	delete(v.Endpoints, reclaimable("a"))
+	must.Eq(t, map[Group]int{reclaimable("a"): 30}, plan(p, at(3), v))
+}
