A host that has just taken over gives up no endpoints of full price

Such a host took the larger kind for the whole pool and gave up the other one at once and in one step, also without any known load, though its predecessor may have meant both to serve. The new test failed before.

--- a/internal/core/capacity/goal.go
+++ b/internal/core/capacity/goal.go
@@ -161,6 +161,9 @@
 	// The endpoints of both kinds together stay within the bound.
 	most := max(v.Scaling.Max-other.count(), have)
 	switch {
+	case keep < have && other.ordered < 0 && now.Sub(p.since) < observeTime:
+		// The other kind was ordered by another host: it may have meant both to serve.
+		return 0, ""
 	case keep < have:
 		return p.giveUp(now, v, g, keep, total, goal)
 	case other.refused:
--- a/internal/core/capacity/planner_test.go
+++ b/internal/core/capacity/planner_test.go
@@ -194,3 +194,11 @@
 	delete(v.Endpoints, reclaimable("a"))
 	must.Eq(t, map[Group]int{reclaimable("a"): 30}, plan(p, at(3), v))
 }
+
+func TestAHostThatHasTakenOverGivesUpNothingYet(t *testing.T) {
+	p := NewPlanner()
+	p.TakeOver(at(0))
+	v := view(map[Group]int{steady("a"): 10, steady("b"): 10, reclaimable("a"): 10, reclaimable("b"): 10}, 0)
+	must.MapEmpty(t, over(p, 0, observeTime.Seconds(), v))
+	must.MapContainsKey(t, over(p, observeTime.Seconds(), observeTime.Seconds()+1, v), steady("a"))
+}
