Calls of duties stay within what the platform takes in each second

After a pause, the holder could make half of a second's calls at once and 0.8 of them in the second that followed: up to 1.3 times what the platform takes, and the rest was refused and repeated. The calls at once are now what the steady pace leaves. The new test failed before, with 5 calls where 4 are taken.

--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -94,10 +94,17 @@
 			Host: c.gateway.opts.Host, Incarnation: c.gateway.opts.Incarnation,
 			Lease: opts.Lease, CallTimeout: opts.callTimeout(), Margin: opts.Lease / marginFraction,
 		}),
-		limiter: rate.NewLimiter(rate.Limit(opts.CallsPerSecond*paceFraction), max(1, int(opts.CallsPerSecond/2))),
+		limiter: opts.newLimiter(),
 	}
 }
 
+// newLimiter returns the limiter of the calls of this host. The calls that it lets pass at
+// once and those in the second that follows are no more than the platform takes.
+func (d *Duties) newLimiter() *rate.Limiter {
+	paced := d.CallsPerSecond * paceFraction
+	return rate.NewLimiter(rate.Limit(paced), max(1, int(d.CallsPerSecond-paced)))
+}
+
 // callTimeout returns the time that one call may take.
 func (d *Duties) callTimeout() time.Duration { return d.Lease / callFraction }
 
