Counts from before a suspension are sent with the recent ones

At times, a digest has all counts of recent windows in place of those that have changed since the last one. Changes in older windows were then marked as sent though they were not. A host that was suspended or that relays late counts lost them, which matters while the windows are not reported, such as in an outage of the store. Such a digest now has both. The new test failed before, with no counts.

--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -143,19 +143,20 @@
 	})
 }
 
-// take returns the counts that changed since the last digest, or all of recent windows.
+// take returns the counts that changed since the last digest, and at times all of recent
+// windows.
 func (c *usageCursor) take(now time.Time, u *usageReporter, changed func(from usage.Window, change int64) []usage.Record) []usage.Record {
 	if now.Sub(c.sentAt) < usageInterval {
 		return nil
 	}
 	at := u.trueTime()
-	from, since := u.windows.Oldest(at), c.change
+	records := changed(u.windows.Oldest(at), c.change)
 	if now.Sub(c.refreshedAt) >= usageRefresh {
 		c.refreshedAt = now
-		from, since = u.windows.Of(at.Add(-2*usageRefresh)), 0
+		records = usage.MergeRecords(records, changed(u.windows.Of(at.Add(-2*usageRefresh)), 0))
 	}
 	c.sentAt, c.change = now, u.table.Changes()
-	return changed(from, since)
+	return records
 }
 
 // tick corrects the clock and, while this host holds the duties, reports the windows that
--- a/internal/gateway/usagefleet_test.go
+++ b/internal/gateway/usagefleet_test.go
@@ -79,3 +79,15 @@
 	host.usage.tick(f.now)
 	must.Less(t, 100*time.Millisecond, host.usage.trueTime().Sub(f.now).Abs())
 }
+
+// What a host has counted before it was suspended for longer than two windows is sent when
+// it goes on, also in a digest with all counts of recent windows.
+func TestCountsFromBeforeASuspensionAreSent(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.countUsage(0)
+	u := f.hosts["h-0-0"].usage
+	must.SliceEmpty(t, u.takeDirect(f.now))
+	window := f.count()
+	f.now = f.now.Add(11 * time.Second)
+	must.Eq(t, []usage.Record{{Source: u.self, Window: window, Counts: usage.Counts{"a": 1, "b": 1}}}, u.takeDirect(f.now))
+}
