A moved run is not lost when its stream is given up

When the run of a stream was stopped and moved, and the stream was then given up since it was silent, one of the two was chosen at random; a stream that may not be resumed was lost in half of the cases. The moved run comes first. The new test failed before.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -245,6 +245,11 @@
 		m.start.Do(func() { close(m.started); close(m.done) })
 	}
 	select {
+	case <-m.done:
+		return m.moved, m.moved.Handle != ""
+	default:
+	}
+	select {
 	case <-m.done:
 		return m.moved, m.moved.Handle != ""
 	case <-ctx.Done():
--- a/internal/gateway/move_test.go
+++ b/internal/gateway/move_test.go
@@ -149,3 +149,17 @@
 		})
 	}
 }
+
+// A silent stream may be given up when its run was moved already.
+func TestAMovedRunIsNotLostWhenItsStreamIsGivenUp(t *testing.T) {
+	given, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 50 {
+		m := &runMove{exchange: &exchange{gateway: &Gateway{}}, started: make(chan struct{}), done: make(chan struct{})}
+		m.moved.Handle = "old/7"
+		m.start.Do(func() { close(m.started) })
+		close(m.done)
+		_, stopped := m.await(given)
+		must.True(t, stopped)
+	}
+}
