Demand of a failure domain is sent whole or not at all

A digest has at most 256 records of demand, cut wherever that was. Receivers take the records of a domain as complete, so that the pools behind the cut counted as without demand and could be shrunk. The new test failed before, with 16 of 30 records.

--- a/internal/gateway/capacity_test.go
+++ b/internal/gateway/capacity_test.go
@@ -79,6 +79,31 @@
 	}
 }
 
+// Receivers take the records of a failure domain as complete.
+func TestDemandOfADomainIsSentWholeOrNotAtAll(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	c := f.hosts["h-0-0"]
+	c.gateway.opts.Duties = &Duties{Held: []port.Duty{port.DutyCapacity}}
+	var pools []routing.Pool
+	for i := range 30 {
+		pool := scaledPool()
+		pool.Name = model.PoolName(fmt.Sprint("p", i))
+		pools = append(pools, pool)
+	}
+	c.capacity.setPools(pools)
+	for i := range 20 {
+		domain := model.DomainName(fmt.Sprint("e", i))
+		c.demand.receive(f.now, port.LoadDigest{Domain: domain, Demand: []capacity.Demand{{Pool: "p1", Domain: domain, Requests: 1}}})
+	}
+	sent := make(map[model.DomainName]int)
+	for _, n := range c.localDemand(f.now) {
+		sent[n.Domain]++
+	}
+	for domain, n := range sent {
+		must.Eq(t, len(pools), n, must.Sprint(domain))
+	}
+}
+
 func TestNoDemandIsSentWithoutTheDuty(t *testing.T) {
 	f := newFleet(t, 1, 2)
 	c := f.hosts["h-0-0"]
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -244,16 +244,20 @@
 	return c.demand.own().records("", c.capacity.pools)
 }
 
-// localDemand returns the sums of all failure domains for the hosts of the local one.
+// localDemand returns the sums of all failure domains for the hosts of the local one. Domains
+// whose records do not fit are left to a later digest, in a random order: receivers take the
+// records of a domain as complete.
 func (c *control) localDemand(now time.Time) []capacity.Demand {
 	if !c.capacity.isOn() || !isDemandDue(now, &c.demand.localSentAt) {
 		return nil
 	}
 	var out []capacity.Demand
 	for domain, sum := range c.demand.firstHand(c.gateway.opts.Domain) {
-		out = append(out, sum.records(domain, c.capacity.pools)...)
+		if records := sum.records(domain, c.capacity.pools); len(out)+len(records) <= maxDemandRecords {
+			out = append(out, records...)
+		}
 	}
-	return out[:min(len(out), maxDemandRecords)]
+	return out
 }
 
 // remoteDemand returns the sums of the local failure domain for hosts of others.
