--- a/internal/core/capacity/goal.go
+++ b/internal/core/capacity/goal.go
@@ -71,7 +71,7 @@
 		out.total[domain] = min(max(n, v.Scaling.Min, 1), v.Scaling.Max)
 		smallest = min(smallest, out.total[domain])
 	}
-	out.steady = steadyEach(len(v.Domains), smallest, h.urgent, v.Scaling.Min)
+	out.steady = min(steadyEach(len(v.Domains), smallest, h.urgent, v.Scaling.Min), smallest)
 	return out
 }
 
@@ -135,6 +135,10 @@
 	if want < 0 {
 		return 0, ""
 	}
+	if !goal.mayShrink {
+		// A reclaim must not shrink the group either.
+		want = max(want, g.count())
+	}
 	count, reason := p.due(now, v, g, want, goal.mayShrink)
 	if reason == ReasonGrows && steady.count() > goal.steady {
 		reason = ReasonCheaper
@@ -154,14 +158,18 @@
 	other := p.group(Group{Pool: id.Pool, Domain: id.Domain, Reclaimable: true})
 	keep := max(total-other.seen.Serving, goal.steady)
 	have := g.count()
+	// The endpoints of both kinds together stay within the bound.
+	most := max(v.Scaling.Max-other.count(), have)
 	switch {
+	case keep < have && other.ordered < 0 && now.Sub(p.since) < observeTime:
+		// The other kind was ordered by another host: it may have meant both to serve.
+		return 0, ""
 	case keep < have:
 		return p.giveUp(now, v, g, keep, total, goal)
 	case other.refused:
-		want := min(have+goal.missing, v.Scaling.Max-other.seen.Serving)
-		return p.due(now, v, g, max(want, have, goal.steady), false)
+		return p.due(now, v, g, min(max(have+goal.missing, goal.steady), most), false)
 	default:
-		return p.due(now, v, g, max(have, goal.steady), false)
+		return p.due(now, v, g, min(max(have, goal.steady), most), false)
 	}
 }
 
--- a/internal/core/capacity/planner_test.go
+++ b/internal/core/capacity/planner_test.go
@@ -182,3 +182,36 @@
 	}
 	must.Eq(t, 1, orders)
 }
+
+func TestTheFirstRankIsOrderedWithinTheBounds(t *testing.T) {
+	p := NewPlanner()
+	p.TakeOver(at(0))
+	v := view(map[Group]int{steady("a"): 5, steady("b"): 5, reclaimable("a"): 40, reclaimable("b"): 40}, 1000)
+	v.Load.Urgent = 1000
+	for id, n := range plan(p, at(0), v) {
+		other := Group{Pool: id.Pool, Domain: id.Domain, Reclaimable: !id.Reclaimable}
+		must.LessEq(t, v.Scaling.Max, n+p.group(other).count(), must.Sprint(id))
+	}
+}
+
+func TestAReclaimDoesNotShrinkThePoolWithoutKnowledgeOfTheLoad(t *testing.T) {
+	p := NewPlanner()
+	p.TakeOver(at(0))
+	have := map[Group]int{steady("a"): 3, steady("b"): 3}
+	ordered := plan(p, at(0), view(have, 0))[reclaimable("a")]
+	have[reclaimable("a")], have[reclaimable("b")] = ordered, ordered
+	v := view(have, 0)
+	v.Current = false
+	must.MapEmpty(t, over(p, 1, 3, v))
+	p.groups[reclaimable("a")].ordered = 30
+	delete(v.Endpoints, reclaimable("a"))
+	must.Eq(t, map[Group]int{reclaimable("a"): 30}, plan(p, at(3), v))
+}
+
+func TestAHostThatHasTakenOverGivesUpNothingYet(t *testing.T) {
+	p := NewPlanner()
+	p.TakeOver(at(0))
+	v := view(map[Group]int{steady("a"): 10, steady("b"): 10, reclaimable("a"): 10, reclaimable("b"): 10}, 0)
+	must.MapEmpty(t, over(p, 0, observeTime.Seconds(), v))
+	must.MapContainsKey(t, over(p, observeTime.Seconds(), observeTime.Seconds()+1, v), steady("a"))
+}
--- a/internal/gateway/capacity_test.go
+++ b/internal/gateway/capacity_test.go
@@ -52,6 +52,59 @@
 	}
 }
 
+// Relays of a failure domain send each other what they know. Neither a demand that has
+// fallen nor that of a domain that is cut off may be kept alive by that.
+func TestRelaysDoNotKeepOldDemandAlive(t *testing.T) {
+	f := newFleet(t, 3, 30)
+	setDemand := func(requests float64) {
+		for _, c := range f.hosts {
+			c.demand.before = []map[model.PoolName]capacity.Demand{{"p": {Requests: requests}}}
+		}
+	}
+	for _, c := range f.hosts {
+		c.gateway.opts.Duties = &Duties{Held: []port.Duty{port.DutyCapacity}}
+		c.capacity.setPools([]routing.Pool{scaledPool()})
+	}
+	setDemand(10)
+	f.run(12 * time.Second)
+	setDemand(1)
+	f.run(8 * time.Second)
+	for address, c := range f.hosts {
+		must.Eq(t, 180, c.poolViews(f.now)[0].Demand.Requests, must.Sprint(address))
+	}
+	isApart := func(c *control) bool { return c.gateway.opts.Domain == "d2" }
+	f.isCut = func(from, to *control) bool { return isApart(from) != isApart(to) }
+	f.run(2 * demandLife)
+	for address, c := range f.hosts {
+		must.True(t, isApart(c) || c.demand.domains["d2"].at.IsZero(), must.Sprint(address))
+	}
+}
+
+// Receivers take the records of a failure domain as complete.
+func TestDemandOfADomainIsSentWholeOrNotAtAll(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	c := f.hosts["h-0-0"]
+	c.gateway.opts.Duties = &Duties{Held: []port.Duty{port.DutyCapacity}}
+	var pools []routing.Pool
+	for i := range 30 {
+		pool := scaledPool()
+		pool.Name = model.PoolName(fmt.Sprint("p", i))
+		pools = append(pools, pool)
+	}
+	c.capacity.setPools(pools)
+	for i := range 20 {
+		domain := model.DomainName(fmt.Sprint("e", i))
+		c.demand.receive(f.now, port.LoadDigest{Domain: domain, Demand: []capacity.Demand{{Pool: "p1", Domain: domain, Requests: 1}}})
+	}
+	sent := make(map[model.DomainName]int)
+	for _, n := range c.localDemand(f.now) {
+		sent[n.Domain]++
+	}
+	for domain, n := range sent {
+		must.Eq(t, len(pools), n, must.Sprint(domain))
+	}
+}
+
 func TestNoDemandIsSentWithoutTheDuty(t *testing.T) {
 	f := newFleet(t, 1, 2)
 	c := f.hosts["h-0-0"]
--- a/internal/gateway/move_test.go
+++ b/internal/gateway/move_test.go
@@ -171,3 +171,17 @@
 		must.SliceLen(t, 1, e.sent)
 	})
 }
+
+// A silent stream may be given up when its run was moved already.
+func TestAMovedRunIsNotLostWhenItsStreamIsGivenUp(t *testing.T) {
+	given, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 50 {
+		m := &runMove{exchange: &exchange{gateway: &Gateway{}}, started: make(chan struct{}), done: make(chan struct{})}
+		m.moved.Handle = "old/7"
+		m.start.Do(func() { close(m.started) })
+		close(m.done)
+		_, stopped := m.await(given)
+		must.True(t, stopped)
+	}
+}
