Fair shares of client accounts while a pool is short of room

Cause: the balancer did not know the account of a request. The burst of one account at 7 times its usual took the room of all others.

Change: internal/core/fairshare counts the engine work that accounts request, over all hosts by the digests, and divides pools by max-min fairness. While a pool is short of room, the requests that exceed their account's share come behind others of their rank and are the first to be refused.

Deferring alone, and refusing only where no engine at all has a short queue, changed little: reserved engines always have one, and requests of the last rank have no rank of their tier behind them.

--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -184,6 +184,7 @@
 		Usage:            convert(d.Usage, usageToWire),
 		Demand:           convert(d.Demand, poolDemandToWire),
 		EngineSpeeds:     convert(d.EngineSpeeds, engineSpeedToWire),
+		AccountWork:      convert(d.AccountWork, accountWorkToWire),
 	}
 	out.QuarantinedParts, out.SuspectedRequests = suspectsToWire(d.Suspects)
 	out.StreamBegins = beginsToWire(d.StreamBegins)
@@ -224,6 +225,7 @@
 		Usage:            convert(d.GetUsage(), usageFromWire),
 		Demand:           convert(d.GetDemand(), poolDemandFromWire),
 		EngineSpeeds:     convert(d.GetEngineSpeeds(), engineSpeedFromWire),
+		AccountWork:      convert(d.GetAccountWork(), accountWorkFromWire),
 	}
 }
 
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -15,6 +15,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/attempt"
 	"github.com/wigeonsail/wigeonsail/internal/core/directory"
 	"github.com/wigeonsail/wigeonsail/internal/core/enginespeed"
+	"github.com/wigeonsail/wigeonsail/internal/core/fairshare"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/routing"
 )
@@ -77,6 +78,8 @@
 	limitReports  map[model.EndpointName]*endpoint
 	limitSharesAt time.Time
 	liveHosts     liveHosts
+	// accounts counts the work that client accounts request.
+	accounts *fairshare.Book
 }
 
 // pool is the state of one pool of endpoints. endpoints is sorted by hash.
@@ -141,6 +144,7 @@
 		domains:      make(map[model.DomainName]*domain),
 		watched:      make(watchedEndpoints),
 		limitReports: make(map[model.EndpointName]*endpoint),
+		accounts:     fairshare.NewBook(),
 		rng:          rand.New(rand.NewPCG(opts.Seed, opts.Seed^0x9e3779b97f4a7c15)),
 	}
 }
@@ -230,6 +234,13 @@
 // counts as in flight until Finish. A request without endpoints to avoid adds
 // to the pool's retry budget, and a placed retry is charged to it.
 func (b *Balancer) Submit(now time.Time, req Request) Decision {
+	d := b.place(now, &req)
+	b.recordRequested(now, &req, &d)
+	return d
+}
+
+// place chooses an endpoint for a request or refuses it.
+func (b *Balancer) place(now time.Time, req *Request) Decision {
 	if b.startedAt.IsZero() {
 		b.startedAt = now
 	}
@@ -240,17 +251,28 @@
 	if len(req.Avoid) == 0 {
 		p.budget.RecordFirst(now)
 	}
-	choice, reason := b.choose(now, p, &req)
+	choice, reason := b.choose(now, p, req)
 	if choice.endpoint == nil {
 		return refuse(reason, choice.retryAfter)
 	}
-	if wait, refused := b.refusesInTime(now, p, &req, &choice); refused {
+	standing, above := b.isAboveShare(now, p, req, &choice)
+	if above {
+		choice.priority = req.priorityAboveShare(choice.priority)
+		if wait, refused := b.refusesAboveShare(now, p, req, &choice); refused {
+			d := refuse(ReasonAboveShare, wait)
+			d.AboveShare = standing
+			return d
+		}
+	}
+	if wait, refused := b.refusesInTime(now, p, req, &choice); refused {
 		return refuse(ReasonNotInTime, wait)
 	}
 	if req.Retry && !p.budget.TakeRetry(now, b.CountHosts(now)) {
 		return refuse(ReasonRetryBudget, choice.expected)
 	}
-	return b.grant(now, &req, choice)
+	d := b.grant(now, req, choice)
+	d.AboveShare = standing
+	return d
 }
 
 // grant records the request as in flight at the chosen endpoint, queues a cache
@@ -318,6 +340,7 @@
 		b.cacheIndex.recordPrefilled(now, key, r.endpoint.Name)
 	}
 	r.answered = true
+	b.recordServed(now, r)
 	b.recordReachable(now, b.domain(r.endpoint.Domain))
 	r.setOverdue(false)
 	b.recordResponseTime(now, r)
--- a/internal/core/balance/decision.go
+++ b/internal/core/balance/decision.go
@@ -3,14 +3,17 @@
 import (
 	"time"
 
+	"github.com/wigeonsail/wigeonsail/internal/core/fairshare"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
 
 // Request is a request to be placed on an endpoint.
 type Request struct {
-	ID     model.RequestID
-	Pool   model.PoolName
-	Prompt model.Prompt
+	ID   model.RequestID
+	Pool model.PoolName
+	// Account is the caller's client account; empty for none.
+	Account model.AccountName
+	Prompt  model.Prompt
 	// Tier is the priority tier of the caller's account or of the route. Rank
 	// is the tier of the route itself and orders requests within one Tier.
 	Tier model.Tier
@@ -76,6 +79,9 @@
 	ReasonSoftware Reason = "software_version"
 	// ReasonNotInTime means that no endpoint can answer within the remaining time.
 	ReasonNotInTime Reason = "not_in_time"
+	// ReasonAboveShare means that the pool is short of room and the account of the request
+	// above its share.
+	ReasonAboveShare Reason = "above_share"
 	// ReasonTooLarge means that the prompt exceeds the cache of every endpoint.
 	ReasonTooLarge Reason = "too_large"
 )
@@ -109,6 +115,9 @@
 	// number of tokens that the request itself adds.
 	QueuedPrefill [NumPriorities]int
 	OwnPrefill    int
+	// AboveShare is the standing of the account if the request was treated as one above
+	// the account's share; zero otherwise.
+	AboveShare fairshare.Standing
 	// Reason and RetryAfter are set for a refusal.
 	Reason     Reason
 	RetryAfter time.Duration
--- a/internal/core/balance/intime.go
+++ b/internal/core/balance/intime.go
@@ -29,8 +29,14 @@
 	if p.engine == nil || req.Deadline.IsZero() || left <= 0 || !isHopeless(now, p, best, left) {
 		return 0, false
 	}
+	return b.spreadWait(left), true
+}
+
+// spreadWait returns a time that a refused caller is asked to wait, which differs between
+// callers.
+func (b *Balancer) spreadWait(left time.Duration) time.Duration {
 	share := minInTimeWait + b.rng.Float64()*(maxInTimeWait-minInTimeWait)
-	return time.Duration(share * float64(left)), true
+	return time.Duration(share * float64(left))
 }
 
 // isHopeless reports whether all usable endpoints of the pool would answer too late.
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -78,6 +78,7 @@
 	// capacity sends the orders of endpoints, demand is what callers request.
 	capacity *capacityDriver
 	demand   *demandMeter
+	accounts *accountWork
 }
 
 func newControl(g *Gateway) *control {
@@ -96,6 +97,7 @@
 	c.duties = newDutyKeeper(c)
 	c.capacity = newCapacityDriver(g, c.duties)
 	c.demand = newDemandMeter()
+	c.accounts = newAccountWork(c.balancer.Accounts())
 	c.usage = newUsageReporter(c)
 	return c
 }
@@ -109,6 +111,7 @@
 	c.fetchMissingChanges(now)
 	c.reviewPeers(now)
 	c.demand.tick(now)
+	c.accounts.tick(now, c)
 	c.peers.tick(now, c)
 	c.duties.tick(now)
 	c.capacity.tick(now, c)
--- a/internal/gateway/digests.go
+++ b/internal/gateway/digests.go
@@ -215,6 +215,7 @@
 	d := c.digest(now)
 	d.Loads = c.balancer.LocalLoad(now)
 	d.Demand = c.directDemand(now)
+	d.AccountWork = c.accounts.direct(now)
 	d.Report = s.reports.record(now, d.Loads)
 	d.StreamBegins = c.streams.TakeUnsent(now, c.isListCurrent(now))
 	d.Usage = c.usage.takeDirect(now)
--- a/internal/gateway/mailbox.go
+++ b/internal/gateway/mailbox.go
@@ -34,6 +34,8 @@
 // mergeDigests returns the newer digest with the content of the older one that
 // is sent only once.
 func mergeDigests(older, newer port.LoadDigest) port.LoadDigest {
+	viaRelay := newer.ViaRelay && (!newer.LoadsUnchanged || older.ViaRelay)
+	newer.AccountWork = mergeAccountWork(older, newer, viaRelay)
 	switch {
 	case newer.ViaRelay && newer.LoadsUnchanged && !older.ViaRelay:
 		newer.ViaRelay, newer.LoadsUnchanged, newer.Loads, newer.Report = false, false, older.Loads, older.Report
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -305,6 +305,7 @@
 	c.applyLeaving(now, d.LeavingEndpoints)
 	c.receiveLimits(now, d)
 	c.demand.receive(now, d)
+	c.accounts.receive(now, d, c.gateway.opts.Domain)
 	c.balancer.ApplyEngineSpeeds(now, d.EngineSpeeds)
 	c.receiveCrashes(now, d)
 	c.usage.receive(d)
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -143,6 +143,7 @@
 	x.fingerprint = model.NewFingerprint(call.Host, call.Method, call.URI, x.account, call.Body)
 	x.req = balance.Request{
 		Pool:    route.PickPool(g.rng.fraction()),
+		Account: x.account,
 		Prompt:  call.Prompt,
 		Tier:    tier,
 		Rank:    route.Tier,
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -42,6 +42,9 @@
 	LimitedEndpoints []LimitView `json:"limited_endpoints"`
 	// Capacity are the endpoints of the pools that can be scaled.
 	Capacity []CapacityView `json:"capacity,omitempty"`
+	// Accounts are the accounts above their share of a pool. This has an effect only while
+	// the pool is short of room.
+	Accounts []AccountView `json:"accounts,omitempty"`
 	// Duties is what the host knows of the duties; missing if there are none.
 	Duties *DutyStatus `json:"duties,omitempty"`
 	// Suspects are what crashes endpoints.
@@ -128,7 +131,7 @@
 		LocalRelays: slices.Clone(digests.localRelays), Receivers: slices.Clone(digests.remoteReceivers),
 		FleetHosts: c.balancer.CountHosts(now), Reading: c.gateway.reading.Load(),
 		ListAge: c.knownReadAge(now).Seconds(), Era: c.nextInList.Era, Offset: c.nextInList.Offset, Version: c.version(),
-		ConfigAge: c.gateway.configAge(now).Seconds(), Duties: c.duties.status(),
+		ConfigAge: c.gateway.configAge(now).Seconds(), Duties: c.duties.status(), Accounts: c.accounts.views(now),
 	}
 	for _, instance := range c.directory.Leaving() {
 		out.LeavingEndpoints = append(out.LeavingEndpoints, instance.Name)
--- a/internal/gateway/totals.go
+++ b/internal/gateway/totals.go
@@ -28,6 +28,7 @@
 	d := c.digest(now)
 	d.ViaRelay = true
 	d.Demand = c.localDemand(now)
+	d.AccountWork = c.accounts.local(now)
 	remoteTotals := s.takeUnforwarded()
 	own := port.DomainLoad{
 		Domain: d.Domain, Hosts: c.balancer.CountLocalHosts(), Loads: c.balancer.LocalDomainLoad(now), Encoded: new(port.EncodedLoads),
@@ -76,6 +77,7 @@
 	d := c.digest(now)
 	d.ViaRelay = true
 	d.Demand = c.remoteDemand(now)
+	d.AccountWork = c.accounts.remote(now, d.Domain)
 	total := port.DomainLoad{Domain: d.Domain, Hosts: c.balancer.CountLocalHosts(), Loads: c.balancer.LocalDomainLoad(now), Encoded: new(port.EncodedLoads)}
 	total.CacheUpdates, s.nextRemoteCacheUpdate = c.balancer.DomainCacheUpdatesSince(s.nextRemoteCacheUpdate)
 	d.Domains = []port.DomainLoad{total}
@@ -88,6 +90,7 @@
 	}
 	if !s.relayLocal {
 		d.Demand = c.localDemand(now)
+		d.AccountWork = c.accounts.local(now)
 		d.Usage = nil
 		s.forwardTotals(s.localAddresses(), d, s.takeUnforwarded())
 	}
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -51,6 +51,7 @@
 		}
 		out := placement{Decision: g.control.balancer.Submit(now, req), generation: 1}
 		g.control.demand.recordRequest(&req, out.Decision)
+		g.control.recordDecision(req.Pool, req.Account, out.AboveShare, out.IsRefused())
 		if state.IsWatching() {
 			out.generation = state.Generation(f)
 		}
--- a/internal/metrics/events.go
+++ b/internal/metrics/events.go
@@ -134,6 +134,16 @@
 	m.orders.with(string(pool), outcome).Inc(1)
 }
 
+// AboveShare counts a request above its account's share of a pool, which came behind others
+// or was refused.
+func (m *Metrics) AboveShare(pool model.PoolName, refused bool) {
+	effect := "deferred"
+	if refused {
+		effect = "refused"
+	}
+	m.aboveShare.with(string(pool), effect).Inc(1)
+}
+
 // SetCapacity sets the numbers of endpoints of the pools that can be scaled.
 func (m *Metrics) SetCapacity(ordered, serving, booting, leaving int) {
 	m.orderedEndpoints.Update(float64(ordered))
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -57,6 +57,7 @@
 	platformErrors *vec[tally.Counter]
 	dutyCalls      *vec[tally.Counter]
 	orders         *vec[tally.Counter]
+	aboveShare     *vec[tally.Counter]
 	moves          *vec[tally.Counter]
 
 	firstToken    *vec[tally.Histogram]
@@ -131,6 +132,7 @@
 	m.platformErrors = counter("platform_errors_total", "op", "outcome")
 	m.moves = counter("moves_total", "class", "result")
 	m.orders = counter("capacity_orders_total", "pool", "outcome")
+	m.aboveShare = counter("above_share_total", "pool", "effect")
 }
 
 func (m *Metrics) addHistograms(maxValues int) {
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -7,6 +7,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
 	"github.com/wigeonsail/wigeonsail/internal/core/capacity"
 	"github.com/wigeonsail/wigeonsail/internal/core/directory"
+	"github.com/wigeonsail/wigeonsail/internal/core/fairshare"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
 	"github.com/wigeonsail/wigeonsail/internal/core/resume"
@@ -100,6 +101,9 @@
 	Demand []capacity.Demand
 	// EngineSpeeds is what the sender has learned of late of the speed of engines.
 	EngineSpeeds []balance.EngineSpeed
+	// AccountWork is the work that client accounts request of the sender, or with ViaRelay
+	// of its failure domain or of the fleet.
+	AccountWork []fairshare.Work
 	// Loads is the host's load by endpoint. Report numbers it; 0 without Loads.
 	Loads  []balance.EndpointLoad
 	Report int64
--- a/internal/virtual/fleet/fleet.go
+++ b/internal/virtual/fleet/fleet.go
@@ -53,6 +53,13 @@
 	Slowdowns Slowdowns
 	Classes   []Class
 	Surges    []Surge
+	// Accounts is the number of client accounts, which request equally much except in
+	// bursts; 0 for none.
+	Accounts int
+	Bursts   []Burst
+	// Deaths are the hosts that send no digests any more from a time on. Their callers
+	// go to the others.
+	Deaths map[int]time.Duration
 	// Duration is the time during which requests arrive.
 	Duration time.Duration
 	Sharing  Sharing
@@ -81,6 +88,7 @@
 	fleet    *Fleet
 	id       model.HostID
 	domain   model.DomainName
+	index    int
 	balancer *balance.Balancer
 }
 
@@ -120,6 +128,7 @@
 	f.addEngines()
 	f.addHosts()
 	for i, a := range opts.arrivals() {
+		a.host = f.liveHost(a.host, a.at)
 		c := &call{arrival: a, id: model.RequestID(fmt.Sprintf("r%d", i)), host: f.hosts[a.host]}
 		f.calls = append(f.calls, c)
 		f.clock.After(a.at, func() { f.arrive(c) })
@@ -148,7 +157,7 @@
 
 func (f *Fleet) addHosts() {
 	for i := range f.opts.Hosts {
-		h := &host{fleet: f, id: model.HostID(fmt.Sprintf("host-%d", i)), domain: f.domainOf(i)}
+		h := &host{fleet: f, id: model.HostID(fmt.Sprintf("host-%d", i)), domain: f.domainOf(i), index: i}
 		h.balancer = balance.New(balance.Options{
 			Domain: h.domain, Seed: f.opts.Seed + uint64(i),
 			Budget: attempt.SharedBudgetOptions{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
@@ -194,7 +203,12 @@
 // digest. sent is the number of cache updates already sent, and is updated.
 func (h *host) sendDigest(peers []*host, sent *int) {
 	now := h.fleet.clock.Now()
+	if h.fleet.isDead(h) {
+		return
+	}
 	h.balancer.ExpirePeers(now)
+	h.balancer.Accounts().Expire(now)
+	work := h.balancer.Accounts().OwnWork(now)
 	loads := h.balancer.LocalLoad(now)
 	updates, next := h.balancer.LocalCacheUpdatesSince(*sent)
 	*sent = next
@@ -203,6 +217,7 @@
 		h.fleet.clock.After(latency(h.domain, p.domain), func() {
 			p.balancer.SetPeerLoad(h.fleet.clock.Now(), h.id, h.domain, loads, updates)
 			p.balancer.ApplyEngineSpeeds(h.fleet.clock.Now(), speeds)
+			p.balancer.Accounts().ReceiveHost(h.fleet.clock.Now(), h.id, h.domain, work)
 		})
 	}
 }
@@ -228,7 +243,7 @@
 func (f *Fleet) place(c *call) {
 	now := f.clock.Now()
 	d := c.host.balancer.Submit(now, balance.Request{
-		ID: c.id, Pool: enginePool, Prompt: c.prompt, Tier: 1, Rank: c.class.Rank,
+		ID: c.id, Pool: enginePool, Account: f.opts.accountName(&c.arrival), Prompt: c.prompt, Tier: 1, Rank: c.class.Rank,
 		Target: c.class.Target, Arrived: c.arrived, Deadline: c.arrived.Add(c.class.Patience), Avoid: c.avoid, Retry: c.attempts > 0,
 	})
 	if d.IsRefused() {
--- a/internal/virtual/fleet/load.go
+++ b/internal/virtual/fleet/load.go
@@ -61,11 +61,13 @@
 // of the output.
 type arrival struct {
 	// at is the time since the start of the run.
-	at     time.Duration
-	class  *Class
-	host   int
-	prompt model.Prompt
-	output int
+	at    time.Duration
+	class *Class
+	host  int
+	// account is the number of the client account, if there are any.
+	account int
+	prompt  model.Prompt
+	output  int
 	// worth is that of an answer in time. Larger requests are worth more.
 	worth float64
 }
@@ -91,7 +93,7 @@
 		all = append(all, o.classArrivals(i)...)
 	}
 	slices.SortStableFunc(all, func(a, b arrival) int { return int(a.at - b.at) })
-	return all
+	return o.withAccounts(all)
 }
 
 // classArrivals draws the requests of one class in order of time.
--- a/internal/virtual/fleet/report.go
+++ b/internal/virtual/fleet/report.go
@@ -36,6 +36,8 @@
 	RepeatedPrefillK int    `json:"read_again_k"`
 	FetchedK         int    `json:"moved_k"`
 	Spread           Spread `json:"spread"`
+	// Accounts are the results by client account.
+	Accounts []AccountReport `json:"accounts,omitempty"`
 }
 
 // ClassReport is the result of one class.
@@ -74,7 +76,7 @@
 func (f *Fleet) report() Report {
 	r := Report{
 		Classes: make(map[model.ClassName]ClassReport), Rejected: f.stats.rejected,
-		RepeatedPrefillK: f.stats.repeatedPrefill / 1000, FetchedK: f.stats.fetched / 1000, Spread: f.spreadReport(),
+		RepeatedPrefillK: f.stats.repeatedPrefill / 1000, FetchedK: f.stats.fetched / 1000, Spread: f.spreadReport(), Accounts: f.accountReports(),
 	}
 	earned, possible := 0.0, 0.0
 	for i := range f.opts.Classes {
