--- a/internal/virtual/fleet/accounts_test.go
+++ b/internal/virtual/fleet/accounts_test.go
@@ -30,6 +30,7 @@
 func accountLoad(accounts int) fleet.Options {
 	o := small()
 	o.Surges = nil
+	o.Sharing.AccountInterval = 250 * time.Millisecond
 	o.Duration = 10 * time.Second
 	o.Accounts = accounts
 	for i := range o.Classes {
@@ -76,10 +77,10 @@
 	must.Greater(t, usual-maxLoss, othersInTime(burst(o, 7, 3), 3))
 }
 
-// Counts that are half a second old suffice.
+// Counts of other hosts that are up to a second old suffice.
 func TestBurstWithStaleCounts(t *testing.T) {
 	o := accountLoad(24)
-	o.Sharing.CrossDomainInterval = 500 * time.Millisecond
+	o.Sharing.AccountInterval = time.Second
 	usual := othersInTime(o, 3)
 	must.Greater(t, usual-maxLoss, othersInTime(burst(o, 7, 3), 3))
 }
--- a/internal/virtual/fleet/fleet.go
+++ b/internal/virtual/fleet/fleet.go
@@ -36,6 +36,9 @@
 	// hosts of its failure domain, CrossDomainInterval that between two digests
 	// to the hosts of all other failure domains; 0 for no digests.
 	LocalInterval, CrossDomainInterval time.Duration
+	// AccountInterval is the time between two digests with the work of accounts; 0 if all
+	// have it.
+	AccountInterval time.Duration
 }
 
 // Options describes a fleet and its load.
@@ -191,7 +194,7 @@
 			}
 		}
 		first := interval * time.Duration(i) / time.Duration(len(f.hosts))
-		sent := 0
+		var sent sentContent
 		f.clock.Every(first, interval, f.arrivalsEnded, func() { h.sendDigest(peers, &sent) })
 	}
 }
@@ -199,9 +202,16 @@
 // arrivalsEnded reports whether the time during which requests arrive is over.
 func (f *Fleet) arrivalsEnded() bool { return f.clock.Now().Sub(time.Unix(0, 0)) > f.opts.Duration }
 
+// sentContent is what a host has sent to a group of peers: the number of cache updates, and
+// when the work of accounts.
+type sentContent struct {
+	updates int
+	workAt  time.Time
+}
+
 // sendDigest sends peers the host's load and the cache updates since the last
-// digest. sent is the number of cache updates already sent, and is updated.
-func (h *host) sendDigest(peers []*host, sent *int) {
+// digest, and the work of accounts if that is due.
+func (h *host) sendDigest(peers []*host, sent *sentContent) {
 	now := h.fleet.clock.Now()
 	if h.fleet.isDead(h) {
 		return
@@ -210,14 +220,20 @@
 	h.balancer.Accounts().Expire(now)
 	work := h.balancer.Accounts().OwnWork(now)
 	loads := h.balancer.LocalLoad(now)
-	updates, next := h.balancer.LocalCacheUpdatesSince(*sent)
-	*sent = next
+	updates, next := h.balancer.LocalCacheUpdatesSince(sent.updates)
+	sent.updates = next
+	workDue := now.Sub(sent.workAt) >= h.fleet.opts.Sharing.AccountInterval
+	if workDue {
+		sent.workAt = now
+	}
 	speeds := h.balancer.EngineSpeeds(now, false, maxSpeeds)
 	for _, p := range peers {
 		h.fleet.clock.After(latency(h.domain, p.domain), func() {
 			p.balancer.SetPeerLoad(h.fleet.clock.Now(), h.id, h.domain, loads, updates)
 			p.balancer.ApplyEngineSpeeds(h.fleet.clock.Now(), speeds)
-			p.balancer.Accounts().ReceiveHost(h.fleet.clock.Now(), h.id, h.domain, work)
+			if workDue {
+				p.balancer.Accounts().ReceiveHost(h.fleet.clock.Now(), h.id, h.domain, work)
+			}
 		})
 	}
 }
