--- a/internal/virtual/fleet/accounts_test.go
+++ b/internal/virtual/fleet/accounts_test.go
@@ -73,14 +73,14 @@
 func TestBurstWhileHostsDie(t *testing.T) {
 	o := accountLoad(24)
 	o.Deaths = map[int]time.Duration{0: 5 * time.Second, 3: 6 * time.Second}
-	usual := othersInTime(o, 3)
-	must.Greater(t, usual-maxLoss, othersInTime(burst(o, 7, 3), 3))
+	usual := othersInTime(o, 3, 9)
+	must.Greater(t, usual-maxLoss, othersInTime(burst(o, 7, 3, 9), 3, 9))
 }
 
 // Counts of other hosts that are up to a second old suffice.
 func TestBurstWithStaleCounts(t *testing.T) {
 	o := accountLoad(24)
 	o.Sharing.AccountInterval = time.Second
-	usual := othersInTime(o, 3)
-	must.Greater(t, usual-maxLoss, othersInTime(burst(o, 7, 3), 3))
+	usual := othersInTime(o, 3, 9)
+	must.Greater(t, usual-maxLoss, othersInTime(burst(o, 7, 3, 9), 3, 9))
 }
