--- a/internal/core/balance/clone.go
+++ b/internal/core/balance/clone.go
@@ -67,6 +67,7 @@
 		state := *d
 		out.domains[name] = &state
 	}
+	out.accounts = b.accounts.Clone()
 	out.cacheIndex = b.cacheIndex.cloneFor(req.Prompt.SharedPrefixID())
 	return &out
 }
--- a/internal/core/balance/explain_test.go
+++ b/internal/core/balance/explain_test.go
@@ -59,6 +59,7 @@
 			req.Avoid = rapid.SampledFrom([][]model.EndpointName{nil, {"engines-1", "engines-2"}}).Draw(t, "avoid")
 			req.Retry = len(req.Avoid) > 0
 			req.Arrived = now
+			req.Account = rapid.SampledFrom([]model.AccountName{"", "club", "desk"}).Draw(t, "account")
 			before := explained.Explain(now, req)
 			must.Eq(t, before, explained.Explain(now, req))
 			id, d := explained.submit(now, req)
@@ -67,6 +68,7 @@
 			must.Eq(t, same, d)
 			checkCandidates(t, before)
 			must.SliceContainsAll(t, plain.LocalLoad(now), explained.LocalLoad(now))
+			must.Eq(t, plain.Accounts().OwnWork(now), explained.Accounts().OwnWork(now))
 			started = append(started, id)
 		}
 	})
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -151,6 +151,7 @@
 	}
 	x.fingerprint = model.NewFingerprint(call.Host, call.Method, call.URI, x.account, call.Body)
 	x.req = balance.Request{
+		Account: x.account,
 		Prompt:  call.Prompt,
 		Tier:    tier,
 		Rank:    route.Tier,
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -48,6 +48,7 @@
 		if g.control.capacity.isScaled(req.Pool) {
 			g.control.demand.recordRequest(&req, out.Decision)
 		}
+		g.control.recordDecision(req.Pool, req.Account, out.AboveShare, out.IsRefused())
 		if state.IsWatching() {
 			out.generation = state.Generation(f)
 		}
--- a/internal/virtual/fleet/fleet.go
+++ b/internal/virtual/fleet/fleet.go
@@ -36,6 +36,9 @@
 	// hosts of its failure domain, CrossDomainInterval that between two digests
 	// to the hosts of all other failure domains; 0 for no digests.
 	LocalInterval, CrossDomainInterval time.Duration
+	// AccountInterval is the time between two digests with the work of accounts; 0 if all
+	// have it.
+	AccountInterval time.Duration
 }
 
 // Options describes a fleet and its load.
@@ -53,6 +56,13 @@
 	Slowdowns Slowdowns
 	Classes   []Class
 	Surges    []Surge
+	// Accounts is the number of client accounts, which request equally much except in
+	// bursts; 0 for none.
+	Accounts int
+	Bursts   []Burst
+	// Deaths are the hosts that send no digests any more from a time on. Their callers
+	// go to the others.
+	Deaths map[int]time.Duration
 	// Duration is the time during which requests arrive.
 	Duration time.Duration
 	Sharing  Sharing
@@ -81,6 +91,7 @@
 	fleet    *Fleet
 	id       model.HostID
 	domain   model.DomainName
+	index    int
 	balancer *balance.Balancer
 }
 
@@ -120,6 +131,7 @@
 	f.addEngines()
 	f.addHosts()
 	for i, a := range opts.arrivals() {
+		a.host = f.liveHost(a.host, a.at)
 		c := &call{arrival: a, id: model.RequestID(fmt.Sprintf("r%d", i)), host: f.hosts[a.host]}
 		f.calls = append(f.calls, c)
 		f.clock.After(a.at, func() { f.arrive(c) })
@@ -148,7 +160,7 @@
 
 func (f *Fleet) addHosts() {
 	for i := range f.opts.Hosts {
-		h := &host{fleet: f, id: model.HostID(fmt.Sprintf("host-%d", i)), domain: f.domainOf(i)}
+		h := &host{fleet: f, id: model.HostID(fmt.Sprintf("host-%d", i)), domain: f.domainOf(i), index: i}
 		h.balancer = balance.New(balance.Options{
 			Domain: h.domain, Seed: f.opts.Seed + uint64(i),
 			Budget: attempt.SharedBudgetOptions{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
@@ -182,7 +194,7 @@
 			}
 		}
 		first := interval * time.Duration(i) / time.Duration(len(f.hosts))
-		sent := 0
+		var sent sentContent
 		f.clock.Every(first, interval, f.arrivalsEnded, func() { h.sendDigest(peers, &sent) })
 	}
 }
@@ -190,19 +202,38 @@
 // arrivalsEnded reports whether the time during which requests arrive is over.
 func (f *Fleet) arrivalsEnded() bool { return f.clock.Now().Sub(time.Unix(0, 0)) > f.opts.Duration }
 
+// sentContent is what a host has sent to a group of peers: the number of cache updates, and
+// when the work of accounts.
+type sentContent struct {
+	updates int
+	workAt  time.Time
+}
+
 // sendDigest sends peers the host's load and the cache updates since the last
-// digest. sent is the number of cache updates already sent, and is updated.
-func (h *host) sendDigest(peers []*host, sent *int) {
+// digest, and the work of accounts if that is due.
+func (h *host) sendDigest(peers []*host, sent *sentContent) {
 	now := h.fleet.clock.Now()
+	if h.fleet.isDead(h) {
+		return
+	}
 	h.balancer.ExpirePeers(now)
+	h.balancer.Accounts().Expire(now)
+	work := h.balancer.Accounts().OwnWork(now)
 	loads := h.balancer.LocalLoad(now)
-	updates, next := h.balancer.LocalCacheUpdatesSince(*sent)
-	*sent = next
+	updates, next := h.balancer.LocalCacheUpdatesSince(sent.updates)
+	sent.updates = next
+	workDue := now.Sub(sent.workAt) >= h.fleet.opts.Sharing.AccountInterval
+	if workDue {
+		sent.workAt = now
+	}
 	speeds := h.balancer.EngineSpeeds(now, false, maxSpeeds)
 	for _, p := range peers {
 		h.fleet.clock.After(latency(h.domain, p.domain), func() {
 			p.balancer.SetPeerLoad(h.fleet.clock.Now(), h.id, h.domain, loads, updates)
 			p.balancer.ApplyEngineSpeeds(h.fleet.clock.Now(), speeds)
+			if workDue {
+				p.balancer.Accounts().ReceiveHost(h.fleet.clock.Now(), h.id, h.domain, work)
+			}
 		})
 	}
 }
@@ -228,7 +259,7 @@
 func (f *Fleet) place(c *call) {
 	now := f.clock.Now()
 	d := c.host.balancer.Submit(now, balance.Request{
-		ID: c.id, Pool: enginePool, Prompt: c.prompt, Tier: 1, Rank: c.class.Rank,
+		ID: c.id, Pool: enginePool, Account: f.opts.accountName(&c.arrival), Prompt: c.prompt, Tier: 1, Rank: c.class.Rank,
 		Target: c.class.Target, Arrived: c.arrived, Deadline: c.arrived.Add(c.class.Patience), Avoid: c.avoid, Retry: c.attempts > 0,
 	})
 	if d.IsRefused() {
