Requests above the share are deferred before they are refused

Both thresholds were equal, so that nearly all such requests were refused. Now a request that waits for a tenth of its target comes behind others of its rank, and is refused from a quarter on.

--- a/internal/core/balance/fairshares.go
+++ b/internal/core/balance/fairshares.go
@@ -24,11 +24,11 @@
 	// shortOfRoomShare is the share of the latency target that a request waits in a queue
 	// from which on the pool is short of room. shortOfRoomWait is that time without a
 	// target.
-	shortOfRoomShare = 0.2
+	shortOfRoomShare = 0.1
 	shortOfRoomWait  = 200 * time.Millisecond
 	// aboveShareQueue is the share of the latency target, or of the remaining time, that a
 	// request above its account's share may wait in a queue.
-	aboveShareQueue = 0.2
+	aboveShareQueue = 0.25
 	// freePlaceWait is the remaining time that is assumed for a request without a
 	// deadline.
 	freePlaceWait = 2 * time.Second
--- a/internal/core/balance/fairshares_test.go
+++ b/internal/core/balance/fairshares_test.go
@@ -59,28 +59,51 @@
 func TestEnginesPutRequestsAboveTheShareBehindOthers(t *testing.T) {
 	for _, c := range []struct {
 		tier, rank model.Tier
-		behind     int
+		priority   int
 	}{{0, 0, 1}, {1, 0, 4}, {1, 1, 5}, {1, 2, 5}, {2, 1, 8}} {
-		b, now := learned(int(c.tier)*3, 20_000, 20_000, 20_000)
+		n := 16_000
+		b, now := learned(int(c.tier)*3, n, n, n)
 		b.withBurst(now, "engines")
-		seen := make(map[int]bool)
+		deferred := 0
 		for i := range 40 {
 			for _, account := range []model.AccountName{"burst", "a"} {
 				req := question(model.PartID(i))
-				req.Account, req.Tier, req.Rank = account, c.tier, c.rank
-				// Only the rank counts here, not that the request will be late.
-				req.Target = 2 * time.Second
+				req.Account, req.Tier, req.Rank, req.Target = account, c.tier, c.rank, 2*time.Second
 				id, d := b.submit(now, req)
 				b.Finish(now, id, balance.Result{})
-				if account == "a" {
-					must.Eq(t, fairshare.Standing{}, d.AboveShare)
-				} else if !d.IsRefused() && d.Priority != balance.NumPriorities-1 {
-					seen[d.Priority] = true
+				must.False(t, d.IsRefused())
+				if d.AboveShare == (fairshare.Standing{}) {
+					must.Eq(t, int(3*c.tier+c.rank), d.Priority)
+					continue
 				}
+				must.Eq(t, "burst", account)
+				must.Eq(t, c.priority, d.Priority)
+				deferred++
 			}
 		}
-		for priority := range seen {
-			must.Between(t, int(c.tier*3+c.rank), priority, c.behind)
+		must.Between(t, 10, deferred, 39)
+	}
+}
+
+// Requests above the account's share are the first that are refused for the length of the
+// queue.
+func TestEnginesRefuseRequestsAboveTheShareFirst(t *testing.T) {
+	b, now := learned(2, 40_000, 40_000, 40_000)
+	b.withBurst(now, "engines")
+	refused := 0
+	for i := range 40 {
+		for _, account := range []model.AccountName{"burst", "a", ""} {
+			req := draft(model.PartID(i))
+			req.Account, req.Deadline = account, now.Add(6*time.Second)
+			id, d := b.submit(now, req)
+			b.Finish(now, id, balance.Result{})
+			if d.IsRefused() {
+				must.Eq(t, "burst", account)
+				must.Eq(t, balance.ReasonAboveShare, d.Reason)
+				must.Between(t, 900*time.Millisecond, d.RetryAfter, 2*time.Second)
+				refused++
+			}
 		}
 	}
+	must.Between(t, 10, refused, 39)
 }
--- a/internal/virtual/fleet/accounts_test.go
+++ b/internal/virtual/fleet/accounts_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -9,18 +10,16 @@
 	"github.com/wigeonsail/wigeonsail/internal/virtual/fleet"
 )
 
-// othersInTime plays a load with bursts and returns the share of the requests of the other
-// accounts that are answered in time.
+// othersInTime plays a load with bursts, with several seeds, and returns the share of the
+// requests of the other accounts that are answered in time.
 func othersInTime(o fleet.Options, bursts ...int) float64 {
-	bursting := make(map[int]bool)
-	for _, account := range bursts {
-		bursting[account] = true
-	}
 	offered, inTime := 0, 0
-	for i, r := range fleet.Run(o).Accounts {
-		if !bursting[i] {
-			offered += r.Offered
-			inTime += r.InTime
+	for _, o.Seed = range []uint64{1, 2, 3} {
+		for i, r := range fleet.Run(o).Accounts {
+			if !slices.Contains(bursts, i) {
+				offered += r.Offered
+				inTime += r.InTime
+			}
 		}
 	}
 	return float64(inTime) / float64(offered)
