Deferred requests are no evidence for slow engines; services refuse by their queue

Deferred requests were taken for late ones: they lowered the learned speed and counted as overdue. Plain services have queues behind their places; refusing at once when the places are taken made callers return late.

--- a/internal/core/balance/fairshares.go
+++ b/internal/core/balance/fairshares.go
@@ -11,7 +11,7 @@
 //
 //  1. All requests of accounts count as requested work, whether they are served or not.
 //  2. An engine pool is short of room for a request if it would have to wait in a queue at
-//     its endpoint, a pool of plain services if all of its places are taken.
+//     its endpoint, a pool of plain services if it would have to wait for a place at all.
 //  3. Only the share of an account's requests that exceeds its share is treated differently.
 //     At engines these come behind those of the same rank, never behind another tier, and
 //     are the first to be refused for the length of the queue. At plain services they are
@@ -85,24 +85,28 @@
 
 // isShortOfRoom reports whether a request has to wait at the chosen endpoint.
 func (p *pool) isShortOfRoom(now time.Time, req *Request, c *choice) bool {
-	if p.engine == nil {
-		return p.hasNoPlace(now)
-	}
 	limit := shortOfRoomWait
 	if req.Target > 0 {
 		limit = time.Duration(shortOfRoomShare * float64(req.Target))
 	}
+	if p.engine == nil {
+		return !p.hasPlace(now, limit)
+	}
 	return c.queueWait() > limit
 }
 
-// hasNoPlace reports whether all places of a pool of plain services are taken.
-func (p *pool) hasNoPlace(now time.Time) bool {
+// hasPlace reports whether a usable plain service has a free place, or one within the time.
+func (p *pool) hasPlace(now time.Time, wait time.Duration) bool {
 	for _, e := range p.endpoints {
-		if e.isUsable(now) && (e.Slots <= 0 || e.localLoad.Count+e.remoteLoad.Count < e.Slots) {
-			return false
+		if !e.isUsable(now) {
+			continue
+		}
+		queued := e.localLoad.Count + e.remoteLoad.Count + 1 - e.Slots
+		if e.Slots <= 0 || float64(queued)*serviceBaseMS/float64(e.Slots) <= float64(wait.Milliseconds()) {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // priorityAboveShare returns the engine priority of a request above its account's share:
@@ -125,7 +129,7 @@
 		return 0, false
 	}
 	if p.engine == nil {
-		return b.spreadWait(left), true
+		return b.spreadWait(left), !p.hasPlace(now, req.longestQueue(left))
 	}
 	if p.hasRoom(now, req, best.priority, req.longestQueue(left)) {
 		return 0, false
--- a/internal/core/balance/internal_test.go
+++ b/internal/core/balance/internal_test.go
@@ -47,3 +47,12 @@
 	must.Eq(t, engine, b.pools["kept"].engine)
 	must.Nil(t, b.pools["listed"].engine)
 }
+
+// Requests that are served behind others of their rank take longer than expected. That is
+// no reason to take their engines for slow.
+func TestDeferredRequestsTeachNothing(t *testing.T) {
+	r := &runningRequest{req: Request{Tier: 1, Rank: 1}, priority: 4}
+	must.False(t, r.isDelayedOnPurpose())
+	r.priority = r.req.priorityAboveShare(r.priority)
+	must.True(t, r.isDelayedOnPurpose())
+}
--- a/internal/core/balance/queuecorrection.go
+++ b/internal/core/balance/queuecorrection.go
@@ -45,10 +45,9 @@
 
 // recordResponseTime updates the latency ratio and the speed of the endpoint and
 // the queue correction of its pool with the time from placement to the first response,
-// which is now. Requests with the lowest priority are skipped: they are delayed
-// on purpose, so their latency does not show that the endpoint is slow.
+// which is now. Requests that are delayed on purpose are skipped: their latency does not show that the endpoint is slow.
 func (b *Balancer) recordResponseTime(now time.Time, r *runningRequest) {
-	if r.hasLowestPriority() {
+	if r.isDelayedOnPurpose() {
 		return
 	}
 	took := now.Sub(r.placedAt)
@@ -57,6 +56,8 @@
 	b.pool(r.endpoint.Pool).queueCorrection.record(r, took)
 }
 
-// hasLowestPriority reports whether the engine serves the request after all
-// others.
-func (r *runningRequest) hasLowestPriority() bool { return r.priority == NumPriorities-1 }
+// isDelayedOnPurpose reports whether the engine serves the request after all others, or
+// behind those of its rank.
+func (r *runningRequest) isDelayedOnPurpose() bool {
+	return r.priority == NumPriorities-1 || r.priority != r.req.priority()
+}
--- a/internal/core/balance/refresh.go
+++ b/internal/core/balance/refresh.go
@@ -34,7 +34,7 @@
 			continue
 		}
 		limit := overdueFactor*r.expected + overdueSlack
-		r.setOverdue(now.Sub(r.placedAt) > limit && !r.hasLowestPriority())
+		r.setOverdue(now.Sub(r.placedAt) > limit && !r.isDelayedOnPurpose())
 		if r.prefill == 0 {
 			continue
 		}
