--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -30,6 +30,8 @@
 	// that a host that has just started assumes that each shared prefix is
 	// cached at its home endpoint.
 	WarmCaches bool
+	// FairShares divides pools that are short of room among client accounts.
+	FairShares bool
 	// Seed seeds the random choices among endpoints.
 	Seed uint64
 }
--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -32,6 +32,7 @@
 	b := &fixture{Balancer: balance.New(balance.Options{
 		Domain:     "north",
 		WarmCaches: warmCaches,
+		FairShares: true,
 		Budget:     attempt.SharedBudgetOptions{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
 	})}
 	b.SetPools([]routing.Pool{{Name: "engines", Engine: &routing.Engine{Slots: 4, CacheTokens: 100_000}}, {Name: "services"}})
--- a/internal/core/balance/fairshares.go
+++ b/internal/core/balance/fairshares.go
@@ -49,7 +49,7 @@
 // recordRequested counts the work of a request when it is submitted for the first time.
 func (b *Balancer) recordRequested(now time.Time, req *Request, d *Decision) {
 	p := b.pools[req.Pool]
-	if p == nil || req.Account == "" || len(req.Avoid) > 0 {
+	if p == nil || !b.opts.FairShares || req.Account == "" || len(req.Avoid) > 0 {
 		return
 	}
 	prefill := d.OwnPrefill
@@ -72,7 +72,7 @@
 // isAboveShare reports whether the pool is short of room for a new request and the request
 // is one of those that exceed its account's share. These are chosen at random.
 func (b *Balancer) isAboveShare(now time.Time, p *pool, req *Request, c *choice) (fairshare.Standing, bool) {
-	if req.Account == "" || len(req.Avoid) > 0 || !p.isShortOfRoom(now, req, c) {
+	if !b.opts.FairShares || req.Account == "" || len(req.Avoid) > 0 || !p.isShortOfRoom(now, req, c) {
 		return fairshare.Standing{}, false
 	}
 	standing := b.accounts.Standing(now, req.Pool, req.Account)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -84,7 +84,7 @@
 func newControl(g *Gateway) *control {
 	c := &control{
 		gateway:        g,
-		balancer:       balance.New(balance.Options{Domain: g.opts.Domain, Budget: g.opts.Budget, WarmCaches: g.opts.Warm, Seed: g.opts.Seed}),
+		balancer:       balance.New(balance.Options{Domain: g.opts.Domain, Budget: g.opts.Budget, WarmCaches: g.opts.Warm, FairShares: g.opts.FairShares, Seed: g.opts.Seed}),
 		directory:      directory.New(),
 		quarantine:     quarantine.New(),
 		suspectSources: make(map[quarantine.Suspect]string),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,7 +64,9 @@
 	Duties *Duties
 	// Warm reports that the endpoints have already served other hosts.
 	Warm bool
-	Log  log.Interface
+	// FairShares divides pools that are short of room among client accounts.
+	FairShares bool
+	Log        log.Interface
 	// Metrics counts this host's decisions; nil disables counting.
 	Metrics *metrics.Metrics
 }
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -93,6 +93,7 @@
 		Duties:            g.dutyOptions(),
 		Budget:            retryBudget(s),
 		Warm:              !s.FirstStart,
+		FairShares:        s.FairShares,
 		Log:               logger,
 		Metrics:           m,
 	})
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -17,6 +17,8 @@
 	// FirstStart is true if the whole system starts for the first time, so that
 	// the caches of all endpoints are still empty.
 	FirstStart bool `toml:"first_start" allowed:"true or false"`
+	// FairShares divides pools that are short of room among client accounts.
+	FairShares bool `toml:"fair_shares" allowed:"true or false"`
 
 	Listen   GatewayListen   `toml:"listen"`
 	Platform GatewayPlatform `toml:"platform"`
--- a/internal/virtual/fleet/fleet.go
+++ b/internal/virtual/fleet/fleet.go
@@ -162,7 +162,7 @@
 	for i := range f.opts.Hosts {
 		h := &host{fleet: f, id: model.HostID(fmt.Sprintf("host-%d", i)), domain: f.domainOf(i), index: i}
 		h.balancer = balance.New(balance.Options{
-			Domain: h.domain, Seed: f.opts.Seed + uint64(i),
+			Domain: h.domain, Seed: f.opts.Seed + uint64(i), FairShares: true,
 			Budget: attempt.SharedBudgetOptions{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 		})
 		h.balancer.SetPools([]routing.Pool{{
