An endpoint that is not read for lack of memory is not silent

Cause: while a response waits for memory, nothing is read from its endpoint, but the timeouts of the attempt run on. So a sound endpoint was reported as stalled, its idle connections were dropped, and the attempt was cancelled and sent again elsewhere, where the response waits for the same memory. Change: while a response waits for room, no stall is reported, and the timeout is armed again without an attempt to find another place. The reason is logged. Test: TestEndpointIsNotSilentWhileMemoryIsLacking fails before (given up as silent) and passes now.

--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/bytebudget"
@@ -118,6 +119,8 @@
 type memoryHold struct {
 	account *memoryAccount
 	holder  *bytebudget.Holder
+	// waiting reports whether the response waits for room.
+	waiting atomic.Bool
 }
 
 // holdOf returns what is held for a call.
@@ -143,11 +146,13 @@
 	if h == nil {
 		return nil
 	}
+	defer h.waiting.Store(false)
 	for {
 		ok, freed := h.tryAddUnread(bytes)
 		if ok {
 			return nil
 		}
+		h.waiting.Store(true)
 		timer := time.NewTimer(memoryWaitInterval)
 		select {
 		case <-freed:
@@ -178,6 +183,10 @@
 	return false, a.freed
 }
 
+// isWaiting reports whether the response waits for room, so that nothing is read from its
+// endpoint.
+func (h *memoryHold) isWaiting() bool { return h != nil && h.waiting.Load() }
+
 // OnShed implements port.MemoryHold.
 func (h *memoryHold) OnShed(cut func()) {
 	a := h.account
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -183,6 +183,43 @@
 	})
 }
 
+// newSilentExchange returns an exchange whose attempts may be given up at once, for a fleet
+// of version v1.
+func newSilentExchange(g *Gateway, hold port.MemoryHold) *exchange {
+	return &exchange{
+		gateway: g, call: &port.RoutedCall{ID: "1", Memory: hold}, deadline: time.Now().Add(time.Hour),
+		route: &routing.Route{Kind: routing.Streaming, LatencyTarget: time.Second, MaxGap: time.Second, MaxAttempts: 2, Resumable: true},
+		req:   balance.Request{Pool: "p", Software: "v1", Target: time.Second},
+	}
+}
+
+// An endpoint whose events are not read for lack of memory is not silent.
+func TestEndpointIsNotSilentWhileMemoryIsLacking(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLongFleet(1 << 20)
+		defer f.close()
+		g := f.gateways[0]
+		others, _ := g.HoldMemory(0)
+		must.NoError(t, others.AddUnread(t.Context(), 900<<10))
+		hold, _ := g.HoldMemory(0)
+		added := make(chan error, 1)
+		go func() { added <- hold.AddUnread(t.Context(), 900<<10) }()
+		ctx, cancel := context.WithCancelCause(t.Context())
+		defer cancel(nil)
+		w := newSilentExchange(g, hold).startWatch(ctx, cancel, balance.Decision{Endpoint: "e-0"})
+		w.resume()
+		time.Sleep(time.Minute)
+		must.NoError(t, context.Cause(ctx))
+		must.False(t, w.reported)
+		others.Release()
+		must.NoError(t, <-added)
+		time.Sleep(time.Minute)
+		must.ErrorIs(t, context.Cause(ctx), errSilent)
+		must.NotNil(t, w.stop())
+		hold.Release()
+	})
+}
+
 // A timeout that has expired while events arrived must not end the attempt.
 func TestTimeoutBesideEventsGivesNothingUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -193,10 +230,7 @@
 		g := f.gateways[0]
 		ctx, cancel := context.WithCancelCause(t.Context())
 		defer cancel(nil)
-		x := &exchange{gateway: g, call: &port.RoutedCall{ID: "1"}, deadline: time.Now().Add(time.Hour)}
-		x.route = &routing.Route{Kind: routing.Streaming, LatencyTarget: time.Second, MaxGap: time.Second, MaxAttempts: 2, Resumable: true}
-		x.req = balance.Request{Pool: "p", Software: "v1", Target: time.Second}
-		w := x.startWatch(ctx, cancel, balance.Decision{Endpoint: "e-0"})
+		w := newSilentExchange(g, nil).startWatch(ctx, cancel, balance.Decision{Endpoint: "e-0"})
 		w.pause()
 		w.giveUp()
 		must.NoError(t, context.Cause(ctx))
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -110,7 +110,7 @@
 		w.mu.Lock()
 		w.next = next
 		w.mu.Unlock()
-		w.stall = time.AfterFunc(stallAfter, func() { w.report(true) })
+		w.stall = time.AfterFunc(stallAfter, w.reportStall)
 		return
 	}
 	w.stall.Reset(stallAfter)
@@ -147,9 +147,9 @@
 	return w.reserved
 }
 
-// giveUp cancels the attempt if another endpoint has a place for the request. Otherwise it
-// tries again after giveUpInterval, since a silent endpoint may be sound: an engine that has
-// preempted a stream goes on with it later.
+// giveUp cancels the attempt if another endpoint has a place for the request. Otherwise, or
+// while nothing is read for lack of memory, it tries again after giveUpInterval, since a
+// silent endpoint may be sound: an engine that has preempted a stream goes on with it later.
 func (w *stallWatch) giveUp() {
 	w.mu.Lock()
 	silence, next := w.silence, w.next
@@ -158,7 +158,11 @@
 	if !expired {
 		return
 	}
-	reserved, reason := w.reserve(next)
+	var reserved *reservation
+	reason := keptUnread
+	if !holdOf(w.exchange.call).isWaiting() {
+		reserved, reason = w.reserve(next)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	ended := silence != w.silence || w.ctx.Err() != nil
@@ -185,6 +189,8 @@
 	keptLeaving    balance.Reason = "leaving"
 	keptNoAttempt  balance.Reason = "no_attempt_left"
 	keptNoDecision balance.Reason = "no_decision"
+	// keptUnread means that this host has no memory to read the response.
+	keptUnread balance.Reason = "no_memory"
 )
 
 // reserve places the next attempt at another endpoint, within the retry budget. It returns
@@ -231,6 +237,13 @@
 	}).Info("request: silent endpoint not given up")
 }
 
+// reportStall reports a stall, unless nothing is read from the endpoint.
+func (w *stallWatch) reportStall() {
+	if !holdOf(w.exchange.call).isWaiting() {
+		w.report(true)
+	}
+}
+
 // report reports a change to the control loop. On a stall it also drops the open
 // connections to the endpoint.
 func (w *stallWatch) report(stalled bool) {
