--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -124,13 +124,9 @@
 	// CacheTokens is the memory of an endpoint for running requests and cached
 	// prompt prefixes, in tokens.
 	CacheTokens int
-	// TokenBytes is the size of a cached token, in bytes, and LinkMbps the speed at which
-	// engines transfer cached tokens, in Mbit/s.
-	TokenBytes float64
-	LinkMbps   float64
 	// CanMove reports that a running request can be moved to another engine with its
-	// memory, CanBackUp that its memory can be copied there while it runs.
-	CanMove, CanBackUp bool
+	// memory.
+	CanMove bool
 }
 
 // Account is a client account.
