Test of explain: wait until the last request has ended at the host

Cause: a caller reads the end of its response before the host's control loop learns of it, so that the state changed between explaining and the request. The check is the same.

--- a/internal/server/gateway_explain_test.go
+++ b/internal/server/gateway_explain_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"slices"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -28,6 +29,11 @@
 	return view
 }
 
+// isIdle reports whether no requests are in flight at any endpoint.
+func isIdle(candidates []gateway.CandidateView) bool {
+	return !slices.ContainsFunc(candidates, func(c gateway.CandidateView) bool { return c.InFlight > 0 })
+}
+
 // In a quiet run, the endpoint that explain names gets the request: 100 of 100. No request
 // comes from explaining.
 func TestExplainedEndpointGetsTheRequest(t *testing.T) {
@@ -43,6 +49,8 @@
 		key := fmt.Sprint("part-", i%7)
 		request := gateway.ExplainedRequest{Route: "draft", Account: users.Account, Unshared: 100 * i, MaxOutputTokens: 20}
 		request.Shared = append(request.Shared, model.Part{ID: platform.PartID(key), Tokens: 1000})
+		// The host may learn of the end of the last request after its caller did.
+		f.eventually(func() bool { return isIdle(f.explain(g, values).Pools[0].Candidates) })
 		explained := f.explain(g, request.Values()).Pools[0].Endpoint
 		before := len(f.replicas[string(explained)].Executions())
 		res := f.send(g, http.MethodPost, "/draft/1", "prompt", func(r *http.Request) {
