--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -156,7 +156,7 @@
 // all endpoints are replaced.
 func (c *checker) checkRecovery(ctx context.Context) {
 	c.environment.publish()
-	c.environment.store.Put("keyed.servers", foreignKey, []byte(foreignEntry))
+	c.environment.store.Put(users.EndpointsTopic, users.ForeignKey, []byte(users.ForeignEntry))
 	before := c.environment.endpoints()
 	for _, e := range before {
 		c.faults.replaceEndpoint(e)
--- a/internal/soak/platformfaults.go
+++ b/internal/soak/platformfaults.go
@@ -6,6 +6,7 @@
 
 	"github.com/wigeonsail/wigeonsail/internal/standin/logstore"
 	"github.com/wigeonsail/wigeonsail/internal/standin/replica"
+	"github.com/wigeonsail/wigeonsail/internal/standin/users"
 )
 
 // Faults of what the platform states: the store is restored from an older copy, another
@@ -23,10 +24,6 @@
 	// maxKeyBytes and maxRecordBytes bound the keys and the records of the store.
 	maxKeyBytes    = 255
 	maxRecordBytes = 1 << 20
-	// foreignKey is a key of another writer, in Latin-1. foreignEntry is an entry of a service
-	// that no route names.
-	foreignKey   = "stock-z\xfcrich-1"
-	foreignEntry = `{"service":"stock","address":"127.0.0.1:9","zone":"north","version":"7","slots":4,"state":"ready","sequence":1}`
 )
 
 // tickPlatform starts the next fault if it is due.
@@ -69,14 +66,14 @@
 // addForeignEntry lets another writer write an entry that names no endpoint to use, or remove
 // one that it has written.
 func (f *faultInjector) addForeignEntry() {
-	keys := []string{foreignKey, "stock-1", strings.Repeat("\xff", maxKeyBytes), "\n"}
+	keys := []string{users.ForeignKey, "stock-1", strings.Repeat("\xff", maxKeyBytes), "\n"}
 	values := []string{
-		"", foreignEntry, strings.Replace(foreignEntry, "stock", "z\xfcrich", 1), strings.Replace(foreignEntry, "stock", strings.Repeat("s", maxRecordBytes/2), 1),
-		strings.Replace(foreignEntry, ":4", ":9223372036854775807", 1), `{"service":7}`, "\x00\xff", strings.Repeat("[", maxRecordBytes/2),
+		"", users.ForeignEntry, strings.Replace(users.ForeignEntry, "stock", "z\xfcrich", 1), strings.Replace(users.ForeignEntry, "stock", strings.Repeat("s", maxRecordBytes/2), 1),
+		strings.Replace(users.ForeignEntry, ":4", ":9223372036854775807", 1), `{"service":7}`, "\x00\xff", strings.Repeat("[", maxRecordBytes/2),
 	}
 	key, value := f.platformRNG.IntN(len(keys)), f.platformRNG.IntN(len(values))
 	f.environment.trace("foreign entry %d under key %d", value, key)
-	f.environment.store.Put("keyed.servers", keys[key], []byte(values[value]))
+	f.environment.store.Put(users.EndpointsTopic, keys[key], []byte(values[value]))
 }
 
 // reportLeaving lets an endpoint state that it is leaving, before it is listed as
--- a/internal/standin/users/users.go
+++ b/internal/standin/users/users.go
@@ -22,6 +22,12 @@
 	ServicePool = "appointments"
 	// ConfigTopic is the store's topic with the configuration.
 	ConfigTopic = "keyed.op"
+	// EndpointsTopic is the list of endpoints.
+	EndpointsTopic = "keyed.servers"
+	// ForeignKey is a key of another writer, in Latin-1. ForeignEntry is an entry of a
+	// service that no route names.
+	ForeignKey   = "stock-z\xfcrich-1"
+	ForeignEntry = `{"service":"stock","address":"127.0.0.1:9","zone":"north","version":"7","slots":4,"state":"ready","sequence":1}`
 	// EnginePool is the name of the pool of engines.
 	EnginePool = "drafts"
 )
@@ -68,7 +74,7 @@
 // PutEndpoint writes an endpoint's entry to the store, as the endpoint does.
 // The sequence must grow with each entry.
 func PutEndpoint(store *logstore.Server, pool, instance, address, state string, sequence int) {
-	store.Put("keyed.servers", instance, mustMarshal(map[string]any{
+	store.Put(EndpointsTopic, instance, mustMarshal(map[string]any{
 		"service": pool, "address": address, "zone": "north", "version": "v1", "slots": 8, "state": state, "sequence": sequence, "born": 1,
 	}))
 }
