--- a/internal/standin/users/users.go
+++ b/internal/standin/users/users.go
@@ -24,9 +24,9 @@
 	ConfigTopic = "keyed.op"
 	// EndpointsTopic is the list of endpoints.
 	EndpointsTopic = "keyed.servers"
-	// ForeignKey is a key of another writer, in Latin-1. ForeignEntry is an entry of a
-	// service that no route names.
-	ForeignKey   = "stock-z\xfcrich-1"
+	// ForeignKey is a key of another writer, in Latin-1.
+	ForeignKey = "stock-z\xfcrich-1"
+	// ForeignEntry is an entry of a service that no route names.
 	ForeignEntry = `{"service":"stock","address":"127.0.0.1:9","zone":"north","version":"7","slots":4,"state":"ready","sequence":1}`
 	// EnginePool is the name of the pool of engines.
 	EnginePool = "drafts"
