Log what the hypotheses on a planned stop need

The log of a stopped host could not tell apart a request that was accepted without the time to end it (P1), one that lay unread when connections were closed (P2) and one that the endpoint had finished (P4): a response that was cut at the end of the grace time was logged as "canceled by the caller".

The lines that end a request on a leaving host now have the time from the stop to its arrival and whether its endpoint had finished. At the end of the linger and of the grace time the host logs its connections: new, idle, with an unread request, active.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,8 @@
 	// usable reports whether any endpoint accepts requests.
 	usable  atomic.Bool
 	leaving atomic.Bool
+	// departure is the end of this host once it leaves.
+	departure departure
 	// moves are the streams that can be moved.
 	moves runMoves
 	// watchingCrashes reports whether endpoints that begin to answer must be recorded, as
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -184,13 +184,13 @@
 
 // logCanceled logs that the caller has left. It records no metrics.
 func (x *exchange) logCanceled() {
-	x.gateway.opts.Log.WithFields(fields{"request": x.call.ID, "events": x.eventsSent, "age_ms": x.ageMS()}).Info("request: canceled by the caller")
+	x.gateway.opts.Log.WithFields(x.addLeaving(fields{"request": x.call.ID, "events": x.eventsSent, "age_ms": x.ageMS()})).Info("request: canceled by the caller")
 }
 
 // logInterrupted logs and counts a response that broke off after its header was
 // sent.
 func (x *exchange) logInterrupted(cause error) {
-	entry := x.gateway.opts.Log.WithFields(fields{"request": x.call.ID, "events": x.eventsSent, "age_ms": x.ageMS()})
+	entry := x.gateway.opts.Log.WithFields(x.addLeaving(fields{"request": x.call.ID, "events": x.eventsSent, "age_ms": x.ageMS()}))
 	if cause != nil {
 		entry = entry.WithError(cause)
 	}
@@ -209,10 +209,10 @@
 
 // logFailed logs and counts a request that receives an error of this host.
 func (g *Gateway) logFailed(x *exchange, response *port.RequestError, cause error) {
-	entry := g.opts.Log.WithFields(fields{
+	entry := g.opts.Log.WithFields(x.addLeaving(fields{
 		"request": x.call.ID, "status": response.Status, "outcome": response.Outcome.String(),
 		"retry_after_ms": response.RetryAfter.Milliseconds(), "age_ms": x.ageMS(),
-	})
+	}))
 	if cause != nil {
 		entry = entry.WithError(cause)
 	}
--- a/internal/gateway/readahead.go
+++ b/internal/gateway/readahead.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"sync"
 	"time"
 
@@ -74,6 +75,13 @@
 	}
 }
 
+// hasEnded reports whether the whole stream has been read.
+func (r *readAhead) hasEnded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return errors.Is(r.err, io.EOF)
+}
+
 // beginWrite and endWrite enclose a write of events to the caller.
 func (r *readAhead) beginWrite() {
 	r.mu.Lock()
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -85,6 +85,8 @@
 	movedFrom string
 	// stays reports that the run is not moved any more.
 	stays bool
+	// endpointFinished reports that the endpoint has sent the whole response.
+	endpointFinished bool
 	// fallback is an endpoint's own error response. The caller receives it when
 	// no other endpoint succeeds.
 	fallback *bufferedResponse
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -77,6 +77,7 @@
 	x.clearParts()
 	x.clearRequest()
 	x.firstResponseAt = time.Now()
+	x.endpointFinished = true
 	holdOf(x.call).send()
 	return attemptResult{
 		answered:  x.w.Respond(reply.Status(), reply.Header(), body) == nil,
@@ -172,6 +173,7 @@
 		stream.endWrite()
 		if err != nil {
 			move.abandon()
+			x.endpointFinished = stream.hasEnded()
 			return attemptResult{outcome: model.OutcomeRan, delivered: true, err: err}
 		}
 		watch.resume()
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -199,17 +199,41 @@
 	})
 }
 
+// departure returns how the host leaves within the deadline of ctx, or the grace time of the
+// settings if it has none.
+func (g *Gateway) departure(ctx context.Context) gateway.Departure {
+	now := time.Now()
+	end, ok := ctx.Deadline()
+	if !ok {
+		end = now.Add(g.settings.Shutdown.Grace.Std())
+	}
+	return gateway.Departure{Began: now, Linger: g.settings.Shutdown.Linger.Std(), End: end}
+}
+
+// logDrain logs the callers' connections at a step of the shutdown.
+func (g *Gateway) logDrain(message string) {
+	c := g.ingress.Connections()
+	g.log.WithFields(log.Fields{"new": c.New, "idle": c.Idle, "unread": c.Unread, "active": c.Active}).Info(message)
+}
+
 // Shutdown stops the host. It reports not ready and continues to serve new
 // requests for the linger time. Then it closes the listener and the idle
 // connections, whose callers could otherwise send requests that cannot be
 // finished, and stops when no request is in progress or ctx is done.
 func (g *Gateway) Shutdown(ctx context.Context) error {
-	g.log.WithField("linger_ms", g.settings.Shutdown.Linger.Std().Milliseconds()).Info("host: leaving")
-	g.gateway.Leave()
-	linger, cancel := context.WithTimeout(ctx, g.settings.Shutdown.Linger.Std())
+	plan := g.departure(ctx)
+	g.log.WithFields(log.Fields{
+		"linger_ms": plan.Linger.Milliseconds(), "left_ms": plan.End.Sub(plan.Began).Milliseconds(),
+	}).Info("host: leaving")
+	g.gateway.LeaveBy(plan)
+	linger, cancel := context.WithTimeout(ctx, plan.Linger)
 	<-linger.Done()
 	cancel()
+	g.logDrain("host: lingering is over")
 	drained := g.ingress.Shutdown(ctx)
+	if drained != nil {
+		g.logDrain("host: the grace time is over")
+	}
 	closed := g.ingress.Close()
 	for _, server := range g.auxServers {
 		closed = errors.Join(closed, server.Close())
