Answer at the end of the grace time what has no answer yet

Callers saw: a connection that was closed without an answer at the end of the grace time, so that the caller of a request that may not be repeated could not know whether it had run; bodies that arrived slowly ended in the same way. The log called it "canceled by the caller".

Cause: the shutdown closed the connections and nothing told the requests before. Now 200 ms before the end (a tenth of a short shutdown) they are ended: 502, leaving, unknown where an endpoint may have run the request, 503, leaving, not_run otherwise and for bodies that are not complete, or the endpoint's own error response. Streams that have begun end as incomplete after what had been received. The process ends no later than before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,6 +127,7 @@
 	}
 	g.reading.Store(true)
 	g.departure.durations = rundurations.New()
+	g.departure.ended, g.departure.end = context.WithCancel(context.Background())
 	g.memory = newMemoryAccount(g, opts.MemoryLimit)
 	g.control = newControl(g)
 	return g
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -14,6 +16,9 @@
 // A leaving host knows when it ends, and learns how long requests last. It refuses what it
 // cannot end in the time left before it is passed on.
 
+// errHostEnds is the cause when requests in progress are ended with this host.
+var errHostEnds = errors.New("this host ends")
+
 const (
 	// rotationTime is how long the platform goes on sending new connections to a host that is
 	// not ready: two misses of a check each second.
@@ -45,7 +50,10 @@
 // safe for concurrent use.
 type departure struct {
 	// plan is nil until the host leaves, and if it leaves without a known end.
-	plan      atomic.Pointer[Departure]
+	plan atomic.Pointer[Departure]
+	// ended is done when the requests in progress are ended.
+	ended     context.Context
+	end       context.CancelFunc
 	mu        sync.Mutex
 	durations *rundurations.Durations
 }
@@ -57,6 +65,21 @@
 	g.Leave()
 }
 
+// EndRequests ends the requests in progress. Callers whose response has not begun receive an
+// error response.
+func (g *Gateway) EndRequests() { g.departure.end() }
+
+// bind returns a context that ends also when the requests in progress are ended. release must
+// be called.
+func (d *departure) bind(ctx context.Context) (bound context.Context, release func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(d.ended, func() { cancel(errHostEnds) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // observe records that a request has used its whole time, or was answered.
 func (d *departure) observe(x *exchange) {
 	now := time.Now()
@@ -107,6 +130,14 @@
 // String implements fmt.Stringer.
 func (reasonLeaving) String() string { return "leaving" }
 
+// leavingUnknownError is the error response to a request that may have run when this host ends.
+func leavingUnknownError() *port.RequestError {
+	return &port.RequestError{
+		Code: port.CodeLeaving, Status: http.StatusBadGateway, Outcome: model.OutcomeUnknown,
+		Message: "this host has ended before the endpoint", Cause: errHostEnds,
+	}
+}
+
 // refuseLeaving returns the error response to a request that is not expected to end before this
 // host does, nil for others.
 func (x *exchange) refuseLeaving() *port.RequestError {
@@ -114,11 +145,11 @@
 		return nil
 	}
 	x.gateway.opts.Metrics.Refused(model.ClassName(x.route.Name), reasonLeaving{})
-	return x.gateway.leavingError()
+	return x.gateway.LeavingError()
 }
 
-// leavingError is the error response of a leaving host to a request that was not run.
-func (g *Gateway) leavingError() *port.RequestError {
+// LeavingError implements port.CallRouter.
+func (g *Gateway) LeavingError() *port.RequestError {
 	return &port.RequestError{
 		Code: port.CodeLeaving, Status: http.StatusServiceUnavailable, Outcome: model.OutcomeNotRun,
 		Message:    "not run: this host leaves",
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -108,6 +109,8 @@
 		g.logRejected(call, refusal)
 		return w.RespondError(refusal) == nil
 	}
+	ctx, release := g.departure.bind(ctx)
+	defer release()
 	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline.Add(deadlineGrace), errDeadline)
 	defer cancel()
 	if refusal := x.restrictToOrigin(ctx); refusal != nil {
@@ -334,15 +337,15 @@
 		x.logShed()
 		return false
 	}
-	if cause != nil && !errors.Is(cause, errDeadline) {
+	if cause != nil && !errors.Is(cause, errDeadline) && !errors.Is(cause, errHostEnds) {
 		x.logCanceled()
 		return false
 	}
-	if cause != nil {
+	if errors.Is(cause, errDeadline) {
 		x.gateway.departure.observe(x)
 	}
 	if x.headerSent {
-		x.logInterrupted(result.err)
+		x.logInterrupted(cmp.Or(cause, result.err))
 		return false
 	}
 	if x.fallback != nil {
@@ -358,6 +361,9 @@
 // the request may have run.
 func (x *exchange) failureResponse(cause error, result attemptResult) *port.RequestError {
 	if x.possibleRuns > 0 || result.outcome != model.OutcomeNotRun {
+		if errors.Is(cause, errHostEnds) {
+			return leavingUnknownError()
+		}
 		if cause != nil {
 			return endpointFailedError(cause)
 		}
@@ -367,8 +373,8 @@
 	if errors.As(result.err, &refusal) {
 		return notRunError(refusal.decision.Reason, refusal.decision.RetryAfter)
 	}
-	if !x.endsInTime(time.Now()) {
-		return x.gateway.leavingError()
+	if !x.endsInTime(time.Now()) || errors.Is(cause, errHostEnds) {
+		return x.gateway.LeavingError()
 	}
 	return notRunError(balance.ReasonNoEndpoint, noEndpointRetryAfter)
 }
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -73,6 +73,9 @@
 	Ready() bool
 	// Leaving reports whether the host is draining and about to shut down.
 	Leaving() bool
+	// LeavingError returns the error to send to the caller of a request that is not run since
+	// the host leaves.
+	LeavingError() *RequestError
 }
 
 // RoutedAttempt is one attempt of a call at one endpoint.
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -20,6 +20,14 @@
 	"github.com/wigeonsail/wigeonsail/platform"
 )
 
+const (
+	// answerLead is how long before the end of the shutdown the requests in progress are ended,
+	// so that their callers receive an answer. It is the part 1/maxAnswerShare of a short
+	// shutdown at most.
+	answerLead     = 200 * time.Millisecond
+	maxAnswerShare = 10
+)
+
 // auxHeaderTimeout bounds the time to read a header on the readiness and metrics
 // listeners.
 const auxHeaderTimeout = 2 * time.Second
@@ -199,15 +207,16 @@
 	})
 }
 
-// departure returns how the host leaves within the deadline of ctx, or the grace time of the
-// settings if it has none.
+// departure returns how the host leaves within the deadline of ctx, or within the grace time of
+// the settings if it has none.
 func (g *Gateway) departure(ctx context.Context) gateway.Departure {
 	now := time.Now()
 	end, ok := ctx.Deadline()
 	if !ok {
 		end = now.Add(g.settings.Shutdown.Grace.Std())
 	}
-	return gateway.Departure{Began: now, Linger: g.settings.Shutdown.Linger.Std(), End: end}
+	lead := min(answerLead, end.Sub(now)/maxAnswerShare)
+	return gateway.Departure{Began: now, Linger: g.settings.Shutdown.Linger.Std(), End: end.Add(-lead)}
 }
 
 // logDrain logs the callers' connections at a step of the shutdown.
@@ -230,9 +239,14 @@
 	<-linger.Done()
 	cancel()
 	g.logDrain("host: lingering is over")
-	drained := g.ingress.Shutdown(ctx)
+	drainCtx, cancel := context.WithDeadline(ctx, plan.End)
+	drained := g.ingress.Shutdown(drainCtx)
+	cancel()
 	if drained != nil {
 		g.logDrain("host: the grace time is over")
+		g.gateway.EndRequests()
+		g.ingress.EndBodies()
+		drained = errors.Join(drained, g.ingress.Shutdown(ctx))
 	}
 	closed := g.ingress.Close()
 	for _, server := range g.auxServers {
--- a/internal/server/gateway_fixture_test.go
+++ b/internal/server/gateway_fixture_test.go
@@ -39,6 +39,8 @@
 	storeURL string
 	// replicas are the started replicas by instance name.
 	replicas map[string]*replica.Server
+	// logHandler receives the log of hosts that start from now on.
+	logHandler log.Handler
 	// configure changes the settings of hosts that start from now on; nil for none.
 	configure func(s *settings.Gateway)
 	// sequence numbers list entries and attempt IDs.
@@ -48,7 +50,7 @@
 }
 
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, store: logstore.New(), replicas: make(map[string]*replica.Server)}
+	f := &fleet{t: t, store: logstore.New(), replicas: make(map[string]*replica.Server), logHandler: discard.New()}
 	f.storeURL = serveStore(t, f.store)
 	return f
 }
@@ -129,7 +131,7 @@
 	if f.configure != nil {
 		f.configure(&s)
 	}
-	g, err := NewGateway(&s, &log.Logger{Handler: discard.New()})
+	g, err := NewGateway(&s, &log.Logger{Handler: f.logHandler})
 	must.NoError(f.t, err)
 	g.Start()
 	f.t.Cleanup(func() {
--- a/internal/server/gateway_stop_test.go
+++ b/internal/server/gateway_stop_test.go
@@ -7,11 +7,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"github.com/shoenig/test/must"
 
 	"github.com/wigeonsail/wigeonsail/internal/settings"
@@ -146,6 +149,8 @@
 func TestStreamAtTheEndOfTheGraceLooksIncomplete(t *testing.T) {
 	f := newFleet(t)
 	f.publish(fleetConfig(1))
+	lines := memory.New()
+	f.logHandler = lines
 	r := f.startReplica(enginePool, replica.Options{Instance: "i-1", Events: 100, ServiceTime: 50 * time.Millisecond})
 	g := f.startReadyHost("h1")
 	answer := make(chan fleetResponse, 1)
@@ -156,6 +161,11 @@
 	must.True(t, got.truncated)
 	must.StrHasPrefix(t, got.body, replica.StreamBody(100))
 	must.StrHasPrefix(t, replica.StreamBody(3), got.body)
+	cut := slices.IndexFunc(lines.Entries, func(e *log.Entry) bool { return e.Message == "request: response interrupted" })
+	must.GreaterEq(t, 0, cut)
+	must.Less(t, 0, lines.Entries[cut].Fields["arrived_after_stop_ms"].(int64))
+	must.Eq[any](t, false, lines.Entries[cut].Fields["endpoint_finished"])
+	must.Eq[any](t, "this host ends", lines.Entries[cut].Fields["error"])
 }
 
 func TestSlowBodyIsRefusedAtTheEndOfTheGrace(t *testing.T) {
