--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -257,7 +257,7 @@
 			x.gateway.departure.observe(x)
 			return true
 		}
-		if !x.canRetry(ctx, result) {
+		if !x.canRetry(ctx, result) || !x.endsInTime(time.Now()) {
 			return x.fail(ctx, result)
 		}
 		waitConfirmed(ctx, confirmed)
@@ -291,7 +291,7 @@
 	if result.outcome != model.OutcomeNotRun {
 		x.possibleRuns++
 	}
-	if result.final || x.unreachable >= maxUnreachable || ctx.Err() != nil || !x.endsInTime(time.Now()) {
+	if result.final || x.unreachable >= maxUnreachable || ctx.Err() != nil {
 		return false
 	}
 	return x.allowsAttempt(x.delivered, x.possibleRuns) &&
