Close no connection of a caller that has a request on it

Cause: http.Server.Shutdown, and the sweeper of idle connections, take a connection for idle until the whole header of its next request was read: bytes in the kernel's buffer and in that of the server don't count. Class: something is ended by a clock without a look at whether it is in use.

The ingress now notes what was read on each connection and peeks at what was not. After the linger it goes on serving connections and accepting new ones while any request is in progress (what cannot end is refused with 503 and Connection: close), closes the listener after 100 ms without a request, and then only connections without one.

A request that crosses the close of a connection is still lost; it was not read and has not run.

--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -105,7 +105,7 @@
 		Log:               logger,
 		Metrics:           m,
 	})
-	g.ingress = platform.NewIngress(platform.IngressOptions{Router: g.gateway, Log: logger})
+	g.ingress = platform.NewIngress(platform.IngressOptions{Listener: listeners[listenCallers], Router: g.gateway, Log: logger})
 	g.peers, err = peergrpc.NewLoadServer(auth, g.gateway)
 	if err != nil {
 		return nil, errors.Join(err, m.Close())
@@ -180,7 +180,7 @@
 // Start starts the gateway and its servers, which run until Shutdown.
 func (g *Gateway) Start() {
 	g.gateway.Start()
-	g.serving.Go(func() error { return g.ingress.Serve(g.listeners[listenCallers]) })
+	g.serving.Go(g.ingress.Serve)
 	g.serving.Go(func() error { return g.peers.Serve(g.listeners[listenPeers]) })
 	g.serveAux(g.listeners[listenReadiness], platform.NewReadinessHandler(g.gateway))
 	mux := http.NewServeMux()
@@ -225,10 +225,10 @@
 	g.log.WithFields(log.Fields{"new": c.New, "idle": c.Idle, "unread": c.Unread, "active": c.Active}).Info(message)
 }
 
-// Shutdown stops the host. It reports not ready and continues to serve new
-// requests for the linger time. Then it closes the listener and the idle
-// connections, whose callers could otherwise send requests that cannot be
-// finished, and stops when no request is in progress or ctx is done.
+// Shutdown stops the host. It reports not ready and serves requests for the linger time, and
+// as long after it as any are in progress; those that cannot end before ctx does are refused.
+// Then it closes the listener and the connections. Requests that are in progress shortly
+// before ctx ends are ended.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	plan := g.departure(ctx)
 	g.log.WithFields(log.Fields{
@@ -240,13 +240,13 @@
 	cancel()
 	g.logDrain("host: lingering is over")
 	drainCtx, cancel := context.WithDeadline(ctx, plan.End)
-	drained := g.ingress.Shutdown(drainCtx)
+	drained := g.ingress.Drain(drainCtx)
 	cancel()
 	if drained != nil {
 		g.logDrain("host: the grace time is over")
 		g.gateway.EndRequests()
 		g.ingress.EndBodies()
-		drained = errors.Join(drained, g.ingress.Shutdown(ctx))
+		drained = errors.Join(drained, g.ingress.Drain(ctx))
 	}
 	closed := g.ingress.Close()
 	for _, server := range g.auxServers {
