--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/attempt"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/routing"
+	"github.com/wigeonsail/wigeonsail/internal/core/rundurations"
 	"github.com/wigeonsail/wigeonsail/internal/loop"
 	"github.com/wigeonsail/wigeonsail/internal/metrics"
 	"github.com/wigeonsail/wigeonsail/internal/port"
@@ -85,6 +86,8 @@
 	// usable reports whether any endpoint accepts requests.
 	usable  atomic.Bool
 	leaving atomic.Bool
+	// departure is the end of this host once it leaves.
+	departure departure
 	// moves are the streams that can be moved.
 	moves runMoves
 	// watchingCrashes reports whether endpoints that begin to answer must be recorded, as
@@ -123,6 +126,8 @@
 		readListNow: make(chan struct{}, 1), readConfigNow: make(chan struct{}, 1),
 	}
 	g.reading.Store(true)
+	g.departure.durations = rundurations.New()
+	g.departure.ended, g.departure.end = context.WithCancel(context.Background())
 	g.memory = newMemoryAccount(g, opts.MemoryLimit)
 	g.control = newControl(g)
 	return g
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -85,6 +86,8 @@
 	movedFrom string
 	// stays reports that the run is not moved any more.
 	stays bool
+	// endpointFinished reports that the endpoint has sent the whole response.
+	endpointFinished bool
 	// fallback is an endpoint's own error response. The caller receives it when
 	// no other endpoint succeeds.
 	fallback *bufferedResponse
@@ -106,6 +109,8 @@
 		g.logRejected(call, refusal)
 		return w.RespondError(refusal) == nil
 	}
+	ctx, release := g.departure.bind(ctx)
+	defer release()
 	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline.Add(deadlineGrace), errDeadline)
 	defer cancel()
 	if refusal := x.restrictToOrigin(ctx); refusal != nil {
@@ -134,6 +139,9 @@
 	}
 	x := newExchange(g, call, table.Version(), route, account)
 	x.w = w
+	if refusal := x.refuseLeaving(); refusal != nil {
+		return nil, refusal
+	}
 	x.req.Pool = route.PickPool(g.rng.fraction())
 	return x, nil
 }
@@ -246,9 +254,10 @@
 		x.crashReported = x.crashReported || confirmed != nil
 		if result.answered {
 			x.logAnswered()
+			x.gateway.departure.observe(x)
 			return true
 		}
-		if !x.canRetry(ctx, result) {
+		if !x.canRetry(ctx, result) || !x.endsInTime(time.Now()) {
 			return x.fail(ctx, result)
 		}
 		waitConfirmed(ctx, confirmed)
@@ -328,12 +337,15 @@
 		x.logShed()
 		return false
 	}
-	if cause != nil && !errors.Is(cause, errDeadline) {
+	if cause != nil && !errors.Is(cause, errDeadline) && !errors.Is(cause, errHostEnds) {
 		x.logCanceled()
 		return false
 	}
+	if errors.Is(cause, errDeadline) {
+		x.gateway.departure.observe(x)
+	}
 	if x.headerSent {
-		x.logInterrupted(result.err)
+		x.logInterrupted(cmp.Or(cause, result.err))
 		return false
 	}
 	if x.fallback != nil {
@@ -349,6 +361,9 @@
 // the request may have run.
 func (x *exchange) failureResponse(cause error, result attemptResult) *port.RequestError {
 	if x.possibleRuns > 0 || result.outcome != model.OutcomeNotRun {
+		if errors.Is(cause, errHostEnds) {
+			return leavingUnknownError()
+		}
 		if cause != nil {
 			return endpointFailedError(cause)
 		}
@@ -358,5 +373,8 @@
 	if errors.As(result.err, &refusal) {
 		return notRunError(refusal.decision.Reason, refusal.decision.RetryAfter)
 	}
+	if !x.endsInTime(time.Now()) || errors.Is(cause, errHostEnds) {
+		return x.gateway.LeavingError()
+	}
 	return notRunError(balance.ReasonNoEndpoint, noEndpointRetryAfter)
 }
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -20,6 +20,14 @@
 	"github.com/wigeonsail/wigeonsail/platform"
 )
 
+const (
+	// answerLead is how long before the end of the shutdown the requests in progress are ended,
+	// so that their callers receive an answer. It is the part 1/maxAnswerShare of a short
+	// shutdown at most.
+	answerLead     = 200 * time.Millisecond
+	maxAnswerShare = 10
+)
+
 // auxHeaderTimeout bounds the time to read a header on the readiness and metrics
 // listeners.
 const auxHeaderTimeout = 2 * time.Second
@@ -97,7 +105,7 @@
 		Log:               logger,
 		Metrics:           m,
 	})
-	g.ingress = platform.NewIngress(platform.IngressOptions{Router: g.gateway, Log: logger})
+	g.ingress = platform.NewIngress(platform.IngressOptions{Listener: listeners[listenCallers], Router: g.gateway, Log: logger})
 	g.peers, err = peergrpc.NewLoadServer(auth, g.gateway)
 	if err != nil {
 		return nil, errors.Join(err, m.Close())
@@ -172,7 +180,7 @@
 // Start starts the gateway and its servers, which run until Shutdown.
 func (g *Gateway) Start() {
 	g.gateway.Start()
-	g.serving.Go(func() error { return g.ingress.Serve(g.listeners[listenCallers]) })
+	g.serving.Go(g.ingress.Serve)
 	g.serving.Go(func() error { return g.peers.Serve(g.listeners[listenPeers]) })
 	g.serveAux(g.listeners[listenReadiness], platform.NewReadinessHandler(g.gateway))
 	mux := http.NewServeMux()
@@ -199,17 +207,47 @@
 	})
 }
 
-// Shutdown stops the host. It reports not ready and continues to serve new
-// requests for the linger time. Then it closes the listener and the idle
-// connections, whose callers could otherwise send requests that cannot be
-// finished, and stops when no request is in progress or ctx is done.
+// departure returns how the host leaves within the deadline of ctx, or within the grace time of
+// the settings if it has none.
+func (g *Gateway) departure(ctx context.Context) gateway.Departure {
+	now := time.Now()
+	end, ok := ctx.Deadline()
+	if !ok {
+		end = now.Add(g.settings.Shutdown.Grace.Std())
+	}
+	lead := min(answerLead, end.Sub(now)/maxAnswerShare)
+	return gateway.Departure{Began: now, Linger: g.settings.Shutdown.Linger.Std(), End: end.Add(-lead)}
+}
+
+// logDrain logs the callers' connections at a step of the shutdown.
+func (g *Gateway) logDrain(message string) {
+	c := g.ingress.Connections()
+	g.log.WithFields(log.Fields{"new": c.New, "idle": c.Idle, "unread": c.Unread, "active": c.Active}).Info(message)
+}
+
+// Shutdown stops the host. It reports not ready and serves requests for the linger time, and
+// as long after it as any are in progress; those that cannot end before ctx does are refused.
+// Then it closes the listener and the connections. Requests that are in progress shortly
+// before ctx ends are ended.
 func (g *Gateway) Shutdown(ctx context.Context) error {
-	g.log.WithField("linger_ms", g.settings.Shutdown.Linger.Std().Milliseconds()).Info("host: leaving")
-	g.gateway.Leave()
-	linger, cancel := context.WithTimeout(ctx, g.settings.Shutdown.Linger.Std())
+	plan := g.departure(ctx)
+	g.log.WithFields(log.Fields{
+		"linger_ms": plan.Linger.Milliseconds(), "left_ms": plan.End.Sub(plan.Began).Milliseconds(),
+	}).Info("host: leaving")
+	g.gateway.LeaveBy(plan)
+	linger, cancel := context.WithTimeout(ctx, plan.Linger)
 	<-linger.Done()
 	cancel()
-	drained := g.ingress.Shutdown(ctx)
+	g.logDrain("host: lingering is over")
+	drainCtx, cancel := context.WithDeadline(ctx, plan.End)
+	drained := g.ingress.Drain(drainCtx)
+	cancel()
+	if drained != nil {
+		g.logDrain("host: the grace time is over")
+		g.gateway.EndRequests()
+		g.ingress.EndBodies()
+		drained = errors.Join(drained, g.ingress.Drain(ctx))
+	}
 	closed := g.ingress.Close()
 	for _, server := range g.auxServers {
 		closed = errors.Join(closed, server.Close())
--- a/internal/server/gateway_fixture_test.go
+++ b/internal/server/gateway_fixture_test.go
@@ -39,6 +39,8 @@
 	storeURL string
 	// replicas are the started replicas by instance name.
 	replicas map[string]*replica.Server
+	// logHandler receives the log of hosts that start from now on.
+	logHandler log.Handler
 	// configure changes the settings of hosts that start from now on; nil for none.
 	configure func(s *settings.Gateway)
 	// sequence numbers list entries and attempt IDs.
@@ -48,7 +50,7 @@
 }
 
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, store: logstore.New(), replicas: make(map[string]*replica.Server)}
+	f := &fleet{t: t, store: logstore.New(), replicas: make(map[string]*replica.Server), logHandler: discard.New()}
 	f.storeURL = serveStore(t, f.store)
 	return f
 }
@@ -129,7 +131,7 @@
 	if f.configure != nil {
 		f.configure(&s)
 	}
-	g, err := NewGateway(&s, &log.Logger{Handler: discard.New()})
+	g, err := NewGateway(&s, &log.Logger{Handler: f.logHandler})
 	must.NoError(f.t, err)
 	g.Start()
 	f.t.Cleanup(func() {
@@ -166,6 +168,8 @@
 	body   string
 	// truncated is true if there was no response or its body was incomplete.
 	truncated bool
+	// closes is true if the host closes the connection after the response.
+	closes bool
 }
 
 // send sends a request with a new attempt ID.
@@ -189,7 +193,7 @@
 	}
 	defer res.Body.Close()
 	got, err := io.ReadAll(res.Body)
-	return fleetResponse{status: res.StatusCode, header: res.Header, body: string(got), truncated: err != nil}
+	return fleetResponse{status: res.StatusCode, header: res.Header, body: string(got), truncated: err != nil, closes: res.Close}
 }
 
 // postConfirm sends a request on the non-idempotent route.
