--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -215,8 +215,12 @@
 	if !ok {
 		end = now.Add(g.settings.Shutdown.Grace.Std())
 	}
-	lead := min(answerLead, end.Sub(now)/maxAnswerShare)
-	return gateway.Departure{Began: now, Linger: g.settings.Shutdown.Linger.Std(), End: end.Add(-lead)}
+	return gateway.Departure{Began: now, Linger: g.settings.Shutdown.Linger.Std(), End: end.Add(-answerTime(end.Sub(now)))}
+}
+
+// answerTime returns the time that is set aside at the end of a shutdown for answers.
+func answerTime(shutdown time.Duration) time.Duration {
+	return min(answerLead, shutdown/maxAnswerShare)
 }
 
 // logDrain logs the callers' connections at a step of the shutdown.
@@ -225,6 +229,14 @@
 	g.log.WithFields(log.Fields{"new": c.New, "idle": c.Idle, "unread": c.Unread, "active": c.Active}).Info(message)
 }
 
+// answerEnded waits for the answers to the requests that were ended. A busy host that ends them
+// late still has the time that is set aside for it.
+func (g *Gateway) answerEnded(ctx context.Context, plan gateway.Departure) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTime(time.Since(plan.Began)))
+	defer cancel()
+	return g.ingress.Drain(ctx)
+}
+
 // Shutdown stops the host. It reports not ready and serves requests for the linger time, and
 // as long after it as any are in progress; those that cannot end before ctx does are refused.
 // Then it closes the listener and the connections. Requests that are in progress shortly
@@ -246,7 +258,7 @@
 		g.logDrain("host: the grace time is over")
 		g.gateway.EndRequests()
 		g.ingress.EndBodies()
-		drained = errors.Join(drained, g.ingress.Drain(ctx))
+		drained = errors.Join(drained, g.answerEnded(ctx, plan))
 	}
 	closed := g.ingress.Close()
 	for _, server := range g.auxServers {
--- a/internal/server/gateway_fixture_test.go
+++ b/internal/server/gateway_fixture_test.go
@@ -170,6 +170,8 @@
 	truncated bool
 	// closes is true if the host closes the connection after the response.
 	closes bool
+	// unread is true if the connection was closed with bytes that the host had not read.
+	unread bool
 }
 
 // send sends a request with a new attempt ID.
--- a/internal/server/gateway_stop_test.go
+++ b/internal/server/gateway_stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -71,7 +73,7 @@
 func (c *keptConn) read() fleetResponse {
 	res, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
-		return fleetResponse{truncated: true}
+		return fleetResponse{truncated: true, unread: errors.Is(err, syscall.ECONNRESET)}
 	}
 	defer res.Body.Close()
 	body, err := io.ReadAll(res.Body)
@@ -79,8 +81,8 @@
 }
 
 // exchange sends a request and reads its response.
-func (c *keptConn) exchange(method, path, id string) fleetResponse {
-	c.write(encode(method, path, id, "x"))
+func (c *keptConn) exchange(path, id string) fleetResponse {
+	c.write(encode(http.MethodPost, path, id, "x"))
 	return c.read()
 }
 
@@ -208,5 +210,5 @@
 	}
 	defer conn.Close()
 	c := &keptConn{Conn: conn, reader: bufio.NewReader(conn)}
-	return c.exchange(http.MethodPost, path, conn.LocalAddr().String())
+	return c.exchange(path, conn.LocalAddr().String())
 }
--- a/internal/server/gateway_unread_test.go
+++ b/internal/server/gateway_unread_test.go
@@ -18,7 +18,7 @@
 	g = f.startReadyHost("h1")
 	first, second = f.dial(g), f.dial(g)
 	for _, conn := range []*keptConn{first, second} {
-		must.Eq(f.t, http.StatusOK, conn.exchange(http.MethodPost, "/confirm/1", conn.LocalAddr().String()).status)
+		must.Eq(f.t, http.StatusOK, conn.exchange("/confirm/1", conn.LocalAddr().String()).status)
 	}
 	return g, first, second
 }
@@ -71,7 +71,7 @@
 	ended := f.stop(g, 2*time.Second)
 	begun := time.Now()
 	f.eventually(func() bool { return time.Since(begun) > 300*time.Millisecond })
-	checkRefusedLeaving(t, conn.exchange(http.MethodPost, "/confirm/1", "kept"))
+	checkRefusedLeaving(t, conn.exchange("/confirm/1", "kept"))
 	checkRefusedLeaving(t, f.dialAndPost(g, "/confirm/1"))
 	must.Eq(t, replica.StreamBody(10), (<-answer).body)
 	<-ended
@@ -86,3 +86,32 @@
 	<-f.stop(g, 8*time.Second)
 	must.Less(t, 2*time.Second, time.Since(begun))
 }
+
+func TestAnswersAreReadAfterTheHostHasEnded(t *testing.T) {
+	f := newFleet(t)
+	f.publish(fleetConfig(1))
+	const events = 2000
+	r := f.startReplica(enginePool, replica.Options{Instance: "e-1", Events: events, ServiceTime: 50 * time.Microsecond})
+	g, plain, _ := f.startIdleConns()
+	stream := f.dial(g)
+	plain.write(encode(http.MethodPost, "/confirm/1", "plain", "x"))
+	stream.write(encode(http.MethodPost, "/draft/1", "stream", "x"))
+	f.eventually(func() bool { return f.totalRuns() == 4 && len(r.Executions()) == 1 })
+	<-f.stop(g, 5*time.Second)
+	must.Eq(t, replica.ResponseBody("plain"), plain.read().body)
+	must.Eq(t, replica.StreamBody(events), stream.read().body)
+}
+
+func TestReloadWhileLeavingEndsNoRequest(t *testing.T) {
+	f := newFleet(t)
+	f.publish(fleetConfig(1))
+	r := f.startReplica(servicePool, replica.Options{Instance: "i-1", ServiceTime: 500 * time.Millisecond})
+	g := f.startReadyHost("h1")
+	answer := make(chan fleetResponse, 1)
+	go func() { answer <- f.dialAndPost(g, "/confirm/1") }()
+	f.eventually(func() bool { return len(r.Executions()) == 1 })
+	ended := f.stop(g, 3*time.Second)
+	g.Reload(g.settings)
+	must.Eq(t, http.StatusOK, (<-answer).status)
+	<-ended
+}
