Prove the origin of a stream only by a read of the list that began after the request

Callers saw streams go on at another software version than the one that began them, after a host was cut off while endpoints of a new version joined.

Cause: the host concluded from the history of its list that a pool has had one version only, and counted the list as current up to an age of 2.5 s. A stream can begin at a new version, break off and be resumed within that time. Any age has this fault; and the age itself is measured by a clock that a suspended host does not advance, or comes from digests that were late.

A host with such a conclusion now reads the store, and concludes only once the changes of a read that began after the request was received are applied: the stream began before the request was sent, and the endpoint was listed before the stream began. No clock is compared with that of another host, so that neither a standstill nor a late digest matters. If the read fails or takes longer than 500 ms, other hosts are asked as before; if none knows, the caller gets 503, not run. Waiting requests share a read, and a host requests at most five a second.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -60,6 +60,8 @@
 	// asked a peer since what has ended.
 	firstListAt time.Time
 	knowsEnds   bool
+	// barrier makes decisions wait for a read of the list.
+	barrier listBarrier
 	// listReadFailing reports whether this host's last read of the list failed.
 	listReadFailing bool
 	// loggedReserved is the last logged number of engines reserved for urgent
@@ -93,6 +95,7 @@
 		writes:         storeWrites{gateway: g},
 		loggedReserved: make(map[model.PoolName]int),
 	}
+	c.barrier.request = g.requestListRead
 	c.peers = newPeerTable(g)
 	c.duties = newDutyKeeper(c)
 	c.capacity = newCapacityDriver(g, c.duties)
@@ -108,6 +111,7 @@
 	c.applyEndpointChanges(now, c.directory.Expire(now), sourceTimer)
 	c.gateway.usable.Store(c.balancer.HasUsableEndpoint(now))
 	c.fetchMissingChanges(now)
+	c.barrier.tick(now)
 	c.reviewPeers(now)
 	c.demand.tick(now)
 	c.accounts.tick(now, c)
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -229,6 +229,7 @@
 			continue
 		}
 		update := g.decodeEndpoints(result.batch, result.full)
+		update.asOf = result.asOf
 		g.loop.Post(loop.Func(func(now time.Time) { g.control.applyListRead(now, update) }))
 		// A read requested meanwhile is likely covered by the one just done. If
 		// not, it is requested again.
@@ -275,6 +276,8 @@
 	records []port.ListRecord
 	// next is the position after the records.
 	next model.Position
+	// asOf is a time as of which the records are complete.
+	asOf time.Time
 }
 
 // decodeEndpoints decodes records of the list of endpoints. An entry that cannot be decoded
--- a/internal/gateway/listchanges.go
+++ b/internal/gateway/listchanges.go
@@ -63,10 +63,12 @@
 		// Peers may have changes that this host never received.
 		c.lastListChange = c.nextInList
 		c.peers.requestDigests()
+		c.barrier.recordRead(update.asOf)
 		return
 	}
 	applied := c.applyRecords(now, recordsFrom(c.nextInList, update.records), sourceStore)
 	c.nextInList = model.LaterPosition(c.nextInList, update.next)
+	c.barrier.recordRead(update.asOf)
 	if len(applied) == 0 {
 		return
 	}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -58,25 +58,32 @@
 	originUnknown  = "unknown"
 )
 
+// originResult is where a stream began, as this host knows.
+type originResult struct {
+	origin resume.Origin
+	source string
+	// listRead is closed once the history of the list may show the origin; nil if it
+	// does not.
+	listRead <-chan struct{}
+	// peers are the addresses of hosts that may know the origin.
+	peers []string
+}
+
 // findOrigin returns where the stream that the request resumes began, and how it is known.
 func (x *exchange) findOrigin(ctx context.Context) (resume.Origin, string) {
 	g, id := x.gateway, resume.NewStreamID(x.call.Resumes)
-	type result struct {
-		origin resume.Origin
-		source string
-		peers  []string
+	found, ok := queryLoop(ctx, g, func(now time.Time) originResult { return g.control.lookUpOrigin(now, x) })
+	if !ok || found.source != originUnknown {
+		return found.origin, found.source
 	}
-	found, ok := queryLoop(ctx, g, func(now time.Time) result {
-		if origin, known := g.control.streams.Origin(id); known && x.call.Resumes != "" {
-			return result{origin: origin, source: originRecorded}
+	if awaitBarrier(ctx, found.listRead) {
+		proven, ok := queryLoop(ctx, g, func(now time.Time) originResult { return g.control.proveOrigin(now, x) })
+		if ok && proven.source != originUnknown {
+			return proven.origin, proven.source
 		}
-		if origin, sole := g.control.soleOrigin(now, x.route); sole {
-			return result{origin: origin, source: originHistory}
-		}
-		return result{source: originUnknown, peers: g.control.peers.directAddresses(now)}
-	})
-	if !ok || found.source != originUnknown || x.call.Resumes == "" {
-		return found.origin, found.source
+	}
+	if x.call.Resumes == "" {
+		return resume.Origin{}, originUnknown
 	}
 	if origin, known := g.findAtPeers(ctx, found.peers, id); known {
 		return origin, originPeer
@@ -84,8 +91,42 @@
 	return resume.Origin{}, originUnknown
 }
 
-// soleOrigin returns the only origin that the streams of a route can have. It returns false
-// if there is none.
+// lookUpOrigin returns the recorded origin of the stream that a request resumes, or how it
+// can be found.
+func (c *control) lookUpOrigin(now time.Time, x *exchange) originResult {
+	if found := c.recordedOrigin(x); found.source != originUnknown {
+		return found
+	}
+	out := originResult{source: originUnknown, peers: c.peers.directAddresses(now)}
+	if _, sole := c.soleOrigin(now, x.route); sole && !c.listReadFailing {
+		out.listRead = c.barrier.wait(now)
+	}
+	return out
+}
+
+// proveOrigin returns the origin of the stream that a request resumes, after a read of the
+// list that began after the request was received.
+func (c *control) proveOrigin(now time.Time, x *exchange) originResult {
+	if found := c.recordedOrigin(x); found.source != originUnknown {
+		return found
+	}
+	if origin, sole := c.soleOrigin(now, x.route); sole {
+		return originResult{origin: origin, source: originHistory}
+	}
+	return originResult{source: originUnknown}
+}
+
+// recordedOrigin returns the recorded origin of the stream that a request resumes.
+func (c *control) recordedOrigin(x *exchange) originResult {
+	origin, known := c.streams.Origin(resume.NewStreamID(x.call.Resumes))
+	if !known || x.call.Resumes == "" {
+		return originResult{source: originUnknown}
+	}
+	return originResult{origin: origin, source: originRecorded}
+}
+
+// soleOrigin returns the only origin that the streams of a route can have which began before
+// the last read of the list. It returns false if there is none.
 func (c *control) soleOrigin(now time.Time, route *routing.Route) (resume.Origin, bool) {
 	life := max(resume.MinStreamLife, maxCallerTries*route.Timeout)
 	if len(route.Targets) != 1 || now.Sub(c.targetsSince[routeKey(route)]) < life || !c.isListCurrent(now) {
