Count versions that come and go between two reads of the list

Streams could be proven to have begun at the only version of a pool although another one had served within their life: its endpoints had joined and left within one batch of changes, as a host reads that was out of step, or between two full lists.

Changes are now applied one by one to the history of versions, and a full list that replaces one which was not current interrupts it.

--- a/internal/gateway/listchanges.go
+++ b/internal/gateway/listchanges.go
@@ -45,6 +45,8 @@
 		c.gateway.opts.Log.WithFields(fields{"era": update.next.Era, "known": c.nextInList.Era}).Warn("lists: response from before the restoration ignored")
 		return
 	}
+	// The first list that a host reads itself may replace one of a peer.
+	hasGap := !c.lastListRead.IsZero() && !c.isListCurrent(now)
 	c.directory.RecordStoreRead(now)
 	c.lastListRead = now
 	c.listReadFailing = false
@@ -59,6 +61,9 @@
 				list.Entries = append(list.Entries, rec.Entry)
 			}
 		}
+		if hasGap {
+			c.interruptVersions(now)
+		}
 		c.replaceList(now, list, sourceStore)
 		// Peers may have changes that this host never received.
 		c.lastListChange = c.nextInList
@@ -116,7 +121,6 @@
 // it or what is withheld from it.
 func (c *control) applyEffectiveRecords(now time.Time, records []port.ListRecord, source string) []port.ListRecord {
 	var applied []port.ListRecord
-	var changes []directory.Change
 	for _, rec := range records {
 		var change directory.Change
 		var changed bool
@@ -136,10 +140,10 @@
 			}
 		}
 		if changed {
-			changes = append(changes, change)
+			// Each by itself, so that versions which come and go are seen.
+			c.applyEndpointChanges(now, []directory.Change{change}, source)
 		}
 	}
-	c.applyEndpointChanges(now, changes, source)
 	return applied
 }
 
--- a/internal/gateway/listfetch.go
+++ b/internal/gateway/listfetch.go
@@ -94,6 +94,9 @@
 	if !list.Next.IsAfter(c.nextInList) {
 		return
 	}
+	if c.nextInList != (model.Position{}) && !c.isListCurrent(now) {
+		c.interruptVersions(now)
+	}
 	c.replaceList(now, list, "list of peer "+address)
 	// Changes that this host publishes from now on follow the adopted list.
 	c.lastListChange = list.Next
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -229,6 +229,13 @@
 	c.saveVersions(c.streams.Observe(now, c.directory.Versions()))
 }
 
+// interruptVersions records that a full list has replaced one that was not current, so that
+// other versions may have served unnoticed. Changes of the log have no such gap.
+func (c *control) interruptVersions(now time.Time) {
+	c.streams.Interrupt(now)
+	c.saveVersions(c.streams.Pools())
+}
+
 // checkVersions notes whether the list of endpoints is up to date, and forgets old streams.
 func (c *control) checkVersions(now time.Time) {
 	c.streams.Expire(now)
--- a/internal/gateway/versionhistory_test.go
+++ b/internal/gateway/versionhistory_test.go
@@ -38,7 +38,10 @@
 		"received": func(c *control) {
 			c.receiveListChanges(at(later), changesDigest(offset(5), offset(7), changes...))
 		},
-		"a full list": func(c *control) {
+		"a full list read": func(c *control) {
+			c.applyListRead(at(later), listUpdate{full: true, records: []port.ListRecord{versionRecord("a", "v1")}, next: offset(7)})
+		},
+		"a full list received": func(c *control) {
 			c.adoptList(at(later), port.EndpointList{Entries: []directory.Entry{versionRecord("a", "v1").Entry}, Next: offset(7)}, "peer")
 		},
 	} {
