--- a/internal/gateway/versionhistory_test.go
+++ b/internal/gateway/versionhistory_test.go
@@ -52,3 +52,13 @@
 		must.True(t, isSole(c, at(later+resume.MinStreamLife)), must.Sprint(name))
 	}
 }
+
+// A caller must not be refused for a minute after each gap in the reads.
+func TestHistoryGoesOnIfTheLogOfChangesHasNoGap(t *testing.T) {
+	c := newSoleControl(t)
+	c.checkVersions(at(0))
+	c.checkVersions(at(time.Hour))
+	c.applyListRead(at(time.Hour), listUpdate{records: recordsBefore(offset(7), versionRecord("b", "v1")), next: offset(7)})
+	c.checkVersions(at(time.Hour))
+	must.True(t, isSole(c, at(time.Hour)))
+}
