Let the history of versions go on while the log of changes has no gap

A host whose list had not been read for 2.5 s, because the store or its readers were away or it stood still, refused for a minute to resume streams whose host was lost. Whether it did also depended on what it handled first when it was back: a read that came before the next review of its state hid the gap.

The changes of the log show every version that has served, however late they are read. So only full lists interrupt the history, and the age of the list no longer does; a conclusion waits for a read anyhow.

TestHistoryGoesOnIfTheLogOfChangesHasNoGap failed before. Its first form called the function that is gone now; it calls the review that called it, and failed in this form too.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -25,13 +25,10 @@
 	quarantine *quarantine.State
 	// suspectSources is how this host has learned of each suspect.
 	suspectSources map[quarantine.Suspect]string
-	// streams holds where streams began. listCurrent reports whether the list of endpoints
-	// shows all versions in service, and listWasCurrent whether it ever did. targetsSince is since when each route has had its
+	// streams holds where streams began. targetsSince is since when each route has had its
 	// targets; zero if always.
-	streams        *resume.State
-	listCurrent    bool
-	listWasCurrent bool
-	targetsSince   map[string]time.Time
+	streams      *resume.State
+	targetsSince map[string]time.Time
 	// savedHistories are the histories of the pools in the store; nil until they were read.
 	savedHistories map[model.PoolName]resume.History
 	// writes are the writes to the platform's store.
@@ -148,7 +145,7 @@
 	c.updateReading(now)
 	c.updateLiveHosts(now)
 	c.refreshStaleList(now)
-	c.checkVersions(now)
+	c.streams.Expire(now)
 	c.recordSucceeded(now)
 	c.expireQuarantine(now)
 	c.fetchNewerConfig(now)
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -129,7 +129,7 @@
 // the last read of the list. It returns false if there is none.
 func (c *control) soleOrigin(now time.Time, route *routing.Route) (resume.Origin, bool) {
 	life := max(resume.MinStreamLife, maxCallerTries*route.Timeout)
-	if len(route.Targets) != 1 || now.Sub(c.targetsSince[routeKey(route)]) < life || !c.isListCurrent(now) {
+	if len(route.Targets) != 1 || now.Sub(c.targetsSince[routeKey(route)]) < life {
 		return resume.Origin{}, false
 	}
 	pool := route.Targets[0].Pool
@@ -236,20 +236,6 @@
 	c.saveVersions(c.streams.Pools())
 }
 
-// checkVersions notes whether the list of endpoints is up to date, and forgets old streams.
-func (c *control) checkVersions(now time.Time) {
-	c.streams.Expire(now)
-	current := c.isListCurrent(now)
-	if current && !c.listCurrent {
-		if c.listWasCurrent {
-			c.streams.Interrupt(now)
-		}
-		c.listWasCurrent = true
-		c.saveVersions(c.streams.Pools())
-	}
-	c.listCurrent = current
-}
-
 // isListCurrent reports whether the list of endpoints shows all versions in service.
 func (c *control) isListCurrent(now time.Time) bool { return c.directory.Age(now) <= maxCurrentAge }
 
--- a/internal/gateway/versionhistory_test.go
+++ b/internal/gateway/versionhistory_test.go
@@ -56,9 +56,9 @@
 // A caller must not be refused for a minute after each gap in the reads.
 func TestHistoryGoesOnIfTheLogOfChangesHasNoGap(t *testing.T) {
 	c := newSoleControl(t)
-	c.checkVersions(at(0))
-	c.checkVersions(at(time.Hour))
+	c.reviewPeers(at(0))
+	c.reviewPeers(at(time.Hour))
 	c.applyListRead(at(time.Hour), listUpdate{records: recordsBefore(offset(7), versionRecord("b", "v1")), next: offset(7)})
-	c.checkVersions(at(time.Hour))
+	c.reviewPeers(at(time.Hour + reviewInterval))
 	must.True(t, isSole(c, at(time.Hour)))
 }
