--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -86,6 +86,8 @@
 	liveHosts     liveHosts
 	// accounts counts the work that client accounts request.
 	accounts *fairshare.Book
+	// listAsOf is a time as of which the list of endpoints is known.
+	listAsOf time.Time
 }
 
 // pool is the state of one pool of endpoints. endpoints is sorted by hash.
--- a/internal/core/balance/software.go
+++ b/internal/core/balance/software.go
@@ -37,6 +37,13 @@
 	}
 }
 
+// RecordListRead records a time as of which the list of endpoints is known.
+func (b *Balancer) RecordListRead(asOf time.Time) {
+	if asOf.After(b.listAsOf) {
+		b.listAsOf = asOf
+	}
+}
+
 // doubtSoftware records that the endpoint was down, so that it may start again with
 // another version.
 func (e *endpoint) doubtSoftware(at time.Time) {
