--- a/internal/core/balance/software_test.go
+++ b/internal/core/balance/software_test.go
@@ -9,13 +9,11 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
 	"github.com/wigeonsail/wigeonsail/internal/core/directory"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
-	"github.com/wigeonsail/wigeonsail/internal/core/routing"
 )
 
 // A host that is cut off has no newer list, however much time has passed since the crash.
 func TestVersionOfCrashedEndpointIsUncertainUntilTheListShowsIt(t *testing.T) {
-	b := &fixture{Balancer: balance.New(balance.Options{Domain: "north"})}
-	b.SetPools([]routing.Pool{{Name: "services"}})
+	b := newFixture(0)
 	b.Apply(directory.Change{Entry: directory.Entry{Name: "e", Pool: "services", Address: "e", Domain: "north", Slots: 4, Started: 1, Software: "v1"}})
 	isPlaced := func(now time.Duration) bool {
 		req := balance.Request{Pool: "services", Software: "v1"}
