Doubt the version of a crashed endpoint until a list that can show its restart is read

An endpoint that was down may start again under its name and at its address with another version. Its version counted as certain again 3 s later, the time within which the list shows the restart, whether or not this host had read the list since. A host that was cut off from the store and its peers, but not from the endpoint, could continue a stream there at another version.

The version is now certain again once the list is known as of 3 s after the crash. Hosts that are in step learn of reads every second, so that they wait about that much longer.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -311,7 +311,7 @@
 		Endpoint:      e.Name,
 		Address:       e.Address,
 		Started:       e.Started,
-		Software:      e.certainSoftware(now),
+		Software:      b.certainSoftware(e),
 		Limit:         e.limit.report.PerSecond,
 		Priority:      c.priority,
 		FetchFrom:     c.fetchFrom,
--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -133,7 +133,7 @@
 	loc := b.locateSharedPrefix(now, p, &req.Prompt)
 	candidates := b.candidates(p, req.Prompt.SharedPrefixID(), loc)
 	if req.Software != "" {
-		candidates = p.endpointsOf(now, req.Software)
+		candidates = b.endpointsOf(p, req.Software)
 	}
 	if len(candidates) == 0 && req.Software != "" {
 		return choice{retryAfter: p.timeToNextEndpoint(now)}, ReasonSoftware
--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -77,8 +77,8 @@
 	// domain.
 	checkOpen     bool
 	inDomainRound bool
-	// softwareCertainFrom is when it is certain again that the endpoint runs the version
-	// that is listed; zero if it always was.
+	// softwareCertainFrom is the time as of which the list has to be known so that it is
+	// certain that the endpoint runs the version that is listed; zero if it always is.
 	softwareCertainFrom time.Time
 	// reserved reports whether the endpoint is reserved for urgent requests.
 	reserved bool
--- a/internal/core/balance/explain.go
+++ b/internal/core/balance/explain.go
@@ -131,7 +131,7 @@
 		return ExclusionTrial
 	case !e.limit.allowsRequest(now):
 		return ExclusionLimit
-	case req.Software != "" && e.certainSoftware(now) != req.Software:
+	case req.Software != "" && b.certainSoftware(e) != req.Software:
 		return ExclusionSoftware
 	case b.domain(e.Domain).unreachable:
 		return ExclusionDomain
--- a/internal/core/balance/software.go
+++ b/internal/core/balance/software.go
@@ -12,19 +12,19 @@
 
 // endpointsOf returns the endpoints of a pool that run a version of the software. Those
 // that were down of late may have started again with another one.
-func (p *pool) endpointsOf(now time.Time, software model.SoftwareVersion) []*endpoint {
+func (b *Balancer) endpointsOf(p *pool, software model.SoftwareVersion) []*endpoint {
 	var out []*endpoint
 	for _, e := range p.endpoints {
-		if e.certainSoftware(now) == software {
+		if b.certainSoftware(e) == software {
 			out = append(out, e)
 		}
 	}
 	return out
 }
 
-// certainSoftware returns the version that the endpoint runs; empty if it is not certain.
-func (e *endpoint) certainSoftware(now time.Time) model.SoftwareVersion {
-	if now.Before(e.softwareCertainFrom) {
+// certainSoftware returns the version that an endpoint runs; empty if it is not certain.
+func (b *Balancer) certainSoftware(e *endpoint) model.SoftwareVersion {
+	if b.listAsOf.Before(e.softwareCertainFrom) {
 		return ""
 	}
 	return e.Software
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -143,6 +143,7 @@
 	c.balancer.ExpirePeers(now)
 	c.peers.forgetSilent(now)
 	c.updateReading(now)
+	c.balancer.RecordListRead(now.Add(-c.directory.Age(now)))
 	c.updateLiveHosts(now)
 	c.refreshStaleList(now)
 	c.streams.Expire(now)
