--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,9 @@
 	Duties *Duties
 	// Warm reports that the endpoints have already served other hosts.
 	Warm bool
+	// Boot returns a time that also counts while the host is suspended, unlike that of package
+	// time; nil if it never is.
+	Boot func() time.Time
 	// FairShares divides pools that are short of room among client accounts.
 	FairShares bool
 	Log        log.Interface
@@ -82,6 +85,7 @@
 	// configConfirmedAt is when the configuration in force was last known to be the
 	// newest one; nil or zero for never.
 	configConfirmedAt atomic.Pointer[time.Time]
+	suspension        suspension
 	// usable reports whether any endpoint accepts requests.
 	usable  atomic.Bool
 	leaving atomic.Bool
@@ -120,7 +124,7 @@
 	}
 	g := &Gateway{
 		opts: opts, loop: loop.New(), rng: newLockedRand(opts.Seed), skippedEntries: newSkippedEntries(),
-		readListNow: make(chan struct{}, 1), readConfigNow: make(chan struct{}, 1),
+		suspension: newSuspension(opts.Boot), readListNow: make(chan struct{}, 1), readConfigNow: make(chan struct{}, 1),
 	}
 	g.reading.Store(true)
 	g.memory = newMemoryAccount(g, opts.MemoryLimit)
--- a/internal/gateway/standstill_test.go
+++ b/internal/gateway/standstill_test.go
@@ -30,3 +30,31 @@
 	must.Less(t, time.Second, c.gateway.configAge(inStep))
 	must.Less(t, time.Second, c.knownReadAge(inStep))
 }
+
+// suspend returns a function that lets time pass which the clock of package time does not count.
+func suspend(c *control) func(d time.Duration) {
+	var suspended time.Duration
+	started := time.Now()
+	c.gateway.suspension = newSuspension(func() time.Time { return started.Add(time.Since(started) + suspended) })
+	return func(d time.Duration) { suspended += d }
+}
+
+// Time in which the host was suspended does not pass on the clock of package time.
+func TestKnowledgeAgesWhileTheHostIsSuspended(t *testing.T) {
+	const length = 10 * time.Second
+	c, _ := newTestControl(t)
+	pass := suspend(c)
+	c.tick(at(0))
+	c.applyConfig(&routing.Config{Version: 1}, port.ConfigRecord{Version: 1}, "test")
+	c.receiveDigest(at(0), port.LoadDigest{Host: "h2", Domain: "north", Address: "peer", Version: 1})
+	c.applyListRead(at(0), listUpdate{full: true, next: offset(1), asOf: at(0)})
+	pass(length)
+	must.GreaterEq(t, length, c.gateway.configAge(at(0)), must.Sprint("before the control loop runs"))
+	c.tick(at(tickInterval))
+	must.GreaterEq(t, length, c.gateway.configAge(at(tickInterval)))
+	must.GreaterEq(t, length, c.listAge(at(tickInterval)))
+	must.False(t, c.isListCurrent(at(tickInterval)))
+	must.SliceEmpty(t, c.peers.liveMembers(at(tickInterval)))
+	c.applyListRead(at(2*tickInterval), listUpdate{full: true, next: offset(1), asOf: at(2 * tickInterval)})
+	must.True(t, c.isListCurrent(at(2*tickInterval)))
+}
--- /dev/null
+++ b/internal/gateway/suspension.go
@@ -0,0 +1,30 @@
+package gateway
+
+import "time"
+
+// suspension measures the time in which the host was suspended. The clock of package time
+// does not count it, so that what was learned before seems to be as young as then.
+type suspension struct {
+	// boot returns a time that counts while the host is suspended; nil if it never is.
+	boot func() time.Time
+	// startedAt and bootedAt are the readings of both clocks at the start.
+	startedAt, bootedAt time.Time
+}
+
+func newSuspension(boot func() time.Time) suspension {
+	out := suspension{boot: boot, startedAt: time.Now()}
+	if boot != nil {
+		out.bootedAt = boot()
+	}
+	return out
+}
+
+// total returns for how long the host was suspended since the start.
+func (s *suspension) total() time.Duration {
+	if s.boot == nil {
+		return 0
+	}
+	// The host may be suspended between both readings.
+	elapsed := time.Since(s.startedAt)
+	return max(s.boot().Sub(s.bootedAt)-elapsed, 0)
+}
