Let what a host knows age while it is suspended

After a suspension a host denied calls by the configuration from before it, took its list of endpoints for current and its peers for live, and told other hosts so, as if no time had passed: Go's clock, like the steady clock of the system, does not count a suspension.

The control loop now compares it with the boot clock before each digest, read and tick. It makes what was learned older by the difference. Requests that are denied compare the clocks themselves, since they may come before the control loop runs.

The whole control state could use the boot clock instead, but its times are mixed with those of requests and with timers, which need the other one.

TestKnowledgeAgesWhileTheHostIsSuspended failed before: 150 ms instead of 10 s.

--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -152,6 +152,13 @@
 // lost.
 func (d *Directory) RecordReadFailure() { d.readFailed = true }
 
+// RecordSuspension makes the list older by the time in which the host was suspended.
+func (d *Directory) RecordSuspension(length time.Duration) {
+	if !d.lastRead.IsZero() {
+		d.lastRead = d.lastRead.Add(-length)
+	}
+}
+
 // delayRemovals delays removals until returnGrace from now.
 func (d *Directory) delayRemovals(now time.Time) { d.graceUntil = now.Add(returnGrace) }
 
--- a/internal/core/freshness/freshness.go
+++ b/internal/core/freshness/freshness.go
@@ -50,3 +50,12 @@
 // ConfirmedAt returns the latest time at which the version in force was known to be
 // the newest one; zero for never.
 func (s *State) ConfirmedAt() time.Time { return s.confirmedAt }
+
+// RecordSuspension makes what is known older by the time in which the host was suspended.
+func (s *State) RecordSuspension(length time.Duration) {
+	for _, at := range []*time.Time{&s.confirmedAt, &s.ahead.At} {
+		if !at.IsZero() {
+			*at = at.Add(-length)
+		}
+	}
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -39,6 +39,9 @@
 	trials map[quarantine.Suspect]bool
 	// freshness is when the configuration in force was known to be the newest one.
 	freshness freshness.State
+	// suspended is the time in which the host was suspended, as far as the ages of what this
+	// host knows include it.
+	suspended time.Duration
 	// fetchingConfig and fetchingList report whether a fetch from a peer is in
 	// progress.
 	fetchingConfig bool
@@ -104,6 +107,7 @@
 
 // tick runs the periodic work of the control loop.
 func (c *control) tick(now time.Time) {
+	c.noticeSuspension()
 	c.checkEndpoints(now)
 	c.applyEndpointChanges(now, c.directory.Expire(now), sourceTimer)
 	c.gateway.usable.Store(c.balancer.HasUsableEndpoint(now))
@@ -250,18 +254,26 @@
 	c.publishFreshness()
 }
 
+// confirmation is when something was confirmed, and for how long the host had been suspended
+// by then.
+type confirmation struct {
+	at        time.Time
+	suspended time.Duration
+}
+
 // publishFreshness makes the freshness visible to the goroutines that carry requests.
 func (c *control) publishFreshness() {
-	confirmed := c.freshness.ConfirmedAt()
-	c.gateway.configConfirmedAt.Store(&confirmed)
+	if at := c.freshness.ConfirmedAt(); !at.IsZero() {
+		c.gateway.configConfirmed.Store(&confirmation{at: at, suspended: c.suspended})
+	}
 }
 
 // configAge returns the time since the configuration in force was known to be the
 // newest one, at most maxReadAge.
 func (g *Gateway) configAge(now time.Time) time.Duration {
-	confirmed := g.configConfirmedAt.Load()
-	if confirmed == nil || confirmed.IsZero() {
+	confirmed := g.configConfirmed.Load()
+	if confirmed == nil {
 		return maxReadAge
 	}
-	return min(now.Sub(*confirmed), maxReadAge)
+	return min(now.Sub(confirmed.at)+g.suspension.total()-confirmed.suspended, maxReadAge)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,10 +82,10 @@
 	// table and record hold the configuration in force.
 	table  atomic.Pointer[routing.Table]
 	record atomic.Pointer[port.ConfigRecord]
-	// configConfirmedAt is when the configuration in force was last known to be the
-	// newest one; nil or zero for never.
-	configConfirmedAt atomic.Pointer[time.Time]
-	suspension        suspension
+	// configConfirmed is when the configuration in force was last known to be the newest
+	// one; nil for never.
+	configConfirmed atomic.Pointer[confirmation]
+	suspension      suspension
 	// usable reports whether any endpoint accepts requests.
 	usable  atomic.Bool
 	leaving atomic.Bool
--- a/internal/gateway/listchanges.go
+++ b/internal/gateway/listchanges.go
@@ -45,6 +45,7 @@
 		c.gateway.opts.Log.WithFields(fields{"era": update.next.Era, "known": c.nextInList.Era}).Warn("lists: response from before the restoration ignored")
 		return
 	}
+	c.noticeSuspension()
 	// The first list that a host reads itself may replace one of a peer.
 	hasGap := !c.lastListRead.IsZero() && !c.isListCurrent(now)
 	c.directory.RecordStoreRead(now)
--- a/internal/gateway/suspension.go
+++ b/internal/gateway/suspension.go
@@ -28,3 +28,33 @@
 	elapsed := time.Since(s.startedAt)
 	return max(s.boot().Sub(s.bootedAt)-elapsed, 0)
 }
+
+// minSuspension is the shortest suspension that is noticed.
+const minSuspension = tickInterval
+
+// noticeSuspension makes what this host knows older by the time in which the host was
+// suspended. It must be called before anything that was queued meanwhile is applied.
+func (c *control) noticeSuspension() {
+	total := c.gateway.suspension.total()
+	length := total - c.suspended
+	if length < minSuspension {
+		return
+	}
+	c.suspended = total
+	c.gateway.opts.Log.WithField("suspended_ms", length.Milliseconds()).Warn("host was suspended")
+	c.lastListRead = before(c.lastListRead, length)
+	c.directory.RecordSuspension(length)
+	c.freshness.RecordSuspension(length)
+	c.publishFreshness()
+	for _, p := range c.peers.peers {
+		p.lastSeen, p.reportedAt = before(p.lastSeen, length), before(p.reportedAt, length)
+	}
+}
+
+// before returns the time d before a time, and zero if that is zero.
+func before(at time.Time, d time.Duration) time.Time {
+	if at.IsZero() {
+		return at
+	}
+	return at.Add(-d)
+}
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -92,6 +92,7 @@
 		LinkMbps:          s.Limits.Link,
 		Duties:            g.dutyOptions(),
 		Budget:            retryBudget(s),
+		Boot:              clock.Boot,
 		Warm:              !s.FirstStart,
 		FairShares:        s.FairShares,
 		Log:               logger,
