--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -50,14 +50,16 @@
 	// full reports that the batch is the full list.
 	full bool
 	// asOf is a time as of which the batch is complete: nothing that the store had
-	// then is missing.
-	asOf time.Time
+	// then is missing. suspended is for how long the host had been suspended when the read
+	// began.
+	asOf      time.Time
+	suspended time.Duration
 }
 
 // read returns the records since the last read. The first read, and the one
 // after records have expired or the store was restored, returns the full list.
 func (f *follower) read(ctx context.Context) (listRead, error) {
-	result := listRead{full: !f.synced, asOf: time.Now()}
+	result := listRead{full: !f.synced, asOf: time.Now(), suspended: f.gateway.suspension.total()}
 	started := result.asOf
 	var err error
 	if result.full {
@@ -163,12 +165,15 @@
 		complete = g.receiveConfigRecord(rec) && complete
 	}
 	if complete {
-		g.loop.Post(loop.Func(func(time.Time) {
-			g.control.learnFreshness(freshness.Claim{Version: g.control.version(), At: result.asOf})
-		}))
+		g.loop.Post(loop.Func(func(time.Time) { g.control.learnRead(result) }))
 	}
 }
 
+// learnRead records that the configuration in force was the newest one when it was read.
+func (c *control) learnRead(result listRead) {
+	c.learnFreshness(freshness.Claim{Version: c.version(), At: result.asOf})
+}
+
 // earlier returns the earlier one of two times.
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
@@ -229,7 +234,7 @@
 			continue
 		}
 		update := g.decodeEndpoints(result.batch, result.full)
-		update.asOf = result.asOf
+		update.asOf, update.suspended = result.asOf, result.suspended
 		g.loop.Post(loop.Func(func(now time.Time) { g.control.applyListRead(now, update) }))
 		// A read requested meanwhile is likely covered by the one just done. If
 		// not, it is requested again.
@@ -276,8 +281,10 @@
 	records []port.ListRecord
 	// next is the position after the records.
 	next model.Position
-	// asOf is a time as of which the records are complete.
-	asOf time.Time
+	// asOf is a time as of which the records are complete. suspended is for how long the
+	// host had been suspended when the read began.
+	asOf      time.Time
+	suspended time.Duration
 }
 
 // decodeEndpoints decodes records of the list of endpoints. An entry that cannot be decoded
--- a/internal/gateway/standstill_test.go
+++ b/internal/gateway/standstill_test.go
@@ -58,3 +58,24 @@
 	c.applyListRead(at(2*tickInterval), listUpdate{full: true, next: offset(1), asOf: at(2 * tickInterval)})
 	must.True(t, c.isListCurrent(at(2*tickInterval)))
 }
+
+// A response may lie unread while the host stands still.
+func TestReadCountsFromBeforeTheStandstill(t *testing.T) {
+	const length = 10 * time.Second
+	for name, c := range map[string]struct{ stopped, suspended time.Duration }{"stopped": {length, 0}, "suspended": {0, length}} {
+		host, _ := newTestControl(t)
+		pass := suspend(host)
+		host.applyConfig(&routing.Config{Version: 1}, port.ConfigRecord{Version: 1}, "test")
+		host.tick(at(0))
+		read := listRead{asOf: at(0), suspended: host.gateway.suspension.total()}
+		update := listUpdate{full: true, next: offset(1), asOf: read.asOf, suspended: read.suspended}
+		pass(c.suspended)
+		now := at(c.stopped)
+		host.tick(now)
+		host.learnRead(read)
+		host.applyListRead(now, update)
+		must.GreaterEq(t, length, host.gateway.configAge(now), must.Sprint(name))
+		must.GreaterEq(t, length, host.listAge(now), must.Sprint(name))
+		must.GreaterEq(t, length, host.directory.Age(now), must.Sprint(name))
+	}
+}
