Take a read of the store for as old as the time since it began

The list counted as read when the response was applied. A host that stood still finds responses from before: it took its list for current and told other hosts so. After a suspension the same held for the configuration.

Tests that pass the result of a read now say when it began, which is when they apply it; their bounds are unchanged. The test of this fault runs on a stopped clock: the two real clocks cannot be read at once, and in one run it missed its bound of 10 s by 16 ns.

TestReadCountsFromBeforeTheStandstill failed before: 0 s instead of 10 s.

--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -135,16 +135,19 @@
 	return missing
 }
 
-// Age returns the time since the last response from the store.
+// Age returns the time since the store held what its last response has shown.
 func (d *Directory) Age(now time.Time) time.Duration { return now.Sub(d.lastRead) }
 
-// RecordStoreRead records a response from the store. It must be called before
-// the changes in the response are applied.
-func (d *Directory) RecordStoreRead(now time.Time) {
+// RecordStoreRead records a response from the store, which shows what it held at asOf. It
+// must be called before the changes in the response are applied.
+func (d *Directory) RecordStoreRead(now, asOf time.Time) {
 	if d.readFailed && !d.lastRead.IsZero() && now.Sub(d.lastRead) > outageAfter {
 		d.delayRemovals(now)
 	}
-	d.lastRead, d.readFailed = now, false
+	if asOf.After(d.lastRead) {
+		d.lastRead = asOf
+	}
+	d.readFailed = false
 }
 
 // RecordReadFailure records that a read of the store has failed. Without one, a long
--- a/internal/core/directory/directory_test.go
+++ b/internal/core/directory/directory_test.go
@@ -21,7 +21,7 @@
 // filled returns a directory with the named entries.
 func filled(now time.Time, names ...string) *directory.Directory {
 	d := directory.New()
-	d.RecordStoreRead(now)
+	d.RecordStoreRead(now, now)
 	for _, name := range names {
 		d.Put(now, entry(name))
 	}
@@ -44,7 +44,7 @@
 
 func TestRemoveTakesEffectAtOnce(t *testing.T) {
 	d := filled(at(0), "a")
-	d.RecordStoreRead(at(time.Second))
+	d.RecordStoreRead(at(time.Second), at(time.Second))
 	change, changed := d.Remove(at(time.Second), "a")
 	must.True(t, changed)
 	must.True(t, change.Removed)
@@ -59,7 +59,7 @@
 	leaving.Draining = true
 	d.Put(at(0), leaving)
 	d.RecordReadFailure()
-	d.RecordStoreRead(at(10 * time.Second))
+	d.RecordStoreRead(at(10*time.Second), at(10*time.Second))
 	for _, name := range []model.EndpointName{"returning", "dead"} {
 		_, changed := d.Remove(at(10*time.Second), name)
 		must.False(t, changed)
@@ -78,8 +78,8 @@
 func TestRemovalsAfterPauseWithoutFailuresTakeEffectAtOnce(t *testing.T) {
 	d := filled(at(0), "a")
 	d.RecordReadFailure()
-	d.RecordStoreRead(at(time.Second))
-	d.RecordStoreRead(at(10 * time.Second))
+	d.RecordStoreRead(at(time.Second), at(time.Second))
+	d.RecordStoreRead(at(10*time.Second), at(10*time.Second))
 	_, changed := d.Remove(at(10*time.Second), "a")
 	must.True(t, changed)
 }
@@ -89,7 +89,7 @@
 	d := filled(at(0), "a")
 	for i := range 5 {
 		d.RecordReadFailure()
-		d.RecordStoreRead(at(time.Duration(i) * 2200 * time.Millisecond))
+		d.RecordStoreRead(at(time.Duration(i)*2200*time.Millisecond), at(time.Duration(i)*2200*time.Millisecond))
 	}
 	_, changed := d.Remove(at(9*time.Second), "a")
 	must.True(t, changed)
@@ -97,7 +97,7 @@
 
 func TestReplaceRemovesUnlistedEntries(t *testing.T) {
 	d := filled(at(0), "a", "b")
-	d.RecordStoreRead(at(time.Second))
+	d.RecordStoreRead(at(time.Second), at(time.Second))
 	changes := d.Replace(at(time.Second), []directory.Entry{entry("b"), entry("c")})
 	must.Len(t, 2, changes)
 	must.Eq(t, 2, d.Len())
@@ -117,7 +117,7 @@
 			if rapid.Bool().Draw(t, "failed") {
 				d.RecordReadFailure()
 			}
-			d.RecordStoreRead(now)
+			d.RecordStoreRead(now, now)
 			if rapid.Bool().Draw(t, "put") {
 				d.Put(now, entry(string(name)))
 				last[name] = "put"
--- a/internal/core/directory/restored_test.go
+++ b/internal/core/directory/restored_test.go
@@ -34,12 +34,12 @@
 // has started since. None of them changes until it publishes again.
 func TestRestoredListKeepsNewerEntries(t *testing.T) {
 	d := directory.New()
-	d.RecordStoreRead(at(0))
+	d.RecordStoreRead(at(0), at(0))
 	d.Put(at(0), draining(published("leaving", 1, 9)))
 	d.Put(at(0), published("restarted", 2, 1))
 	d.Put(at(0), published("new", 1, 1))
 	must.SliceEmpty(t, d.Restore(at(time.Second), []directory.Entry{published("leaving", 1, 7), published("restarted", 1, 50)}))
-	d.RecordStoreRead(at(2 * time.Second))
+	d.RecordStoreRead(at(2*time.Second), at(2*time.Second))
 	must.SliceEmpty(t, d.Expire(at(2*time.Second)))
 	must.True(t, isListed(d, "new"))
 	_, changed := d.Put(at(2*time.Second), published("new", 1, 2))
@@ -61,13 +61,13 @@
 // removes its entry again after some missed status reports.
 func TestRemovedEndpointIsNotRevivedByRestoredList(t *testing.T) {
 	d := directory.New()
-	d.RecordStoreRead(at(0))
+	d.RecordStoreRead(at(0), at(0))
 	d.Put(at(0), published("a", 1, 5))
 	d.Remove(at(time.Second), "a")
 	must.SliceEmpty(t, d.Restore(at(2*time.Second), []directory.Entry{published("a", 1, 4)}))
 	must.SliceEmpty(t, d.Entries())
 	d.Remove(at(6*time.Second), "a")
-	d.RecordStoreRead(at(8 * time.Second))
+	d.RecordStoreRead(at(8*time.Second), at(8*time.Second))
 	must.SliceEmpty(t, d.Expire(at(8*time.Second)))
 	must.SliceEmpty(t, d.Entries())
 }
@@ -77,7 +77,7 @@
 func TestWithheldEntriesOfOtherHostsAreNotUsed(t *testing.T) {
 	for _, known := range []string{"nothing", "the entry", "the removal", "a newer entry"} {
 		d := directory.New()
-		d.RecordStoreRead(at(0))
+		d.RecordStoreRead(at(0), at(0))
 		switch known {
 		case "the entry":
 			d.Put(at(0), published("a", 1, 4))
@@ -95,7 +95,7 @@
 		must.Eq(t, []directory.Entry{published("a", 1, 4)}, d.Withheld())
 		d.Put(at(2*time.Second), published("a", 1, 4))
 		must.False(t, isListed(d, "a"), must.Sprintf("%s, published as before", known))
-		d.RecordStoreRead(at(8 * time.Second))
+		d.RecordStoreRead(at(8*time.Second), at(8*time.Second))
 		must.Len(t, 1, d.Expire(at(8*time.Second)), must.Sprint(known))
 		must.True(t, isListed(d, "a"), must.Sprint(known))
 	}
@@ -104,13 +104,13 @@
 // A complete list that lacks a withheld entry shows that the store has removed it.
 func TestWithheldEntryIsDroppedByCompleteList(t *testing.T) {
 	d := directory.New()
-	d.RecordStoreRead(at(0))
+	d.RecordStoreRead(at(0), at(0))
 	d.Put(at(0), published("a", 1, 5))
 	d.Remove(at(0), "a")
 	d.Restore(at(time.Second), []directory.Entry{published("a", 1, 4)})
 	must.True(t, d.IsWithheld("a"))
 	d.Replace(at(5*time.Second), nil)
-	d.RecordStoreRead(at(9 * time.Second))
+	d.RecordStoreRead(at(9*time.Second), at(9*time.Second))
 	must.SliceEmpty(t, d.Expire(at(9*time.Second)))
 	must.SliceEmpty(t, d.Entries())
 }
@@ -120,7 +120,7 @@
 // than a silent endpoint would be.
 func TestLiveEndpointReturnsAfterRestoration(t *testing.T) {
 	d := directory.New()
-	d.RecordStoreRead(at(0))
+	d.RecordStoreRead(at(0), at(0))
 	for _, name := range []string{"publishes", "unchanged"} {
 		d.Put(at(0), published(name, 1, 5))
 		d.Remove(at(time.Second), model.EndpointName(name))
@@ -129,7 +129,7 @@
 	_, changed := d.Put(at(3*time.Second), published("publishes", 1, 6))
 	must.True(t, changed)
 	must.SliceEmpty(t, d.Expire(at(7*time.Second)), must.Sprint("the store was not read since"))
-	d.RecordStoreRead(at(7 * time.Second))
+	d.RecordStoreRead(at(7*time.Second), at(7*time.Second))
 	must.Len(t, 1, d.Expire(at(7*time.Second)))
 	must.Eq(t, 2, d.Len())
 }
@@ -138,7 +138,7 @@
 // entry says, until it has restarted.
 func TestLeavingReportOutlivesEntries(t *testing.T) {
 	d := directory.New()
-	d.RecordStoreRead(at(0))
+	d.RecordStoreRead(at(0), at(0))
 	d.Put(at(0), published("a", 1, 1))
 	change, changed := d.MarkLeaving(model.Instance{Name: "a", Started: 1})
 	must.True(t, changed)
--- a/internal/gateway/digests_test.go
+++ b/internal/gateway/digests_test.go
@@ -418,7 +418,7 @@
 	for _, c := range f.hosts {
 		c.nextInList, c.lastListChange = offset(10), offset(10)
 	}
-	reader.applyListRead(f.now, listUpdate{records: recordsBefore(offset(11), listRecord("new")), next: offset(11)})
+	reader.applyListRead(f.now, listUpdate{asOf: f.now, records: recordsBefore(offset(11), listRecord("new")), next: offset(11)})
 	f.run(500 * time.Millisecond)
 	for _, address := range f.order {
 		must.True(t, isListed(f.hosts[address].directory, "new"), must.Sprint(address))
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -171,7 +171,8 @@
 
 // learnRead records that the configuration in force was the newest one when it was read.
 func (c *control) learnRead(result listRead) {
-	c.learnFreshness(freshness.Claim{Version: c.version(), At: result.asOf})
+	c.noticeSuspension()
+	c.learnFreshness(freshness.Claim{Version: c.version(), At: c.agedBySuspension(result.asOf, result.suspended)})
 }
 
 // earlier returns the earlier one of two times.
--- a/internal/gateway/listchanges.go
+++ b/internal/gateway/listchanges.go
@@ -48,8 +48,9 @@
 	c.noticeSuspension()
 	// The first list that a host reads itself may replace one of a peer.
 	hasGap := !c.lastListRead.IsZero() && !c.isListCurrent(now)
-	c.directory.RecordStoreRead(now)
-	c.lastListRead = now
+	asOf := c.agedBySuspension(update.asOf, update.suspended)
+	c.directory.RecordStoreRead(now, asOf)
+	c.lastListRead = asOf
 	c.listReadFailing = false
 	if update.full {
 		if c.nextInList.IsAfter(update.next) {
--- a/internal/gateway/listchanges_test.go
+++ b/internal/gateway/listchanges_test.go
@@ -97,19 +97,19 @@
 // Changes that overlap with known ones revive no endpoint, also while removals are delayed.
 func TestOverlappingListChangesReviveNoEndpoint(t *testing.T) {
 	c, _ := newTestControl(t)
-	c.applyListRead(at(0), listUpdate{full: true, records: []port.ListRecord{listRecord("a")}, next: offset(5)})
+	c.applyListRead(at(0), listUpdate{asOf: at(0), full: true, records: []port.ListRecord{listRecord("a")}, next: offset(5)})
 	gone := port.ListRecord{Name: "a", Removed: true}
 	c.receiveListChanges(at(0), changesDigest(offset(5), offset(7), listRecord("a"), gone))
 	must.Eq(t, 0, c.directory.Len())
 	c.recordListFailure()
-	c.directory.RecordStoreRead(at(time.Minute))
+	c.directory.RecordStoreRead(at(time.Minute), at(time.Minute))
 	c.receiveListChanges(at(time.Minute), changesDigest(offset(5), offset(8), listRecord("a"), gone, listRecord("b")))
 	must.False(t, isListed(c.directory, "a"))
 	must.True(t, isListed(c.directory, "b"))
-	c.applyListRead(at(time.Minute), listUpdate{records: recordsBefore(offset(9), listRecord("a"), gone, listRecord("b"), listRecord("c")), next: offset(9)})
+	c.applyListRead(at(time.Minute), listUpdate{asOf: at(time.Minute), records: recordsBefore(offset(9), listRecord("a"), gone, listRecord("b"), listRecord("c")), next: offset(9)})
 	must.False(t, isListed(c.directory, "a"))
 	must.True(t, isListed(c.directory, "c"))
-	c.applyListRead(at(time.Minute), listUpdate{full: true, records: []port.ListRecord{listRecord("a")}, next: offset(6)})
+	c.applyListRead(at(time.Minute), listUpdate{asOf: at(time.Minute), full: true, records: []port.ListRecord{listRecord("a")}, next: offset(6)})
 	must.False(t, isListed(c.directory, "a"), must.Sprint("a full list arrives late"))
 }
 
@@ -148,7 +148,7 @@
 	c, _ := newTestControl(t)
 	leaving := listRecord("a")
 	leaving.Entry.Draining = true
-	c.applyListRead(at(0), listUpdate{full: true, records: []port.ListRecord{leaving}, next: offset(10)})
+	c.applyListRead(at(0), listUpdate{asOf: at(0), full: true, records: []port.ListRecord{leaving}, next: offset(10)})
 	for _, next := range []model.Offset{0, 9, 10} {
 		c.adoptList(at(0), port.EndpointList{Entries: []directory.Entry{listRecord("a").Entry, listRecord("b").Entry}, Next: offset(next)}, "peer")
 		must.Eq(t, []directory.Entry{leaving.Entry}, c.directory.Entries())
@@ -167,11 +167,11 @@
 // A reader publishes only records that changed its list, merged into one batch.
 func TestReaderPublishesOnlyEffectiveChanges(t *testing.T) {
 	c, _ := newTestControl(t)
-	c.applyListRead(at(0), listUpdate{full: true, records: []port.ListRecord{listRecord("a")}, next: offset(5)})
+	c.applyListRead(at(0), listUpdate{asOf: at(0), full: true, records: []port.ListRecord{listRecord("a")}, next: offset(5)})
 	must.SliceEmpty(t, c.peers.digests.unsentChanges.Records, must.Sprint("a full list is not published as changes"))
-	c.applyListRead(at(0), listUpdate{records: recordsBefore(offset(7), listRecord("a"), listRecord("b")), next: offset(7)})
-	c.applyListRead(at(0), listUpdate{records: recordsBefore(offset(8), listRecord("a")), next: offset(8)})
-	c.applyListRead(at(0), listUpdate{records: recordsBefore(offset(9), port.ListRecord{Name: "a", Removed: true}), next: offset(9)})
+	c.applyListRead(at(0), listUpdate{asOf: at(0), records: recordsBefore(offset(7), listRecord("a"), listRecord("b")), next: offset(7)})
+	c.applyListRead(at(0), listUpdate{asOf: at(0), records: recordsBefore(offset(8), listRecord("a")), next: offset(8)})
+	c.applyListRead(at(0), listUpdate{asOf: at(0), records: recordsBefore(offset(9), port.ListRecord{Name: "a", Removed: true}), next: offset(9)})
 	want := port.ListChanges{After: offset(5), UpTo: offset(9), Records: []port.ListRecord{
 		recordsBefore(offset(7), listRecord("b"))[0], {At: 8, Name: "a", Removed: true},
 	}}
@@ -182,15 +182,15 @@
 // since the store was restored.
 func TestRemovalOfWithheldEntryIsPublished(t *testing.T) {
 	c, _ := newTestControl(t)
-	c.applyListRead(at(0), listUpdate{full: true, records: []port.ListRecord{listRecord("a")}, next: offset(5)})
+	c.applyListRead(at(0), listUpdate{asOf: at(0), full: true, records: []port.ListRecord{listRecord("a")}, next: offset(5)})
 	gone := port.ListRecord{Name: "a", Removed: true}
-	c.applyListRead(at(0), listUpdate{records: recordsBefore(offset(6), gone), next: offset(6)})
+	c.applyListRead(at(0), listUpdate{asOf: at(0), records: recordsBefore(offset(6), gone), next: offset(6)})
 	c.peers.digests.unsentChanges = port.ListChanges{}
 	restored := func(o model.Offset) model.Position { return model.Position{Era: 2, Offset: o} }
-	c.applyListRead(at(time.Second), listUpdate{full: true, records: []port.ListRecord{listRecord("a")}, next: restored(5)})
+	c.applyListRead(at(time.Second), listUpdate{asOf: at(time.Second), full: true, records: []port.ListRecord{listRecord("a")}, next: restored(5)})
 	must.Eq(t, []directory.Entry{listRecord("a").Entry}, c.endpointList().Withheld)
 	later := at(time.Minute)
-	c.applyListRead(later, listUpdate{records: recordsBefore(restored(6), gone), next: restored(6)})
+	c.applyListRead(later, listUpdate{asOf: later, records: recordsBefore(restored(6), gone), next: restored(6)})
 	must.Len(t, 1, c.peers.digests.unsentChanges.Records)
 	must.SliceEmpty(t, c.endpointList().Withheld)
 }
@@ -201,15 +201,15 @@
 	c, _ := newTestControl(t)
 	leaving := listRecord("a")
 	leaving.Entry.Draining = true
-	c.applyListRead(at(0), listUpdate{full: true, records: []port.ListRecord{leaving}, next: offset(5)})
+	c.applyListRead(at(0), listUpdate{asOf: at(0), full: true, records: []port.ListRecord{leaving}, next: offset(5)})
 	restored := func(o model.Offset) model.Position { return model.Position{Era: 2, Offset: o} }
-	c.applyListRead(at(time.Second), listUpdate{full: true, records: []port.ListRecord{listRecord("a")}, next: restored(5)})
+	c.applyListRead(at(time.Second), listUpdate{asOf: at(time.Second), full: true, records: []port.ListRecord{listRecord("a")}, next: restored(5)})
 	leaving.Entry.Sequence++
-	c.applyListRead(at(2*time.Second), listUpdate{records: recordsBefore(restored(6), leaving), next: restored(6)})
+	c.applyListRead(at(2*time.Second), listUpdate{asOf: at(2 * time.Second), records: recordsBefore(restored(6), leaving), next: restored(6)})
 	must.Len(t, 1, c.peers.digests.unsentChanges.Records)
 	leaving.Entry.Sequence++
 	c.peers.digests.unsentChanges = port.ListChanges{}
-	c.applyListRead(at(time.Minute), listUpdate{records: recordsBefore(restored(7), leaving), next: restored(7)})
+	c.applyListRead(at(time.Minute), listUpdate{asOf: at(time.Minute), records: recordsBefore(restored(7), leaving), next: restored(7)})
 	must.SliceEmpty(t, c.peers.digests.unsentChanges.Records)
 }
 
@@ -218,7 +218,7 @@
 func TestNewHostLearnsWhatHasEnded(t *testing.T) {
 	c, peers := newTestControl(t)
 	restored := model.Position{Era: 2, Offset: 5}
-	c.applyListRead(at(0), listUpdate{full: true, records: []port.ListRecord{listRecord("a"), listRecord("b")}, next: restored})
+	c.applyListRead(at(0), listUpdate{asOf: at(0), full: true, records: []port.ListRecord{listRecord("a"), listRecord("b")}, next: restored})
 	c.refreshStaleList(at(0))
 	must.Eq(t, 0, len(peers.fetches), must.Sprint("no peer is known"))
 	addPeer(c, "peer", "north", 1)
@@ -241,7 +241,7 @@
 // A host that lacks changes takes no newer read for evidence of what is listed.
 func TestListIsNotYoungerThanItsChanges(t *testing.T) {
 	c, _ := newTestControl(t)
-	c.applyListRead(at(0), listUpdate{full: true, next: offset(5)})
+	c.applyListRead(at(0), listUpdate{asOf: at(0), full: true, next: offset(5)})
 	addPeer(c, "h2", "north", 1)
 	d := changesDigest(offset(20), offset(25), listRecord("a"))
 	d.Domain = "north"
--- a/internal/gateway/model_test.go
+++ b/internal/gateway/model_test.go
@@ -230,6 +230,7 @@
 			}
 		}
 	}
+	update.asOf = m.now
 	h.synced, h.next, h.era = true, len(m.store.log), m.store.era
 	return update
 }
@@ -287,7 +288,7 @@
 			}
 			h.receiveListChanges(m.now, d)
 			if !h.lacksChanges() && d.ListReadAge < h.directory.Age(m.now) {
-				h.directory.RecordStoreRead(m.now.Add(-d.ListReadAge))
+				h.directory.RecordStoreRead(m.now.Add(-d.ListReadAge), m.now.Add(-d.ListReadAge))
 			}
 		}
 		return
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -349,7 +349,7 @@
 		}
 	}
 	if age := c.listAge(now); age < c.directory.Age(now) && !c.lastListRead.IsZero() {
-		c.directory.RecordStoreRead(now.Add(-age))
+		c.directory.RecordStoreRead(now.Add(-age), now.Add(-age))
 	}
 }
 
--- a/internal/gateway/skippedentries_test.go
+++ b/internal/gateway/skippedentries_test.go
@@ -41,6 +41,7 @@
 				records[i].Offset = offset - model.Offset(len(records)-i)
 			}
 			update := g.decodeEndpoints(port.KeyedBatch{Records: records, Next: model.Position{Era: 1, Offset: offset}}, full)
+			update.asOf = time.Now()
 			c.applyListRead(time.Now(), update)
 		}
 		sound := func(name string) port.KeyedRecord { return port.KeyedRecord{Key: name, Value: []byte{1}} }
--- a/internal/gateway/standstill_test.go
+++ b/internal/gateway/standstill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -55,7 +56,7 @@
 	must.GreaterEq(t, length, c.listAge(at(tickInterval)))
 	must.False(t, c.isListCurrent(at(tickInterval)))
 	must.SliceEmpty(t, c.peers.liveMembers(at(tickInterval)))
-	c.applyListRead(at(2*tickInterval), listUpdate{full: true, next: offset(1), asOf: at(2 * tickInterval)})
+	c.applyListRead(at(2*tickInterval), listUpdate{full: true, next: offset(1), asOf: at(2 * tickInterval), suspended: c.gateway.suspension.total()})
 	must.True(t, c.isListCurrent(at(2*tickInterval)))
 }
 
@@ -63,19 +64,22 @@
 func TestReadCountsFromBeforeTheStandstill(t *testing.T) {
 	const length = 10 * time.Second
 	for name, c := range map[string]struct{ stopped, suspended time.Duration }{"stopped": {length, 0}, "suspended": {0, length}} {
-		host, _ := newTestControl(t)
-		pass := suspend(host)
-		host.applyConfig(&routing.Config{Version: 1}, port.ConfigRecord{Version: 1}, "test")
-		host.tick(at(0))
-		read := listRead{asOf: at(0), suspended: host.gateway.suspension.total()}
-		update := listUpdate{full: true, next: offset(1), asOf: read.asOf, suspended: read.suspended}
-		pass(c.suspended)
-		now := at(c.stopped)
-		host.tick(now)
-		host.learnRead(read)
-		host.applyListRead(now, update)
-		must.GreaterEq(t, length, host.gateway.configAge(now), must.Sprint(name))
-		must.GreaterEq(t, length, host.listAge(now), must.Sprint(name))
-		must.GreaterEq(t, length, host.directory.Age(now), must.Sprint(name))
+		// The clocks do not run during the test.
+		synctest.Test(t, func(t *testing.T) {
+			host, _ := newTestControl(t)
+			pass := suspend(host)
+			host.applyConfig(&routing.Config{Version: 1}, port.ConfigRecord{Version: 1}, "test")
+			host.tick(at(0))
+			read := listRead{asOf: at(0), suspended: host.gateway.suspension.total()}
+			update := listUpdate{full: true, next: offset(1), asOf: read.asOf, suspended: read.suspended}
+			pass(c.suspended)
+			now := at(c.stopped)
+			host.tick(now)
+			host.learnRead(read)
+			host.applyListRead(now, update)
+			must.GreaterEq(t, length, host.gateway.configAge(now), must.Sprint(name))
+			must.GreaterEq(t, length, host.listAge(now), must.Sprint(name))
+			must.GreaterEq(t, length, host.directory.Age(now), must.Sprint(name))
+		})
 	}
 }
--- a/internal/gateway/suspension.go
+++ b/internal/gateway/suspension.go
@@ -51,6 +51,12 @@
 	}
 }
 
+// agedBySuspension makes a time earlier by the time in which the host has been suspended
+// since. suspended is for how long it had been suspended then.
+func (c *control) agedBySuspension(at time.Time, suspended time.Duration) time.Time {
+	return at.Add(suspended - c.suspended)
+}
+
 // before returns the time d before a time, and zero if that is zero.
 func before(at time.Time, d time.Duration) time.Time {
 	if at.IsZero() {
--- a/internal/gateway/versionhistory_test.go
+++ b/internal/gateway/versionhistory_test.go
@@ -20,7 +20,7 @@
 // newSoleControl returns the state of a host that has read a list with one version.
 func newSoleControl(t *testing.T) *control {
 	c, _ := newTestControl(t)
-	c.applyListRead(at(0), listUpdate{full: true, records: []port.ListRecord{versionRecord("a", "v1")}, next: offset(5)})
+	c.applyListRead(at(0), listUpdate{asOf: at(0), full: true, records: []port.ListRecord{versionRecord("a", "v1")}, next: offset(5)})
 	return c
 }
 
@@ -34,12 +34,14 @@
 	const later = 2 * resume.MinStreamLife
 	changes := recordsBefore(offset(7), versionRecord("b", "v2"), port.ListRecord{Name: "b", Removed: true})
 	for name, apply := range map[string]func(c *control){
-		"read": func(c *control) { c.applyListRead(at(later), listUpdate{records: changes, next: offset(7)}) },
+		"read": func(c *control) {
+			c.applyListRead(at(later), listUpdate{asOf: at(later), records: changes, next: offset(7)})
+		},
 		"received": func(c *control) {
 			c.receiveListChanges(at(later), changesDigest(offset(5), offset(7), changes...))
 		},
 		"a full list read": func(c *control) {
-			c.applyListRead(at(later), listUpdate{full: true, records: []port.ListRecord{versionRecord("a", "v1")}, next: offset(7)})
+			c.applyListRead(at(later), listUpdate{asOf: at(later), full: true, records: []port.ListRecord{versionRecord("a", "v1")}, next: offset(7)})
 		},
 		"a full list received": func(c *control) {
 			c.adoptList(at(later), port.EndpointList{Entries: []directory.Entry{versionRecord("a", "v1").Entry}, Next: offset(7)}, "peer")
@@ -58,7 +60,7 @@
 	c := newSoleControl(t)
 	c.reviewPeers(at(0))
 	c.reviewPeers(at(time.Hour))
-	c.applyListRead(at(time.Hour), listUpdate{records: recordsBefore(offset(7), versionRecord("b", "v1")), next: offset(7)})
+	c.applyListRead(at(time.Hour), listUpdate{asOf: at(time.Hour), records: recordsBefore(offset(7), versionRecord("b", "v1")), next: offset(7)})
 	c.reviewPeers(at(time.Hour + reviewInterval))
 	must.True(t, isSole(c, at(time.Hour)))
 }
