Failing test: versions of endpoints count as certain after a standstill

While a host stands still, an endpoint may crash and start again with another version under its name and at its address, before the list shows it. Other hosts see that it is down.

--- a/internal/gateway/standstill_test.go
+++ b/internal/gateway/standstill_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/wigeonsail/wigeonsail/internal/core/attempt"
+	"github.com/wigeonsail/wigeonsail/internal/core/balance"
 	"github.com/wigeonsail/wigeonsail/internal/core/routing"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
@@ -83,3 +85,38 @@
 		})
 	}
 }
+
+// goesOn reports whether a stream of version v1 may go on at an endpoint now.
+func goesOn(c *control, now time.Time) bool {
+	c.balancer.SetBudget(attempt.SharedBudgetOptions{Window: time.Second, Ratio: 1, Slack: 10})
+	req := balance.Request{ID: "r", Pool: "p", Software: "v1", Arrived: now}
+	d := c.balancer.Submit(now, req)
+	c.balancer.Finish(now, req.ID, balance.Result{})
+	return !d.IsRefused()
+}
+
+// An endpoint may have started again with another version while the host saw nothing.
+func TestVersionsAreUncertainAfterAStandstill(t *testing.T) {
+	const length = 5 * time.Second
+	for name, stand := range map[string]struct{ stopped, suspended time.Duration }{"stopped": {length, 0}, "suspended": {0, length}} {
+		c, _ := newTestControl(t)
+		pass := suspend(c)
+		c.applyListRead(at(0), listUpdate{full: true, records: []port.ListRecord{versionRecord("a", "v1")}, next: offset(5), asOf: at(0)})
+		c.tick(at(0))
+		must.True(t, goesOn(c, at(tickInterval)), must.Sprint(name))
+		pass(stand.suspended)
+		now := at(stand.stopped + tickInterval)
+		c.tick(now)
+		readAt := func(d time.Duration) {
+			at := now.Add(d)
+			c.applyListRead(at, listUpdate{next: offset(5), asOf: at, suspended: c.gateway.suspension.total()})
+			c.tick(at)
+		}
+		readAt(reviewInterval)
+		must.False(t, goesOn(c, now.Add(reviewInterval)), must.Sprint(name))
+		for d := time.Duration(0); d < 4*time.Second; d += tickInterval {
+			readAt(reviewInterval + d)
+		}
+		must.True(t, goesOn(c, now.Add(5*time.Second)), must.Sprint(name))
+	}
+}
--- a/internal/gateway/versionhistory_test.go
+++ b/internal/gateway/versionhistory_test.go
@@ -14,7 +14,7 @@
 
 // versionRecord returns the record of an endpoint of a version.
 func versionRecord(name model.EndpointName, software model.SoftwareVersion) port.ListRecord {
-	return port.ListRecord{Name: name, Entry: directory.Entry{Name: name, Pool: "p", Address: string(name), Domain: "north", Started: 1, Software: software}}
+	return port.ListRecord{Name: name, Entry: directory.Entry{Name: name, Pool: "p", Address: string(name), Domain: "north", Slots: 4, Started: 1, Software: software}}
 }
 
 // newSoleControl returns the state of a host that has read a list with one version.
