Doubt the versions of all endpoints after a standstill

While a host stood still an endpoint may have crashed and started again with another version, under its name and at its address. Hosts that run notice that it is down or are told of the crash, and wait for a list that shows the restart; a host that stood still notices nothing, and could continue a stream there, or record a wrong origin.

A gap of 1 s or more between two ticks of the control loop, or a suspension of that length, is a standstill. It is noticed before the first event that is applied afterwards. The versions of all endpoints are then uncertain until the list is known as of 3 s after it.

Ruled out: to doubt an endpoint whenever a response breaks off. After a reset of all connections no stream could go on.

TestVersionsAreUncertainAfterAStandstill failed before for both kinds of standstill.

--- a/internal/core/balance/software.go
+++ b/internal/core/balance/software.go
@@ -51,3 +51,11 @@
 		e.softwareCertainFrom = from
 	}
 }
+
+// DoubtVersions records that endpoints may have been down until now without this host's
+// knowledge.
+func (b *Balancer) DoubtVersions(now time.Time) {
+	for _, e := range b.endpoints {
+		e.doubtSoftware(now)
+	}
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -39,6 +39,8 @@
 	trials map[quarantine.Suspect]bool
 	// freshness is when the configuration in force was known to be the newest one.
 	freshness freshness.State
+	// tickedAt is when the control loop last ticked or noticed a standstill.
+	tickedAt time.Time
 	// suspended is the time in which the host was suspended, as far as the ages of what this
 	// host knows include it.
 	suspended time.Duration
@@ -107,7 +109,8 @@
 
 // tick runs the periodic work of the control loop.
 func (c *control) tick(now time.Time) {
-	c.noticeSuspension()
+	c.noticeStandstill(now)
+	c.tickedAt = later(c.tickedAt, now)
 	c.checkEndpoints(now)
 	c.applyEndpointChanges(now, c.directory.Expire(now), sourceTimer)
 	c.gateway.usable.Store(c.balancer.HasUsableEndpoint(now))
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -165,13 +165,13 @@
 		complete = g.receiveConfigRecord(rec) && complete
 	}
 	if complete {
-		g.loop.Post(loop.Func(func(time.Time) { g.control.learnRead(result) }))
+		g.loop.Post(loop.Func(func(now time.Time) { g.control.learnRead(now, result) }))
 	}
 }
 
 // learnRead records that the configuration in force was the newest one when it was read.
-func (c *control) learnRead(result listRead) {
-	c.noticeSuspension()
+func (c *control) learnRead(now time.Time, result listRead) {
+	c.noticeStandstill(now)
 	c.learnFreshness(freshness.Claim{Version: c.version(), At: c.agedBySuspension(result.asOf, result.suspended)})
 }
 
--- a/internal/gateway/listchanges.go
+++ b/internal/gateway/listchanges.go
@@ -45,7 +45,7 @@
 		c.gateway.opts.Log.WithFields(fields{"era": update.next.Era, "known": c.nextInList.Era}).Warn("lists: response from before the restoration ignored")
 		return
 	}
-	c.noticeSuspension()
+	c.noticeStandstill(now)
 	// The first list that a host reads itself may replace one of a peer.
 	hasGap := !c.lastListRead.IsZero() && !c.isListCurrent(now)
 	asOf := c.agedBySuspension(update.asOf, update.suspended)
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -198,7 +198,7 @@
 	defer close(m.done)
 	g := m.exchange.gateway
 	m.req.ID = g.nextID(m.exchange.call.ID)
-	target, ok := queryLoop(ctx, g, func(now time.Time) balance.Decision { return g.control.balancer.Submit(now, m.req) })
+	target, ok := queryLoop(ctx, g, func(now time.Time) balance.Decision { return g.control.placeRequest(now, m.req) })
 	if !ok || target.IsRefused() {
 		g.finish(m.req.ID, balance.Result{})
 		m.log("no target", nil)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -271,7 +271,7 @@
 	if d.Host == c.gateway.opts.Host {
 		return
 	}
-	c.noticeSuspension()
+	c.noticeStandstill(now)
 	c.recordLoads(now, d)
 	p := c.peers.add(now, d.Address, false)
 	if p == nil {
--- a/internal/gateway/standstill_test.go
+++ b/internal/gateway/standstill_test.go
@@ -77,7 +77,7 @@
 			pass(c.suspended)
 			now := at(c.stopped)
 			host.tick(now)
-			host.learnRead(read)
+			host.learnRead(now, read)
 			host.applyListRead(now, update)
 			must.GreaterEq(t, length, host.gateway.configAge(now), must.Sprint(name))
 			must.GreaterEq(t, length, host.listAge(now), must.Sprint(name))
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -44,7 +44,7 @@
 		if refusal, refused := g.control.checkSuspects(now, req.Prompt, f, onTrial); refused {
 			return refusal
 		}
-		out := placement{Decision: g.control.balancer.Submit(now, req), generation: 1}
+		out := placement{Decision: g.control.placeRequest(now, req), generation: 1}
 		if g.control.capacity.isScaled(req.Pool) {
 			g.control.demand.recordRequest(&req, out.Decision)
 		}
