--- a/internal/gateway/outofstep_test.go
+++ b/internal/gateway/outofstep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -69,8 +70,7 @@
 // are late then, and calls do not return before they are cancelled.
 type peerLinks struct {
 	*directPeers
-	// others are the links of the other gateways, by address.
-	self   string
+	// others are the links of all gateways, by address.
 	others map[string]*peerLinks
 	mu     sync.Mutex
 	isCut  bool
@@ -168,12 +168,12 @@
 
 func newCuttableFleet(hosts int) *cuttableFleet {
 	f := &cuttableFleet{newVersionFleet(hosts), make(map[string]*storeLink), make(map[string]*peerLinks)}
-	f.change = func(opts *Options) {
-		store := &storeLink{endpointLog: f.list}
-		links := &peerLinks{directPeers: f.peers, self: opts.PeerAddress, others: f.links}
-		f.stores[opts.PeerAddress], f.links[opts.PeerAddress] = store, links
-		opts.Lists, opts.Peers = store, links
+	for i := range hosts {
+		address := fmt.Sprint("h", i)
+		f.stores[address] = &storeLink{endpointLog: f.list}
+		f.links[address] = &peerLinks{directPeers: f.peers, others: f.links}
 	}
+	f.change = func(opts *Options) { opts.Lists, opts.Peers = f.stores[opts.PeerAddress], f.links[opts.PeerAddress] }
 	return f
 }
 
