--- a/internal/gateway/standstill.go
+++ b/internal/gateway/standstill.go
@@ -55,7 +55,7 @@
 	if length := stopped + suspended; length >= minStandstill {
 		c.tickedAt = now
 		c.balancer.DoubtVersions(now)
-		c.gateway.opts.Log.WithField("length_ms", length.Milliseconds()).Warn("host stood still")
+		c.gateway.opts.Log.WithField("length_ms", length.Milliseconds()).Warn("host: stood still")
 	}
 }
 
