--- a/internal/core/balance/software.go
+++ b/internal/core/balance/software.go
@@ -12,19 +12,19 @@
 
 // endpointsOf returns the endpoints of a pool that run a version of the software. Those
 // that were down of late may have started again with another one.
-func (p *pool) endpointsOf(now time.Time, software model.SoftwareVersion) []*endpoint {
+func (b *Balancer) endpointsOf(p *pool, software model.SoftwareVersion) []*endpoint {
 	var out []*endpoint
 	for _, e := range p.endpoints {
-		if e.certainSoftware(now) == software {
+		if b.certainSoftware(e) == software {
 			out = append(out, e)
 		}
 	}
 	return out
 }
 
-// certainSoftware returns the version that the endpoint runs; empty if it is not certain.
-func (e *endpoint) certainSoftware(now time.Time) model.SoftwareVersion {
-	if now.Before(e.softwareCertainFrom) {
+// certainSoftware returns the version that an endpoint runs; empty if it is not certain.
+func (b *Balancer) certainSoftware(e *endpoint) model.SoftwareVersion {
+	if b.listAsOf.Before(e.softwareCertainFrom) {
 		return ""
 	}
 	return e.Software
@@ -37,6 +37,13 @@
 	}
 }
 
+// RecordListRead records a time as of which the list of endpoints is known.
+func (b *Balancer) RecordListRead(asOf time.Time) {
+	if asOf.After(b.listAsOf) {
+		b.listAsOf = asOf
+	}
+}
+
 // doubtSoftware records that the endpoint was down, so that it may start again with
 // another version.
 func (e *endpoint) doubtSoftware(at time.Time) {
@@ -44,3 +51,11 @@
 		e.softwareCertainFrom = from
 	}
 }
+
+// DoubtVersions records that endpoints may have been down until now without this host's
+// knowledge.
+func (b *Balancer) DoubtVersions(now time.Time) {
+	for _, e := range b.endpoints {
+		e.doubtSoftware(now)
+	}
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -25,13 +25,10 @@
 	quarantine *quarantine.State
 	// suspectSources is how this host has learned of each suspect.
 	suspectSources map[quarantine.Suspect]string
-	// streams holds where streams began. listCurrent reports whether the list of endpoints
-	// shows all versions in service, and listWasCurrent whether it ever did. targetsSince is since when each route has had its
+	// streams holds where streams began. targetsSince is since when each route has had its
 	// targets; zero if always.
-	streams        *resume.State
-	listCurrent    bool
-	listWasCurrent bool
-	targetsSince   map[string]time.Time
+	streams      *resume.State
+	targetsSince map[string]time.Time
 	// savedHistories are the histories of the pools in the store; nil until they were read.
 	savedHistories map[model.PoolName]resume.History
 	// writes are the writes to the platform's store.
@@ -42,6 +39,11 @@
 	trials map[quarantine.Suspect]bool
 	// freshness is when the configuration in force was known to be the newest one.
 	freshness freshness.State
+	// tickedAt is when the control loop last ticked or noticed a standstill.
+	tickedAt time.Time
+	// suspended is the time in which the host was suspended, as far as the ages of what this
+	// host knows include it.
+	suspended time.Duration
 	// fetchingConfig and fetchingList report whether a fetch from a peer is in
 	// progress.
 	fetchingConfig bool
@@ -60,6 +62,8 @@
 	// asked a peer since what has ended.
 	firstListAt time.Time
 	knowsEnds   bool
+	// barrier makes decisions wait for a read of the list.
+	barrier listBarrier
 	// listReadFailing reports whether this host's last read of the list failed.
 	listReadFailing bool
 	// loggedReserved is the last logged number of engines reserved for urgent
@@ -93,6 +97,7 @@
 		writes:         storeWrites{gateway: g},
 		loggedReserved: make(map[model.PoolName]int),
 	}
+	c.barrier.request = g.requestListRead
 	c.peers = newPeerTable(g)
 	c.duties = newDutyKeeper(c)
 	c.capacity = newCapacityDriver(g, c.duties)
@@ -104,10 +109,13 @@
 
 // tick runs the periodic work of the control loop.
 func (c *control) tick(now time.Time) {
+	c.noticeStandstill(now)
+	c.tickedAt = later(c.tickedAt, now)
 	c.checkEndpoints(now)
 	c.applyEndpointChanges(now, c.directory.Expire(now), sourceTimer)
 	c.gateway.usable.Store(c.balancer.HasUsableEndpoint(now))
 	c.fetchMissingChanges(now)
+	c.barrier.tick(now)
 	c.reviewPeers(now)
 	c.demand.tick(now)
 	c.accounts.tick(now, c)
@@ -142,9 +150,10 @@
 	c.balancer.ExpirePeers(now)
 	c.peers.forgetSilent(now)
 	c.updateReading(now)
+	c.balancer.RecordListRead(now.Add(-c.directory.Age(now)))
 	c.updateLiveHosts(now)
 	c.refreshStaleList(now)
-	c.checkVersions(now)
+	c.streams.Expire(now)
 	c.recordSucceeded(now)
 	c.expireQuarantine(now)
 	c.fetchNewerConfig(now)
@@ -248,18 +257,26 @@
 	c.publishFreshness()
 }
 
+// confirmation is when something was confirmed, and for how long the host had been suspended
+// by then.
+type confirmation struct {
+	at        time.Time
+	suspended time.Duration
+}
+
 // publishFreshness makes the freshness visible to the goroutines that carry requests.
 func (c *control) publishFreshness() {
-	confirmed := c.freshness.ConfirmedAt()
-	c.gateway.configConfirmedAt.Store(&confirmed)
+	if at := c.freshness.ConfirmedAt(); !at.IsZero() {
+		c.gateway.configConfirmed.Store(&confirmation{at: at, suspended: c.suspended})
+	}
 }
 
 // configAge returns the time since the configuration in force was known to be the
 // newest one, at most maxReadAge.
 func (g *Gateway) configAge(now time.Time) time.Duration {
-	confirmed := g.configConfirmedAt.Load()
-	if confirmed == nil || confirmed.IsZero() {
+	confirmed := g.configConfirmed.Load()
+	if confirmed == nil {
 		return maxReadAge
 	}
-	return min(now.Sub(*confirmed), maxReadAge)
+	return min(now.Sub(confirmed.at)+g.suspension.total()-confirmed.suspended, maxReadAge)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,6 +65,9 @@
 	Duties *Duties
 	// Warm reports that the endpoints have already served other hosts.
 	Warm bool
+	// Boot returns a time that also counts while the host is suspended, unlike that of package
+	// time; nil if it never is.
+	Boot func() time.Time
 	// FairShares divides pools that are short of room among client accounts.
 	FairShares bool
 	Log        log.Interface
@@ -80,9 +83,10 @@
 	// table and record hold the configuration in force.
 	table  atomic.Pointer[routing.Table]
 	record atomic.Pointer[port.ConfigRecord]
-	// configConfirmedAt is when the configuration in force was last known to be the
-	// newest one; nil or zero for never.
-	configConfirmedAt atomic.Pointer[time.Time]
+	// configConfirmed is when the configuration in force was last known to be the newest
+	// one; nil for never.
+	configConfirmed atomic.Pointer[confirmation]
+	suspension      suspension
 	// usable reports whether any endpoint accepts requests.
 	usable  atomic.Bool
 	leaving atomic.Bool
@@ -123,7 +127,7 @@
 	}
 	g := &Gateway{
 		opts: opts, loop: loop.New(), rng: newLockedRand(opts.Seed), skippedEntries: newSkippedEntries(),
-		readListNow: make(chan struct{}, 1), readConfigNow: make(chan struct{}, 1),
+		suspension: newSuspension(opts.Boot), readListNow: make(chan struct{}, 1), readConfigNow: make(chan struct{}, 1),
 	}
 	g.reading.Store(true)
 	g.departure.durations = rundurations.New()
--- a/internal/gateway/listchanges.go
+++ b/internal/gateway/listchanges.go
@@ -45,8 +45,12 @@
 		c.gateway.opts.Log.WithFields(fields{"era": update.next.Era, "known": c.nextInList.Era}).Warn("lists: response from before the restoration ignored")
 		return
 	}
-	c.directory.RecordStoreRead(now)
-	c.lastListRead = now
+	c.noticeStandstill(now)
+	// The first list that a host reads itself may replace one of a peer.
+	hasGap := !c.lastListRead.IsZero() && !c.isListCurrent(now)
+	asOf := c.agedBySuspension(update.asOf, update.suspended)
+	c.directory.RecordStoreRead(now, asOf)
+	c.lastListRead = asOf
 	c.listReadFailing = false
 	if update.full {
 		if c.nextInList.IsAfter(update.next) {
@@ -59,14 +63,19 @@
 				list.Entries = append(list.Entries, rec.Entry)
 			}
 		}
+		if hasGap {
+			c.interruptVersions(now)
+		}
 		c.replaceList(now, list, sourceStore)
 		// Peers may have changes that this host never received.
 		c.lastListChange = c.nextInList
 		c.peers.requestDigests()
+		c.barrier.recordRead(update.asOf)
 		return
 	}
 	applied := c.applyRecords(now, recordsFrom(c.nextInList, update.records), sourceStore)
 	c.nextInList = model.LaterPosition(c.nextInList, update.next)
+	c.barrier.recordRead(update.asOf)
 	if len(applied) == 0 {
 		return
 	}
@@ -114,7 +123,6 @@
 // it or what is withheld from it.
 func (c *control) applyEffectiveRecords(now time.Time, records []port.ListRecord, source string) []port.ListRecord {
 	var applied []port.ListRecord
-	var changes []directory.Change
 	for _, rec := range records {
 		var change directory.Change
 		var changed bool
@@ -134,10 +142,10 @@
 			}
 		}
 		if changed {
-			changes = append(changes, change)
+			// Each by itself, so that versions which come and go are seen.
+			c.applyEndpointChanges(now, []directory.Change{change}, source)
 		}
 	}
-	c.applyEndpointChanges(now, changes, source)
 	return applied
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -97,6 +97,8 @@
 	knownReadAge time.Duration
 	reading      bool
 	failing      bool
+	// late bounds how late the host's digests are.
+	late lateDigests
 	// unpacks reports whether the host understands packed loads.
 	unpacks bool
 }
@@ -269,6 +271,7 @@
 	if d.Host == c.gateway.opts.Host {
 		return
 	}
+	c.noticeStandstill(now)
 	c.recordLoads(now, d)
 	p := c.peers.add(now, d.Address, false)
 	if p == nil {
@@ -283,6 +286,7 @@
 	if p.host != d.Host || p.domain != d.Domain {
 		c.peers.digests.membersChanged()
 	}
+	c.peers.ageDigest(now, p, &d)
 	p.lastSeen, p.host, p.domain, p.linkMbps = now, d.Host, d.Domain, d.LinkSpeedMbps
 	p.readAge, p.reading, p.failing = d.ListReadAge, d.ReadsList, d.ListReadFailing
 	p.unpacks = d.Unpacks
@@ -345,7 +349,7 @@
 		}
 	}
 	if age := c.listAge(now); age < c.directory.Age(now) && !c.lastListRead.IsZero() {
-		c.directory.RecordStoreRead(now.Add(-age))
+		c.directory.RecordStoreRead(now.Add(-age), now.Add(-age))
 	}
 }
 
