Repeat accepted requests on a leaving host if they end in time

Callers received the failure of their first endpoint although another one was sound and had seconds left: after the linger, whatever its limit exceeds the time left was not repeated. The bound on new requests, which keeps late arrivals out, also held for requests that had been accepted. Streams that broke off or whose run was moved away were cut the same way.

Accepting and repeating are now asked separately. A repeat depends on what its class is known to take, and is not made without evidence, as before after the linger.

TestLeavingHostRepeatsAcceptedRequestsThatEndInTime failed 4 of 4 runs before and passes 4 of 4; the other TestLeavingHost, TestRequestsAtTheEnd and TestStreamAtTheEnd pass three times with -race.

--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -95,20 +95,14 @@
 	return d.durations.Quantile(now, model.ClassName(class), share)
 }
 
-// endsInTime reports whether an attempt that begins now is expected to end before this host
+// acceptsNow reports whether a request that arrives now is expected to end before this host
 // does.
-func (x *exchange) endsInTime(now time.Time) bool {
-	d := &x.gateway.departure
-	plan := d.plan.Load()
-	if plan == nil {
+func (x *exchange) acceptsNow(now time.Time) bool {
+	plan := x.gateway.departure.plan.Load()
+	if plan == nil || x.isBoundBy(plan.End) {
 		return true
 	}
-	left := plan.End.Sub(now)
-	limit := x.deadline.Add(deadlineGrace).Sub(now)
 	sinceStop := now.Sub(plan.Began)
-	if limit <= left {
-		return true
-	}
 	if sinceStop >= plan.Linger-lateSignal {
 		return false
 	}
@@ -117,11 +111,27 @@
 	if inRotation && x.route.CanRetry() {
 		share = likelyShare
 	}
-	expected, known := d.quantile(now, x.route.Name, share)
+	expected, known := x.gateway.departure.quantile(now, x.route.Name, share)
 	if !known {
-		return inRotation && left > 0
+		return inRotation && now.Before(plan.End)
+	}
+	return expected <= plan.End.Sub(now)
+}
+
+// repeatsNow reports whether a further attempt for an accepted request is expected to end
+// before this host does.
+func (x *exchange) repeatsNow(now time.Time) bool {
+	plan := x.gateway.departure.plan.Load()
+	if plan == nil || x.isBoundBy(plan.End) {
+		return true
 	}
-	return expected <= left
+	expected, known := x.gateway.departure.quantile(now, x.route.Name, safeShare)
+	return known && expected <= plan.End.Sub(now)
+}
+
+// isBoundBy reports whether the time limit of the request ends it by a time.
+func (x *exchange) isBoundBy(end time.Time) bool {
+	return !x.deadline.Add(deadlineGrace).After(end)
 }
 
 // reasonLeaving is the reason of a refusal of a leaving host, in metrics.
@@ -141,7 +151,7 @@
 // refuseLeaving returns the error response to a request that is not expected to end before this
 // host does, nil for others.
 func (x *exchange) refuseLeaving() *port.RequestError {
-	if x.endsInTime(time.Now()) {
+	if x.acceptsNow(time.Now()) {
 		return nil
 	}
 	x.gateway.opts.Metrics.Refused(model.ClassName(x.route.Name), reasonLeaving{})
