--- a/internal/server/gateway_stopretry_test.go
+++ b/internal/server/gateway_stopretry_test.go
@@ -38,3 +38,22 @@
 	must.Eq(t, http.StatusOK, (<-answer).status)
 	<-ended
 }
+
+func TestLeavingHostContinuesStreamsThatBreakOff(t *testing.T) {
+	f := newFleet(t)
+	f.publish(fleetConfig(1))
+	options := replica.Options{Instance: "e-1", Events: 6, ServiceTime: 100 * time.Millisecond}
+	breaking := f.startReplica(enginePool, options)
+	breaking.SetFaults(replica.Faults{TruncateStreamAfter: 4})
+	g := f.startReadyHost("h1")
+	answer := make(chan fleetResponse, 1)
+	go func() { answer <- f.dialAndPost(g, "/brief/1") }()
+	f.eventually(func() bool { return len(breaking.Executions()) == 1 })
+	options.Instance = "e-2"
+	f.startReplica(enginePool, options)
+	ended := f.stop(g, 1800*time.Millisecond)
+	got := <-answer
+	must.False(t, got.truncated)
+	must.Eq(t, replica.StreamBody(6), got.body)
+	<-ended
+}
