--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -118,13 +118,17 @@
 	return expected <= plan.End.Sub(now)
 }
 
-// repeatsNow reports whether a further attempt for an accepted request is expected to end
-// before this host does.
-func (x *exchange) repeatsNow(now time.Time) bool {
+// repeatsNow reports whether a further attempt for an accepted request may begin now: whether
+// it is expected to end before this host does, or the response has begun, which nothing else
+// can complete.
+func (x *exchange) repeatsNow(now time.Time, began bool) bool {
 	plan := x.gateway.departure.plan.Load()
 	if plan == nil || x.isBoundBy(plan.End) {
 		return true
 	}
+	if began {
+		return now.Before(plan.End)
+	}
 	expected, known := x.gateway.departure.quantile(now, x.route.Name, safeShare)
 	return known && expected <= plan.End.Sub(now)
 }
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -257,7 +257,7 @@
 			x.gateway.departure.observe(x)
 			return true
 		}
-		if !x.canRetry(ctx, result) || !x.repeatsNow(time.Now()) {
+		if !x.canRetry(ctx, result) || !x.repeatsNow(time.Now(), x.headerSent) {
 			return x.fail(ctx, result)
 		}
 		waitConfirmed(ctx, confirmed)
@@ -373,7 +373,7 @@
 	if errors.As(result.err, &refusal) {
 		return notRunError(refusal.decision.Reason, refusal.decision.RetryAfter)
 	}
-	if !x.repeatsNow(time.Now()) || errors.Is(cause, errHostEnds) {
+	if !x.repeatsNow(time.Now(), false) || errors.Is(cause, errHostEnds) {
 		return x.gateway.LeavingError()
 	}
 	return notRunError(balance.ReasonNoEndpoint, noEndpointRetryAfter)
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -197,7 +197,7 @@
 // the reason if it cannot be placed.
 func (w *stallWatch) reserve(next nextAttempt) (*reservation, balance.Reason) {
 	g := w.exchange.gateway
-	if next.began && g.leaving.Load() || !w.exchange.repeatsNow(time.Now()) {
+	if next.began && g.leaving.Load() || !w.exchange.repeatsNow(time.Now(), false) {
 		// What fails on the way to another endpoint cannot be made up for any more.
 		return nil, keptLeaving
 	}
