Account for the buffers from which events are read

What was seen: a faulty endpoint sends bytes without the end of an event. The host that has called it keeps up to 2 MiB for each such response, beside its account of memory; with many at once its process is ended, and the requests of other callers with it.

Cause: the buffer of a stream grows to twice the largest event, and nothing compares the sum with the memory of the host. Plain bodies were accounted for, events were not. Ruled out: plain bodies (held before they are read), chunk headers and trailers (net/http bounds them by its 4 KiB buffer).

Change: port.MemoryHold has AddBuffer and FreeBuffer for the buffers of a response that is being read.

TestBudgetIsKept adds and frees buffers too.

--- a/internal/core/bytebudget/budget.go
+++ b/internal/core/bytebudget/budget.go
@@ -24,8 +24,9 @@
 type Holder struct {
 	// rank orders the callers that are shed: the largest first.
 	rank int
-	// body and unread are the bytes of the request and of its response.
-	body, unread int64
+	// body and unread are the bytes of the request and of its response, buffered those of
+	// the buffers from which the response is read.
+	body, unread, buffered int64
 	// waitingSince is since when the caller has read nothing although there was something
 	// for it; zero if nothing is being sent.
 	waitingSince time.Time
@@ -35,9 +36,10 @@
 // Budget is the account of a host. It is not safe for concurrent use.
 type Budget struct {
 	limit int64
-	// used are the bytes that are held, unread those of them that belong to responses.
-	used, unread int64
-	holders      map[*Holder]struct{}
+	// used are the bytes that are held; unread and buffered are those of them that belong to
+	// responses.
+	used, unread, buffered int64
+	holders                map[*Holder]struct{}
 }
 
 // New returns an empty account with a limit in bytes.
@@ -98,7 +100,7 @@
 // is no room, and then the request to shed for it; nil if none may be shed. One response
 // always fits, so that a request that was accepted can be answered.
 func (b *Budget) AddUnread(now time.Time, h *Holder, n int64) (bool, *Holder) {
-	if b.used+n > b.limit && b.unread > 0 {
+	if !b.fitsResponse(n) {
 		return false, b.shedSlowest(now)
 	}
 	if h.unread == 0 && !h.waitingSince.IsZero() {
@@ -111,6 +113,31 @@
 	return true, nil
 }
 
+// fitsResponse reports whether there is room for n more bytes of a response.
+func (b *Budget) fitsResponse(n int64) bool {
+	return b.used+n <= b.limit || b.unread+b.buffered == 0
+}
+
+// AddBuffer adds bytes of a buffer for a response that is being read. Its results are those
+// of AddUnread.
+func (b *Budget) AddBuffer(now time.Time, h *Holder, n int64) (bool, *Holder) {
+	if !b.fitsResponse(n) {
+		return false, b.shedSlowest(now)
+	}
+	h.buffered += n
+	b.buffered += n
+	b.used += n
+	return true, nil
+}
+
+// FreeBuffer removes bytes of buffers.
+func (b *Budget) FreeBuffer(h *Holder, n int64) {
+	n = min(n, h.buffered)
+	h.buffered -= n
+	b.buffered -= n
+	b.used -= n
+}
+
 // shedSlowest marks the request to shed: of those with the largest rank whose callers have
 // read nothing for minWait, the one whose caller has done so for longest.
 func (b *Budget) shedSlowest(now time.Time) *Holder {
@@ -148,5 +175,7 @@
 	}
 	delete(b.holders, h)
 	b.unread -= h.unread
-	b.used -= h.body + h.unread
+	b.buffered -= h.buffered
+	b.used -= h.body + h.unread + h.buffered
+	h.unread, h.buffered = 0, 0
 }
--- a/internal/core/bytebudget/budget_test.go
+++ b/internal/core/bytebudget/budget_test.go
@@ -101,7 +101,7 @@
 				}
 				now = now.Add(time.Duration(rapid.Int64Range(0, 2e9).Draw(t, "passed")))
 				h := holders[rapid.IntRange(0, len(holders)-1).Draw(t, "holder")]
-				switch rapid.IntRange(0, 4).Draw(t, "use") {
+				switch rapid.IntRange(0, 6).Draw(t, "use") {
 				case 0:
 					b.GrowBody(h, size.Draw(t, "grow"))
 				case 1:
@@ -110,6 +110,10 @@
 					b.Read(now, h, size.Draw(t, "read"))
 				case 3:
 					b.Send(now, h)
+				case 4:
+					b.AddBuffer(now, h, size.Draw(t, "buffer"))
+				case 5:
+					b.FreeBuffer(h, size.Draw(t, "free"))
 				default:
 					b.Release(h)
 					holders = deleteHolder(holders, h)
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -143,12 +143,35 @@
 // AddUnread implements port.MemoryHold. If there is no room, it sheds a caller that reads
 // slowly.
 func (h *memoryHold) AddUnread(ctx context.Context, bytes int64) error {
+	return h.await(ctx, bytes, (*bytebudget.Budget).AddUnread)
+}
+
+// AddBuffer implements port.MemoryHold, as AddUnread does.
+func (h *memoryHold) AddBuffer(ctx context.Context, bytes int64) error {
+	return h.await(ctx, bytes, (*bytebudget.Budget).AddBuffer)
+}
+
+// FreeBuffer implements port.MemoryHold.
+func (h *memoryHold) FreeBuffer(bytes int64) {
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.budget.FreeBuffer(h.holder, bytes)
+	a.signalFreed()
+}
+
+// addBytes adds bytes of a response to an account. Its results are those of
+// bytebudget.Budget.AddUnread.
+type addBytes func(b *bytebudget.Budget, now time.Time, h *bytebudget.Holder, bytes int64) (bool, *bytebudget.Holder)
+
+// await adds bytes of the response as soon as there is room. It fails when ctx ends before.
+func (h *memoryHold) await(ctx context.Context, bytes int64, add addBytes) error {
 	if h == nil {
 		return nil
 	}
 	defer h.waiting.Store(false)
 	for {
-		ok, freed := h.tryAddUnread(bytes)
+		ok, freed := h.tryAdd(bytes, add)
 		if ok {
 			return nil
 		}
@@ -165,13 +188,13 @@
 	}
 }
 
-// tryAddUnread adds bytes of the response if there is room. Otherwise it cuts off the response
+// tryAdd adds bytes of the response if there is room. Otherwise it cuts off the response
 // to shed, if there is one, and returns a channel that is closed when memory is freed.
-func (h *memoryHold) tryAddUnread(bytes int64) (ok bool, freed <-chan struct{}) {
+func (h *memoryHold) tryAdd(bytes int64, add addBytes) (ok bool, freed <-chan struct{}) {
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	ok, victim := a.budget.AddUnread(time.Now(), h.holder, bytes)
+	ok, victim := add(a.budget, time.Now(), h.holder, bytes)
 	if ok {
 		return true, nil
 	}
--- a/internal/port/memory.go
+++ b/internal/port/memory.go
@@ -18,8 +18,13 @@
 	// AddUnread adds bytes of the response before they are read from the endpoint. It waits
 	// until there is room, and fails when ctx ends before.
 	AddUnread(ctx context.Context, bytes int64) error
+	// AddBuffer adds bytes of a buffer for a response that is being read from the endpoint,
+	// before it is allocated. It waits as AddUnread does.
+	AddBuffer(ctx context.Context, bytes int64) error
+	// FreeBuffer frees bytes of buffers.
+	FreeBuffer(bytes int64)
 	// OnShed sets what cuts the response off, if its caller reads too slowly. It must be
-	// called before AddUnread. cut must not block or use the hold, and is not called after
+	// called before AddUnread and AddBuffer. cut must not block or use the hold, and is not called after
 	// Release.
 	OnShed(cut func())
 	// Release frees all of it.
