Break off the largest response that waits for memory

What was seen: many endless plain bodies at once at one host. All are within the account of memory, but together they fill it: each waits for more room, none is whole, and small requests of other callers are refused until the time limits of the first ones.

Cause: hold and wait. A response that grows keeps what it has and waits for more, without order and without anyone who gives way; only callers that read slowly were shed, and none did here. Ruled out: a leak; all is freed at the time limit. Sound bodies of unknown length could block each other in the same way.

Change: bodies are read into buffers (AddBuffer) and become unread bytes when they are whole (KeepBuffer). All buffers together take at most half of the account, .6 with those up to 64 KiB, and not the last .07 of it; the first 8 KiB of a response may take all. When a response has found no room for a second, the largest one without room is broken off with port.ErrNoRoom, one at a time. That is no evidence against its endpoint; one that reaches 4 MiB is broken, as before. Slow callers are not shed for a buffer larger than what they hold.

TestEndlessResponsesLeaveRoomForOthers, 200 responses without end, host with 112 MB, virtual time: before, 50 of 50 small requests refused, 118 endless ones wait until the limit of 15 s; now none. Run: go test -race on platform and internal/core/bytebudget, and the tests of internal/gateway that match Endless|Memory|Slow|Shed|Silen|Timeout|Read; ok.

--- a/internal/core/bytebudget/budget.go
+++ b/internal/core/bytebudget/budget.go
@@ -16,6 +16,13 @@
 	// or a small body is accepted. The rest is for small ones, and for responses.
 	largeShare = 0.85
 	smallShare = 0.95
+	// firstBuffers is the size up to which the buffers of a response may use the whole limit.
+	firstBuffers = 8 << 10
+	// bufferShare and smallBufferShare are the shares of the limit that all buffers may take
+	// when a large or a small one is added, responseShare that which may be in use then.
+	bufferShare      = 0.5
+	smallBufferShare = 0.6
+	responseShare    = 0.93
 	// minWait is how long a caller must have read nothing before it may be shed.
 	minWait = time.Second
 )
@@ -31,6 +38,8 @@
 	// for it; zero if nothing is being sent.
 	waitingSince time.Time
 	shed         bool
+	// blockedSince is since when there is no room for a buffer; zero if there is.
+	blockedSince time.Time
 }
 
 // Budget is the account of a host. It is not safe for concurrent use.
@@ -39,7 +48,9 @@
 	// used are the bytes that are held; unread and buffered are those of them that belong to
 	// responses.
 	used, unread, buffered int64
-	holders                map[*Holder]struct{}
+	// broken is the response that is being broken off; nil for none.
+	broken  *Holder
+	holders map[*Holder]struct{}
 }
 
 // New returns an empty account with a limit in bytes.
@@ -118,29 +129,98 @@
 	return b.used+n <= b.limit || b.unread+b.buffered == 0
 }
 
+// fitsBuffer reports whether there is room for n more bytes of buffers, so that room is left
+// for the requests and responses of others.
+func (b *Budget) fitsBuffer(h *Holder, n int64) bool {
+	size, limit := h.buffered+n, float64(b.limit)
+	if size <= firstBuffers || b.unread+b.buffered == 0 {
+		return b.fitsResponse(n)
+	}
+	share := bufferShare
+	if size <= SmallBody {
+		share = smallBufferShare
+	}
+	return float64(b.buffered+n) <= share*limit && float64(b.used+n) <= responseShare*limit
+}
+
 // AddBuffer adds bytes of a buffer for a response that is being read. Its results are those
-// of AddUnread.
+// of AddUnread. No caller is shed for large buffers that exceed what is held for it.
 func (b *Budget) AddBuffer(now time.Time, h *Holder, n int64) (bool, *Holder) {
-	if !b.fitsResponse(n) {
+	if !b.fitsBuffer(h, n) {
+		if h.blockedSince.IsZero() {
+			h.blockedSince = now
+		}
+		size := h.buffered + n
+		if slowest := b.slowest(now); slowest == nil || slowest.unread < size && size > SmallBody {
+			return false, nil
+		}
 		return false, b.shedSlowest(now)
 	}
+	b.resume(h)
 	h.buffered += n
 	b.buffered += n
 	b.used += n
 	return true, nil
 }
 
+// resume marks a response for whose buffer there is room, or that has ended.
+func (b *Budget) resume(h *Holder) {
+	h.blockedSince = time.Time{}
+	if b.broken == h {
+		b.broken = nil
+	}
+}
+
+// BreakOff returns the response to break off when that of h has found no room for a buffer for
+// minWait: the one of those without room that has the largest buffers. It returns the same one
+// until that has ended, and nil if there is none; chosen reports that it was not returned before.
+func (b *Budget) BreakOff(now time.Time, h *Holder) (broken *Holder, chosen bool) {
+	if b.broken != nil || h.blockedSince.IsZero() || now.Sub(h.blockedSince) < minWait {
+		return b.broken, false
+	}
+	for other := range b.holders {
+		if other.blockedSince.IsZero() || other.buffered == 0 {
+			continue
+		}
+		if b.broken == nil || other.buffered > b.broken.buffered {
+			b.broken = other
+		}
+	}
+	return b.broken, b.broken != nil
+}
+
+// KeepBuffer turns bytes of buffers into bytes that the caller has not read.
+func (b *Budget) KeepBuffer(h *Holder, n int64) {
+	n = min(n, h.buffered)
+	h.buffered -= n
+	b.buffered -= n
+	h.unread += n
+	b.unread += n
+}
+
 // FreeBuffer removes bytes of buffers.
 func (b *Budget) FreeBuffer(h *Holder, n int64) {
 	n = min(n, h.buffered)
 	h.buffered -= n
 	b.buffered -= n
 	b.used -= n
+	if h.buffered == 0 {
+		b.resume(h)
+	}
 }
 
 // shedSlowest marks the request to shed: of those with the largest rank whose callers have
 // read nothing for minWait, the one whose caller has done so for longest.
 func (b *Budget) shedSlowest(now time.Time) *Holder {
+	slowest := b.slowest(now)
+	if slowest != nil {
+		slowest.shed = true
+	}
+	return slowest
+}
+
+// slowest returns the request that shedSlowest marks, or nil.
+func (b *Budget) slowest(now time.Time) *Holder {
 	var slowest *Holder
 	for h := range b.holders {
 		if h.shed || h.unread == 0 || h.waitingSince.IsZero() || now.Sub(h.waitingSince) < minWait {
@@ -150,9 +230,6 @@
 			slowest = h
 		}
 	}
-	if slowest != nil {
-		slowest.shed = true
-	}
 	return slowest
 }
 
@@ -178,4 +255,5 @@
 	b.buffered -= h.buffered
 	b.used -= h.body + h.unread + h.buffered
 	h.unread, h.buffered = 0, 0
+	b.resume(h)
 }
--- a/internal/core/bytebudget/budget_test.go
+++ b/internal/core/bytebudget/budget_test.go
@@ -101,7 +101,7 @@
 				}
 				now = now.Add(time.Duration(rapid.Int64Range(0, 2e9).Draw(t, "passed")))
 				h := holders[rapid.IntRange(0, len(holders)-1).Draw(t, "holder")]
-				switch rapid.IntRange(0, 6).Draw(t, "use") {
+				switch rapid.IntRange(0, 8).Draw(t, "use") {
 				case 0:
 					b.GrowBody(h, size.Draw(t, "grow"))
 				case 1:
@@ -113,6 +113,13 @@
 				case 4:
 					b.AddBuffer(now, h, size.Draw(t, "buffer"))
 				case 5:
+					b.KeepBuffer(h, size.Draw(t, "keep"))
+				case 6:
+					if broken, _ := b.BreakOff(now, h); broken != nil {
+						b.Release(broken)
+						holders = deleteHolder(holders, broken)
+					}
+				case 7:
 					b.FreeBuffer(h, size.Draw(t, "free"))
 				default:
 					b.Release(h)
@@ -141,3 +148,31 @@
 	}
 	return out
 }
+
+// Responses that wait for room are broken off one by one, the largest first, also if their own
+// wait is short.
+func TestLargestBlockedResponseIsBrokenOff(t *testing.T) {
+	now := time.Unix(100, 0)
+	b := bytebudget.New(10 << 20)
+	small, large := b.Admit(0), b.Admit(0)
+	add := func(h *bytebudget.Holder, n int64) bool {
+		ok, victim := b.AddBuffer(now, h, n)
+		must.Nil(t, victim)
+		return ok
+	}
+	must.True(t, add(small, 1<<20))
+	must.True(t, add(large, 4<<20))
+	must.False(t, add(small, 4<<20))
+	broken, _ := b.BreakOff(now, small)
+	must.Nil(t, broken, must.Sprint("it has not waited"))
+	now = now.Add(2 * time.Second)
+	must.False(t, add(large, 4<<20))
+	broken, chosen := b.BreakOff(now, small)
+	must.True(t, broken == large && chosen)
+	broken, chosen = b.BreakOff(now, small)
+	must.True(t, broken == large && !chosen, must.Sprint("one at a time"))
+	b.FreeBuffer(large, 4<<20)
+	must.True(t, add(small, 4<<20))
+	broken, _ = b.BreakOff(now, small)
+	must.Nil(t, broken)
+}
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -64,11 +64,13 @@
 				refused++
 				continue
 			}
-			waited, stop := context.WithTimeout(t.Context(), 100*time.Millisecond)
-			if hold.AddBuffer(waited, 16<<10) != nil {
-				late++
+			for _, limit := range []time.Duration{100 * time.Millisecond, 2 * time.Second} {
+				waited, stop := context.WithTimeout(t.Context(), limit)
+				if hold.AddBuffer(waited, 8<<10) != nil {
+					late++
+				}
+				stop()
 			}
-			stop()
 			hold.Release()
 		}
 		timedOut := 0
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -151,6 +151,13 @@
 	return h.await(ctx, bytes, (*bytebudget.Budget).AddBuffer)
 }
 
+// KeepBuffer implements port.MemoryHold.
+func (h *memoryHold) KeepBuffer(bytes int64) {
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.account.budget.KeepBuffer(h.holder, bytes)
+}
+
 // FreeBuffer implements port.MemoryHold.
 func (h *memoryHold) FreeBuffer(bytes int64) {
 	a := h.account
@@ -171,9 +178,9 @@
 	}
 	defer h.waiting.Store(false)
 	for {
-		ok, freed := h.tryAdd(bytes, add)
-		if ok {
-			return nil
+		ok, freed, err := h.tryAdd(bytes, add)
+		if ok || err != nil {
+			return err
 		}
 		h.waiting.Store(true)
 		timer := time.NewTimer(memoryWaitInterval)
@@ -189,21 +196,35 @@
 }
 
 // tryAdd adds bytes of the response if there is room. Otherwise it cuts off the response
-// to shed, if there is one, and returns a channel that is closed when memory is freed.
-func (h *memoryHold) tryAdd(bytes int64, add addBytes) (ok bool, freed <-chan struct{}) {
+// to shed, if there is one, and returns a channel that is closed when memory is freed. It fails
+// if the response is the one to break off.
+func (h *memoryHold) tryAdd(bytes int64, add addBytes) (ok bool, freed <-chan struct{}, err error) {
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	ok, victim := add(a.budget, time.Now(), h.holder, bytes)
 	if ok {
-		return true, nil
+		return true, nil, nil
+	}
+	if victim == nil && a.breakOff(h.holder) {
+		return false, nil, port.ErrNoRoom
 	}
 	a.waiting++
 	if cut := a.cuts[victim]; cut != nil {
 		// It must not run after Release: the connection may serve the next request then.
 		cut()
 	}
-	return false, a.freed
+	return false, a.freed, nil
+}
+
+// breakOff chooses the response to break off, if there is one. It reports whether it is that
+// of the holder, and wakes the others otherwise. The caller must hold mu.
+func (a *memoryAccount) breakOff(holder *bytebudget.Holder) bool {
+	broken, chosen := a.budget.BreakOff(time.Now(), holder)
+	if chosen && broken != holder {
+		a.signalFreed()
+	}
+	return broken == holder
 }
 
 // isWaiting reports whether the response waits for room, so that nothing is read from its
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -236,9 +236,9 @@
 	}
 	cause := context.Cause(ctx)
 	result.silent = errors.Is(cause, errSilent)
-	if cause != nil && !result.silent {
-		// The caller has left or the time limit has passed: this is no evidence
-		// against the endpoint.
+	if cause != nil && !result.silent || errors.Is(err, port.ErrNoRoom) {
+		// The caller has left, the time limit has passed or memory is lacking: this is
+		// no evidence against the endpoint.
 		result.failure = balance.FailureNone
 	}
 	return result
