Let sound endpoints be silent for a second and a half

What callers see: an endpoint is silent for a second or so and goes on. Its stream is resumed at another endpoint, at the cost of a retry of the shared budget and of a prompt that is read again, and after 0.4 s each host closes its idle connections to it.

Cause: the timeout between two events is 5 x the route's longest gap, 1.2 s at least, which routes with gaps of 150 and 250 ms get (1.2 and 1.25 s). The report of a stall, meant to place new requests elsewhere, also dropped all idle connections. Ruled out: a crash (a silent attempt that is given up is not counted as one, crashes.go) and a stream without another place (it stays).

Change: 1.6 s at least. Callers leave after 2 s, four objectives or eight gaps, whichever is longest, so 0.4 s remain for the other endpoint. Idle connections are dropped when the silence has lasted that long, or the attempt is given up; placing avoids the endpoint after 0.4 s as before, with nothing lost by it. The timeout for the first response stays: nothing of the answer exists yet.

TestShortSilenceEndsNothing, silence of .5, 1 and 1.5 s beside another endpoint with room, virtual time: before, one resumption at 1.5 s and one drop in each case; now none. TestLongSilenceEndsBeforeCallersLeave passed before and passes now. Run: go test -race -run 'Silen|Timeout|Stall' -count=20 ./internal/gateway, ok.

--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -19,9 +19,9 @@
 	minFirstResponseTimeout = 700 * time.Millisecond
 	// eventGapFactor and minEventTimeout define the timeout between two events
 	// of a stream that may be resumed: a multiple of the route's longest gap,
-	// and the minimum.
+	// and the minimum. A sound endpoint may be silent for 1.5 s, and callers leave after 2 s.
 	eventGapFactor  = 5
-	minEventTimeout = 1200 * time.Millisecond
+	minEventTimeout = 1600 * time.Millisecond
 	// stallAfter is the time without an event after which a stream's endpoint
 	// is avoided. Engines produce an event every few tens of milliseconds.
 	stallAfter = 400 * time.Millisecond
@@ -43,10 +43,11 @@
 	cancel context.CancelCauseFunc
 	// timeout gives up the attempt; nil if the request can never be sent again.
 	timeout *time.Timer
-	// stall reports a stall; nil before the first event.
-	stall    *time.Timer
-	mu       sync.Mutex
-	reported bool
+	// stall reports a stall, drop closes the idle connections to a silent endpoint; nil before
+	// the first event.
+	stall, drop *time.Timer
+	mu          sync.Mutex
+	reported    bool
 	// silence numbers the times of silence, so that a decision about one does not end a
 	// later one.
 	silence int
@@ -111,9 +112,11 @@
 		w.next = next
 		w.mu.Unlock()
 		w.stall = time.AfterFunc(stallAfter, w.reportStall)
+		w.drop = time.AfterFunc(minEventTimeout, w.dropConnections)
 		return
 	}
 	w.stall.Reset(stallAfter)
+	w.drop.Reset(minEventTimeout)
 }
 
 // expectWithin restarts the timeout. The caller must hold mu.
@@ -134,6 +137,7 @@
 	w.mu.Unlock()
 	if w.stall != nil {
 		w.stall.Stop()
+		w.drop.Stop()
 		w.report(false)
 	}
 }
@@ -141,10 +145,15 @@
 // stop ends the monitoring and reports the end of a stall. It returns the attempt that
 // follows if this one was given up.
 func (w *stallWatch) stop() *reservation {
+	undropped := w.drop != nil && w.drop.Stop()
 	w.pause()
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.reserved
+	reserved := w.reserved
+	w.mu.Unlock()
+	if reserved != nil && undropped {
+		w.dropConnections()
+	}
+	return reserved
 }
 
 // giveUp cancels the attempt if another endpoint has a place for the request. Otherwise, or
@@ -244,8 +253,15 @@
 	}
 }
 
-// report reports a change to the control loop. On a stall it also drops the open
-// connections to the endpoint.
+// dropConnections drops the open connections to the endpoint, unless nothing is read from it:
+// they may be silent for good while new ones work.
+func (w *stallWatch) dropConnections() {
+	if !holdOf(w.exchange.call).isWaiting() {
+		w.exchange.gateway.opts.Endpoints.DropConnections(w.endpoint, w.address)
+	}
+}
+
+// report reports a change to the control loop.
 func (w *stallWatch) report(stalled bool) {
 	w.mu.Lock()
 	changed := w.reported != stalled
@@ -255,7 +271,4 @@
 		return
 	}
 	w.exchange.gateway.setStalled(w.id, stalled)
-	if stalled {
-		w.exchange.gateway.opts.Endpoints.DropConnections(w.endpoint, w.address)
-	}
 }
