Test internal/gateway without the race detector on arm64

There the detector itself crashes: SIGSEGV in runtime.maybeRunChan of a timer within a synctest bubble (the whole package with -race, in the merge), and once CHECK failed at tsan_rtl.cpp:346. All other packages keep it, and x86-64 keeps it for all.

--- a/test.sh
+++ b/test.sh
@@ -29,8 +29,20 @@
   # Each level of a subtest's name is matched whole: TestA/b gives ^TestA$/^b$.
   skip=$(sed -n 's/^test: *//p' KNOWN-RED.txt | sed 's#/#$/^#g; s/^/^/; s/$/$/' | paste -sd'|' -)
 fi
+flags=(-timeout 20m)
 if [ -n "$skip" ]; then
-  go test -race -timeout 20m -skip "$skip" ./...
+  flags+=(-skip "$skip")
+fi
+# On arm64 the race detector itself crashes in the synctest bubbles of these packages.
+no_race=''
+case "$(uname -m)" in
+  aarch64 | arm64) no_race='/internal/gateway$' ;;
+esac
+failed=0
+if [ -n "$no_race" ]; then
+  go test "${flags[@]}" $(go list ./... | grep -e "$no_race") || failed=1
+  go test -race "${flags[@]}" $(go list ./... | grep -v -e "$no_race") || failed=1
 else
-  go test -race -timeout 20m ./...
+  go test -race "${flags[@]}" ./... || failed=1
 fi
+exit "$failed"
