--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -188,6 +188,8 @@
 		EngineSpeeds:     convert(d.EngineSpeeds, engineSpeedToWire),
 		AccountWork:      convert(d.AccountWork, accountWorkToWire),
 	}
+	pathsToWire(d.Paths, out)
+	out.Brittle = convert(d.Brittle, brittleToWire)
 	out.QuarantinedParts, out.SuspectedRequests = suspectsToWire(d.Suspects)
 	out.StreamBegins = beginsToWire(d.StreamBegins)
 	out.ClearedParts, out.ClearedRequests = suspectsToWire(d.ClearedSuspects)
@@ -228,6 +230,8 @@
 		Demand:           convert(d.GetDemand(), poolDemandFromWire),
 		EngineSpeeds:     convert(d.GetEngineSpeeds(), engineSpeedFromWire),
 		AccountWork:      convert(d.GetAccountWork(), accountWorkFromWire),
+		Paths:            pathsFromWire(d),
+		Brittle:          convert(d.GetBrittle(), brittleFromWire),
 	}
 }
 
--- a/internal/gateway/crashfleet_test.go
+++ b/internal/gateway/crashfleet_test.go
@@ -210,10 +210,12 @@
 func (s *crashableStream) NotExecuted() bool                        { return false }
 func (s *crashableStream) IsLeaving() bool                          { return false }
 func (s *crashableStream) RequestLimit() (port.RequestLimit, error) { return port.RequestLimit{}, nil }
-func (s *crashableStream) IsEventStream() bool                      { return !s.plain }
-func (s *crashableStream) Body() ([]byte, error)                    { return nil, nil }
-func (s *crashableStream) KeepBatch()                               {}
-func (s *crashableStream) Close()                                   {}
+
+func (s *crashableStream) Brittleness() (port.Brittleness, error) { return port.Brittleness{}, nil }
+func (s *crashableStream) IsEventStream() bool                    { return !s.plain }
+func (s *crashableStream) Body() ([]byte, error)                  { return nil, nil }
+func (s *crashableStream) KeepBatch()                             {}
+func (s *crashableStream) Close()                                 {}
 
 func (s *crashableStream) Next() (port.EventBatch, error) {
 	if s.left == 0 && s.crash != nil {
--- a/internal/gateway/requestlimit_test.go
+++ b/internal/gateway/requestlimit_test.go
@@ -287,6 +287,8 @@
 func (r limitReply) Status() int                              { return r.status }
 func (r limitReply) RequestLimit() (port.RequestLimit, error) { return port.RequestLimit{}, nil }
 
+func (r limitReply) Brittleness() (port.Brittleness, error) { return port.Brittleness{}, nil }
+
 // A 421 comes from another endpoint at the address of a limited one.
 func TestAnotherEndpointEndsNoLimit(t *testing.T) {
 	c, _ := newTestControl(t)
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -118,6 +118,15 @@
 	PerSecond float64
 }
 
+// Brittleness is what an endpoint states of the rejections that it bears.
+type Brittleness struct {
+	// Stated reports that the response states it.
+	Stated bool
+	// Rejections is the number of requests that the endpoint may have to reject in a second
+	// before it fails.
+	Rejections float64
+}
+
 // MalformedLimitError is the error for a limit that is no number of requests per second.
 type MalformedLimitError struct{ Text string }
 
@@ -145,6 +154,9 @@
 	// RequestLimit returns the request rate that the endpoint states in this
 	// response. It fails with a *MalformedLimitError if the value has no meaning.
 	RequestLimit() (RequestLimit, error)
+	// Brittleness returns whether the endpoint fails under rejections. It fails with a
+	// *MalformedLimitError if the value has no meaning.
+	Brittleness() (Brittleness, error)
 	// IsEventStream reports whether the response is a stream of events.
 	IsEventStream() bool
 	// Body returns the whole body, or an *EndpointError if it is incomplete.
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -134,6 +134,39 @@
 	LoadsUnchanged bool
 	// Domains are the totals of failure domains that a relay sends or forwards.
 	Domains []DomainLoad
+	// Paths are the sender's paths to endpoints.
+	Paths EndpointPaths
+	// Brittle are the endpoints that have stated, to the sender or to others, that they fail
+	// under rejections, and those that no longer are.
+	Brittle []BrittleEndpoint
+}
+
+// EndpointPaths describes which endpoints a host can reach.
+type EndpointPaths struct {
+	// TakesAttempts reports that the host sends attempts for other hosts, and is neither
+	// leaving nor without paths to endpoints itself.
+	TakesAttempts bool
+	// Endpoints is the number of endpoints in service in the host's list, Unreached the
+	// number of those that it cannot reach. Hosts of earlier builds report 0 endpoints.
+	Endpoints int
+	Unreached int
+	// UnreachedKeys identify the endpoints that it cannot reach, some of them if they are
+	// many.
+	UnreachedKeys []balance.EndpointKey
+}
+
+// BrittleEndpoint is an endpoint that fails if it must reject more requests in a second, of
+// all hosts together, than it states.
+type BrittleEndpoint struct {
+	Instance model.Instance
+	// Brittle reports that it is brittle, Rejections how many rejections in a second it bears.
+	Brittle    bool
+	Rejections float64
+	// Age is the time since the endpoint stated it.
+	Age time.Duration
+	// Rejected is the number of the sender's requests that the endpoint has rejected for want
+	// of room in the last second.
+	Rejected int
 }
 
 // DomainLoad holds the totals of a failure domain: the load of all its hosts
