--- a/internal/server/gateway_fixture_test.go
+++ b/internal/server/gateway_fixture_test.go
@@ -41,6 +41,8 @@
 	replicas map[string]*replica.Server
 	// configure changes the settings of hosts that start from now on; nil for none.
 	configure func(s *settings.Gateway)
+	// prepare changes hosts that start from now on before they start; nil for nothing.
+	prepare func(g *Gateway)
 	// sequence numbers list entries and attempt IDs.
 	sequence int
 	// memoryMB is the memory of hosts that start from now on; 0 for the default.
@@ -80,11 +82,17 @@
 
 // startReplica starts a replica and registers it as ready.
 func (f *fleet) startReplica(pool string, opts replica.Options) *replica.Server {
+	return f.startReplicaIn("north", pool, opts)
+}
+
+// startReplicaIn is startReplica in a failure domain.
+func (f *fleet) startReplicaIn(domain, pool string, opts replica.Options) *replica.Server {
 	r, err := replica.Start(opts)
 	must.NoError(f.t, err)
 	f.t.Cleanup(r.Close)
 	f.replicas[opts.Instance] = r
-	f.register(pool, r, "ready")
+	f.sequence++
+	users.PutEndpointIn(f.store, domain, pool, r.Instance(), r.Address(), users.StateReady, f.sequence)
 	return r
 }
 
@@ -131,6 +139,9 @@
 	}
 	g, err := NewGateway(&s, &log.Logger{Handler: discard.New()})
 	must.NoError(f.t, err)
+	if f.prepare != nil {
+		f.prepare(g)
+	}
 	g.Start()
 	f.t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -177,13 +188,19 @@
 
 // sendAs sends a request with the given attempt ID.
 func (f *fleet) sendAs(g *Gateway, id, method, path, body string, change func(*http.Request)) fleetResponse {
+	f.t.Helper()
+	return f.sendWith(http.DefaultClient, g, id, method, path, body, change)
+}
+
+// sendWith is sendAs with the connections of a client.
+func (f *fleet) sendWith(client *http.Client, g *Gateway, id, method, path, body string, change func(*http.Request)) fleetResponse {
 	f.t.Helper()
 	req, err := users.NewRequest(f.t.Context(), method, g.Address("callers"), path, body, id, callerKey)
 	must.NoError(f.t, err)
 	if change != nil {
 		change(req)
 	}
-	res, err := http.DefaultClient.Do(req)
+	res, err := client.Do(req)
 	if err != nil {
 		return fleetResponse{truncated: true}
 	}
--- a/internal/standin/users/users.go
+++ b/internal/standin/users/users.go
@@ -74,8 +74,13 @@
 // PutEndpoint writes an endpoint's entry to the store, as the endpoint does.
 // The sequence must grow with each entry.
 func PutEndpoint(store *logstore.Server, pool, instance, address, state string, sequence int) {
+	PutEndpointIn(store, "north", pool, instance, address, state, sequence)
+}
+
+// PutEndpointIn is PutEndpoint for an endpoint in a failure domain.
+func PutEndpointIn(store *logstore.Server, domain, pool, instance, address, state string, sequence int) {
 	store.Put(EndpointsTopic, instance, mustMarshal(map[string]any{
-		"service": pool, "address": address, "zone": "north", "version": "v1", "slots": 8, "state": state, "sequence": sequence, "born": 1,
+		"service": pool, "address": address, "zone": domain, "version": "v1", "slots": 8, "state": state, "sequence": sequence, "born": 1,
 	}))
 }
 
