--- a/internal/gateway/crashfleet_test.go
+++ b/internal/gateway/crashfleet_test.go
@@ -254,7 +254,9 @@
 	peers     *directPeers
 	gateways  []*Gateway
 	// kind is the kind of the route.
-	kind    routing.Kind
+	kind routing.Kind
+	// connect returns the endpoints as a host reaches them; nil if all do alike.
+	connect func(i int, c port.EndpointClient) port.EndpointClient
 	callers sync.WaitGroup
 	mu      sync.Mutex
 	next    int
@@ -278,7 +280,19 @@
 // newCrashFleetOf is newCrashFleet with a kind of route. Only streams are served by
 // engines.
 func newCrashFleetOf(kind routing.Kind, hosts, endpoints int) *crashFleet {
-	f := &crashFleet{kind: kind, endpoints: newCrashingEndpoints(), store: &endpointLog{}, saved: newSavedSuspects(), peers: &directPeers{gateways: make(map[string]*Gateway)}}
+	return startCrashFleet(&crashFleet{kind: kind}, hosts, endpoints)
+}
+
+// newCrashFleetWith is newCrashFleet with hosts that reach the endpoints in different ways.
+func newCrashFleetWith(hosts, endpoints int, connect func(int, port.EndpointClient) port.EndpointClient) *crashFleet {
+	return startCrashFleet(&crashFleet{kind: routing.Streaming, connect: connect}, hosts, endpoints)
+}
+
+// startCrashFleet starts a fleet whose kind and connect are set.
+func startCrashFleet(f *crashFleet, hosts, endpoints int) *crashFleet {
+	f.endpoints = newCrashingEndpoints()
+	f.store, f.saved = &endpointLog{}, newSavedSuspects()
+	f.peers = &directPeers{gateways: make(map[string]*Gateway)}
 	for i := range endpoints {
 		f.store.put(fmt.Sprint("e", i), 1)
 	}
@@ -295,9 +309,13 @@
 // newGateway returns a gateway with a configuration of one route.
 func (f *crashFleet) newGateway(i int) *Gateway {
 	address := fmt.Sprint("h", i)
+	endpoints := port.EndpointClient(f.endpoints)
+	if f.connect != nil {
+		endpoints = f.connect(i, endpoints)
+	}
 	g := New(Options{
 		Host: model.HostID(address), Domain: "north", PeerAddress: address, Seeds: []string{"h0"}, Seed: uint64(i),
-		Lists: f.store, Decoder: endpointDecoder{}, Quarantine: f.saved, ListReadInterval: time.Second, Endpoints: f.endpoints, Peers: f.peers, Warm: true,
+		Lists: f.store, Decoder: endpointDecoder{}, Quarantine: f.saved, ListReadInterval: time.Second, Endpoints: endpoints, Peers: f.peers, Warm: true,
 		MinDigestInterval: 40 * time.Millisecond, Budget: attempt.SharedBudgetOptions{Window: 10 * time.Second, Ratio: 0.2, Slack: 50},
 		Log: &log.Logger{Handler: discard.New()},
 	})
