A refused endpoint has crashed only if other endpoints answer this host

Cause: a broken response and a refused check counted as a crash, though a host without paths sees the same of every endpoint. Change: such a crash is held back until other endpoints of the domain have answered checks or requests that began later, and more of them than have failed since half a second before, or until a successor is listed; after 5 s it is dropped. Checks of up to eight endpoints of the domain start at once, so that a crash is found one round trip later than before. Digests of hosts in the domain are no evidence. TestHostWithoutPathsReportsNoCrashes failed before (8 and 6), passes now; the tests of crashing prompts and requests pass (12.6 s, without the race detector).

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -348,6 +348,7 @@
 		b.cacheIndex.recordPrefilled(now, key, r.endpoint.Name)
 	}
 	r.answered = true
+	b.recordAnswer(r.endpoint, r.placedAt)
 	b.recordServed(now, r)
 	b.recordReachable(now, b.domain(r.endpoint.Domain))
 	r.setOverdue(false)
@@ -395,6 +396,7 @@
 			b.recordReachable(now, d)
 		}
 	case FailureRefused, FailureError, FailureReplaced:
+		b.recordAnswer(r.endpoint, r.placedAt)
 		b.recordReachable(now, d)
 	case FailureUnreachable:
 		d.lastConnectFailure = now
--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -66,16 +66,22 @@
 	backoff             backoff
 	limit               requestLimit
 	speed               engineSpeed
+	// failing reports whether the last connection has failed, as it did at failedAt.
+	// answeredFrom is when the latest request or check that was answered began.
+	failing      bool
+	failedAt     time.Time
+	answeredFrom time.Time
 	// unreachable reports whether the last connection could not be opened.
 	// nextCheck is when that is checked again.
 	unreachable bool
 	nextCheck   time.Time
 	// watched is the set to which the endpoint is added when it may need checks.
 	watched watchedEndpoints
-	// checkOpen reports whether a connectivity check is in progress,
-	// inDomainRound whether it belongs to a round of checks of the failure
+	// checkOpen reports whether a connectivity check is in progress, which began at
+	// checkStarted, inDomainRound whether it belongs to a round of checks of the failure
 	// domain.
 	checkOpen     bool
+	checkStarted  time.Time
 	inDomainRound bool
 	// softwareCertainFrom is when it is certain again that the endpoint runs the version
 	// that is listed; zero if it always was.
@@ -138,6 +144,7 @@
 		e.consecutiveFailures = 0
 	case FailureBroken:
 		failed = 1
+		e.recordFailing(now)
 		e.consecutiveFailures++
 		if e.consecutiveFailures >= failuresToPause {
 			e.pause(now, e.consecutiveFailures-failuresToPause)
--- a/internal/core/balance/reachability.go
+++ b/internal/core/balance/reachability.go
@@ -47,9 +47,15 @@
 	roundInterval            = time.Second
 	maxRoundDoublings        = 4
 	unreachableRoundInterval = 300 * time.Millisecond
+	// requestedRoundInterval is the shortest time between two rounds of a reachable domain
+	// if the second one is requested.
+	requestedRoundInterval = 100 * time.Millisecond
 	// checksPerRound is the number of endpoints of a domain that are checked at
 	// once: one or two may have failed on their own.
 	checksPerRound = 3
+	// checksPerRequestedRound is that number if the round is to show whether this host has
+	// paths to the domain.
+	checksPerRequestedRound = 8
 	// failuresToUnreachable is the least number of failed checks that make a
 	// domain unreachable, so that one lost packet does not.
 	failuresToUnreachable = 2
@@ -89,6 +95,8 @@
 	// hangingRounds counts the rounds in which all checks succeeded while
 	// requests were overdue.
 	hangingRounds int
+	// checksRequested requests a round of checks as soon as the last one is over.
+	checksRequested bool
 	// lastConnectFailure is when a connection last failed.
 	lastConnectFailure time.Time
 	unreachable        bool
@@ -147,6 +155,9 @@
 	if d.unreachable {
 		return now.Sub(d.roundStarted) >= unreachableRoundInterval
 	}
+	if d.checksRequested && now.Sub(d.roundStarted) >= requestedRoundInterval {
+		return true
+	}
 	if !overdue {
 		d.hangingRounds = 0
 	}
@@ -168,13 +179,17 @@
 // startRound starts a round of checks of a domain and appends them to out. Of
 // an unreachable domain, one endpoint at a time is checked.
 func (b *Balancer) startRound(now time.Time, d *domain, out []Check) []Check {
-	d.roundStarted = now
-	d.failedChecks = 0
-	d.roundReached = false
 	wanted := checksPerRound
-	if d.unreachable {
+	switch {
+	case d.unreachable:
 		wanted = 1
+	case d.checksRequested:
+		wanted = checksPerRequestedRound
 	}
+	d.roundStarted = now
+	d.checksRequested = false
+	d.failedChecks = 0
+	d.roundReached = false
 	for _, e := range b.shuffledEndpoints(d) {
 		if d.openChecks >= wanted {
 			break
@@ -182,7 +197,7 @@
 		if !e.Draining && !e.checkOpen && !e.isBackingOff(now) && (d.unreachable || !e.unreachable) {
 			e.inDomainRound = true
 			d.openChecks++
-			out = e.appendCheck(out)
+			out = e.appendCheck(now, out)
 		}
 	}
 	return out
@@ -203,11 +218,12 @@
 }
 
 // appendCheck appends a check of the endpoint to out unless one is in progress.
-func (e *endpoint) appendCheck(out []Check) []Check {
+func (e *endpoint) appendCheck(now time.Time, out []Check) []Check {
 	if e.checkOpen {
 		return out
 	}
 	e.checkOpen = true
+	e.checkStarted = now
 	return append(out, Check{Endpoint: e.Name, Address: e.Address})
 }
 
@@ -228,6 +244,7 @@
 		d.openChecks--
 	}
 	if reached {
+		b.recordAnswer(e, e.checkStarted)
 		e.unreachable = false
 		e.consecutiveFailures = 0
 		d.roundReached = d.roundReached || inRound
@@ -307,6 +324,7 @@
 // check.
 func (e *endpoint) recordConnectFailure(now time.Time) {
 	e.unreachable = true
+	e.recordFailing(now)
 	e.watched.watch(e)
 	e.nextCheck = now.Add(pauseLength(e.consecutiveFailures))
 	e.consecutiveFailures++
--- a/internal/core/balance/watched.go
+++ b/internal/core/balance/watched.go
@@ -32,7 +32,7 @@
 			overdue[d] = true
 		}
 		if e.unreachable && !e.Draining && !d.unreachable && !now.Before(e.nextCheck) && !e.isBackingOff(now) {
-			out = e.appendCheck(out)
+			out = e.appendCheck(now, out)
 		}
 	}
 	return out
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -105,6 +105,7 @@
 // tick runs the periodic work of the control loop.
 func (c *control) tick(now time.Time) {
 	c.checkEndpoints(now)
+	c.reviewBroken(now)
 	c.applyEndpointChanges(now, c.directory.Expire(now), sourceTimer)
 	c.gateway.usable.Store(c.balancer.HasUsableEndpoint(now))
 	c.fetchMissingChanges(now)
@@ -145,7 +146,6 @@
 	c.updateLiveHosts(now)
 	c.refreshStaleList(now)
 	c.checkVersions(now)
-	c.recordSucceeded(now)
 	c.expireQuarantine(now)
 	c.fetchNewerConfig(now)
 	c.logReservations()
@@ -159,7 +159,10 @@
 		g.background(func(ctx context.Context) {
 			err := g.opts.Endpoints.Probe(ctx, check.Endpoint, check.Address)
 			logCheck(g.opts.Log, check, err)
-			g.loop.Post(loop.Func(func(now time.Time) { c.balancer.RecordCheck(now, check.Endpoint, err == nil) }))
+			g.loop.Post(loop.Func(func(now time.Time) {
+				c.balancer.RecordCheck(now, check.Endpoint, err == nil)
+				c.reviewBroken(now)
+			}))
 		})
 	}
 	for _, change := range c.balancer.TakeDomainChanges() {
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -28,9 +28,9 @@
 )
 
 // reportIfCrashed records a request that was in progress at an endpoint which has crashed.
-// A broken response alone is no crash: the endpoint must refuse connections as well, or have
-// a successor. One that is silent may be cut off. The channel is closed once the result is recorded; it is
-// nil if there is nothing to record.
+// A broken response alone is no crash: the endpoint must refuse connections as well while
+// others answer, or have a successor. One that is silent may be cut off. The channel is
+// closed once the result is recorded; it is nil if there is nothing to record.
 func (x *exchange) reportIfCrashed(d placement, result attemptResult) <-chan struct{} {
 	if result.failure != balance.FailureBroken || result.silent {
 		return nil
@@ -45,15 +45,14 @@
 	}
 	done := make(chan struct{})
 	g.background(func(ctx context.Context) {
-		defer close(done)
 		err := g.opts.Endpoints.Probe(ctx, d.Endpoint, d.Address)
-		switch {
-		case ctx.Err() != nil:
-		case err != nil:
-			g.loop.Post(loop.Func(func(now time.Time) { g.control.recordCrash(now, crash) }))
-		default:
-			g.loop.Post(loop.Func(func(time.Time) { g.control.awaitSuccessor(crash, d.Address) }))
+		if ctx.Err() != nil {
+			close(done)
+			return
 		}
+		g.loop.Post(loop.Func(func(now time.Time) {
+			g.control.recordBroken(now, brokenResponse{crash: crash, address: d.Address, refused: err != nil, recorded: done})
+		}))
 	})
 	return done
 }
@@ -67,30 +66,70 @@
 	maxBrokenResponses = 128
 )
 
-// brokenResponse is a response that an endpoint broke off, though something accepts
-// connections at its address: the endpoint itself or one that has started there since.
+// brokenResponse is a response that an endpoint broke off and that may show a crash.
 type brokenResponse struct {
 	crash   quarantine.Crash
 	address string
+	// refused reports that nothing accepts connections at the address as far as this host
+	// sees, which may have lost its paths. Otherwise the endpoint itself does, or one that
+	// has started there since.
+	refused bool
+	// recorded is closed once the crash is recorded or the wait for it ends; nil if nobody
+	// waits.
+	recorded chan struct{}
 }
 
-// awaitSuccessor keeps a broken response until a successor of the endpoint is listed. The
-// oldest ones are dropped if there are too many.
-func (c *control) awaitSuccessor(crash quarantine.Crash, address string) {
+// recordBroken records a crash if the endpoint refuses connections and others answer. If
+// that is not known yet, it starts checks and keeps the broken response.
+func (c *control) recordBroken(now time.Time, b brokenResponse) {
+	if !b.refused {
+		close(b.recorded)
+		b.recorded = nil
+	}
+	if c.recordIfCrashed(now, b) {
+		return
+	}
+	if b.refused {
+		c.balancer.RequestChecks(b.crash.Endpoint.Name)
+		c.checkEndpoints(now)
+	}
 	if len(c.brokenResponses) >= maxBrokenResponses {
+		c.dropBroken(c.brokenResponses[0])
 		c.brokenResponses = c.brokenResponses[1:]
 	}
-	c.brokenResponses = append(c.brokenResponses, brokenResponse{crash: crash, address: address})
+	c.brokenResponses = append(c.brokenResponses, b)
 }
 
-// recordSucceeded records the crashes of endpoints whose successors are listed.
-func (c *control) recordSucceeded(now time.Time) {
+// recordIfCrashed records the crash of a broken response if it is certain by now.
+func (c *control) recordIfCrashed(now time.Time, b brokenResponse) bool {
+	crashed := c.directory.HasSuccessor(b.crash.Endpoint, b.address) ||
+		b.refused && c.balancer.IsOwnFailure(b.crash.Endpoint.Name, b.crash.At)
+	if crashed {
+		c.recordCrash(now, b.crash)
+		c.dropBroken(b)
+	}
+	return crashed
+}
+
+// dropBroken ends the wait for the crash of a broken response.
+func (c *control) dropBroken(b brokenResponse) {
+	if b.recorded != nil {
+		close(b.recorded)
+	}
+}
+
+// reviewBroken records the crashes that are certain by now, and drops the broken responses
+// that have shown none in time.
+func (c *control) reviewBroken(now time.Time) {
 	c.brokenResponses = slices.DeleteFunc(c.brokenResponses, func(b brokenResponse) bool {
-		crashed := c.directory.HasSuccessor(b.crash.Endpoint, b.address)
-		if crashed {
-			c.recordCrash(now, b.crash)
+		if c.recordIfCrashed(now, b) {
+			return true
+		}
+		expired := now.Sub(b.crash.At) > successorTime
+		if expired {
+			c.dropBroken(b)
 		}
-		return crashed || now.Sub(b.crash.At) > successorTime
+		return expired
 	})
 }
 
