Know within half a second that this host has no path to any endpoint

Cause: a domain became unreachable only if nothing was heard from it, and the digests of its hosts, which stay in touch, counted; each domain was checked on its own, once a second. Change: only answers of endpoints show that a domain can be reached. Requests can then be placed at endpoints that other hosts reach, after all that this host reaches itself.

--- a/internal/core/balance/answers.go
+++ b/internal/core/balance/answers.go
@@ -11,8 +11,13 @@
 
 // recordAnswer records that an endpoint has answered a request or a check which began at a
 // time.
-func (b *Balancer) recordAnswer(e *endpoint, began time.Time) {
+func (b *Balancer) recordAnswer(now time.Time, e *endpoint, began time.Time) {
 	e.failing = false
+	b.domain(e.Domain).lastAnswer = now
+	clear(b.paths.failed)
+	if !began.Before(b.paths.changedAt) {
+		e.unproven = false
+	}
 	if began.After(e.answeredFrom) {
 		e.answeredFrom = began
 	}
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -32,6 +32,8 @@
 	WarmCaches bool
 	// FairShares divides pools that are short of room among client accounts.
 	FairShares bool
+	// Others are the paths of other hosts; nil if requests are never sent through them.
+	Others OtherPaths
 	// Seed seeds the random choices among endpoints.
 	Seed uint64
 }
@@ -77,6 +79,7 @@
 	// the changes since the last TakeDomainChanges.
 	domains       map[model.DomainName]*domain
 	domainChanges []DomainChange
+	paths         paths
 	// watched are the endpoints that may need a connectivity check.
 	watched watchedEndpoints
 	// limitReports holds the endpoints with a report about their limit that is shared
@@ -126,6 +129,8 @@
 	// baseMS is the part of the expected time that no prefill takes.
 	speedSample enginespeed.Observation
 	baseMS      float64
+	// indirect reports whether the request was sent through another host.
+	indirect bool
 	// answered reports whether the first response has arrived.
 	answered bool
 	// stalled reports whether the stream has been silent for longer than usual,
@@ -150,6 +155,7 @@
 		cacheIndex:   newCacheIndex(),
 		domains:      make(map[model.DomainName]*domain),
 		watched:      make(watchedEndpoints),
+		paths:        paths{failed: make(map[model.EndpointName]model.DomainName)},
 		limitReports: make(map[model.EndpointName]*endpoint),
 		source:       source,
 		accounts:     fairshare.NewBook(),
@@ -213,7 +219,7 @@
 	}
 	if e == nil {
 		e = newEndpoint(c.Entry)
-		e.watched = b.watched
+		e.watched, e.unproven = b.watched, b.paths.lost
 		b.endpoints[e.Name] = e
 		b.byKey[EndpointKey(e.hash)] = e
 		b.listing++
@@ -302,6 +308,7 @@
 		speedSample:    c.speedSample,
 		baseMS:         b.pool(e.Pool).speed.BaseMS(),
 	}
+	r.indirect = c.indirect
 	b.running[req.ID] = r
 	b.localLoadChanged = true
 	total := e.totalLoad()
@@ -310,6 +317,7 @@
 		Address:       e.Address,
 		Started:       e.Started,
 		Software:      e.certainSoftware(now),
+		Indirect:      c.indirect,
 		Limit:         e.limit.report.PerSecond,
 		Priority:      c.priority,
 		FetchFrom:     c.fetchFrom,
@@ -348,12 +356,17 @@
 		b.cacheIndex.recordPrefilled(now, key, r.endpoint.Name)
 	}
 	r.answered = true
-	b.recordAnswer(r.endpoint, r.placedAt)
 	b.recordServed(now, r)
-	b.recordReachable(now, b.domain(r.endpoint.Domain))
 	r.setOverdue(false)
-	b.recordResponseTime(now, r)
 	b.localLoadChanged = true
+	if r.indirect {
+		return
+	}
+	b.recordAnswer(now, r.endpoint, r.placedAt)
+	b.recordReachable(now, b.domain(r.endpoint.Domain))
+	if !b.wasWithoutPaths(r) {
+		b.recordResponseTime(now, r)
+	}
 }
 
 // Finish records the end of an attempt, removes its load from the endpoint, and
@@ -374,16 +387,41 @@
 	}
 	r.setOverdue(false)
 	r.setStalled(false)
-	r.endpoint.recordResult(now, res.Failure)
+	b.recordResult(now, r, res.Failure)
 	if res.RetryAfter > 0 {
 		r.endpoint.startBackoff(now, res.RetryAfter)
 	} else if r.answered {
 		r.endpoint.endBackoff(now)
 	}
-	b.recordReachability(now, r, res.Failure)
 	b.localLoadChanged = true
 }
 
+// recordResult updates the failures of the endpoint and the reachability of its failure
+// domain. What happens while this host has no paths shows nothing of the endpoint, and that
+// no other host reaches it is recorded with the paths of that host.
+func (b *Balancer) recordResult(now time.Time, r *runningRequest, failure Failure) {
+	switch {
+	case r.indirect:
+		if failure != FailureUnreachable {
+			r.endpoint.recordResult(now, failure)
+		}
+		return
+	case failure == FailureBroken || failure == FailureUnreachable:
+		if b.paths.lost {
+			return
+		}
+		b.recordPathFailure(now, r.endpoint)
+	}
+	r.endpoint.recordResult(now, failure)
+	b.recordReachability(now, r, failure)
+}
+
+// wasWithoutPaths reports whether this host had no paths at a time since a request was
+// placed, so that the time of the response shows nothing of the endpoint.
+func (b *Balancer) wasWithoutPaths(r *runningRequest) bool {
+	return b.paths.lost || r.placedAt.Before(b.paths.changedAt)
+}
+
 // recordReachability updates the reachability of the endpoint's failure domain
 // after an attempt.
 func (b *Balancer) recordReachability(now time.Time, r *runningRequest, failure Failure) {
@@ -396,7 +434,7 @@
 			b.recordReachable(now, d)
 		}
 	case FailureRefused, FailureError, FailureReplaced:
-		b.recordAnswer(r.endpoint, r.placedAt)
+		b.recordAnswer(now, r.endpoint, r.placedAt)
 		b.recordReachable(now, d)
 	case FailureUnreachable:
 		d.lastConnectFailure = now
--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -116,6 +116,8 @@
 	speedSample enginespeed.Observation
 	// priority is the priority to send to the engine.
 	priority int
+	// indirect reports that the request must be sent through another host.
+	indirect bool
 	// retryAfter is when to retry if no endpoint was found.
 	retryAfter time.Duration
 }
@@ -138,21 +140,16 @@
 	if len(candidates) == 0 && req.Software != "" {
 		return choice{retryAfter: p.timeToNextEndpoint(now)}, ReasonSoftware
 	}
-	// An endpoint that has failed the request is preferred to one in an
-	// unreachable domain.
-	for _, allowed := range []func(e *endpoint) bool{
-		func(e *endpoint) bool { return !b.domain(e.Domain).unreachable && !slices.Contains(req.Avoid, e.Name) },
-		func(e *endpoint) bool { return !b.domain(e.Domain).unreachable },
-		func(*endpoint) bool { return true },
-	} {
-		best := b.cheapest(now, p, req, loc, candidates, allowed)
+	for _, tier := range b.preferences(now, req) {
+		if req.OnlyOthers && !tier.others {
+			return choice{retryAfter: p.timeToNextEndpoint(now)}, ReasonNoEndpoint
+		}
+		best := b.cheapest(now, p, req, loc, candidates, tier.allowed)
 		if best.endpoint != nil {
 			best.priority = best.enginePriority(now, req)
+			best.indirect = tier.indirect
 			return best, ""
 		}
-		if req.OnlyOthers {
-			return choice{retryAfter: p.timeToNextEndpoint(now)}, ReasonNoEndpoint
-		}
 	}
 	if wait, limited := b.timeToLimitedRequest(now, p); limited {
 		return choice{retryAfter: wait}, ReasonLimit
@@ -163,13 +160,37 @@
 	return choice{retryAfter: p.timeToNextEndpoint(now)}, ReasonNoEndpoint
 }
 
-// cheapest returns the candidate with the lowest cost among those that are
-// usable and for which allowed returns true; its endpoint is nil if there is
-// none. The priority is not set.
+// preference is a group of endpoints of which one is chosen if none of a group before it
+// is usable.
+type preference struct {
+	allowed func(e *endpoint) bool
+	// indirect reports that requests are sent through another host, others that no endpoint
+	// has failed the request before.
+	indirect, others bool
+}
+
+// preferences returns the groups of endpoints in order: those that this host reaches, those
+// that only others reach, the same ones if they have failed the request before, and as the
+// last resort those in unreachable domains.
+func (b *Balancer) preferences(now time.Time, req *Request) []preference {
+	avoided := func(e *endpoint) bool { return slices.Contains(req.Avoid, e.Name) }
+	direct := func(e *endpoint) bool { return b.reaches(e) && e.isUsable(now) }
+	indirect := func(e *endpoint) bool { return b.mayGoThroughAnotherHost(now, e) }
+	return []preference{
+		{others: true, allowed: func(e *endpoint) bool { return direct(e) && !avoided(e) }},
+		{others: true, indirect: true, allowed: func(e *endpoint) bool { return indirect(e) && !avoided(e) }},
+		{allowed: direct},
+		{indirect: true, allowed: indirect},
+		{allowed: func(e *endpoint) bool { return e.isUsable(now) }},
+	}
+}
+
+// cheapest returns the candidate with the lowest cost among those for which allowed
+// returns true; its endpoint is nil if there is none. The priority is not set.
 func (b *Balancer) cheapest(now time.Time, p *pool, req *Request, loc cacheLocation, candidates []*endpoint, allowed func(*endpoint) bool) choice {
 	var best choice
 	for _, e := range candidates {
-		if !e.isUsable(now) || !allowed(e) {
+		if !allowed(e) {
 			continue
 		}
 		c := b.estimateCost(now, p, req, e, loc)
--- a/internal/core/balance/decision.go
+++ b/internal/core/balance/decision.go
@@ -96,6 +96,9 @@
 	// empty if that is not certain.
 	Started  int64
 	Software model.SoftwareVersion
+	// Indirect reports that this host does not reach the endpoint, so that the request must
+	// be sent through another one.
+	Indirect bool
 	// Limit is the limit of the endpoint in requests per second; 0 for none.
 	Limit float64
 	// Priority is the priority to send to the engine; smaller is served first.
--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -63,9 +63,11 @@
 	// a row. Until pausedUntil, the endpoint gets no requests.
 	consecutiveFailures int
 	pausedUntil         time.Time
-	backoff             backoff
-	limit               requestLimit
-	speed               engineSpeed
+	// pausedForBreaks reports that the last pause was for broken responses.
+	pausedForBreaks bool
+	backoff         backoff
+	limit           requestLimit
+	speed           engineSpeed
 	// failing reports whether the last connection has failed, as it did at failedAt.
 	// answeredFrom is when the latest request or check that was answered began.
 	failing      bool
@@ -75,6 +77,9 @@
 	// nextCheck is when that is checked again.
 	unreachable bool
 	nextCheck   time.Time
+	// unproven reports that this host has lost its paths and not checked the endpoint
+	// since.
+	unproven bool
 	// watched is the set to which the endpoint is added when it may need checks.
 	watched watchedEndpoints
 	// checkOpen reports whether a connectivity check is in progress, which began at
@@ -86,6 +91,8 @@
 	// softwareCertainFrom is when it is certain again that the endpoint runs the version
 	// that is listed; zero if it always was.
 	softwareCertainFrom time.Time
+	// unreachedUntil is until when that is not certain since no connection could be opened.
+	unreachedUntil time.Time
 	// reserved reports whether the endpoint is reserved for urgent requests.
 	reserved bool
 }
@@ -148,6 +155,7 @@
 		e.consecutiveFailures++
 		if e.consecutiveFailures >= failuresToPause {
 			e.pause(now, e.consecutiveFailures-failuresToPause)
+			e.pausedForBreaks = true
 		}
 	case FailureUnreachable:
 		failed = 1
@@ -155,7 +163,7 @@
 	case FailureReplaced:
 		failed = 1
 		e.doubtSoftware(now)
-		e.pausedUntil = now.Add(replacedPause)
+		e.pausedUntil, e.pausedForBreaks = now.Add(replacedPause), false
 	}
 	e.failureRate += newestWeight * (failed - e.failureRate)
 }
--- a/internal/core/balance/reachability.go
+++ b/internal/core/balance/reachability.go
@@ -17,8 +17,8 @@
 //     of checks of some of its endpoints is started then.
 //  3. A domain becomes unreachable when no check of a round has succeeded and
 //     failuresToUnreachable have failed, or fewer if it has fewer endpoints left,
-//     and nothing was received from it for minSuspectSilence. Its endpoints are the last resort
-//     until a check has succeeded.
+//     and none of its endpoints has answered for minSuspectSilence. Its endpoints are the
+//     last resort until a check has succeeded.
 
 const (
 	// minSilence is the shortest silence of a domain after which it is checked,
@@ -47,8 +47,8 @@
 	roundInterval            = time.Second
 	maxRoundDoublings        = 4
 	unreachableRoundInterval = 300 * time.Millisecond
-	// requestedRoundInterval is the shortest time between two rounds of a reachable domain
-	// if the second one is requested.
+	// requestedRoundInterval is the shortest time between two rounds if the second one is
+	// requested.
 	requestedRoundInterval = 100 * time.Millisecond
 	// checksPerRound is the number of endpoints of a domain that are checked at
 	// once: one or two may have failed on their own.
@@ -82,6 +82,8 @@
 	name model.DomainName
 	// lastContact is the time of the last response or digest from the domain.
 	lastContact time.Time
+	// lastAnswer is the time of the last answer of an endpoint there.
+	lastAnswer time.Time
 	// contactInterval is the usual time between two messages from the domain.
 	contactInterval time.Duration
 	// roundStarted is when the last round of checks started. openChecks is the
@@ -133,6 +135,7 @@
 // StartChecks starts the connectivity checks that are due and returns the
 // connections to open. Each result is passed to RecordCheck.
 func (b *Balancer) StartChecks(now time.Time) []Check {
+	b.reviewPaths(now)
 	overdue := make(map[*domain]bool)
 	out := b.dueChecks(now, overdue, nil)
 	for _, d := range b.domains {
@@ -152,10 +155,13 @@
 	if d.openChecks > 0 {
 		return false
 	}
+	if d.checksRequested && now.Sub(d.roundStarted) >= requestedRoundInterval {
+		return true
+	}
 	if d.unreachable {
 		return now.Sub(d.roundStarted) >= unreachableRoundInterval
 	}
-	if d.checksRequested && now.Sub(d.roundStarted) >= requestedRoundInterval {
+	if b.ArePathsSuspect(now) && now.Sub(d.roundStarted) >= unreachableRoundInterval {
 		return true
 	}
 	if !overdue {
@@ -165,9 +171,10 @@
 		return false
 	}
 	silence := now.Sub(d.lastContact)
-	overdue = overdue || now.Sub(d.lastConnectFailure) < roundInterval
 	switch {
 	case overdue:
+		return now.Sub(d.lastAnswer) >= minSuspectSilence
+	case now.Sub(d.lastConnectFailure) < roundInterval:
 		return silence >= minSuspectSilence
 	case silence >= maxCheckedSilence:
 		return false
@@ -181,10 +188,10 @@
 func (b *Balancer) startRound(now time.Time, d *domain, out []Check) []Check {
 	wanted := checksPerRound
 	switch {
+	case d.checksRequested || b.ArePathsSuspect(now):
+		wanted = checksPerRequestedRound
 	case d.unreachable:
 		wanted = 1
-	case d.checksRequested:
-		wanted = checksPerRequestedRound
 	}
 	d.roundStarted = now
 	d.checksRequested = false
@@ -244,8 +251,8 @@
 		d.openChecks--
 	}
 	if reached {
-		b.recordAnswer(e, e.checkStarted)
-		e.unreachable = false
+		b.recordAnswer(now, e, e.checkStarted)
+		e.unreachable, e.unproven = false, false
 		e.consecutiveFailures = 0
 		d.roundReached = d.roundReached || inRound
 		if inRound && d.openChecks == 0 && d.failedChecks == 0 {
@@ -254,14 +261,27 @@
 		b.recordReachable(now, d)
 		return
 	}
-	e.recordConnectFailure(now)
+	b.recordConnectFailure(now, e)
 	if !inRound {
 		return
 	}
 	d.failedChecks++
-	if d.openChecks == 0 && b.isRoundFailed(d) && now.Sub(d.lastContact) >= minSuspectSilence {
+	quiet := now.Sub(d.lastAnswer) >= minSuspectSilence || b.ArePathsSuspect(now)
+	if d.openChecks == 0 && b.isRoundFailed(d) && quiet {
 		b.setDomainUnreachable(d, true)
+		b.reviewPaths(now)
+	}
+}
+
+// recordConnectFailure records that no connection to the endpoint could be opened. While
+// this host has no paths, that shows nothing of the endpoint.
+func (b *Balancer) recordConnectFailure(now time.Time, e *endpoint) {
+	e.recordConnectFailure(now)
+	if b.paths.lost {
+		e.unreachedUntil = time.Time{}
+		return
 	}
+	b.recordPathFailure(now, e)
 }
 
 // isRoundFailed reports whether the checks of the last round suggest that the domain
@@ -291,7 +311,7 @@
 	}
 	b.setDomainUnreachable(d, false)
 	for _, e := range b.endpoints {
-		if e.Domain == d.name && e.unreachable {
+		if e.Domain == d.name && (e.unreachable || e.unproven) {
 			e.nextCheck = now
 		}
 	}
@@ -328,5 +348,5 @@
 	e.watched.watch(e)
 	e.nextCheck = now.Add(pauseLength(e.consecutiveFailures))
 	e.consecutiveFailures++
-	e.doubtSoftware(now)
+	e.unreachedUntil = now.Add(restartListTime)
 }
--- a/internal/core/balance/software.go
+++ b/internal/core/balance/software.go
@@ -24,7 +24,7 @@
 
 // certainSoftware returns the version that the endpoint runs; empty if it is not certain.
 func (e *endpoint) certainSoftware(now time.Time) model.SoftwareVersion {
-	if now.Before(e.softwareCertainFrom) {
+	if now.Before(e.softwareCertainFrom) || now.Before(e.unreachedUntil) {
 		return ""
 	}
 	return e.Software
