Send attempts through hosts that reach the endpoint

Change: hosts report their paths in digests (two small numbers unless an endpoint cannot be reached). A host that has lost the paths to a domain, or to all, places requests at endpoints that others reach and has one of these hosts send the attempt. It stays the only one that decides: attempts, retry budget, resumption, deadlines are as before. The receiver is the less loaded one of two random ones. One that refuses is passed over; what cannot have run is tried through another. When the paths are lost, attempts in progress that may be sent again are given up, and no connection from before is reused. Streams are not moved through a host. Without receivers it is not ready, refuses at once with a Retry-After, and closes callers' connections. A crash under an attempt through another host counts once a host of the endpoint's domain reports that it does not reach the endpoint. Ruled out: sending through others for endpoints that alone cannot be reached. New test on a virtual clock: a third, most, all hosts but one, and 16 of 24 hosts with relays are cut; served as before 3 s later.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -36,6 +36,8 @@
 	savedHistories map[model.PoolName]resume.History
 	// writes are the writes to the platform's store.
 	writes storeWrites
+	// paths are the paths of this host and of others to endpoints.
+	paths *pathKeeper
 	// brokenResponses are those that may show a crash once a successor is listed.
 	brokenResponses []brokenResponse
 	// trials holds the suspects that are on trial by this host.
@@ -82,9 +84,11 @@
 }
 
 func newControl(g *Gateway) *control {
+	paths := newPathKeeper(&g.opts)
 	c := &control{
 		gateway:        g,
-		balancer:       balance.New(balance.Options{Domain: g.opts.Domain, Budget: g.opts.Budget, WarmCaches: g.opts.Warm, FairShares: g.opts.FairShares, Seed: g.opts.Seed}),
+		paths:          paths,
+		balancer:       balance.New(balance.Options{Domain: g.opts.Domain, Budget: g.opts.Budget, WarmCaches: g.opts.Warm, FairShares: g.opts.FairShares, Seed: g.opts.Seed, Others: paths.others}),
 		directory:      directory.New(),
 		quarantine:     quarantine.New(),
 		suspectSources: make(map[quarantine.Suspect]string),
@@ -107,7 +111,7 @@
 	c.checkEndpoints(now)
 	c.reviewBroken(now)
 	c.applyEndpointChanges(now, c.directory.Expire(now), sourceTimer)
-	c.gateway.usable.Store(c.balancer.HasUsableEndpoint(now))
+	c.reviewPaths(now)
 	c.fetchMissingChanges(now)
 	c.reviewPeers(now)
 	c.demand.tick(now)
@@ -142,6 +146,7 @@
 	c.reviewedAt = now
 	c.balancer.ExpirePeers(now)
 	c.peers.forgetSilent(now)
+	c.paths.others.Expire(now)
 	c.updateReading(now)
 	c.updateLiveHosts(now)
 	c.refreshStaleList(now)
@@ -206,7 +211,10 @@
 // finish reports the end of an attempt to the balancer. It blocks only while the
 // loop's queue is full.
 func (g *Gateway) finish(id model.RequestID, res balance.Result) {
-	g.loop.Post(loop.Func(func(now time.Time) { g.control.balancer.Finish(now, id, res) }))
+	g.loop.Post(loop.Func(func(now time.Time) {
+		g.control.balancer.Finish(now, id, res)
+		g.control.endThrough(id)
+	}))
 }
 
 // recordFirstResponse reports to the balancer that the first events of a stream,
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -30,7 +30,8 @@
 // reportIfCrashed records a request that was in progress at an endpoint which has crashed.
 // A broken response alone is no crash: the endpoint must refuse connections as well while
 // others answer, or have a successor. One that is silent may be cut off. The channel is
-// closed once the result is recorded; it is nil if there is nothing to record.
+// closed once the result is recorded; it is nil if there is nothing to record. The endpoint
+// of an attempt through another host has crashed if a host of its domain finds so.
 func (x *exchange) reportIfCrashed(d placement, result attemptResult) <-chan struct{} {
 	if result.failure != balance.FailureBroken || result.silent {
 		return nil
@@ -44,6 +45,12 @@
 		crash.Parts = x.req.Prompt.SharedPartIDs()
 	}
 	done := make(chan struct{})
+	if d.Indirect {
+		g.loop.Post(loop.Func(func(now time.Time) {
+			g.control.recordBroken(now, brokenResponse{crash: crash, address: d.Address, refused: true, indirect: true, recorded: done})
+		}))
+		return done
+	}
 	g.background(func(ctx context.Context) {
 		err := g.opts.Endpoints.Probe(ctx, d.Endpoint, d.Address)
 		if ctx.Err() != nil {
@@ -74,6 +81,8 @@
 	// sees, which may have lost its paths. Otherwise the endpoint itself does, or one that
 	// has started there since.
 	refused bool
+	// indirect reports that another host carried the attempt.
+	indirect bool
 	// recorded is closed once the crash is recorded or the wait for it ends; nil if nobody
 	// waits.
 	recorded chan struct{}
@@ -89,7 +98,7 @@
 	if c.recordIfCrashed(now, b) {
 		return
 	}
-	if b.refused {
+	if b.refused && !b.indirect {
 		c.balancer.RequestChecks(b.crash.Endpoint.Name)
 		c.checkEndpoints(now)
 	}
@@ -102,8 +111,10 @@
 
 // recordIfCrashed records the crash of a broken response if it is certain by now.
 func (c *control) recordIfCrashed(now time.Time, b brokenResponse) bool {
+	name := b.crash.Endpoint.Name
 	crashed := c.directory.HasSuccessor(b.crash.Endpoint, b.address) ||
-		b.refused && c.balancer.IsOwnFailure(b.crash.Endpoint.Name, b.crash.At)
+		b.refused && c.paths.others.IsUnreachedAt(c.balancer.DomainOf(name), balance.KeyOf(name), b.crash.At) ||
+		b.refused && !b.indirect && c.balancer.IsOwnFailure(name, b.crash.At)
 	if crashed {
 		c.recordCrash(now, b.crash)
 		c.dropBroken(b)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,13 @@
 	// usable reports whether any endpoint accepts requests.
 	usable  atomic.Bool
 	leaving atomic.Bool
+	// pathsLost reports that this host has no paths to endpoints.
+	pathsLost atomic.Bool
+	// closesConnections reports that this host has no paths to endpoints, nor other hosts
+	// that send attempts for it.
+	closesConnections atomic.Bool
+	// attempts are the attempts in progress that may be given up.
+	attempts openAttempts
 	// moves are the streams that can be moved.
 	moves runMoves
 	// watchingCrashes reports whether endpoints that begin to answer must be recorded, as
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -104,6 +104,17 @@
 	entry.Info("domains: reachable again")
 }
 
+// logPaths logs that this host has lost its paths to all endpoints, or has one again, and how
+// many other hosts send attempts for it.
+func logPaths(logger log.Interface, lost bool, receivers int) {
+	entry := logger.WithField("receivers", receivers)
+	if lost {
+		entry.Warn("paths: no endpoint can be reached")
+		return
+	}
+	entry.Info("paths: an endpoint can be reached again")
+}
+
 // logReserved logs how many engines of a pool are reserved for urgent requests.
 func logReserved(logger log.Interface, pool model.PoolName, count int) {
 	logger.WithFields(fields{"pool": pool, "count": count}).Info("engines: number reserved for urgent requests changed")
@@ -128,6 +139,9 @@
 		return
 	}
 	f["endpoint"] = d.Endpoint
+	if d.Indirect {
+		f["through"] = d.through.Host
+	}
 	f["software"] = d.Software
 	f["fetch_from"] = d.FetchFrom
 	f["expected_ms"] = d.Expected.Milliseconds()
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -70,7 +70,7 @@
 func (x *exchange) watchMove(decision balance.Decision) *runMove {
 	g := x.gateway
 	table := g.table.Load()
-	if g.opts.Mover == nil || table == nil || x.stays {
+	if g.opts.Mover == nil || table == nil || x.stays || decision.Indirect {
 		return nil
 	}
 	if p, known := table.Pool(x.req.Pool); !known || p.Engine == nil || !p.Engine.CanMove {
@@ -199,7 +199,7 @@
 	g := m.exchange.gateway
 	m.req.ID = g.nextID(m.exchange.call.ID)
 	target, ok := queryLoop(ctx, g, func(now time.Time) balance.Decision { return g.control.balancer.Submit(now, m.req) })
-	if !ok || target.IsRefused() {
+	if !ok || target.IsRefused() || target.Indirect {
 		g.finish(m.req.ID, balance.Result{})
 		m.log("no target", nil)
 		return
--- a/internal/gateway/pathcut_test.go
+++ b/internal/gateway/pathcut_test.go
@@ -156,3 +156,50 @@
 
 // sharedParts are the parts of a sound request.
 func sharedParts(int) []model.PartID { return []model.PartID{commonPart, 7} }
+
+// A host that loses its paths serves its callers through hosts that reach the endpoints, as often as they are served there.
+func TestCallersAreServedThroughOtherHosts(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		hosts, cut int
+	}{
+		{"a third of the hosts", 6, 2},
+		{"most hosts", 6, 4},
+		{"all hosts but one", 6, 5},
+		{"most hosts, with relays", 24, 16},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, paths := newCutFleet(c.hosts, 12, c.cut)
+				defer f.close()
+				f.play(3*time.Second, time.Hour, sharedParts)
+				for _, p := range paths {
+					p.setCut(true)
+				}
+				from := time.Now().Add(cutSettling)
+				f.play(8*time.Second, time.Hour, sharedParts)
+				must.GreaterEq(t, minSoundShare, f.soundShare(from))
+				for _, p := range paths {
+					p.setCut(false)
+				}
+				from = time.Now().Add(cutSettling)
+				f.play(6*time.Second, time.Hour, sharedParts)
+				must.GreaterEq(t, minSoundShare, f.soundShare(from))
+				for _, g := range f.gateways {
+					must.True(t, g.Ready())
+					must.Eq(t, 0, g.countUnreached())
+				}
+			})
+		})
+	}
+}
+
+// cutSettling is the time after the beginning or the end of a cut from which on callers
+// must be served as before.
+const cutSettling = 3 * time.Second
+
+// countUnreached returns the number of endpoints that a host that runs does not reach.
+func (g *Gateway) countUnreached() int {
+	count, _ := queryLoop(context.Background(), g, func(time.Time) int { return g.control.balancer.PathReport().Unreached })
+	return count
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -305,6 +305,7 @@
 	}
 	p.version = d.Version
 	c.learnFreshness(freshness.Claim{Version: d.Version, At: now.Add(-d.ConfigAge - readAgePerHop)})
+	c.receivePaths(now, p, d)
 	c.applyLeaving(now, d.LeavingEndpoints)
 	c.receiveLimits(now, d)
 	c.demand.receive(now, d)
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -235,7 +235,7 @@
 		if decision.IsRefused() {
 			return x.fail(ctx, attemptResult{outcome: model.OutcomeNotRun, err: &noEndpointError{decision: decision.Decision}})
 		}
-		result := x.tryEndpoint(ctx, decision.Decision)
+		result := x.tryEndpoint(ctx, decision)
 		if x.noteMoved(&result) {
 			x.gateway.finish(x.req.ID, balance.Result{})
 			continue
@@ -274,10 +274,10 @@
 
 // canRetry counts a failed attempt and reports whether another may follow.
 func (x *exchange) canRetry(ctx context.Context, result attemptResult) bool {
-	if result.failure == balance.FailureUnreachable {
-		x.unreachable++
-	} else {
+	if result.delivered {
 		x.delivered++
+	} else {
+		x.unreachable++
 	}
 	if result.outcome != model.OutcomeNotRun {
 		x.possibleRuns++
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -80,6 +80,9 @@
 		w.due = time.Now().Add(limit)
 		w.timeout = time.AfterFunc(limit, w.giveUp)
 		w.mu.Unlock()
+		if !decision.Indirect {
+			x.gateway.attempts.add(w)
+		}
 	}
 	return w
 }
@@ -141,6 +144,7 @@
 // stop ends the monitoring and reports the end of a stall. It returns the attempt that
 // follows if this one was given up.
 func (w *stallWatch) stop() *reservation {
+	w.exchange.gateway.attempts.remove(w)
 	w.pause()
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -7,6 +7,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/clock"
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/peerpaths"
 	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
 	"github.com/wigeonsail/wigeonsail/internal/loop"
 )
@@ -28,6 +29,8 @@
 // placement is the decision where to send a request.
 type placement struct {
 	balance.Decision
+	// through is the host that sends the attempt if the decision is Indirect.
+	through peerpaths.Receiver
 	// suspect is set for a refusal because of crashes.
 	suspect quarantine.Suspect
 	// generation is the number of crashes at different moments by the request that the
@@ -45,6 +48,7 @@
 			return refusal
 		}
 		out := placement{Decision: g.control.balancer.Submit(now, req), generation: 1}
+		g.control.chooseThrough(now, req.ID, &out)
 		if g.control.capacity.isScaled(req.Pool) {
 			g.control.demand.recordRequest(&req, out.Decision)
 		}
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -16,25 +16,15 @@
 
 // tryEndpoint sends one attempt to the endpoint of the decision. It forwards a
 // successful response to the caller and keeps an error response as the fallback.
-func (x *exchange) tryEndpoint(ctx context.Context, decision balance.Decision) attemptResult {
+func (x *exchange) tryEndpoint(ctx context.Context, decision placement) attemptResult {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := x.startWatch(ctx, cancel, decision)
-	x.placed = decision
+	watch := x.startWatch(ctx, cancel, decision.Decision)
+	x.placed = decision.Decision
 	defer func() { x.reserved = watch.stop() }()
-	reply, err := x.gateway.opts.Endpoints.Send(ctx, port.RoutedAttempt{
-		Call:        x.call,
-		Endpoint:    decision.Endpoint,
-		Address:     decision.Address,
-		Account:     x.account,
-		TimeLeft:    time.Until(x.deadline),
-		Priority:    decision.Priority,
-		CacheSource: decision.FetchFrom,
-		LastEventID: x.lastEvent,
-		MovedFrom:   x.movedFrom,
-	})
+	reply, err := x.send(ctx, decision)
 	if err != nil {
-		if cause := context.Cause(ctx); errors.Is(cause, errSilent) || errors.Is(cause, errDeadline) {
+		if cause := context.Cause(ctx); !decision.Indirect && (errors.Is(cause, errSilent) || errors.Is(cause, errDeadline)) {
 			x.gateway.opts.Endpoints.DropConnections(decision.Endpoint, decision.Address)
 		}
 		return classifyError(ctx, err)
@@ -43,7 +33,7 @@
 	if reply.IsLeaving() {
 		x.gateway.markLeaving(model.Instance{Name: decision.Endpoint, Started: decision.Started})
 	}
-	x.recordLimit(decision, reply)
+	x.recordLimit(decision.Decision, reply)
 	switch {
 	case reply.NotExecuted():
 		return attemptResult{
@@ -227,7 +217,10 @@
 func classifyError(ctx context.Context, err error) attemptResult {
 	result := attemptResult{outcome: model.OutcomeUnknown, delivered: true, failure: balance.FailureBroken, err: err}
 	var failure *port.EndpointError
-	if errors.As(err, &failure) {
+	var peerFailure *port.PeerAttemptError
+	if errors.As(err, &peerFailure) {
+		result = classifyPeerError(peerFailure)
+	} else if errors.As(err, &failure) {
 		result.outcome = failure.Outcome
 		if failure.Outcome == model.OutcomeNotRun {
 			result.delivered = false
--- a/internal/metrics/events.go
+++ b/internal/metrics/events.go
@@ -109,6 +109,14 @@
 // SetLimitedEndpoints sets the number of endpoints that have stated a request limit.
 func (m *Metrics) SetLimitedEndpoints(count int) { m.limited.Update(float64(count)) }
 
+// SetPathsLost sets whether this host reaches no endpoint.
+func (m *Metrics) SetPathsLost(lost bool) {
+	m.pathsLost.Update(0)
+	if lost {
+		m.pathsLost.Update(1)
+	}
+}
+
 // SetMemoryHeld sets the number of bytes that are held for the requests in progress, and
 // their limit.
 func (m *Metrics) SetMemoryHeld(bytes, limit int64) {
--- a/internal/port/attempt.go
+++ b/internal/port/attempt.go
@@ -9,6 +9,8 @@
 // PeerAttempt is an attempt that another host asks this one to send.
 type PeerAttempt struct {
 	RoutedAttempt
+	// Started identifies the start of the endpoint.
+	Started int64
 	// Sender is the host that has received the request from its caller.
 	Sender model.HostID
 	// Tier and Rank order requests for memory, as at the sender.
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -73,6 +73,9 @@
 	Ready() bool
 	// Leaving reports whether the host is draining and about to shut down.
 	Leaving() bool
+	// ClosesConnections reports whether the connections of callers are to be closed after
+	// their responses, so that the callers go to other hosts.
+	ClosesConnections() bool
 }
 
 // RoutedAttempt is one attempt of a call at one endpoint.
--- a/internal/server/gateway_fixture_test.go
+++ b/internal/server/gateway_fixture_test.go
@@ -82,15 +82,23 @@
 
 // startReplica starts a replica and registers it as ready.
 func (f *fleet) startReplica(pool string, opts replica.Options) *replica.Server {
-	return f.startReplicaIn("north", pool, opts)
+	r := f.runReplica(opts)
+	f.register(pool, r, users.StateReady)
+	return r
 }
 
-// startReplicaIn is startReplica in a failure domain.
-func (f *fleet) startReplicaIn(domain, pool string, opts replica.Options) *replica.Server {
+// runReplica starts a replica.
+func (f *fleet) runReplica(opts replica.Options) *replica.Server {
 	r, err := replica.Start(opts)
 	must.NoError(f.t, err)
 	f.t.Cleanup(r.Close)
 	f.replicas[opts.Instance] = r
+	return r
+}
+
+// startReplicaIn is startReplica in a failure domain.
+func (f *fleet) startReplicaIn(domain, pool string, opts replica.Options) *replica.Server {
+	r := f.runReplica(opts)
 	f.sequence++
 	users.PutEndpointIn(f.store, domain, pool, r.Instance(), r.Address(), users.StateReady, f.sequence)
 	return r
--- a/internal/server/gateway_paths_test.go
+++ b/internal/server/gateway_paths_test.go
@@ -119,6 +119,10 @@
 	clock.Sleep(f.t.Context(), time.Until(begin))
 	cut.begin()
 	callers.Wait()
+	cut.heal()
+	for g := range counts {
+		f.within(cutSettling, func() bool { return f.postConfirm(g).status == http.StatusOK })
+	}
 	return others, without
 }
 
--- a/internal/server/pathcut_fixture_test.go
+++ b/internal/server/pathcut_fixture_test.go
@@ -25,7 +25,6 @@
 // pathCut cuts the connections of a host to endpoints.
 type pathCut struct {
 	mode cutMode
-	mu   sync.Mutex
 	// began is closed when the cut begins, healed when it ends.
 	began, healed chan struct{}
 }
