Paths that hang or flap show no crashes

Causes: a check that timed out counted as a refusal; a host that had got its paths back reported the endpoints it had not checked yet as unreached, which others took for crashes; and a response broken in one moment with paths was followed by a refusal in the next one without. Change: only refusals count. A host reports endpoints by name only if it has found them unreachable itself, and takes no attempts of others until it has checked all. A crash that was held back is recorded only if the endpoint refuses again, if another host has had its paths throughout.

--- a/internal/core/balance/paths.go
+++ b/internal/core/balance/paths.go
@@ -36,12 +36,13 @@
 // PathReport is which endpoints this host reaches.
 type PathReport struct {
 	// Endpoints is the number of endpoints that are not draining, Unreached the number of
-	// those that this host cannot reach. Keys identify them, some of them if they are many.
-	// It is empty if Lost.
+	// those that this host cannot reach, as far as it knows. Keys identify the ones that it
+	// has found unreachable, some of them if they are many.
 	Endpoints, Unreached int
 	Keys                 []EndpointKey
-	// Lost reports that this host reaches no endpoint.
-	Lost bool
+	// Lost reports that this host reaches no endpoint, Returning that it had lost its paths
+	// and has not checked all endpoints since.
+	Lost, Returning bool
 }
 
 // paths is the state of the paths of this host.
@@ -151,7 +152,8 @@
 			continue
 		}
 		out.Unreached++
-		if !out.Lost && len(out.Keys) < maxUnreachedKeys {
+		out.Returning = out.Returning || e.unproven
+		if !e.unproven && len(out.Keys) < maxUnreachedKeys {
 			out.Keys = append(out.Keys, EndpointKey(e.hash))
 		}
 	}
--- a/internal/core/peerpaths/peerpaths.go
+++ b/internal/core/peerpaths/peerpaths.go
@@ -44,6 +44,9 @@
 // IsLost reports whether the host reaches no endpoint.
 func (r *Report) IsLost() bool { return r.Endpoints > 0 && r.Unreached >= r.Endpoints }
 
+// reachesMost reports whether the host reaches most endpoints.
+func (r *Report) reachesMost() bool { return r.Endpoints > 0 && 2*r.Unreached <= r.Endpoints }
+
 // peer is the state of another host.
 type peer struct {
 	Report
@@ -52,6 +55,9 @@
 	failed map[balance.EndpointKey]time.Time
 	// pausedUntil is until when the host gets no attempts.
 	pausedUntil time.Time
+	// reachingSince is since when it has reported that it reaches most endpoints; zero if it
+	// does not.
+	reachingSince time.Time
 	// attempts is the number of attempts of this host that it carries.
 	attempts int
 }
@@ -76,6 +82,12 @@
 		t.peers[r.Host] = p
 	}
 	p.Report = r
+	switch {
+	case !r.reachesMost():
+		p.reachingSince = time.Time{}
+	case p.reachingSince.IsZero():
+		p.reachingSince = r.At
+	}
 	p.unreached = make(map[balance.EndpointKey]bool, len(r.Keys))
 	for _, key := range r.Keys {
 		p.unreached[key] = true
@@ -188,11 +200,21 @@
 	p.failed[key] = now
 }
 
-// IsUnreachedAt reports whether a host of a failure domain that reaches endpoints has reported
-// since a time that it does not reach one.
+// IsUnreachedAt reports whether a host of a failure domain that reaches most endpoints has
+// reported since a time that it does not reach one.
 func (t *Table) IsUnreachedAt(domain model.DomainName, key balance.EndpointKey, since time.Time) bool {
 	for _, p := range t.peers {
-		if p.Domain == domain && p.At.After(since) && !p.IsLost() && p.unreached[key] {
+		if p.Domain == domain && p.At.After(since) && p.reachesMost() && p.unreached[key] {
+			return true
+		}
+	}
+	return false
+}
+
+// HavePathsSince reports whether a host has reached most endpoints from a time until now.
+func (t *Table) HavePathsSince(now, since time.Time) bool {
+	for _, p := range t.peers {
+		if now.Before(p.Until) && !p.reachingSince.IsZero() && p.reachingSince.Before(since) {
 			return true
 		}
 	}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strconv"
 	"time"
@@ -58,7 +59,7 @@
 			return
 		}
 		g.loop.Post(loop.Func(func(now time.Time) {
-			g.control.recordBroken(now, brokenResponse{crash: crash, address: d.Address, refused: err != nil, recorded: done})
+			g.control.recordBroken(now, brokenResponse{crash: crash, address: d.Address, refused: isRefusal(err), recorded: done})
 		}))
 	})
 	return done
@@ -88,6 +89,16 @@
 	recorded chan struct{}
 }
 
+// isRefusal reports whether a check has failed at once. One that has timed out shows a lost
+// path rather than a crash.
+func isRefusal(err error) bool {
+	var timeout interface{ Timeout() bool }
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return false
+	}
+	return err != nil
+}
+
 // recordBroken records a crash if the endpoint refuses connections and others answer. If
 // that is not known yet, it starts checks and keeps the broken response.
 func (c *control) recordBroken(now time.Time, b brokenResponse) {
@@ -95,13 +106,20 @@
 		close(b.recorded)
 		b.recorded = nil
 	}
-	if c.recordIfCrashed(now, b) {
+	if c.hasOwnFailure(b) {
+		c.recordFound(now, b)
 		return
 	}
 	if b.refused && !b.indirect {
 		c.balancer.RequestChecks(b.crash.Endpoint.Name)
 		c.checkEndpoints(now)
 	}
+	c.keepBroken(b)
+}
+
+// keepBroken keeps a broken response for review. The oldest one is dropped if there are too
+// many.
+func (c *control) keepBroken(b brokenResponse) {
 	if len(c.brokenResponses) >= maxBrokenResponses {
 		c.dropBroken(c.brokenResponses[0])
 		c.brokenResponses = c.brokenResponses[1:]
@@ -109,17 +127,42 @@
 	c.brokenResponses = append(c.brokenResponses, b)
 }
 
-// recordIfCrashed records the crash of a broken response if it is certain by now.
-func (c *control) recordIfCrashed(now time.Time, b brokenResponse) bool {
+// hasOwnFailure reports whether the endpoint of a broken response refuses connections while
+// others answer.
+func (c *control) hasOwnFailure(b brokenResponse) bool {
+	return b.refused && !b.indirect && c.balancer.IsOwnFailure(b.crash.Endpoint.Name, b.crash.At)
+}
+
+// isFoundElsewhere reports whether the list, or a host of its domain, shows that the endpoint
+// of a broken response has crashed.
+func (c *control) isFoundElsewhere(b brokenResponse) bool {
 	name := b.crash.Endpoint.Name
-	crashed := c.directory.HasSuccessor(b.crash.Endpoint, b.address) ||
-		b.refused && c.paths.others.IsUnreachedAt(c.balancer.DomainOf(name), balance.KeyOf(name), b.crash.At) ||
-		b.refused && !b.indirect && c.balancer.IsOwnFailure(name, b.crash.At)
-	if crashed {
-		c.recordCrash(now, b.crash)
-		c.dropBroken(b)
-	}
-	return crashed
+	return c.directory.HasSuccessor(b.crash.Endpoint, b.address) ||
+		b.refused && c.paths.others.IsUnreachedAt(c.balancer.DomainOf(name), balance.KeyOf(name), b.crash.At)
+}
+
+// recordFound records the crash of a broken response.
+func (c *control) recordFound(now time.Time, b brokenResponse) {
+	c.recordCrash(now, b.crash)
+	c.dropBroken(b)
+}
+
+// probeAgain records the crash of a broken response if the endpoint still refuses connections.
+// This host may have lost its paths for a moment.
+func (c *control) probeAgain(b brokenResponse) {
+	g := c.gateway
+	g.background(func(ctx context.Context) {
+		err := g.opts.Endpoints.Probe(ctx, b.crash.Endpoint.Name, b.address)
+		g.loop.Post(loop.Func(func(now time.Time) {
+			if isRefusal(err) {
+				c.recordFound(now, b)
+				return
+			}
+			c.dropBroken(b)
+			b.refused, b.recorded = false, nil
+			c.keepBroken(b)
+		}))
+	})
 }
 
 // dropBroken ends the wait for the crash of a broken response.
@@ -133,14 +176,20 @@
 // that have shown none in time.
 func (c *control) reviewBroken(now time.Time) {
 	c.brokenResponses = slices.DeleteFunc(c.brokenResponses, func(b brokenResponse) bool {
-		if c.recordIfCrashed(now, b) {
-			return true
-		}
-		expired := now.Sub(b.crash.At) > successorTime
-		if expired {
+		switch {
+		case c.isFoundElsewhere(b):
+			c.recordFound(now, b)
+		case c.hasOwnFailure(b) && c.paths.others.HavePathsSince(now, b.crash.At):
+			c.probeAgain(b)
+		case c.hasOwnFailure(b):
+			// All endpoints were down for all hosts.
+			c.recordFound(now, b)
+		case now.Sub(b.crash.At) > successorTime:
 			c.dropBroken(b)
+		default:
+			return false
 		}
-		return expired
+		return true
 	})
 }
 
--- a/internal/gateway/crashfleet_test.go
+++ b/internal/gateway/crashfleet_test.go
@@ -255,6 +255,8 @@
 	gateways  []*Gateway
 	// kind is the kind of the route.
 	kind routing.Kind
+	// decoder decodes the list of endpoints.
+	decoder port.ListDecoder
 	// connect returns the endpoints as a host reaches them; nil if all do alike.
 	connect func(i int, c port.EndpointClient) port.EndpointClient
 	callers sync.WaitGroup
@@ -291,6 +293,9 @@
 // startCrashFleet starts a fleet whose kind and connect are set.
 func startCrashFleet(f *crashFleet, hosts, endpoints int) *crashFleet {
 	f.endpoints = newCrashingEndpoints()
+	if f.decoder == nil {
+		f.decoder = endpointDecoder{}
+	}
 	f.store, f.saved = &endpointLog{}, newSavedSuspects()
 	f.peers = &directPeers{gateways: make(map[string]*Gateway)}
 	for i := range endpoints {
@@ -315,7 +320,7 @@
 	}
 	g := New(Options{
 		Host: model.HostID(address), Domain: "north", PeerAddress: address, Seeds: []string{"h0"}, Seed: uint64(i),
-		Lists: f.store, Decoder: endpointDecoder{}, Quarantine: f.saved, ListReadInterval: time.Second, Endpoints: endpoints, Peers: f.peers, Warm: true,
+		Lists: f.store, Decoder: f.decoder, Quarantine: f.saved, ListReadInterval: time.Second, Endpoints: endpoints, Peers: f.peers, Warm: true,
 		MinDigestInterval: 40 * time.Millisecond, Budget: attempt.SharedBudgetOptions{Window: 10 * time.Second, Ratio: 0.2, Slack: 50},
 		Log: &log.Logger{Handler: discard.New()},
 	})
--- a/internal/gateway/pathpeers.go
+++ b/internal/gateway/pathpeers.go
@@ -76,7 +76,7 @@
 	}
 	before := k.reported
 	k.reported, k.reportedAt = c.balancer.PathReport(), now
-	if k.reported.Lost != before.Lost || k.reported.Unreached != before.Unreached {
+	if k.reported.Lost != before.Lost || k.reported.Returning != before.Returning || k.reported.Unreached != before.Unreached {
 		c.peers.requestDigests()
 	}
 }
@@ -108,7 +108,7 @@
 func (c *control) reportPaths(d *port.LoadDigest) {
 	report := c.paths.reported
 	d.Paths = port.EndpointPaths{
-		TakesAttempts: !d.Leaving && !report.Lost, Endpoints: report.Endpoints, Unreached: report.Unreached, UnreachedKeys: report.Keys,
+		TakesAttempts: !d.Leaving && !report.Lost && !report.Returning, Endpoints: report.Endpoints, Unreached: report.Unreached, UnreachedKeys: report.Keys,
 	}
 }
 
