Attempts through another host: client, server and handler

The sender stays the only one that decides; the other host sends the named attempt once. An attempt that was not handed to the connection, or that the other host refuses, has not run; otherwise the outcome is unknown. Text of callers is sent as bytes, since strings of protocol buffers refuse a message with other text than UTF-8. Attempts have connections of their own, with the smallest stream window and with TCP probes, and are admitted before their messages are read.

--- a/internal/adapter/peergrpc/client.go
+++ b/internal/adapter/peergrpc/client.go
@@ -1,6 +1,6 @@
 // Package peergrpc implements the calls between entry hosts over gRPC. Client
-// implements port.PeerTransport and port.LoadShareClient; Server serves a
-// port.PeerHandler or a port.LoadHandler.
+// implements port.PeerTransport, port.LoadShareClient and port.AttemptSender; Server
+// serves a port.PeerHandler or a port.LoadHandler, which may be a port.AttemptHandler too.
 package peergrpc
 
 import (
@@ -9,6 +9,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/encoding/gzip"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/metadata"
@@ -38,6 +39,9 @@
 // Client calls other hosts. It is safe for concurrent use.
 type Client struct {
 	connections *connections
+	// attempts are the connections that carry attempts, so that large bodies do not delay
+	// digests.
+	attempts *connections
 }
 
 var _ port.PeerTransport = (*Client)(nil)
@@ -48,6 +52,20 @@
 	if err != nil {
 		return nil, err
 	}
+	opts := commonOptions(auth, transport)
+	shared := append([]grpc.DialOption{
+		grpc.WithStaticStreamWindowSize(windowBytes),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingTimeout}),
+		grpc.WithConnectParams(connectParams(handshakeTimeout)),
+	}, opts...)
+	return &Client{
+		connections: newConnections(connectionIdleTime, dialWith(shared)),
+		attempts:    newConnections(connectionIdleTime, dialWith(append(attemptOptions(), opts...))),
+	}, nil
+}
+
+// commonOptions returns the options of all connections.
+func commonOptions(auth Auth, transport credentials.TransportCredentials) []grpc.DialOption {
 	opts := []grpc.DialOption{
 		grpc.WithTransportCredentials(transport),
 		grpc.WithNoProxy(),
@@ -59,28 +77,37 @@
 			grpc.MaxCallRecvMsgSize(maxMessageBytes),
 			grpc.MaxCallSendMsgSize(maxMessageBytes),
 		),
-		grpc.WithStaticStreamWindowSize(windowBytes),
 		grpc.WithStaticConnWindowSize(windowBytes),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingTimeout}),
-		grpc.WithConnectParams(grpc.ConnectParams{
-			Backoff: backoff.Config{
-				BaseDelay: firstReconnectAfter, Multiplier: reconnectFactor,
-				Jitter: reconnectJitter, MaxDelay: maxReconnectAfter,
-			},
-			MinConnectTimeout: handshakeTimeout,
-		}),
 	}
 	if !auth.usesTLS() {
 		opts = append(opts, grpc.WithPerRPCCredentials(tokenCredentials{token: token(auth.Secret)}))
 	}
-	dial := func(address string) (*grpc.ClientConn, error) {
+	return opts
+}
+
+// connectParams returns the parameters of connection attempts with a timeout.
+func connectParams(timeout time.Duration) grpc.ConnectParams {
+	return grpc.ConnectParams{
+		Backoff: backoff.Config{
+			BaseDelay: firstReconnectAfter, Multiplier: reconnectFactor,
+			Jitter: reconnectJitter, MaxDelay: maxReconnectAfter,
+		},
+		MinConnectTimeout: timeout,
+	}
+}
+
+// dialWith returns a function that opens a connection to an address.
+func dialWith(opts []grpc.DialOption) func(address string) (*grpc.ClientConn, error) {
+	return func(address string) (*grpc.ClientConn, error) {
 		return grpc.NewClient("passthrough:///"+address, opts...)
 	}
-	return &Client{connections: newConnections(connectionIdleTime, dial)}, nil
 }
 
 // Close closes all connections and aborts calls in progress.
-func (c *Client) Close() { c.connections.close() }
+func (c *Client) Close() {
+	c.connections.close()
+	c.attempts.close()
+}
 
 // unary executes one unary call. Errors are *port.PeerError.
 func unary[Req, Res any](
--- a/internal/adapter/peergrpc/codec.go
+++ b/internal/adapter/peergrpc/codec.go
@@ -31,6 +31,9 @@
 
 // Marshal implements encoding.CodecV2. It leaves out what has text that cannot be sent.
 func (messageCodec) Marshal(v any) (mem.BufferSlice, error) {
+	if attempt, ok := v.(*attemptMessage); ok {
+		return attempt.encode()
+	}
 	message, ok := v.(proto.Message)
 	if !ok {
 		return nil, fmt.Errorf("encode %T: not a protocol buffer message", v)
--- a/internal/adapter/peergrpc/server.go
+++ b/internal/adapter/peergrpc/server.go
@@ -84,6 +84,9 @@
 	if !auth.usesTLS() {
 		opts = append(opts, tokenInterceptors(token(auth.Secret))...)
 	}
+	if handler, ok := attemptHandlerOf(service); ok {
+		opts = append(opts, grpc.ChainStreamInterceptor(attemptInterceptor(handler)))
+	}
 	s := &Server{grpc: grpc.NewServer(opts...)}
 	peer.RegisterPeerServer(s.grpc, service)
 	return s, nil
--- a/internal/adapter/peergrpc/text.go
+++ b/internal/adapter/peergrpc/text.go
@@ -22,9 +22,11 @@
 
 // withValidText returns a message without the elements of lists that have a string which is
 // not valid UTF-8, and with replacement characters in such strings elsewhere. It returns
-// false if that does not make the message valid, or would change the request of a caller.
+// false if that does not make the message valid, or would change the request of a caller
+// or the response to it.
 func withValidText(message proto.Message) (proto.Message, bool) {
-	if _, isRequest := message.(*peer.ForwardRequest); isRequest {
+	switch message.(type) {
+	case *peer.ForwardRequest, *peer.AttemptPart:
 		return nil, false
 	}
 	out := proto.Clone(message)
--- a/internal/gateway/digests.go
+++ b/internal/gateway/digests.go
@@ -257,6 +257,7 @@
 		EngineSpeeds: c.balancer.EngineSpeeds(now, c.peers.digests.isRelay, maxEngineSpeeds),
 		ReadsList:    c.gateway.reading.Load(), ListReadFailing: c.listReadFailing,
 	}
+	d.Paths.TakesAttempts = !d.Leaving
 	c.reportCrashes(now, &d)
 	c.usage.fill(&d)
 	return d
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,6 +101,8 @@
 	readConfigNow chan struct{}
 	rng           lockedRand
 	memory        *memoryAccount
+	// peerAttempts are the attempts in progress for other hosts.
+	peerAttempts peerAttempts
 	// sequence numbers the requests.
 	sequence atomic.Uint64
 	ctx      context.Context
@@ -109,8 +111,9 @@
 }
 
 var (
-	_ port.CallRouter  = (*Gateway)(nil)
-	_ port.LoadHandler = (*Gateway)(nil)
+	_ port.CallRouter     = (*Gateway)(nil)
+	_ port.LoadHandler    = (*Gateway)(nil)
+	_ port.AttemptHandler = (*Gateway)(nil)
 )
 
 // New returns a Gateway. It serves nothing until Start is called.
--- a/internal/metrics/events.go
+++ b/internal/metrics/events.go
@@ -169,3 +169,10 @@
 func (m *Metrics) Moved(class model.ClassName, result string) {
 	m.moves.with(string(class), result).Inc(1)
 }
+
+// PeerAttempt counts an attempt that was sent through another host, or by this host for
+// another one. The direction is "sent" or "served", the result a fixed text, for example
+// "refused".
+func (m *Metrics) PeerAttempt(direction, result string) {
+	m.peerAttempts.with(direction, result).Inc(1)
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -59,6 +59,7 @@
 	orders         *vec[tally.Counter]
 	aboveShare     *vec[tally.Counter]
 	moves          *vec[tally.Counter]
+	peerAttempts   *vec[tally.Counter]
 
 	firstToken    *vec[tally.Histogram]
 	betweenTokens *vec[tally.Histogram]
@@ -132,6 +133,7 @@
 	m.dutyCalls = counter("duty_calls_total", "duty", "outcome")
 	m.platformErrors = counter("platform_errors_total", "op", "outcome")
 	m.moves = counter("moves_total", "class", "result")
+	m.peerAttempts = counter("peer_attempts_total", "direction", "result")
 	m.orders = counter("capacity_orders_total", "pool", "outcome")
 	m.aboveShare = counter("above_share_total", "pool", "effect")
 }
--- a/internal/port/attempt.go
+++ b/internal/port/attempt.go
@@ -9,6 +9,8 @@
 // PeerAttempt is an attempt that another host asks this one to send.
 type PeerAttempt struct {
 	RoutedAttempt
+	// Started identifies the start of the endpoint.
+	Started int64
 	// Sender is the host that has received the request from its caller.
 	Sender model.HostID
 	// Tier and Rank order requests for memory, as at the sender.
@@ -25,8 +27,12 @@
 
 // AttemptHandler sends attempts for other hosts.
 type AttemptHandler interface {
+	// AdmitAttempt accepts an attempt and holds the memory for it before its body is read. The
+	// hold must be released after the attempt. Errors are *PeerAttemptError.
+	AdmitAttempt(bodyBytes int64) (MemoryHold, error)
 	// HandleAttempt sends an attempt to its endpoint, at most once and never through a further
-	// host. The response must be closed. Errors are *PeerAttemptError.
+	// host. The Memory of its call is the hold of AdmitAttempt. The response must be closed.
+	// Errors are *PeerAttemptError.
 	HandleAttempt(ctx context.Context, attempt PeerAttempt) (EndpointResponse, error)
 }
 
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -202,7 +202,8 @@
 // Shutdown stops the host. It reports not ready and continues to serve new
 // requests for the linger time. Then it closes the listener and the idle
 // connections, whose callers could otherwise send requests that cannot be
-// finished, and stops when no request is in progress or ctx is done.
+// finished, and stops when no request and no attempt for another host is in progress or ctx
+// is done.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	g.log.WithField("linger_ms", g.settings.Shutdown.Linger.Std().Milliseconds()).Info("host: leaving")
 	g.gateway.Leave()
@@ -214,6 +215,7 @@
 	for _, server := range g.auxServers {
 		closed = errors.Join(closed, server.Close())
 	}
+	g.gateway.AwaitPeerAttempts(ctx)
 	canceled, cancelPeers := context.WithCancel(ctx)
 	cancelPeers()
 	g.peers.Shutdown(canceled)
