Attempts through another host end at a planned stop only when they are complete

The host that leaves waits for the attempts that it sends for others, and gives their ends a moment to be sent before it closes the connections: without it the last part of a stream was lost (TestLeavingHostFinishesAttemptsForOthers: unavailable in place of the end).

--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -24,6 +24,10 @@
 // listeners.
 const auxHeaderTimeout = 2 * time.Second
 
+// peerFlushTime is how long the ends of attempts for other hosts may take to be sent before
+// the connections of these hosts are closed.
+const peerFlushTime = 100 * time.Millisecond
+
 // Gateway is an entry host on the users' platform with its listeners.
 type Gateway struct {
 	settings   *settings.Gateway
@@ -216,9 +220,9 @@
 		closed = errors.Join(closed, server.Close())
 	}
 	g.gateway.AwaitPeerAttempts(ctx)
-	canceled, cancelPeers := context.WithCancel(ctx)
-	cancelPeers()
-	g.peers.Shutdown(canceled)
+	flush, cancelFlush := context.WithTimeout(ctx, peerFlushTime)
+	g.peers.Shutdown(flush)
+	cancelFlush()
 	g.gateway.Close()
 	g.peerClient.Close()
 	g.replicas.Close()
