--- a/internal/server/gateway_attempts_test.go
+++ b/internal/server/gateway_attempts_test.go
@@ -223,3 +223,25 @@
 	must.Eq(t, replica.StreamBody(10), body)
 	must.NoError(t, <-stopped)
 }
+
+// An endpoint that never answers holds an attempt no longer than the sender's caller waits.
+func TestAttemptThroughHostEndsAtTimeLimit(t *testing.T) {
+	f := newAttemptFleet(t)
+	r := f.listed(replica.Options{Instance: "i-hangs"})
+	r.SetFaults(replica.Faults{NoResponse: true})
+	a := f.attempt("i-hangs")
+	a.TimeLeft = 200 * time.Millisecond
+	began := time.Now()
+	must.Eq(t, sent{outcome: model.OutcomeUnknown, failure: "broken"}, f.send(a))
+	must.Less(t, time.Second, time.Since(began))
+}
+
+func TestAttemptAtReplacedEndpointHasNotRun(t *testing.T) {
+	f := newAttemptFleet(t)
+	r := f.listed(replica.Options{Instance: "i-new"})
+	f.registerAt(servicePool, "i-old", r.Address(), "ready")
+	f.awaitListed("i-old")
+	got := f.send(f.attempt("i-old"))
+	must.Eq(t, sent{status: http.StatusMisdirectedRequest, notRun: true, outcome: model.OutcomeRan}, got)
+	must.Len(t, 0, r.Executions())
+}
