--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -24,6 +24,10 @@
 // listeners.
 const auxHeaderTimeout = 2 * time.Second
 
+// peerFlushTime is how long the ends of attempts for other hosts may take to be sent before
+// the connections of these hosts are closed.
+const peerFlushTime = 100 * time.Millisecond
+
 // Gateway is an entry host on the users' platform with its listeners.
 type Gateway struct {
 	settings   *settings.Gateway
@@ -202,7 +206,8 @@
 // Shutdown stops the host. It reports not ready and continues to serve new
 // requests for the linger time. Then it closes the listener and the idle
 // connections, whose callers could otherwise send requests that cannot be
-// finished, and stops when no request is in progress or ctx is done.
+// finished, and stops when no request and no attempt for another host is in progress or ctx
+// is done.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	g.log.WithField("linger_ms", g.settings.Shutdown.Linger.Std().Milliseconds()).Info("host: leaving")
 	g.gateway.Leave()
@@ -214,9 +219,10 @@
 	for _, server := range g.auxServers {
 		closed = errors.Join(closed, server.Close())
 	}
-	canceled, cancelPeers := context.WithCancel(ctx)
-	cancelPeers()
-	g.peers.Shutdown(canceled)
+	g.gateway.AwaitPeerAttempts(ctx)
+	flush, cancelFlush := context.WithTimeout(ctx, peerFlushTime)
+	g.peers.Shutdown(flush)
+	cancelFlush()
 	g.gateway.Close()
 	g.peerClient.Close()
 	g.replicas.Close()
