Hosts without paths serve their callers through real hosts

A host that has lost its paths refuses attempts of others at once, and one whose endpoint breaks off such an attempt checks the endpoint, so that crashes under attempts through another host are found.

--- a/internal/core/balance/answers.go
+++ b/internal/core/balance/answers.go
@@ -80,6 +80,15 @@
 	return out
 }
 
+// StartCheck starts a check of an endpoint. It returns none if one is in progress or the
+// endpoint is not listed.
+func (b *Balancer) StartCheck(now time.Time, name model.EndpointName) []Check {
+	if e := b.endpoints[name]; e != nil {
+		return e.appendCheck(now, nil)
+	}
+	return nil
+}
+
 // RequestChecks starts a round of checks of the failure domain of an endpoint at the next
 // StartChecks, and of all domains if it has no other endpoint.
 func (b *Balancer) RequestChecks(name model.EndpointName) {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -159,8 +159,22 @@
 // checkEndpoints opens the connections that test whether endpoints are
 // reachable, and logs which failure domains became unreachable or reachable.
 func (c *control) checkEndpoints(now time.Time) {
+	c.openChecks(c.balancer.StartChecks(now))
+	for _, change := range c.balancer.TakeDomainChanges() {
+		logDomain(c.gateway.opts.Log, change)
+	}
+}
+
+// checkEndpoint tests whether an endpoint is reachable that has broken off an attempt of
+// another host, which relies on this one to find a crash.
+func (g *Gateway) checkEndpoint(name model.EndpointName) {
+	g.loop.Post(loop.Func(func(now time.Time) { g.control.openChecks(g.control.balancer.StartCheck(now, name)) }))
+}
+
+// openChecks opens the connections of checks and records their results.
+func (c *control) openChecks(checks []balance.Check) {
 	g := c.gateway
-	for _, check := range c.balancer.StartChecks(now) {
+	for _, check := range checks {
 		g.background(func(ctx context.Context) {
 			err := g.opts.Endpoints.Probe(ctx, check.Endpoint, check.Address)
 			logCheck(g.opts.Log, check, err)
@@ -170,9 +184,6 @@
 			}))
 		})
 	}
-	for _, change := range c.balancer.TakeDomainChanges() {
-		logDomain(g.opts.Log, change)
-	}
 }
 
 // markLeaving records that an endpoint has reported that it is leaving, and
--- a/internal/gateway/peerattempts.go
+++ b/internal/gateway/peerattempts.go
@@ -114,6 +114,9 @@
 	if g.leaving.Load() {
 		return nil, g.refuseAttempt(errLeaving)
 	}
+	if g.pathsLost.Load() {
+		return nil, g.refuseAttempt(errNoPaths)
+	}
 	_, limit := g.memory.held()
 	if !g.peerAttempts.add(bodyBytes, int64(peerAttemptShare*float64(limit))) {
 		return nil, g.refuseAttempt(errTooManyAttempts)
@@ -129,6 +132,7 @@
 
 var (
 	errLeaving         = errors.New("this host is leaving")
+	errNoPaths         = errors.New("this host has no paths to endpoints itself")
 	errTooManyAttempts = errors.New("too many attempts for other hosts are in progress")
 	errTimeLeft        = errors.New("the time left is too short")
 	errNotListed       = errors.New("the endpoint is not listed here")
@@ -222,6 +226,7 @@
 	}
 	out.Unreachable = out.Outcome == model.OutcomeNotRun && r.ctx.Err() == nil
 	result := attemptBroken
+	r.gateway.checkEndpoint(r.attempt.Endpoint)
 	if out.Unreachable {
 		result = attemptUnreachable
 	} else if errors.Is(context.Cause(r.ctx), errDeadline) {
@@ -272,6 +277,7 @@
 		result, err = attemptCanceled, context.Cause(r.ctx)
 	case err != nil:
 		result = attemptBroken
+		r.gateway.checkEndpoint(r.attempt.Endpoint)
 	}
 	r.EndpointResponse.Close()
 	r.cancel()
