--- a/internal/gateway/pathcut_test.go
+++ b/internal/gateway/pathcut_test.go
@@ -359,3 +359,31 @@
 		})
 	}
 }
+
+// A host without paths takes callers while other hosts send its attempts, and sends them away if none does.
+func TestHostWithoutPathsTakesCallersWhileItCanServeThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, paths := newCutFleet(3, 12, 3)
+		defer f.close()
+		f.play(time.Second, time.Hour, sharedParts)
+		paths[0].setCut(true)
+		f.play(cutSettling, time.Hour, sharedParts)
+		must.True(t, f.gateways[0].Ready())
+		must.False(t, f.gateways[0].ClosesConnections())
+		paths[1].setCut(true)
+		paths[2].setCut(true)
+		f.play(cutSettling, time.Hour, sharedParts)
+		for _, g := range f.gateways {
+			must.False(t, g.Ready())
+			must.True(t, g.ClosesConnections())
+		}
+		for _, p := range paths {
+			p.setCut(false)
+		}
+		time.Sleep(cutSettling)
+		for _, g := range f.gateways {
+			must.True(t, g.Ready())
+			must.False(t, g.ClosesConnections())
+		}
+	})
+}
--- a/internal/server/gateway_fixture_test.go
+++ b/internal/server/gateway_fixture_test.go
@@ -97,11 +97,10 @@
 }
 
 // startReplicaIn is startReplica in a failure domain.
-func (f *fleet) startReplicaIn(domain, pool string, opts replica.Options) *replica.Server {
+func (f *fleet) startReplicaIn(domain, pool string, opts replica.Options) {
 	r := f.runReplica(opts)
 	f.sequence++
 	users.PutEndpointIn(f.store, domain, pool, r.Instance(), r.Address(), users.StateReady, f.sequence)
-	return r
 }
 
 // register writes the list entry of a replica.
