A domain of which no endpoint is reached is reached through other hosts

Callers of a pool whose endpoints are all in a domain that this host has lost, with paths to others, were refused: each endpoint had failed on its own, so that none was left for a round of checks, and the domain never became unreachable.

--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -175,7 +175,13 @@
 func (b *Balancer) preferences(now time.Time, req *Request) []preference {
 	avoided := func(e *endpoint) bool { return slices.Contains(req.Avoid, e.Name) }
 	direct := func(e *endpoint) bool { return b.reaches(e) && e.isUsable(now) }
-	indirect := func(e *endpoint) bool { return b.mayGoThroughAnotherHost(now, e) }
+	var reached map[model.DomainName]bool
+	indirect := func(e *endpoint) bool {
+		if reached == nil {
+			reached = b.reachedDomains()
+		}
+		return b.mayGoThroughAnotherHost(now, e, reached)
+	}
 	return []preference{
 		{others: true, allowed: func(e *endpoint) bool { return direct(e) && !avoided(e) }},
 		{others: true, indirect: true, allowed: func(e *endpoint) bool { return indirect(e) && !avoided(e) }},
--- a/internal/core/balance/paths.go
+++ b/internal/core/balance/paths.go
@@ -180,13 +180,25 @@
 
 // mayGoThroughAnotherHost reports whether a request for the endpoint can be sent through
 // another host: this one has lost the paths to it and to others, another host reaches it, and
-// only that is in the way. An endpoint that cannot be reached alone is likely down.
-func (b *Balancer) mayGoThroughAnotherHost(now time.Time, e *endpoint) bool {
-	isCut := b.domain(e.Domain).unreachable || b.paths.lost || e.unproven
+// only that is in the way. An endpoint that cannot be reached alone is likely down. reached
+// is the result of reachedDomains.
+func (b *Balancer) mayGoThroughAnotherHost(now time.Time, e *endpoint, reached map[model.DomainName]bool) bool {
+	isCut := !reached[e.Domain] || e.unproven
 	return b.opts.Others != nil && isCut && !e.Draining && !now.Before(e.pausedUntil) &&
 		e.backoffAllowsRequest(now) && e.limit.allowsRequest(now) && b.opts.Others.Reaches(now, EndpointKey(e.hash))
 }
 
+// reachedDomains returns the failure domains in which this host reaches any endpoint.
+func (b *Balancer) reachedDomains() map[model.DomainName]bool {
+	out := make(map[model.DomainName]bool)
+	for _, e := range b.endpoints {
+		if !e.Draining && !out[e.Domain] && b.reaches(e) {
+			out[e.Domain] = true
+		}
+	}
+	return out
+}
+
 // DoubtSoftware records that other hosts do not reach endpoints, so that these may start
 // again with another version.
 func (b *Balancer) DoubtSoftware(now time.Time, endpoints []EndpointKey) {
--- a/internal/core/balance/paths_test.go
+++ b/internal/core/balance/paths_test.go
@@ -151,3 +151,49 @@
 		must.True(t, d.Indirect, must.Sprint(i))
 	}
 }
+
+// The return of many endpoints must not open connections to all of them at once.
+func TestReturningEndpointsAreCheckedAFewAtATime(t *testing.T) {
+	b := newTwoDomains(60)
+	b.failUntilLost(at(time.Second), 0, false)
+	now := at(3 * time.Second)
+	for _, c := range b.StartChecks(now) {
+		b.RecordCheck(now, c.Endpoint, true)
+	}
+	unchecked := b.PathReport().Unreached
+	for unchecked > 0 {
+		now = now.Add(20 * time.Millisecond)
+		checks := b.StartChecks(now)
+		must.Positive(t, len(checks))
+		must.LessEq(t, 16, len(checks))
+		for _, c := range checks {
+			b.RecordCheck(now, c.Endpoint, true)
+		}
+		must.Less(t, unchecked, b.PathReport().Unreached)
+		unchecked = b.PathReport().Unreached
+	}
+	must.False(t, b.PathReport().Returning)
+}
+
+// A pool whose only domain this host has lost is reached through other hosts.
+func TestLostDomainIsReachedThroughOthers(t *testing.T) {
+	b := newTwoDomains(4)
+	for i := range 4 {
+		b.Apply(directory.Change{Entry: directory.Entry{Name: model.EndpointName("north-" + string(rune('a'+i))), Pool: "services"}, Removed: true})
+	}
+	b.Apply(directory.Change{Entry: directory.Entry{Name: "other", Pool: "others", Address: "other", Domain: "north", Slots: 4}})
+	b.hear(at(0))
+	for now := at(time.Second); now.Before(at(3 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		b.hear(now)
+		for _, c := range b.StartChecks(now) {
+			b.RecordCheck(now, c.Endpoint, c.Endpoint == "other")
+		}
+		if id, d := b.submit(now, lookup()); !d.IsRefused() && !d.Indirect {
+			b.Finish(now, id, balance.Result{Failure: balance.FailureUnreachable})
+		}
+	}
+	must.False(t, b.HasLostPaths())
+	_, d := b.submit(at(3*time.Second), lookup())
+	must.False(t, d.IsRefused())
+	must.True(t, d.Indirect)
+}
