--- a/cmd/wigeonsail/explain.go
+++ b/cmd/wigeonsail/explain.go
@@ -165,7 +165,11 @@
 	if p.Reason != "" {
 		fmt.Printf("REFUSED, %s, Retry-After %.1f s\n", p.Reason, p.RetryAfter)
 	} else {
-		fmt.Printf("goes to %s at %s, first response expected in %.3f s, engine priority %d\n", p.Endpoint, p.Address, p.Expected, p.Priority)
+		through := ""
+		if p.Indirect {
+			through = " through another host"
+		}
+		fmt.Printf("goes to %s at %s%s, first response expected in %.3f s, engine priority %d\n", p.Endpoint, p.Address, through, p.Expected, p.Priority)
 	}
 	if p.FetchFrom != "" {
 		fmt.Printf("the shared parts are fetched from %s if they are cached there\n", p.FetchFrom)
--- a/internal/core/balance/explain.go
+++ b/internal/core/balance/explain.go
@@ -20,6 +20,9 @@
 	// ExclusionDomain that its failure domain is unreachable.
 	ExclusionUnreachable Exclusion = "unreachable"
 	ExclusionDomain      Exclusion = "domain_unreachable"
+	// ExclusionPaths means that this host had lost its paths to all endpoints and has not
+	// checked the endpoint since.
+	ExclusionPaths Exclusion = "paths_lost"
 	// ExclusionPaused means that the endpoint gets no requests after failures.
 	ExclusionPaused Exclusion = "paused"
 	// ExclusionBackoff means that the endpoint has asked for no requests, ExclusionTrial
@@ -123,6 +126,8 @@
 		return ExclusionDraining
 	case e.unreachable:
 		return ExclusionUnreachable
+	case e.unproven:
+		return ExclusionPaths
 	case now.Before(e.pausedUntil):
 		return ExclusionPaused
 	case e.isBackingOff(now):
--- a/internal/gateway/explainview.go
+++ b/internal/gateway/explainview.go
@@ -71,6 +71,8 @@
 	// Endpoint gets the request; empty for a refusal.
 	Endpoint model.EndpointName `json:"endpoint,omitempty"`
 	Address  string             `json:"address,omitempty"`
+	// Indirect reports that another host would send the request there.
+	Indirect bool `json:"indirect,omitempty"`
 	// Priority is the engine priority, FetchFrom the endpoint to fetch the shared parts
 	// from, Expected the estimated time to the first response.
 	Priority  int     `json:"priority"`
