--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -63,23 +63,36 @@
 	// a row. Until pausedUntil, the endpoint gets no requests.
 	consecutiveFailures int
 	pausedUntil         time.Time
-	backoff             backoff
-	limit               requestLimit
-	speed               engineSpeed
+	// pausedForBreaks reports that the last pause was for broken responses.
+	pausedForBreaks bool
+	backoff         backoff
+	limit           requestLimit
+	speed           engineSpeed
+	// failing reports whether the last connection has failed, as it did at failedAt.
+	// answeredFrom is when the latest request or check that was answered began.
+	failing      bool
+	failedAt     time.Time
+	answeredFrom time.Time
 	// unreachable reports whether the last connection could not be opened.
 	// nextCheck is when that is checked again.
 	unreachable bool
 	nextCheck   time.Time
+	// unproven reports that this host has lost its paths and not checked the endpoint
+	// since.
+	unproven bool
 	// watched is the set to which the endpoint is added when it may need checks.
 	watched watchedEndpoints
-	// checkOpen reports whether a connectivity check is in progress,
-	// inDomainRound whether it belongs to a round of checks of the failure
+	// checkOpen reports whether a connectivity check is in progress, which began at
+	// checkStarted, inDomainRound whether it belongs to a round of checks of the failure
 	// domain.
 	checkOpen     bool
+	checkStarted  time.Time
 	inDomainRound bool
 	// softwareCertainFrom is the time as of which the list has to be known so that it is
 	// certain that the endpoint runs the version that is listed; zero if it always is.
 	softwareCertainFrom time.Time
+	// unreachedUntil is until when that is not certain since no connection could be opened.
+	unreachedUntil time.Time
 	// reserved reports whether the endpoint is reserved for urgent requests.
 	reserved bool
 }
@@ -138,9 +151,11 @@
 		e.consecutiveFailures = 0
 	case FailureBroken:
 		failed = 1
+		e.recordFailing(now)
 		e.consecutiveFailures++
 		if e.consecutiveFailures >= failuresToPause {
 			e.pause(now, e.consecutiveFailures-failuresToPause)
+			e.pausedForBreaks = true
 		}
 	case FailureUnreachable:
 		failed = 1
@@ -148,7 +163,7 @@
 	case FailureReplaced:
 		failed = 1
 		e.doubtSoftware(now)
-		e.pausedUntil = now.Add(replacedPause)
+		e.pausedUntil, e.pausedForBreaks = now.Add(replacedPause), false
 	}
 	e.failureRate += newestWeight * (failed - e.failureRate)
 }
--- a/internal/core/balance/reachability.go
+++ b/internal/core/balance/reachability.go
@@ -17,8 +17,8 @@
 //     of checks of some of its endpoints is started then.
 //  3. A domain becomes unreachable when no check of a round has succeeded and
 //     failuresToUnreachable have failed, or fewer if it has fewer endpoints left,
-//     and nothing was received from it for minSuspectSilence. Its endpoints are the last resort
-//     until a check has succeeded.
+//     and none of its endpoints has answered for minSuspectSilence. Its endpoints are the
+//     last resort until a check has succeeded.
 
 const (
 	// minSilence is the shortest silence of a domain after which it is checked,
@@ -47,9 +47,15 @@
 	roundInterval            = time.Second
 	maxRoundDoublings        = 4
 	unreachableRoundInterval = 300 * time.Millisecond
+	// requestedRoundInterval is the shortest time between two rounds if the second one is
+	// requested.
+	requestedRoundInterval = 100 * time.Millisecond
 	// checksPerRound is the number of endpoints of a domain that are checked at
 	// once: one or two may have failed on their own.
 	checksPerRound = 3
+	// checksPerRequestedRound is that number if the round is to show whether this host has
+	// paths to the domain.
+	checksPerRequestedRound = 8
 	// failuresToUnreachable is the least number of failed checks that make a
 	// domain unreachable, so that one lost packet does not.
 	failuresToUnreachable = 2
@@ -76,6 +82,8 @@
 	name model.DomainName
 	// lastContact is the time of the last response or digest from the domain.
 	lastContact time.Time
+	// lastAnswer is the time of the last answer of an endpoint there.
+	lastAnswer time.Time
 	// contactInterval is the usual time between two messages from the domain.
 	contactInterval time.Duration
 	// roundStarted is when the last round of checks started. openChecks is the
@@ -89,6 +97,8 @@
 	// hangingRounds counts the rounds in which all checks succeeded while
 	// requests were overdue.
 	hangingRounds int
+	// checksRequested requests a round of checks as soon as the last one is over.
+	checksRequested bool
 	// lastConnectFailure is when a connection last failed.
 	lastConnectFailure time.Time
 	unreachable        bool
@@ -125,6 +135,7 @@
 // StartChecks starts the connectivity checks that are due and returns the
 // connections to open. Each result is passed to RecordCheck.
 func (b *Balancer) StartChecks(now time.Time) []Check {
+	b.reviewPaths(now)
 	overdue := make(map[*domain]bool)
 	out := b.dueChecks(now, overdue, nil)
 	for _, d := range b.domains {
@@ -144,9 +155,15 @@
 	if d.openChecks > 0 {
 		return false
 	}
+	if d.checksRequested && now.Sub(d.roundStarted) >= requestedRoundInterval {
+		return true
+	}
 	if d.unreachable {
 		return now.Sub(d.roundStarted) >= unreachableRoundInterval
 	}
+	if b.ArePathsSuspect(now) && now.Sub(d.roundStarted) >= unreachableRoundInterval {
+		return true
+	}
 	if !overdue {
 		d.hangingRounds = 0
 	}
@@ -154,9 +171,10 @@
 		return false
 	}
 	silence := now.Sub(d.lastContact)
-	overdue = overdue || now.Sub(d.lastConnectFailure) < roundInterval
 	switch {
 	case overdue:
+		return now.Sub(d.lastAnswer) >= minSuspectSilence
+	case now.Sub(d.lastConnectFailure) < roundInterval:
 		return silence >= minSuspectSilence
 	case silence >= maxCheckedSilence:
 		return false
@@ -168,13 +186,17 @@
 // startRound starts a round of checks of a domain and appends them to out. Of
 // an unreachable domain, one endpoint at a time is checked.
 func (b *Balancer) startRound(now time.Time, d *domain, out []Check) []Check {
-	d.roundStarted = now
-	d.failedChecks = 0
-	d.roundReached = false
 	wanted := checksPerRound
-	if d.unreachable {
+	switch {
+	case d.checksRequested || b.ArePathsSuspect(now):
+		wanted = checksPerRequestedRound
+	case d.unreachable:
 		wanted = 1
 	}
+	d.roundStarted = now
+	d.checksRequested = false
+	d.failedChecks = 0
+	d.roundReached = false
 	for _, e := range b.shuffledEndpoints(d) {
 		if d.openChecks >= wanted {
 			break
@@ -182,7 +204,7 @@
 		if !e.Draining && !e.checkOpen && !e.isBackingOff(now) && (d.unreachable || !e.unreachable) {
 			e.inDomainRound = true
 			d.openChecks++
-			out = e.appendCheck(out)
+			out = e.appendCheck(now, out)
 		}
 	}
 	return out
@@ -203,11 +225,12 @@
 }
 
 // appendCheck appends a check of the endpoint to out unless one is in progress.
-func (e *endpoint) appendCheck(out []Check) []Check {
+func (e *endpoint) appendCheck(now time.Time, out []Check) []Check {
 	if e.checkOpen {
 		return out
 	}
 	e.checkOpen = true
+	e.checkStarted = now
 	return append(out, Check{Endpoint: e.Name, Address: e.Address})
 }
 
@@ -228,7 +251,8 @@
 		d.openChecks--
 	}
 	if reached {
-		e.unreachable = false
+		b.recordAnswer(now, e, e.checkStarted)
+		e.unreachable, e.unproven = false, false
 		e.consecutiveFailures = 0
 		d.roundReached = d.roundReached || inRound
 		if inRound && d.openChecks == 0 && d.failedChecks == 0 {
@@ -237,14 +261,27 @@
 		b.recordReachable(now, d)
 		return
 	}
-	e.recordConnectFailure(now)
+	b.recordConnectFailure(now, e)
 	if !inRound {
 		return
 	}
 	d.failedChecks++
-	if d.openChecks == 0 && b.isRoundFailed(d) && now.Sub(d.lastContact) >= minSuspectSilence {
+	quiet := now.Sub(d.lastAnswer) >= minSuspectSilence || b.ArePathsSuspect(now)
+	if d.openChecks == 0 && b.isRoundFailed(d) && quiet {
 		b.setDomainUnreachable(d, true)
+		b.reviewPaths(now)
+	}
+}
+
+// recordConnectFailure records that no connection to the endpoint could be opened. While
+// this host has no paths, that shows nothing of the endpoint.
+func (b *Balancer) recordConnectFailure(now time.Time, e *endpoint) {
+	e.recordConnectFailure(now)
+	if b.paths.lost {
+		e.unreachedUntil = time.Time{}
+		return
 	}
+	b.recordPathFailure(now, e)
 }
 
 // isRoundFailed reports whether the checks of the last round suggest that the domain
@@ -274,7 +311,7 @@
 	}
 	b.setDomainUnreachable(d, false)
 	for _, e := range b.endpoints {
-		if e.Domain == d.name && e.unreachable {
+		if e.Domain == d.name && (e.unreachable || e.unproven) {
 			e.nextCheck = now
 		}
 	}
@@ -307,8 +344,9 @@
 // check.
 func (e *endpoint) recordConnectFailure(now time.Time) {
 	e.unreachable = true
+	e.recordFailing(now)
 	e.watched.watch(e)
 	e.nextCheck = now.Add(pauseLength(e.consecutiveFailures))
 	e.consecutiveFailures++
-	e.doubtSoftware(now)
+	e.unreachedUntil = now.Add(restartListTime)
 }
--- a/internal/core/balance/software.go
+++ b/internal/core/balance/software.go
@@ -24,7 +24,7 @@
 
 // certainSoftware returns the version that an endpoint runs; empty if it is not certain.
 func (b *Balancer) certainSoftware(e *endpoint) model.SoftwareVersion {
-	if b.listAsOf.Before(e.softwareCertainFrom) {
+	if b.listAsOf.Before(e.softwareCertainFrom) || b.listAsOf.Before(e.unreachedUntil) {
 		return ""
 	}
 	return e.Software
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -33,6 +33,8 @@
 	savedHistories map[model.PoolName]resume.History
 	// writes are the writes to the platform's store.
 	writes storeWrites
+	// paths are the paths of this host and of others to endpoints.
+	paths *pathKeeper
 	// brokenResponses are those that may show a crash once a successor is listed.
 	brokenResponses []brokenResponse
 	// trials holds the suspects that are on trial by this host.
@@ -86,9 +88,11 @@
 }
 
 func newControl(g *Gateway) *control {
+	paths := newPathKeeper(&g.opts)
 	c := &control{
 		gateway:        g,
-		balancer:       balance.New(balance.Options{Domain: g.opts.Domain, Budget: g.opts.Budget, WarmCaches: g.opts.Warm, FairShares: g.opts.FairShares, Seed: g.opts.Seed}),
+		paths:          paths,
+		balancer:       balance.New(balance.Options{Domain: g.opts.Domain, Budget: g.opts.Budget, WarmCaches: g.opts.Warm, FairShares: g.opts.FairShares, Seed: g.opts.Seed, Others: paths.others}),
 		directory:      directory.New(),
 		quarantine:     quarantine.New(),
 		suspectSources: make(map[quarantine.Suspect]string),
@@ -112,8 +116,9 @@
 	c.noticeStandstill(now)
 	c.tickedAt = later(c.tickedAt, now)
 	c.checkEndpoints(now)
+	c.reviewBroken(now)
 	c.applyEndpointChanges(now, c.directory.Expire(now), sourceTimer)
-	c.gateway.usable.Store(c.balancer.HasUsableEndpoint(now))
+	c.reviewPaths(now)
 	c.fetchMissingChanges(now)
 	c.barrier.tick(now)
 	c.reviewPeers(now)
@@ -149,12 +154,12 @@
 	c.reviewedAt = now
 	c.balancer.ExpirePeers(now)
 	c.peers.forgetSilent(now)
+	c.paths.others.Expire(now)
 	c.updateReading(now)
 	c.balancer.RecordListRead(now.Add(-c.directory.Age(now)))
 	c.updateLiveHosts(now)
 	c.refreshStaleList(now)
 	c.streams.Expire(now)
-	c.recordSucceeded(now)
 	c.expireQuarantine(now)
 	c.fetchNewerConfig(now)
 	c.logReservations()
@@ -163,17 +168,31 @@
 // checkEndpoints opens the connections that test whether endpoints are
 // reachable, and logs which failure domains became unreachable or reachable.
 func (c *control) checkEndpoints(now time.Time) {
+	c.openChecks(c.balancer.StartChecks(now))
+	for _, change := range c.balancer.TakeDomainChanges() {
+		logDomain(c.gateway.opts.Log, change)
+	}
+}
+
+// checkEndpoint tests whether an endpoint is reachable that has broken off an attempt of
+// another host, which relies on this one to find a crash.
+func (g *Gateway) checkEndpoint(name model.EndpointName) {
+	g.loop.Post(loop.Func(func(now time.Time) { g.control.openChecks(g.control.balancer.StartCheck(now, name)) }))
+}
+
+// openChecks opens the connections of checks and records their results.
+func (c *control) openChecks(checks []balance.Check) {
 	g := c.gateway
-	for _, check := range c.balancer.StartChecks(now) {
+	for _, check := range checks {
 		g.background(func(ctx context.Context) {
 			err := g.opts.Endpoints.Probe(ctx, check.Endpoint, check.Address)
 			logCheck(g.opts.Log, check, err)
-			g.loop.Post(loop.Func(func(now time.Time) { c.balancer.RecordCheck(now, check.Endpoint, err == nil) }))
+			g.loop.Post(loop.Func(func(now time.Time) {
+				c.balancer.RecordCheck(now, check.Endpoint, err == nil)
+				c.reviewBroken(now)
+			}))
 		})
 	}
-	for _, change := range c.balancer.TakeDomainChanges() {
-		logDomain(g.opts.Log, change)
-	}
 }
 
 // markLeaving records that an endpoint has reported that it is leaving, and
@@ -212,7 +231,10 @@
 // finish reports the end of an attempt to the balancer. It blocks only while the
 // loop's queue is full.
 func (g *Gateway) finish(id model.RequestID, res balance.Result) {
-	g.loop.Post(loop.Func(func(now time.Time) { g.control.balancer.Finish(now, id, res) }))
+	g.loop.Post(loop.Func(func(now time.Time) {
+		g.control.balancer.Finish(now, id, res)
+		g.control.endThrough(id)
+	}))
 }
 
 // recordFirstResponse reports to the balancer that the first events of a stream,
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strconv"
 	"time"
@@ -28,9 +29,10 @@
 )
 
 // reportIfCrashed records a request that was in progress at an endpoint which has crashed.
-// A broken response alone is no crash: the endpoint must refuse connections as well, or have
-// a successor. One that is silent may be cut off. The channel is closed once the result is recorded; it is
-// nil if there is nothing to record.
+// A broken response alone is no crash: the endpoint must refuse connections as well while
+// others answer, or have a successor. One that is silent may be cut off. The channel is
+// closed once the result is recorded; it is nil if there is nothing to record. The endpoint
+// of an attempt through another host has crashed if a host of its domain finds so.
 func (x *exchange) reportIfCrashed(d placement, result attemptResult) <-chan struct{} {
 	if result.failure != balance.FailureBroken || result.silent {
 		return nil
@@ -44,16 +46,21 @@
 		crash.Parts = x.req.Prompt.SharedPartIDs()
 	}
 	done := make(chan struct{})
+	if d.Indirect {
+		g.loop.Post(loop.Func(func(now time.Time) {
+			g.control.recordBroken(now, brokenResponse{crash: crash, address: d.Address, refused: true, indirect: true, recorded: done})
+		}))
+		return done
+	}
 	g.background(func(ctx context.Context) {
-		defer close(done)
 		err := g.opts.Endpoints.Probe(ctx, d.Endpoint, d.Address)
-		switch {
-		case ctx.Err() != nil:
-		case err != nil:
-			g.loop.Post(loop.Func(func(now time.Time) { g.control.recordCrash(now, crash) }))
-		default:
-			g.loop.Post(loop.Func(func(time.Time) { g.control.awaitSuccessor(crash, d.Address) }))
+		if ctx.Err() != nil {
+			close(done)
+			return
 		}
+		g.loop.Post(loop.Func(func(now time.Time) {
+			g.control.recordBroken(now, brokenResponse{crash: crash, address: d.Address, refused: isRefusal(err), recorded: done})
+		}))
 	})
 	return done
 }
@@ -67,30 +74,122 @@
 	maxBrokenResponses = 128
 )
 
-// brokenResponse is a response that an endpoint broke off, though something accepts
-// connections at its address: the endpoint itself or one that has started there since.
+// brokenResponse is a response that an endpoint broke off and that may show a crash.
 type brokenResponse struct {
 	crash   quarantine.Crash
 	address string
+	// refused reports that nothing accepts connections at the address as far as this host
+	// sees, which may have lost its paths. Otherwise the endpoint itself does, or one that
+	// has started there since.
+	refused bool
+	// indirect reports that another host carried the attempt.
+	indirect bool
+	// recorded is closed once the crash is recorded or the wait for it ends; nil if nobody
+	// waits.
+	recorded chan struct{}
+}
+
+// isRefusal reports whether a check has failed at once. One that has timed out shows a lost
+// path rather than a crash.
+func isRefusal(err error) bool {
+	var timeout interface{ Timeout() bool }
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return false
+	}
+	return err != nil
+}
+
+// recordBroken records a crash if the endpoint refuses connections and others answer. If
+// that is not known yet, it starts checks and keeps the broken response.
+func (c *control) recordBroken(now time.Time, b brokenResponse) {
+	if !b.refused {
+		close(b.recorded)
+		b.recorded = nil
+	}
+	if c.hasOwnFailure(b) {
+		c.recordFound(now, b)
+		return
+	}
+	if b.refused && !b.indirect {
+		c.balancer.RequestChecks(b.crash.Endpoint.Name)
+		c.checkEndpoints(now)
+	}
+	c.keepBroken(b)
 }
 
-// awaitSuccessor keeps a broken response until a successor of the endpoint is listed. The
-// oldest ones are dropped if there are too many.
-func (c *control) awaitSuccessor(crash quarantine.Crash, address string) {
+// keepBroken keeps a broken response for review. The oldest one is dropped if there are too
+// many.
+func (c *control) keepBroken(b brokenResponse) {
 	if len(c.brokenResponses) >= maxBrokenResponses {
+		c.dropBroken(c.brokenResponses[0])
 		c.brokenResponses = c.brokenResponses[1:]
 	}
-	c.brokenResponses = append(c.brokenResponses, brokenResponse{crash: crash, address: address})
+	c.brokenResponses = append(c.brokenResponses, b)
+}
+
+// hasOwnFailure reports whether the endpoint of a broken response refuses connections while
+// others answer.
+func (c *control) hasOwnFailure(b brokenResponse) bool {
+	return b.refused && !b.indirect && c.balancer.IsOwnFailure(b.crash.Endpoint.Name, b.crash.At)
 }
 
-// recordSucceeded records the crashes of endpoints whose successors are listed.
-func (c *control) recordSucceeded(now time.Time) {
+// isFoundElsewhere reports whether the list, or a host of its domain, shows that the endpoint
+// of a broken response has crashed.
+func (c *control) isFoundElsewhere(b brokenResponse) bool {
+	name := b.crash.Endpoint.Name
+	return c.directory.HasSuccessor(b.crash.Endpoint, b.address) ||
+		b.refused && c.paths.others.IsUnreachedAt(c.balancer.DomainOf(name), balance.KeyOf(name), b.crash.At)
+}
+
+// recordFound records the crash of a broken response.
+func (c *control) recordFound(now time.Time, b brokenResponse) {
+	c.recordCrash(now, b.crash)
+	c.dropBroken(b)
+}
+
+// probeAgain records the crash of a broken response if the endpoint still refuses connections.
+// This host may have lost its paths for a moment.
+func (c *control) probeAgain(b brokenResponse) {
+	g := c.gateway
+	g.background(func(ctx context.Context) {
+		err := g.opts.Endpoints.Probe(ctx, b.crash.Endpoint.Name, b.address)
+		g.loop.Post(loop.Func(func(now time.Time) {
+			if isRefusal(err) {
+				c.recordFound(now, b)
+				return
+			}
+			c.dropBroken(b)
+			b.refused, b.recorded = false, nil
+			c.keepBroken(b)
+		}))
+	})
+}
+
+// dropBroken ends the wait for the crash of a broken response.
+func (c *control) dropBroken(b brokenResponse) {
+	if b.recorded != nil {
+		close(b.recorded)
+	}
+}
+
+// reviewBroken records the crashes that are certain by now, and drops the broken responses
+// that have shown none in time.
+func (c *control) reviewBroken(now time.Time) {
 	c.brokenResponses = slices.DeleteFunc(c.brokenResponses, func(b brokenResponse) bool {
-		crashed := c.directory.HasSuccessor(b.crash.Endpoint, b.address)
-		if crashed {
-			c.recordCrash(now, b.crash)
+		switch {
+		case c.isFoundElsewhere(b):
+			c.recordFound(now, b)
+		case c.hasOwnFailure(b) && c.paths.others.HavePathsSince(now, b.crash.At):
+			c.probeAgain(b)
+		case c.hasOwnFailure(b):
+			// All endpoints were down for all hosts.
+			c.recordFound(now, b)
+		case now.Sub(b.crash.At) > successorTime:
+			c.dropBroken(b)
+		default:
+			return false
 		}
-		return crashed || now.Sub(b.crash.At) > successorTime
+		return true
 	})
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,6 +92,13 @@
 	leaving atomic.Bool
 	// departure is the end of this host once it leaves.
 	departure departure
+	// pathsLost reports that this host has no paths to endpoints.
+	pathsLost atomic.Bool
+	// closesConnections reports that this host has no paths to endpoints, nor other hosts
+	// that send attempts for it.
+	closesConnections atomic.Bool
+	// attempts are the attempts in progress that may be given up.
+	attempts openAttempts
 	// moves are the streams that can be moved.
 	moves runMoves
 	// watchingCrashes reports whether endpoints that begin to answer must be recorded, as
@@ -108,6 +115,8 @@
 	readConfigNow chan struct{}
 	rng           lockedRand
 	memory        *memoryAccount
+	// peerAttempts are the attempts in progress for other hosts.
+	peerAttempts peerAttempts
 	// sequence numbers the requests.
 	sequence atomic.Uint64
 	ctx      context.Context
@@ -116,8 +125,9 @@
 }
 
 var (
-	_ port.CallRouter  = (*Gateway)(nil)
-	_ port.LoadHandler = (*Gateway)(nil)
+	_ port.CallRouter     = (*Gateway)(nil)
+	_ port.LoadHandler    = (*Gateway)(nil)
+	_ port.AttemptHandler = (*Gateway)(nil)
 )
 
 // New returns a Gateway. It serves nothing until Start is called.
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -81,6 +81,9 @@
 		w.due = time.Now().Add(limit)
 		w.timeout = time.AfterFunc(limit, w.giveUp)
 		w.mu.Unlock()
+		if !decision.Indirect {
+			x.gateway.attempts.add(w)
+		}
 	}
 	return w
 }
@@ -146,6 +149,7 @@
 // follows if this one was given up.
 func (w *stallWatch) stop() *reservation {
 	undropped := w.drop != nil && w.drop.Stop()
+	w.exchange.gateway.attempts.remove(w)
 	w.pause()
 	w.mu.Lock()
 	reserved := w.reserved
--- a/internal/metrics/events.go
+++ b/internal/metrics/events.go
@@ -109,6 +109,14 @@
 // SetLimitedEndpoints sets the number of endpoints that have stated a request limit.
 func (m *Metrics) SetLimitedEndpoints(count int) { m.limited.Update(float64(count)) }
 
+// SetPathsLost sets whether this host reaches no endpoint.
+func (m *Metrics) SetPathsLost(lost bool) {
+	m.pathsLost.Update(0)
+	if lost {
+		m.pathsLost.Update(1)
+	}
+}
+
 // SetMemoryHeld sets the number of bytes that are held for the requests in progress, and
 // their limit.
 func (m *Metrics) SetMemoryHeld(bytes, limit int64) {
@@ -169,3 +177,10 @@
 func (m *Metrics) Moved(class model.ClassName, result string) {
 	m.moves.with(string(class), result).Inc(1)
 }
+
+// PeerAttempt counts an attempt that was sent through another host, or by this host for
+// another one. The direction is "sent" or "served", the result a fixed text, for example
+// "refused".
+func (m *Metrics) PeerAttempt(direction, result string) {
+	m.peerAttempts.with(direction, result).Inc(1)
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -59,6 +59,7 @@
 	orders         *vec[tally.Counter]
 	aboveShare     *vec[tally.Counter]
 	moves          *vec[tally.Counter]
+	peerAttempts   *vec[tally.Counter]
 
 	firstToken    *vec[tally.Histogram]
 	betweenTokens *vec[tally.Histogram]
@@ -68,7 +69,7 @@
 	relay                                 tally.Gauge
 	listAge                               tally.Gauge
 	configAge                             tally.Gauge
-	limited                               tally.Gauge
+	limited, pathsLost                    tally.Gauge
 	knownSpeeds, fastest, slowest         tally.Gauge
 	quarantinedParts, quarantinedRequests tally.Gauge
 	storeEra                              tally.Gauge
@@ -132,6 +133,7 @@
 	m.dutyCalls = counter("duty_calls_total", "duty", "outcome")
 	m.platformErrors = counter("platform_errors_total", "op", "outcome")
 	m.moves = counter("moves_total", "class", "result")
+	m.peerAttempts = counter("peer_attempts_total", "direction", "result")
 	m.orders = counter("capacity_orders_total", "pool", "outcome")
 	m.aboveShare = counter("above_share_total", "pool", "effect")
 }
@@ -152,6 +154,7 @@
 	m.relay = m.scope.Gauge("relay")
 	m.listAge = m.scope.Gauge("list_age_seconds")
 	m.limited = m.scope.Gauge("limited_endpoints")
+	m.pathsLost = m.scope.Gauge("paths_lost")
 	m.knownSpeeds = m.scope.Gauge("engines_of_known_speed")
 	m.fastest = m.scope.Gauge("fastest_engine_prefill_us")
 	m.slowest = m.scope.Gauge("slowest_engine_prefill_us")
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -76,6 +76,9 @@
 	// LeavingError returns the error to send to the caller of a request that is not run since
 	// the host leaves.
 	LeavingError() *RequestError
+	// ClosesConnections reports whether the connections of callers are to be closed after
+	// their responses, so that the callers go to other hosts.
+	ClosesConnections() bool
 }
 
 // RoutedAttempt is one attempt of a call at one endpoint.
@@ -121,6 +124,15 @@
 	PerSecond float64
 }
 
+// Brittleness is what an endpoint states of the rejections that it bears.
+type Brittleness struct {
+	// Stated reports that the response states it.
+	Stated bool
+	// Rejections is the number of requests that the endpoint may have to reject in a second
+	// before it fails.
+	Rejections float64
+}
+
 // MalformedLimitError is the error for a limit that is no number of requests per second.
 type MalformedLimitError struct{ Text string }
 
@@ -148,6 +160,9 @@
 	// RequestLimit returns the request rate that the endpoint states in this
 	// response. It fails with a *MalformedLimitError if the value has no meaning.
 	RequestLimit() (RequestLimit, error)
+	// Brittleness returns whether the endpoint fails under rejections. It fails with a
+	// *MalformedLimitError if the value has no meaning.
+	Brittleness() (Brittleness, error)
 	// IsEventStream reports whether the response is a stream of events.
 	IsEventStream() bool
 	// Body returns the whole body, or an *EndpointError if it is incomplete.
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -32,6 +32,10 @@
 // listeners.
 const auxHeaderTimeout = 2 * time.Second
 
+// peerFlushTime is how long the ends of attempts for other hosts may take to be sent before
+// the connections of these hosts are closed.
+const peerFlushTime = 100 * time.Millisecond
+
 // Gateway is an entry host on the users' platform with its listeners.
 type Gateway struct {
 	settings   *settings.Gateway
@@ -241,7 +245,7 @@
 // Shutdown stops the host. It reports not ready and serves requests for the linger time, and
 // as long after it as any are in progress; those that cannot end before ctx does are refused.
 // Then it closes the listener and the connections. Requests that are in progress shortly
-// before ctx ends are ended.
+// before ctx ends are ended. Attempts for other hosts go on until they end or ctx is done.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	plan := g.departure(ctx)
 	g.log.WithFields(log.Fields{
@@ -265,9 +269,10 @@
 	for _, server := range g.auxServers {
 		closed = errors.Join(closed, server.Close())
 	}
-	canceled, cancelPeers := context.WithCancel(ctx)
-	cancelPeers()
-	g.peers.Shutdown(canceled)
+	g.gateway.AwaitPeerAttempts(ctx)
+	flush, cancelFlush := context.WithTimeout(ctx, peerFlushTime)
+	g.peers.Shutdown(flush)
+	cancelFlush()
 	g.gateway.Close()
 	g.peerClient.Close()
 	g.replicas.Close()
--- a/internal/server/gateway_fixture_test.go
+++ b/internal/server/gateway_fixture_test.go
@@ -43,6 +43,8 @@
 	logHandler log.Handler
 	// configure changes the settings of hosts that start from now on; nil for none.
 	configure func(s *settings.Gateway)
+	// prepare changes hosts that start from now on before they start; nil for nothing.
+	prepare func(g *Gateway)
 	// sequence numbers list entries and attempt IDs.
 	sequence int
 	// memoryMB is the memory of hosts that start from now on; 0 for the default.
@@ -82,14 +84,27 @@
 
 // startReplica starts a replica and registers it as ready.
 func (f *fleet) startReplica(pool string, opts replica.Options) *replica.Server {
+	r := f.runReplica(opts)
+	f.register(pool, r, users.StateReady)
+	return r
+}
+
+// runReplica starts a replica.
+func (f *fleet) runReplica(opts replica.Options) *replica.Server {
 	r, err := replica.Start(opts)
 	must.NoError(f.t, err)
 	f.t.Cleanup(r.Close)
 	f.replicas[opts.Instance] = r
-	f.register(pool, r, "ready")
 	return r
 }
 
+// startReplicaIn is startReplica in a failure domain.
+func (f *fleet) startReplicaIn(domain, pool string, opts replica.Options) {
+	r := f.runReplica(opts)
+	f.sequence++
+	users.PutEndpointIn(f.store, domain, pool, r.Instance(), r.Address(), users.StateReady, f.sequence)
+}
+
 // register writes the list entry of a replica.
 func (f *fleet) register(pool string, r *replica.Server, state string) {
 	f.registerAt(pool, r.Instance(), r.Address(), state)
@@ -133,6 +148,9 @@
 	}
 	g, err := NewGateway(&s, &log.Logger{Handler: f.logHandler})
 	must.NoError(f.t, err)
+	if f.prepare != nil {
+		f.prepare(g)
+	}
 	g.Start()
 	f.t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -183,13 +201,19 @@
 
 // sendAs sends a request with the given attempt ID.
 func (f *fleet) sendAs(g *Gateway, id, method, path, body string, change func(*http.Request)) fleetResponse {
+	f.t.Helper()
+	return f.sendWith(http.DefaultClient, g, id, method, path, body, change)
+}
+
+// sendWith is sendAs with the connections of a client.
+func (f *fleet) sendWith(client *http.Client, g *Gateway, id, method, path, body string, change func(*http.Request)) fleetResponse {
 	f.t.Helper()
 	req, err := users.NewRequest(f.t.Context(), method, g.Address("callers"), path, body, id, callerKey)
 	must.NoError(f.t, err)
 	if change != nil {
 		change(req)
 	}
-	res, err := http.DefaultClient.Do(req)
+	res, err := client.Do(req)
 	if err != nil {
 		return fleetResponse{truncated: true}
 	}
