Review of broken responses costs little while paths are lost

Up to 128 broken responses are kept, and each review compared all endpoints for each of them, 50 times a second and after each check. While the paths are lost none can be confirmed, and more than eight are reviewed ten times a second. Found by reading; not measured.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -39,7 +39,9 @@
 	// paths are the paths of this host and of others to endpoints.
 	paths *pathKeeper
 	// brokenResponses are those that may show a crash once a successor is listed.
-	brokenResponses []brokenResponse
+	// brokenReviewedAt is when they were last reviewed.
+	brokenResponses  []brokenResponse
+	brokenReviewedAt time.Time
 	// trials holds the suspects that are on trial by this host.
 	trials map[quarantine.Suspect]bool
 	// freshness is when the configuration in force was known to be the newest one.
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -70,8 +70,10 @@
 	// that it has crashed. The list of endpoints has the successor within about 2 s of its
 	// start.
 	successorTime = 5 * time.Second
-	// maxBrokenResponses bounds the broken responses that are kept.
+	// maxBrokenResponses bounds the broken responses that are kept. If they are more than
+	// reviewedAtOnce, they are reviewed no more often than once in reviewInterval.
 	maxBrokenResponses = 128
+	reviewedAtOnce     = 8
 )
 
 // brokenResponse is a response that an endpoint broke off and that may show a crash.
@@ -130,7 +132,7 @@
 // hasOwnFailure reports whether the endpoint of a broken response refuses connections while
 // others answer.
 func (c *control) hasOwnFailure(b brokenResponse) bool {
-	return b.refused && !b.indirect && c.balancer.IsOwnFailure(b.crash.Endpoint.Name, b.crash.At)
+	return b.refused && !b.indirect && !c.balancer.HasLostPaths() && c.balancer.IsOwnFailure(b.crash.Endpoint.Name, b.crash.At)
 }
 
 // isFoundElsewhere reports whether the list, or a host of its domain, shows that the endpoint
@@ -175,6 +177,10 @@
 // reviewBroken records the crashes that are certain by now, and drops the broken responses
 // that have shown none in time.
 func (c *control) reviewBroken(now time.Time) {
+	if len(c.brokenResponses) > reviewedAtOnce && now.Sub(c.brokenReviewedAt) < reviewInterval {
+		return
+	}
+	c.brokenReviewedAt = now
 	c.brokenResponses = slices.DeleteFunc(c.brokenResponses, func(b brokenResponse) bool {
 		switch {
 		case c.isFoundElsewhere(b):
