--- a/internal/adapter/callerhttp/server_test.go
+++ b/internal/adapter/callerhttp/server_test.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -146,3 +148,36 @@
 		must.Eq(t, want, res.StatusCode)
 	}
 }
+
+func TestShutdownAnswersARequestThatIsBeingReceived(t *testing.T) {
+	srv, err := New(Options{Router: &fakeRouter{}, MaxBody: 1 << 10})
+	must.NoError(t, err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- srv.Serve(listener) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	must.NoError(t, err)
+	defer conn.Close()
+	const request = "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n"
+	reader := bufio.NewReader(conn)
+	get := func(part string) error {
+		_, _ = io.WriteString(conn, part)
+		res, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, res.Body)
+		return errors.Join(err, res.Body.Close())
+	}
+	must.NoError(t, get(request))
+	_, err = io.WriteString(conn, request[:20])
+	must.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- srv.Shutdown(ctx) }()
+	must.NoError(t, <-served)
+	must.NoError(t, get(request[20:]))
+	must.NoError(t, <-ended)
+}
