Reach a pool of which a host reaches nothing through other hosts

An endpoint was sent to through another host only if its whole domain was out of reach.

A host that reaches no endpoint of a pool has lost the paths to it as far as the others say so. TestPoolWithoutPathsIsReachedThroughOthers failed before.

--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -175,10 +175,10 @@
 func (b *Balancer) preferences(now time.Time, req *Request) []preference {
 	avoided := func(e *endpoint) bool { return slices.Contains(req.Avoid, e.Name) }
 	direct := func(e *endpoint) bool { return b.reaches(e) && e.isUsable(now) }
-	var reached map[model.DomainName]bool
+	var reached *reach
 	indirect := func(e *endpoint) bool {
 		if reached == nil {
-			reached = b.reachedDomains()
+			reached = b.reach()
 		}
 		return b.mayGoThroughAnotherHost(now, e, reached)
 	}
--- a/internal/core/balance/paths.go
+++ b/internal/core/balance/paths.go
@@ -180,20 +180,26 @@
 
 // mayGoThroughAnotherHost reports whether a request for the endpoint can be sent through
 // another host: this one has lost the paths to it and to others, another host reaches it, and
-// only that is in the way. An endpoint that cannot be reached alone is likely down. reached
-// is the result of reachedDomains.
-func (b *Balancer) mayGoThroughAnotherHost(now time.Time, e *endpoint, reached map[model.DomainName]bool) bool {
-	isCut := !reached[e.Domain] || e.unproven
+// only that is in the way. An endpoint that cannot be reached alone is likely down.
+func (b *Balancer) mayGoThroughAnotherHost(now time.Time, e *endpoint, r *reach) bool {
+	isCut := !r.domains[e.Domain] || !r.pools[e.Pool] || e.unproven
 	return b.opts.Others != nil && isCut && !e.Draining && !now.Before(e.pausedUntil) &&
 		e.backoffAllowsRequest(now) && e.limit.allowsRequest(now) && b.opts.Others.Reaches(now, EndpointKey(e.hash))
 }
 
-// reachedDomains returns the failure domains in which this host reaches any endpoint.
-func (b *Balancer) reachedDomains() map[model.DomainName]bool {
-	out := make(map[model.DomainName]bool)
+// reach is what this host reaches: the failure domains and the pools with any endpoint that it
+// reaches.
+type reach struct {
+	domains map[model.DomainName]bool
+	pools   map[model.PoolName]bool
+}
+
+// reach returns what this host reaches.
+func (b *Balancer) reach() *reach {
+	out := &reach{domains: make(map[model.DomainName]bool), pools: make(map[model.PoolName]bool)}
 	for _, e := range b.endpoints {
-		if !e.Draining && !out[e.Domain] && b.reaches(e) {
-			out[e.Domain] = true
+		if !e.Draining && b.reaches(e) {
+			out.domains[e.Domain], out.pools[e.Pool] = true, true
 		}
 	}
 	return out
--- a/internal/core/balance/paths_test.go
+++ b/internal/core/balance/paths_test.go
@@ -197,3 +197,27 @@
 	must.False(t, d.IsRefused())
 	must.True(t, d.Indirect)
 }
+
+// A pool of which a host reaches nothing is reached through other hosts, though other pools of
+// the same domains answer it.
+func TestPoolWithoutPathsIsReachedThroughOthers(t *testing.T) {
+	b := newTwoDomains(2)
+	for _, domain := range []model.DomainName{"north", "south"} {
+		b.Apply(directory.Change{Entry: directory.Entry{
+			Name: model.EndpointName("other-" + domain), Pool: "others", Address: string(domain), Domain: domain, Slots: 4,
+		}})
+	}
+	for now := at(0); now.Before(at(3 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		b.hear(now)
+		for _, c := range b.StartChecks(now) {
+			b.RecordCheck(now, c.Endpoint, c.Endpoint == "other-north" || c.Endpoint == "other-south")
+		}
+		if id, d := b.submit(now, lookup()); !d.IsRefused() && !d.Indirect {
+			b.Finish(now, id, balance.Result{Failure: balance.FailureUnreachable})
+		}
+	}
+	must.False(t, b.HasLostPaths())
+	_, d := b.submit(at(3*time.Second), lookup())
+	must.False(t, d.IsRefused())
+	must.True(t, d.Indirect)
+}
