Check an endpoint that may have crashed again while others are checked

Since crashes are told from lost paths, a crash was known only after three checks in a row: of the endpoint, of others, of the endpoint again.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -86,6 +86,9 @@
 	refused bool
 	// indirect reports that another host carried the attempt.
 	indirect bool
+	// refusedAgain reports that the endpoint has also refused a check that began while others
+	// were checked.
+	refusedAgain bool
 	// recorded is closed once the crash is recorded or the wait for it ends; nil if nobody
 	// waits.
 	recorded chan struct{}
@@ -115,10 +118,28 @@
 	if b.refused && !b.indirect {
 		c.balancer.RequestChecks(b.crash.Endpoint.Name)
 		c.checkEndpoints(now)
+		c.checkBroken(b)
 	}
 	c.keepBroken(b)
 }
 
+// checkBroken checks the endpoint of a broken response while others are checked, so that its
+// crash is recorded once these have answered.
+func (c *control) checkBroken(b brokenResponse) {
+	g := c.gateway
+	g.background(func(ctx context.Context) {
+		err := g.opts.Endpoints.Probe(ctx, b.crash.Endpoint.Name, b.address)
+		g.loop.Post(loop.Func(func(now time.Time) {
+			for i := range c.brokenResponses {
+				if kept := &c.brokenResponses[i]; kept.crash.ID == b.crash.ID {
+					kept.refusedAgain = isRefusal(err)
+				}
+			}
+			c.reviewBroken(now)
+		}))
+	})
+}
+
 // keepBroken keeps a broken response for review. The oldest one is dropped if there are too
 // many.
 func (c *control) keepBroken(b brokenResponse) {
@@ -185,10 +206,10 @@
 		switch {
 		case c.isFoundElsewhere(b):
 			c.recordFound(now, b)
-		case c.hasOwnFailure(b) && c.paths.others.HavePathsSince(now, b.crash.At):
+		case c.hasOwnFailure(b) && !b.refusedAgain && c.paths.others.HavePathsSince(now, b.crash.At):
 			c.probeAgain(b)
 		case c.hasOwnFailure(b):
-			// All endpoints were down for all hosts.
+			// It has refused twice, or all endpoints were down for all hosts.
 			c.recordFound(now, b)
 		case now.Sub(b.crash.At) > successorTime:
 			c.dropBroken(b)
