Learn, report, log and count brittle endpoints

Endpoints state in their responses that they fail when they must reject more than a number of requests in a second. Nothing read the statement. The newest one is kept by start of the endpoint and spread by digests, with the rejections of the sending host in the last second; log lines and wigeonsail_brittle_endpoints show it. Placement does not change yet.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -87,6 +87,8 @@
 	limitReports  map[model.EndpointName]*endpoint
 	limitSharesAt time.Time
 	liveHosts     liveHosts
+	// brittleReports holds the endpoints with a report about their brittleness.
+	brittleReports map[model.EndpointName]*endpoint
 	// accounts counts the work that client accounts request.
 	accounts *fairshare.Book
 }
@@ -143,23 +145,24 @@
 func New(opts Options) *Balancer {
 	source := rand.NewPCG(opts.Seed, opts.Seed^0x9e3779b97f4a7c15)
 	return &Balancer{
-		opts:         opts,
-		pools:        make(map[model.PoolName]*pool),
-		endpoints:    make(map[model.EndpointName]*endpoint),
-		inUse:        make(map[*endpoint]bool),
-		byKey:        make(map[EndpointKey]*endpoint),
-		running:      make(map[model.RequestID]*runningRequest),
-		peers:        make(map[model.HostID]*peerLoad),
-		lastHeard:    make(map[model.HostID]hostContact),
-		domainHosts:  make(map[model.DomainName]hostCount),
-		cacheIndex:   newCacheIndex(),
-		domains:      make(map[model.DomainName]*domain),
-		watched:      make(watchedEndpoints),
-		paths:        paths{failed: make(map[model.EndpointName]model.DomainName)},
-		limitReports: make(map[model.EndpointName]*endpoint),
-		source:       source,
-		accounts:     fairshare.NewBook(),
-		rng:          rand.New(source),
+		opts:           opts,
+		pools:          make(map[model.PoolName]*pool),
+		endpoints:      make(map[model.EndpointName]*endpoint),
+		inUse:          make(map[*endpoint]bool),
+		byKey:          make(map[EndpointKey]*endpoint),
+		running:        make(map[model.RequestID]*runningRequest),
+		peers:          make(map[model.HostID]*peerLoad),
+		lastHeard:      make(map[model.HostID]hostContact),
+		domainHosts:    make(map[model.DomainName]hostCount),
+		cacheIndex:     newCacheIndex(),
+		domains:        make(map[model.DomainName]*domain),
+		watched:        make(watchedEndpoints),
+		paths:          paths{failed: make(map[model.EndpointName]model.DomainName)},
+		limitReports:   make(map[model.EndpointName]*endpoint),
+		brittleReports: make(map[model.EndpointName]*endpoint),
+		source:         source,
+		accounts:       fairshare.NewBook(),
+		rng:            rand.New(source),
 	}
 }
 
@@ -236,6 +239,7 @@
 	delete(b.byKey, EndpointKey(e.hash))
 	b.listing++
 	delete(b.limitReports, e.Name)
+	delete(b.brittleReports, e.Name)
 	b.cacheIndex.dropEndpoint(e.Name)
 	if e.inDomainRound {
 		b.domain(e.Domain).openChecks--
@@ -319,6 +323,7 @@
 		Software:      e.certainSoftware(now),
 		Indirect:      c.indirect,
 		Limit:         e.limit.report.PerSecond,
+		Brittle:       e.brittle.report.Brittle,
 		Priority:      c.priority,
 		FetchFrom:     c.fetchFrom,
 		Expected:      c.expected,
@@ -388,6 +393,7 @@
 	r.setOverdue(false)
 	r.setStalled(false)
 	b.recordResult(now, r, res.Failure)
+	b.recordRejection(now, r.endpoint, res.Failure)
 	if res.RetryAfter > 0 {
 		r.endpoint.startBackoff(now, res.RetryAfter)
 	} else if r.answered {
--- a/internal/core/balance/clone.go
+++ b/internal/core/balance/clone.go
@@ -52,6 +52,7 @@
 	source := *b.source
 	out.source, out.rng = &source, rand.New(&source)
 	out.endpoints, out.limitReports = c.byName(b.endpoints), c.byName(b.limitReports)
+	out.brittleReports = c.byName(b.brittleReports)
 	out.pools = make(map[model.PoolName]*pool, len(b.pools))
 	for name, p := range b.pools {
 		out.pools[name] = c.pool(p)
--- a/internal/core/balance/decision.go
+++ b/internal/core/balance/decision.go
@@ -101,6 +101,8 @@
 	Indirect bool
 	// Limit is the limit of the endpoint in requests per second; 0 for none.
 	Limit float64
+	// Brittle reports that the endpoint was taken for brittle.
+	Brittle bool
 	// Priority is the priority to send to the engine; smaller is served first.
 	Priority int
 	// FetchFrom is the address of an endpoint that likely caches the shared
--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -67,6 +67,7 @@
 	pausedForBreaks bool
 	backoff         backoff
 	limit           requestLimit
+	brittle         brittleness
 	speed           engineSpeed
 	// failing reports whether the last connection has failed, as it did at failedAt.
 	// answeredFrom is when the latest request or check that was answered began.
--- a/internal/gateway/digests.go
+++ b/internal/gateway/digests.go
@@ -253,7 +253,7 @@
 		LinkSpeedMbps: opts.LinkMbps, Leaving: c.gateway.leaving.Load(), Version: c.version(),
 		ListReadAge: min(now.Sub(c.lastListRead), maxReadAge), ListChange: c.lastListChange, LeavingEndpoints: c.directory.Leaving(),
 		ListKnownAge: c.listAge(now), ConfigAge: c.gateway.configAge(now),
-		Limits: c.knownLimits(now), Unpacks: true,
+		Limits: c.knownLimits(now), Brittle: c.knownBrittle(now), Unpacks: true,
 		EngineSpeeds: c.balancer.EngineSpeeds(now, c.peers.digests.isRelay, maxEngineSpeeds),
 		ReadsList:    c.gateway.reading.Load(), ListReadFailing: c.listReadFailing,
 	}
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -64,6 +64,17 @@
 	entry.WithField("limit_per_s", report.PerSecond).Warn("endpoints: request limit stated")
 }
 
+// logBrittleness logs that an endpoint states that it is brittle, with another number than
+// before, or no more.
+func logBrittleness(logger log.Interface, report balance.BrittleReport, source string) {
+	entry := logger.WithFields(fields{"endpoint": report.Instance.Name, "source": source})
+	if !report.Brittle {
+		entry.Info("endpoints: brittleness ended")
+		return
+	}
+	entry.WithField("rejections_per_s", report.Rejections).Warn("endpoints: brittleness stated")
+}
+
 // logCrash logs a request that was in progress at an endpoint which has crashed.
 func logCrash(logger log.Interface, c quarantine.Crash) {
 	logger.WithFields(fields{
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -308,6 +308,7 @@
 	c.receivePaths(now, p, d)
 	c.applyLeaving(now, d.LeavingEndpoints)
 	c.receiveLimits(now, d)
+	c.receiveBrittle(now, d)
 	c.demand.receive(now, d)
 	c.accounts.receive(now, d, c.gateway.opts.Domain)
 	c.balancer.ApplyEngineSpeeds(now, d.EngineSpeeds)
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -224,6 +224,7 @@
 	m.SetPeers(len(c.peers.peers), links, c.peers.digests.isRelay)
 	m.SetListAge(c.knownReadAge(now), uint64(c.nextInList.Era))
 	m.SetLimitedEndpoints(c.balancer.CountLimited())
+	m.SetBrittleEndpoints(c.balancer.CountBrittle())
 	m.SetEngineSpeeds(speedRange(c.balancer.KnownSpeeds(now)))
 	m.SetQuarantined(c.quarantine.Count(quarantine.KindPart), c.quarantine.Count(quarantine.KindRequest))
 	m.SetMemoryHeld(c.gateway.memory.held())
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -34,6 +34,7 @@
 		x.gateway.markLeaving(model.Instance{Name: decision.Endpoint, Started: decision.Started})
 	}
 	x.recordLimit(decision.Decision, reply)
+	x.recordBrittleness(decision.Decision, reply)
 	switch {
 	case reply.NotExecuted():
 		return attemptResult{
--- a/internal/metrics/events.go
+++ b/internal/metrics/events.go
@@ -109,6 +109,9 @@
 // SetLimitedEndpoints sets the number of endpoints that have stated a request limit.
 func (m *Metrics) SetLimitedEndpoints(count int) { m.limited.Update(float64(count)) }
 
+// SetBrittleEndpoints sets the number of endpoints that state that they are brittle.
+func (m *Metrics) SetBrittleEndpoints(count int) { m.brittle.Update(float64(count)) }
+
 // SetPathsLost sets whether this host reaches no endpoint.
 func (m *Metrics) SetPathsLost(lost bool) {
 	m.pathsLost.Update(0)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -69,7 +69,7 @@
 	relay                                 tally.Gauge
 	listAge                               tally.Gauge
 	configAge                             tally.Gauge
-	limited, pathsLost                    tally.Gauge
+	limited, brittle, pathsLost           tally.Gauge
 	knownSpeeds, fastest, slowest         tally.Gauge
 	quarantinedParts, quarantinedRequests tally.Gauge
 	storeEra                              tally.Gauge
@@ -154,6 +154,7 @@
 	m.relay = m.scope.Gauge("relay")
 	m.listAge = m.scope.Gauge("list_age_seconds")
 	m.limited = m.scope.Gauge("limited_endpoints")
+	m.brittle = m.scope.Gauge("brittle_endpoints")
 	m.pathsLost = m.scope.Gauge("paths_lost")
 	m.knownSpeeds = m.scope.Gauge("engines_of_known_speed")
 	m.fastest = m.scope.Gauge("fastest_engine_prefill_us")
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -113,6 +113,7 @@
 	m.SetListAge(time.Second, 1)
 	m.SetConfigAge(time.Second)
 	m.SetLimitedEndpoints(1)
+	m.SetBrittleEndpoints(1)
 	m.SetEngineSpeeds(2, time.Microsecond, time.Millisecond)
 	m.SetQuarantined(2, 1)
 }
