--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -40,6 +40,8 @@
 	LeavingEndpoints []model.EndpointName `json:"leaving_endpoints"`
 	// LimitedEndpoints are the endpoints that have stated a request limit.
 	LimitedEndpoints []LimitView `json:"limited_endpoints"`
+	// BrittleEndpoints are the endpoints that state that they are brittle.
+	BrittleEndpoints []BrittleView `json:"brittle_endpoints,omitempty"`
 	// Capacity are the endpoints of the pools that can be scaled.
 	Capacity []CapacityView `json:"capacity,omitempty"`
 	// Accounts are the accounts above their share of a pool. This has an effect only while
@@ -63,6 +65,17 @@
 	Age       float64 `json:"age_s"`
 }
 
+// BrittleView is what a host knows of a brittle endpoint.
+type BrittleView struct {
+	Endpoint model.EndpointName `json:"endpoint"`
+	// Rejections is the number of requests that it may reject in a second, Rejected how many
+	// of this host it has rejected in the last one. Age is the time since it stated it, in
+	// seconds.
+	Rejections float64 `json:"rejections_per_s"`
+	Rejected   int     `json:"rejected"`
+	Age        float64 `json:"age_s"`
+}
+
 // CapacityView are the endpoints of one kind of a pool in a failure domain.
 type CapacityView struct {
 	Pool        model.PoolName   `json:"pool"`
@@ -143,6 +156,12 @@
 			out.LimitedEndpoints = append(out.LimitedEndpoints, LimitView{Endpoint: l.Instance.Name, PerSecond: l.PerSecond, Age: l.Age.Seconds()})
 		}
 	}
+	for _, e := range c.knownBrittle(now) {
+		if e.Brittle {
+			view := BrittleView{Endpoint: e.Instance.Name, Rejections: e.Rejections, Rejected: e.Rejected, Age: e.Age.Seconds()}
+			out.BrittleEndpoints = append(out.BrittleEndpoints, view)
+		}
+	}
 	out.EngineSpeeds = c.engineSpeeds(now)
 	for _, s := range c.quarantine.Suspects() {
 		out.Suspects = append(out.Suspects, SuspectView{
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -134,6 +134,7 @@
 	mu          sync.Mutex
 	faults      Faults
 	limit       string
+	brittle     string
 	executions  []Execution
 	canceled    int
 	refusals    int
@@ -189,6 +190,21 @@
 	s.limit = text
 }
 
+// SetBrittle sets the value of the header that states brittleness in all responses; empty
+// for none.
+func (s *Server) SetBrittle(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.brittle = text
+}
+
+// statedBrittleness returns the value of the header that states brittleness.
+func (s *Server) statedBrittleness() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.brittle
+}
+
 // crashes reports whether the body of a request, or a part of its prompt, ends the replica.
 func (s *Server) crashes(prefix, body string) bool {
 	if s.opts.CrashBody != "" && body == s.opts.CrashBody {
@@ -246,6 +262,9 @@
 	w.Header().Set("X-Wigeonsail-Attempt-Id", id)
 	w.Header().Set("X-Wigeonsail-Instance-Id", s.opts.Instance)
 	faults, admitted := s.admit()
+	if brittle := s.statedBrittleness(); brittle != "" {
+		w.Header().Set("Server-Brittle", brittle)
+	}
 	if limit := s.statedLimit(); limit != "" {
 		w.Header().Set("Server-Limit", limit)
 	}
