--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -87,6 +87,9 @@
 	limitReports  map[model.EndpointName]*endpoint
 	limitSharesAt time.Time
 	liveHosts     liveHosts
+	// brittleReports holds the endpoints with a report about their brittleness.
+	brittleReports map[model.EndpointName]*endpoint
+	brittleView    brittleView
 	// accounts counts the work that client accounts request.
 	accounts *fairshare.Book
 	// listAsOf is a time as of which the list of endpoints is known.
@@ -101,6 +104,9 @@
 	urgentReserve   urgentReserve
 	queueCorrection queueCorrection
 	speed           *enginespeed.Pool
+	// urgentAt is when an urgent request was last to be placed among brittle endpoints,
+	// urgentRefusedAt when one last found no room there.
+	urgentAt, urgentRefusedAt time.Time
 }
 
 // runningRequest is a request in flight at an endpoint.
@@ -145,23 +151,24 @@
 func New(opts Options) *Balancer {
 	source := rand.NewPCG(opts.Seed, opts.Seed^0x9e3779b97f4a7c15)
 	return &Balancer{
-		opts:         opts,
-		pools:        make(map[model.PoolName]*pool),
-		endpoints:    make(map[model.EndpointName]*endpoint),
-		inUse:        make(map[*endpoint]bool),
-		byKey:        make(map[EndpointKey]*endpoint),
-		running:      make(map[model.RequestID]*runningRequest),
-		peers:        make(map[model.HostID]*peerLoad),
-		lastHeard:    make(map[model.HostID]hostContact),
-		domainHosts:  make(map[model.DomainName]hostCount),
-		cacheIndex:   newCacheIndex(),
-		domains:      make(map[model.DomainName]*domain),
-		watched:      make(watchedEndpoints),
-		paths:        paths{failed: make(map[model.EndpointName]model.DomainName)},
-		limitReports: make(map[model.EndpointName]*endpoint),
-		source:       source,
-		accounts:     fairshare.NewBook(),
-		rng:          rand.New(source),
+		opts:           opts,
+		pools:          make(map[model.PoolName]*pool),
+		endpoints:      make(map[model.EndpointName]*endpoint),
+		inUse:          make(map[*endpoint]bool),
+		byKey:          make(map[EndpointKey]*endpoint),
+		running:        make(map[model.RequestID]*runningRequest),
+		peers:          make(map[model.HostID]*peerLoad),
+		lastHeard:      make(map[model.HostID]hostContact),
+		domainHosts:    make(map[model.DomainName]hostCount),
+		cacheIndex:     newCacheIndex(),
+		domains:        make(map[model.DomainName]*domain),
+		watched:        make(watchedEndpoints),
+		paths:          paths{failed: make(map[model.EndpointName]model.DomainName)},
+		limitReports:   make(map[model.EndpointName]*endpoint),
+		brittleReports: make(map[model.EndpointName]*endpoint),
+		source:         source,
+		accounts:       fairshare.NewBook(),
+		rng:            rand.New(source),
 	}
 }
 
@@ -238,6 +245,7 @@
 	delete(b.byKey, EndpointKey(e.hash))
 	b.listing++
 	delete(b.limitReports, e.Name)
+	delete(b.brittleReports, e.Name)
 	b.cacheIndex.dropEndpoint(e.Name)
 	if e.inDomainRound {
 		b.domain(e.Domain).openChecks--
@@ -321,6 +329,7 @@
 		Software:      b.certainSoftware(e),
 		Indirect:      c.indirect,
 		Limit:         e.limit.report.PerSecond,
+		Brittle:       b.takeRoom(e),
 		Priority:      c.priority,
 		FetchFrom:     c.fetchFrom,
 		Expected:      c.expected,
@@ -390,6 +399,7 @@
 	r.setOverdue(false)
 	r.setStalled(false)
 	b.recordResult(now, r, res.Failure)
+	b.recordRejection(now, r.endpoint, res.Failure)
 	if res.RetryAfter > 0 {
 		r.endpoint.startBackoff(now, res.RetryAfter)
 	} else if r.answered {
--- a/internal/core/balance/decision.go
+++ b/internal/core/balance/decision.go
@@ -70,6 +70,9 @@
 	// ReasonLimit means that the limits that endpoints have stated leave nothing for
 	// this host at present.
 	ReasonLimit Reason = "request_limit"
+	// ReasonBrittle means that the brittle endpoints that could take the request have no
+	// room.
+	ReasonBrittle Reason = "brittle"
 	// ReasonQuarantine means that the request, or a part of its prompt, crashes endpoints.
 	ReasonQuarantine Reason = "quarantine"
 	// ReasonSuspended means that endpoints have crashed under the request, and that one
@@ -101,6 +104,8 @@
 	Indirect bool
 	// Limit is the limit of the endpoint in requests per second; 0 for none.
 	Limit float64
+	// Brittle reports that the endpoint was taken for brittle.
+	Brittle bool
 	// Priority is the priority to send to the engine; smaller is served first.
 	Priority int
 	// FetchFrom is the address of an endpoint that likely caches the shared
