--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -126,17 +126,23 @@
 // checkBroken checks the endpoint of a broken response while others are checked, so that its
 // crash is recorded once these have answered.
 func (c *control) checkBroken(b brokenResponse) {
+	c.probeBroken(b, func(now time.Time, refused bool) {
+		for i := range c.brokenResponses {
+			if kept := &c.brokenResponses[i]; kept.crash.ID == b.crash.ID {
+				kept.refusedAgain = refused
+			}
+		}
+		c.reviewBroken(now)
+	})
+}
+
+// probeBroken checks the endpoint of a broken response, and passes whether it refuses
+// connections to record, on the control loop.
+func (c *control) probeBroken(b brokenResponse, record func(now time.Time, refused bool)) {
 	g := c.gateway
 	g.background(func(ctx context.Context) {
-		err := g.opts.Endpoints.Probe(ctx, b.crash.Endpoint.Name, b.address)
-		g.loop.Post(loop.Func(func(now time.Time) {
-			for i := range c.brokenResponses {
-				if kept := &c.brokenResponses[i]; kept.crash.ID == b.crash.ID {
-					kept.refusedAgain = isRefusal(err)
-				}
-			}
-			c.reviewBroken(now)
-		}))
+		refused := isRefusal(g.opts.Endpoints.Probe(ctx, b.crash.Endpoint.Name, b.address))
+		g.loop.Post(loop.Func(func(now time.Time) { record(now, refused) }))
 	})
 }
 
@@ -173,18 +179,14 @@
 // probeAgain records the crash of a broken response if the endpoint still refuses connections.
 // This host may have lost its paths for a moment.
 func (c *control) probeAgain(b brokenResponse) {
-	g := c.gateway
-	g.background(func(ctx context.Context) {
-		err := g.opts.Endpoints.Probe(ctx, b.crash.Endpoint.Name, b.address)
-		g.loop.Post(loop.Func(func(now time.Time) {
-			if isRefusal(err) {
-				c.recordFound(now, b)
-				return
-			}
-			c.dropBroken(b)
-			b.refused, b.recorded = false, nil
-			c.keepBroken(b)
-		}))
+	c.probeBroken(b, func(now time.Time, refused bool) {
+		if refused {
+			c.recordFound(now, b)
+			return
+		}
+		c.dropBroken(b)
+		b.refused, b.recorded = false, nil
+		c.keepBroken(b)
 	})
 }
 
