--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -20,6 +20,9 @@
 
 // cases are the cases by name. Each returns whether the rule held.
 var cases = map[string]func(w *world) (held bool, err error){
+	"flap":     playFlap,
+	"frozen":   playFrozen,
+	"moves":    playMoves,
 	"versions": playVersions,
 }
 
@@ -33,6 +36,8 @@
 	switch args[0] {
 	case "store":
 		err = http.ListenAndServe(args[1], newStore())
+	case "moving-replica":
+		err = serveMovingReplica(args[1:])
 	case "replica":
 		err = serveReplica(args[1:])
 	default:
--- a/review/standins2/versions.go
+++ b/review/standins2/versions.go
@@ -36,13 +36,14 @@
 // standinReplica is a replica process that starts again at the same address.
 type standinReplica struct {
 	id, zone, address string
+	slots             int
 	cmd               *exec.Cmd
 }
 
 func (w *world) startReplica(p *standinReplica, version string) (err error) {
 	w.note("replica %s starts with version %s", p.id, version)
 	p.cmd, err = w.start(p.id, w.self, "replica", p.id, "roster-llm", p.zone, version, p.address, w.store,
-		"64", fmt.Sprint(streamEvents), streamGap.String())
+		fmt.Sprint(p.slots), fmt.Sprint(streamEvents), streamGap.String())
 	return err
 }
 
@@ -71,7 +72,7 @@
 		if err != nil {
 			return false, err
 		}
-		p := &standinReplica{id: fmt.Sprintf("i-%d", i+1), zone: []string{"a", "b"}[i%2], address: address}
+		p := &standinReplica{id: fmt.Sprintf("i-%d", i+1), zone: []string{"a", "b"}[i%2], address: address, slots: 64}
 		if err := w.startReplica(p, "v1"); err != nil {
 			return false, err
 		}
