--- a/review/standins2/flap.go
+++ b/review/standins2/flap.go
@@ -15,14 +15,14 @@
 	// flapReplicas is the number of replicas, of which one goes down and up by turns; flapSlots are
 	// the slots of each, so that three have room for all streams.
 	flapReplicas = 4
-	flapSlots    = 12
+	flapSlots    = 11
 	// flapEpisodes is the number of times that one does, another one each time, for flapTime: it is
 	// down for flapGap and up for flapGap.
-	flapEpisodes = 4
+	flapEpisodes = 5
 	flapTime     = 12500 * time.Millisecond
 	flapGap      = 2 * time.Second
 	// calmTime is the time between two of them.
-	calmTime = 6 * time.Second
+	calmTime = 3 * time.Second
 	// newStreams is the time between two new streams.
 	newStreams = 60 * time.Millisecond
 	// minTakenUp is the least number of streams that are taken up again for the rule to judge.
@@ -92,7 +92,7 @@
 func (w *world) flap(replicas []*standinReplica) error {
 	for episode := range flapEpisodes {
 		time.Sleep(calmTime)
-		p := replicas[episode]
+		p := replicas[episode%len(replicas)]
 		if !w.faults {
 			time.Sleep(flapTime)
 			continue
--- a/review/standins2/procs.go
+++ b/review/standins2/procs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -115,9 +116,12 @@
 	_ = w.record.Close()
 }
 
+// loopback is an address of this run, so that no outgoing connection and no other run takes a port.
+var loopback = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
+
 // freeAddress returns a loopback address with a free port.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", loopback+":0")
 	if err != nil {
 		return "", err
 	}
