Do not take the end of a connection for the end of a stream whose move has no result

Cause: a move that fails without an answer counted as one that did not begin, so the end of the connection of a response without length or chunks counted as its end, although this host had asked the endpoint to stop the run. Evidence: the log 'request: move of the run', result 'failed', precedes each cut stream. Ruled out: resets read as ends (chunked streams of the same runs break off), and a second run that ends early (there is no second attempt).

Change: the result of a move is one of three. If it is not known, the end of an unframed stream proves nothing: the stream is resumed elsewhere or breaks off. The same holds while the move is in progress when the caller's time ends.

TestAStreamWhoseMoveHasNoAnswerDoesNotLookComplete failed before in three of five cases ('answer lost', with and without resuming, and 'not stopped').

--- a/internal/adapter/peergrpc/attempts.go
+++ b/internal/adapter/peergrpc/attempts.go
@@ -265,6 +265,9 @@
 // IsEventStream implements port.EndpointResponse.
 func (r *attemptReply) IsEventStream() bool { return r.head.GetEventStream() }
 
+// EndsByClose implements port.EndpointResponse. The other host states the end of a response.
+func (r *attemptReply) EndsByClose() bool { return false }
+
 // Body implements port.EndpointResponse.
 func (r *attemptReply) Body() ([]byte, error) {
 	var body []byte
--- a/internal/adapter/peergrpc/attempts_test.go
+++ b/internal/adapter/peergrpc/attempts_test.go
@@ -98,6 +98,7 @@
 	return r.body, r.end
 }
 func (r *fakeReply) Next() (port.EventBatch, error) { return r.next(int(r.count.Add(1))) }
+func (r *fakeReply) EndsByClose() bool              { return false }
 func (r *fakeReply) KeepBatch()                     {}
 func (r *fakeReply) Close()                         { r.closed.Store(true) }
 
--- a/internal/gateway/crashfleet_test.go
+++ b/internal/gateway/crashfleet_test.go
@@ -214,6 +214,7 @@
 func (s *crashableStream) Brittleness() (port.Brittleness, error) { return port.Brittleness{}, nil }
 func (s *crashableStream) IsEventStream() bool                    { return !s.plain }
 func (s *crashableStream) Body() ([]byte, error)                  { return nil, nil }
+func (s *crashableStream) EndsByClose() bool                      { return false }
 func (s *crashableStream) KeepBatch()                             {}
 func (s *crashableStream) Close()                                 {}
 
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -42,7 +42,8 @@
 	buf []byte
 }
 
-func (s *longStream) KeepBatch() { s.buf = nil }
+func (s *longStream) EndsByClose() bool { return false }
+func (s *longStream) KeepBatch()        { s.buf = nil }
 
 func (s *longStream) Next() (port.EventBatch, error) {
 	if time.Since(s.readAt) > unreadTime {
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -56,6 +56,8 @@
 	start         sync.Once
 	started, done chan struct{}
 	moved         movedRun
+	// uncertain reports that the run may have been stopped, without a result of the move.
+	uncertain bool
 }
 
 // movedRun is a stopped run that an endpoint can continue; the handle is empty for none.
@@ -211,6 +213,7 @@
 		g.finish(m.req.ID, balance.Result{})
 	}
 	if err != nil {
+		m.uncertain = mayHaveStopped(err)
 		m.log("failed", err)
 		return
 	}
@@ -233,11 +236,28 @@
 	g.opts.Metrics.Moved(model.ClassName(m.exchange.route.Name), result)
 }
 
-// await returns the stopped run after the stream has ended, if a move of it had begun. The
-// result is false if there is none to continue.
-func (m *runMove) await(ctx context.Context) (movedRun, bool) {
+// mayHaveStopped reports whether a failed move may have stopped its run.
+func mayHaveStopped(err error) bool {
+	var failure *port.MoveError
+	return !errors.As(err, &failure) || failure.Outcome != model.OutcomeNotRun
+}
+
+// streamEnd is what a move means for a stream that has ended.
+type streamEnd int
+
+const (
+	// endOwn is the end that the endpoint has given the stream.
+	endOwn streamEnd = iota
+	// endMoved is that of a run which was stopped and goes on elsewhere.
+	endMoved
+	// endUncertain is either of both: the result of the move is not known.
+	endUncertain
+)
+
+// await returns, after the stream has ended, what a move that had begun means for it.
+func (m *runMove) await(ctx context.Context) (movedRun, streamEnd) {
 	if m == nil {
-		return movedRun{}, false
+		return movedRun{}, endOwn
 	}
 	m.stopWatching()
 	select {
@@ -248,15 +268,27 @@
 	}
 	select {
 	case <-m.done:
-		return m.moved, m.moved.Handle != ""
+		return m.result()
 	default:
 	}
 	select {
 	case <-m.done:
-		return m.moved, m.moved.Handle != ""
+		return m.result()
 	case <-ctx.Done():
 		m.releasePlaced()
-		return movedRun{}, false
+		return movedRun{}, endUncertain
+	}
+}
+
+// result returns the result of a move that is done.
+func (m *runMove) result() (movedRun, streamEnd) {
+	switch {
+	case m.moved.Handle != "":
+		return m.moved, endMoved
+	case m.uncertain:
+		return movedRun{}, endUncertain
+	default:
+		return movedRun{}, endOwn
 	}
 }
 
@@ -280,8 +312,12 @@
 	})
 }
 
-// errMoved is the error of an attempt whose run goes on elsewhere.
-var errMoved = errors.New("the run was stopped to be moved")
+// errMoved is the error of an attempt whose run goes on elsewhere, errEndUncertain that of one
+// whose stream has ended after a move without a result, so that it may not be complete.
+var (
+	errMoved        = errors.New("the run was stopped to be moved")
+	errEndUncertain = errors.New("the run may have been stopped to be moved")
+)
 
 // noteMoved notes the result of an attempt for the next one. It returns true if the run of the
 // attempt goes on there.
--- a/internal/gateway/move_test.go
+++ b/internal/gateway/move_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"testing"
@@ -32,7 +33,9 @@
 	// move is the result of a move, stops reports whether it stops the run.
 	move  func() (port.MovedRun, error)
 	stops bool
-	asked int
+	// unframed streams have neither a length nor chunks.
+	unframed bool
+	asked    int
 	// sent are the attempts, in order.
 	sent []port.RoutedAttempt
 	// caller is who receives the stream.
@@ -46,7 +49,27 @@
 	if len(e.sent) == 1 {
 		ctx, e.stop = context.WithCancel(ctx)
 	}
-	return e.versionedEndpoints.Send(ctx, a)
+	reply, err := e.versionedEndpoints.Send(ctx, a)
+	if err == nil && e.unframed {
+		reply = &unframedStream{EndpointResponse: reply, stopped: ctx}
+	}
+	return reply, err
+}
+
+// unframedStream is a stream that ends with its connection, also when its run is stopped.
+type unframedStream struct {
+	port.EndpointResponse
+	stopped context.Context
+}
+
+func (s *unframedStream) EndsByClose() bool { return true }
+
+func (s *unframedStream) Next() (port.EventBatch, error) {
+	batch, err := s.EndpointResponse.Next()
+	if err != nil && s.stopped.Err() != nil {
+		err = io.EOF
+	}
+	return batch, err
 }
 
 func (e *movableEndpoints) MoveRun(context.Context, string, model.RequestID, string) (port.MovedRun, error) {
@@ -157,6 +180,49 @@
 	}
 }
 
+// A stream without a length or chunks ends like a complete one when its run is stopped by a move
+// whose answer is lost. Its caller must not take the part for the whole.
+func TestAStreamWhoseMoveHasNoAnswerDoesNotLookComplete(t *testing.T) {
+	lost := &port.MoveError{Outcome: model.OutcomeUnknown}
+	for _, c := range []struct {
+		name             string
+		run              port.MovedRun
+		err              error
+		stops, resumable bool
+		attempts         int
+		complete         bool
+	}{
+		{name: "answer lost", err: lost, stops: true, attempts: 1},
+		{name: "answer lost, resumable", err: lost, stops: true, resumable: true, attempts: 2, complete: true},
+		{name: "answer lost, not stopped", err: lost, attempts: 1},
+		{name: "moved", run: port.MovedRun{Handle: "old/7"}, stops: true, attempts: 2, complete: true},
+		{name: "run has ended", err: &port.MoveError{Outcome: model.OutcomeNotRun}, attempts: 1, complete: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &movableEndpoints{stops: c.stops, unframed: true, move: func() (port.MovedRun, error) { return c.run, c.err }}
+				caller := playMove(t, e, c.resumable)
+				must.Eq(t, c.complete, caller.complete)
+				must.SliceLen(t, c.attempts, e.sent)
+				if c.complete {
+					must.SliceLen(t, versionedEvents, caller.events)
+				}
+			})
+		})
+	}
+}
+
+// The caller's time ends while the result of a move is awaited: the end of the stream proves nothing.
+func TestTheEndOfAStreamIsUncertainWhileItsMoveIsInProgress(t *testing.T) {
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	m := &runMove{exchange: &exchange{gateway: New(Options{})}, started: make(chan struct{}), done: make(chan struct{})}
+	m.start.Do(func() { close(m.started) })
+	_, end := m.await(ended)
+	must.Eq(t, endUncertain, end)
+	close(m.done)
+}
+
 // What a move has placed is released if the caller leaves before the run has stopped.
 func TestPlaceOfAMoveIsReleasedWhenTheCallerLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -181,7 +247,7 @@
 		m.moved.Handle = "old/7"
 		m.start.Do(func() { close(m.started) })
 		close(m.done)
-		_, stopped := m.await(given)
-		must.True(t, stopped)
+		_, end := m.await(given)
+		must.Eq(t, endMoved, end)
 	}
 }
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -127,9 +127,13 @@
 	for {
 		batch, err := stream.next()
 		if err != nil {
-			if run, stopped := move.await(ctx); stopped {
+			run, end := move.await(ctx)
+			if end == endMoved {
 				return attemptResult{outcome: model.OutcomeRan, delivered: true, events: events, moved: run, err: errMoved}
 			}
+			if end == endUncertain && errors.Is(err, io.EOF) && reply.EndsByClose() {
+				return attemptResult{outcome: model.OutcomeUnknown, delivered: true, events: events, err: errEndUncertain}
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			if events < minProgressEvents {
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -165,6 +165,9 @@
 	Brittleness() (Brittleness, error)
 	// IsEventStream reports whether the response is a stream of events.
 	IsEventStream() bool
+	// EndsByClose reports whether the response has neither a length nor chunks: it ends
+	// with its connection, and one that was stopped at the endpoint looks complete.
+	EndsByClose() bool
 	// Body returns the whole body, or an *EndpointError if it is incomplete.
 	Body() ([]byte, error)
 	// Next returns the next events, io.EOF at the end of a complete response, or
