Settle the version that began a stream when it is needed, by the connection it began on

Cause: one fault. An empty version says three things: any version will do, not certain now, never known. The version of the placement was asked for once and kept, so that a move took 'not certain' for 'any', a resume took it for 'never known', and a version that the list corrected later stayed.

Change: a stream is recorded with its source, the endpoint and the age of its connection. The list of endpoints shows which start that was; a move, another attempt and a resume here or elsewhere wait for it. A run whose version is not certain stays where it is. Digests report sources in a new field, which older hosts ignore; their reports without a version say nothing to this build.

--- a/internal/adapter/peergrpc/attempts.go
+++ b/internal/adapter/peergrpc/attempts.go
@@ -131,6 +131,8 @@
 	head *peer.AttemptHead
 	// header is the response's header.
 	header http.Header
+	// connectedAt is when the connection to the endpoint was opened; zero if not known.
+	connectedAt time.Time
 	// done is the end of the response after its last part; nil before.
 	done error
 }
@@ -190,6 +192,9 @@
 		return &port.PeerAttemptError{Outcome: model.OutcomeUnknown, Cause: errNoHead}
 	}
 	r.header = headerFromWire(r.head.GetHeader())
+	if age := r.head.GetConnectionAgeMs(); age > 0 {
+		r.connectedAt = time.Now().Add(-time.Duration(min(age, maxTimeLeft.Milliseconds())) * time.Millisecond)
+	}
 	return nil
 }
 
@@ -265,6 +270,9 @@
 // IsEventStream implements port.EndpointResponse.
 func (r *attemptReply) IsEventStream() bool { return r.head.GetEventStream() }
 
+// ConnectedAt implements port.EndpointResponse.
+func (r *attemptReply) ConnectedAt() time.Time { return r.connectedAt }
+
 // EndsByClose implements port.EndpointResponse. The other host states the end of a response.
 func (r *attemptReply) EndsByClose() bool { return false }
 
--- a/internal/adapter/peergrpc/attempts_test.go
+++ b/internal/adapter/peergrpc/attempts_test.go
@@ -71,6 +71,8 @@
 	limit      string
 	stream     bool
 	body       []byte
+	// connectedAt is when the connection to the endpoint was opened.
+	connectedAt time.Time
 	// next returns the events, end the error after the body.
 	next   func(i int) (port.EventBatch, error)
 	end    error
@@ -98,6 +100,7 @@
 	return r.body, r.end
 }
 func (r *fakeReply) Next() (port.EventBatch, error) { return r.next(int(r.count.Add(1))) }
+func (r *fakeReply) ConnectedAt() time.Time         { return r.connectedAt }
 func (r *fakeReply) EndsByClose() bool              { return false }
 func (r *fakeReply) KeepBatch()                     {}
 func (r *fakeReply) Close()                         { r.closed.Store(true) }
@@ -151,6 +154,7 @@
 	reply := &fakeReply{
 		status: 500, header: http.Header{"X-B": {"1", "\xe9"}, "X-Empty": {""}}, notRun: true, leaving: true,
 		retryAfter: 1500 * time.Millisecond, limit: "many\xff", body: body,
+		connectedAt: time.Now().Add(-time.Minute),
 	}
 	var got port.PeerAttempt
 	handler := &fakeAttempts{handle: func(_ context.Context, a port.PeerAttempt) (port.EndpointResponse, error) {
@@ -173,6 +177,7 @@
 	brittle, err := out.Brittleness()
 	must.NoError(t, err)
 	must.Eq(t, port.Brittleness{Stated: true, Rejections: 3}, brittle)
+	must.Between(t, -time.Second, out.ConnectedAt().Sub(reply.connectedAt), time.Second)
 	received, err := out.Body()
 	must.NoError(t, err)
 	must.True(t, bytes.Equal(body, received))
--- a/internal/adapter/peergrpc/convert_attempt.go
+++ b/internal/adapter/peergrpc/convert_attempt.go
@@ -130,6 +130,9 @@
 		RetryAfterMs: (reply.RetryAfter() + time.Millisecond - 1).Milliseconds(),
 		EventStream:  reply.IsEventStream(),
 	}
+	if opened := reply.ConnectedAt(); !opened.IsZero() {
+		out.ConnectionAgeMs = time.Since(opened).Milliseconds()
+	}
 	limit, err := reply.RequestLimit()
 	out.LimitStated, out.Limit, out.MalformedLimit = limit.Stated, limit.PerSecond, malformedText(err)
 	brittleness, err := reply.Brittleness()
--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -192,6 +192,7 @@
 	out.Brittle = convert(d.Brittle, brittleToWire)
 	out.QuarantinedParts, out.SuspectedRequests = suspectsToWire(d.Suspects)
 	out.StreamBegins = beginsToWire(d.StreamBegins)
+	out.StreamSources = convert(d.StreamSources, sourcedToWire)
 	out.ClearedParts, out.ClearedRequests = suspectsToWire(d.ClearedSuspects)
 	return out
 }
@@ -214,6 +215,7 @@
 		Suspects:         suspectsFromWire(d.GetQuarantinedParts(), d.GetSuspectedRequests()),
 		ClearedSuspects:  suspectsFromWire(d.GetClearedParts(), d.GetClearedRequests()),
 		StreamBegins:     beginsFromWire(d.GetStreamBegins()),
+		StreamSources:    convert(d.GetStreamSources(), sourcedFromWire),
 		Loads:            convert(d.GetLoads(), endpointLoadFromWire),
 		Hosts:            convert(d.GetHosts(), hostInfoFromWire),
 		Subscribes:       d.GetSubscribes(),
--- a/internal/adapter/peergrpc/streams.go
+++ b/internal/adapter/peergrpc/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/wigeonsail/wigeonsail/api/peer"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
@@ -59,3 +60,25 @@
 	}
 	return out
 }
+
+func sourcedToWire(b resume.SourcedStreams) *peer.StreamSource {
+	out := &peer.StreamSource{
+		Pool: string(b.Source.Pool), Endpoint: string(b.Source.Endpoint),
+		RunningAtMs: b.Source.RunningAt.UnixMilli(), BeganAtMs: b.Source.BeganAt.UnixMilli(),
+	}
+	for _, id := range b.Streams {
+		out.Streams = append(out.Streams, uint64(id))
+	}
+	return out
+}
+
+func sourcedFromWire(s *peer.StreamSource) resume.SourcedStreams {
+	out := resume.SourcedStreams{Source: resume.Source{
+		Pool: model.PoolName(s.GetPool()), Endpoint: model.EndpointName(s.GetEndpoint()),
+		RunningAt: time.UnixMilli(s.GetRunningAtMs()), BeganAt: time.UnixMilli(s.GetBeganAtMs()),
+	}}
+	for _, id := range s.GetStreams() {
+		out.Streams = append(out.Streams, resume.StreamID(id))
+	}
+	return out
+}
--- a/internal/adapter/peergrpc/streams_test.go
+++ b/internal/adapter/peergrpc/streams_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/resume"
+	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
 func TestStreamBeginsAreKeptWhole(t *testing.T) {
@@ -14,3 +16,15 @@
 	must.SliceContainsAll(t, begins, beginsFromWire(beginsToWire(begins)))
 	must.Len(t, 2, beginsToWire(begins))
 }
+
+// A host that is not certain of a version reports who wrote the streams, in a field of its own:
+// an older host takes nothing from it.
+func TestSourcesOfStreamsArriveUnchanged(t *testing.T) {
+	sent := port.LoadDigest{StreamSources: []resume.SourcedStreams{{
+		Streams: []resume.StreamID{1, 2},
+		Source:  resume.Source{Pool: "p", Endpoint: "e", RunningAt: time.UnixMilli(1000), BeganAt: time.UnixMilli(2000)},
+	}}}
+	wire := loadDigestToWire(sent)
+	must.SliceEmpty(t, wire.GetStreamBegins())
+	must.Eq(t, sent.StreamSources, loadDigestFromWire(wire).StreamSources)
+}
--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -90,6 +90,8 @@
 	checkOpen     bool
 	checkStarted  time.Time
 	inDomainRound bool
+	// downFirst and downLast are when the endpoint was first and last found to be down of late.
+	downFirst, downLast time.Time
 	// softwareCertainFrom is the time as of which the list has to be known so that it is
 	// certain that the endpoint runs the version that is listed; zero if it always is.
 	softwareCertainFrom time.Time
@@ -164,6 +166,7 @@
 		e.recordConnectFailure(now)
 	case FailureReplaced:
 		failed = 1
+		e.recordDown(now, now)
 		e.doubtSoftware(now)
 		e.pausedUntil, e.pausedForBreaks = now.Add(replacedPause), false
 	}
--- a/internal/core/balance/paths.go
+++ b/internal/core/balance/paths.go
@@ -205,12 +205,20 @@
 	return out
 }
 
+// maxReportAge is the age up to which the report of another host that does not reach an
+// endpoint may be, by the clock of the endpoint.
+const maxReportAge = 1500 * time.Millisecond
+
 // DoubtSoftware records that other hosts do not reach endpoints, so that these may start
 // again with another version.
 func (b *Balancer) DoubtSoftware(now time.Time, endpoints []EndpointKey) {
 	for _, key := range endpoints {
 		if e := b.byKey[key]; e != nil {
 			e.doubtSoftware(now)
+			if first := now.Add(-maxReportAge); !time.UnixMilli(e.Started).After(first) {
+				// A report on a younger start may be on the one before it.
+				e.recordDown(first, now)
+			}
 		}
 	}
 }
--- a/internal/core/balance/reachability.go
+++ b/internal/core/balance/reachability.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wigeonsail/wigeonsail/internal/core/directory"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
 
@@ -348,5 +349,6 @@
 	e.watched.watch(e)
 	e.nextCheck = now.Add(pauseLength(e.consecutiveFailures))
 	e.consecutiveFailures++
-	e.unreachedUntil = now.Add(restartListTime)
+	e.unreachedUntil = now.Add(directory.RestartListTime)
+	e.recordDown(now, now)
 }
--- a/internal/core/balance/software.go
+++ b/internal/core/balance/software.go
@@ -3,13 +3,10 @@
 import (
 	"time"
 
+	"github.com/wigeonsail/wigeonsail/internal/core/directory"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
 
-// restartListTime is the time within which the list of endpoints shows that one has
-// started again. It may run another version by then, under the same name and address.
-const restartListTime = 3 * time.Second
-
 // endpointsOf returns the endpoints of a pool that run a version of the software. Those
 // that were down of late may have started again with another one.
 func (b *Balancer) endpointsOf(p *pool, software model.SoftwareVersion) []*endpoint {
@@ -33,10 +30,21 @@
 // RecordCrash records when an endpoint has crashed, as found by this host or another one.
 func (b *Balancer) RecordCrash(at time.Time, instance model.Instance) {
 	if e := b.endpoints[instance.Name]; e != nil && e.Started == instance.Started {
+		e.recordDown(at, at)
 		e.doubtSoftware(at)
 	}
 }
 
+// Downtime returns when a listed start of an endpoint was first and last found to be down of
+// late; zero if it was not.
+func (b *Balancer) Downtime(instance model.Instance) (first, last time.Time) {
+	e := b.endpoints[instance.Name]
+	if e == nil || e.Started != instance.Started {
+		return time.Time{}, time.Time{}
+	}
+	return e.downFirst, e.downLast
+}
+
 // RecordListRead records a time as of which the list of endpoints is known.
 func (b *Balancer) RecordListRead(asOf time.Time) {
 	if asOf.After(b.listAsOf) {
@@ -44,10 +52,20 @@
 	}
 }
 
+// recordDown records that the endpoint was found to be down, at a time from first to last.
+func (e *endpoint) recordDown(first, last time.Time) {
+	if first.After(e.downLast.Add(directory.RestartListTime)) || first.Before(e.downFirst) {
+		e.downFirst = first
+	}
+	if last.After(e.downLast) {
+		e.downLast = last
+	}
+}
+
 // doubtSoftware records that the endpoint was down, so that it may start again with
 // another version.
 func (e *endpoint) doubtSoftware(at time.Time) {
-	if from := at.Add(restartListTime); from.After(e.softwareCertainFrom) {
+	if from := at.Add(directory.RestartListTime); from.After(e.softwareCertainFrom) {
 		e.softwareCertainFrom = from
 	}
 }
--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -69,6 +69,10 @@
 // outage begins. It exceeds the 2.2 s between two reads as hosts learn of them.
 const outageAfter = 2400 * time.Millisecond
 
+// RestartListTime is the time within which the list of endpoints shows that one has started
+// again. It may run another version by then, under the same name and address.
+const RestartListTime = 3 * time.Second
+
 // Directory is the list of endpoints. It is not safe for concurrent use: the
 // control loop owns it.
 type Directory struct {
--- a/internal/core/resume/resume.go
+++ b/internal/core/resume/resume.go
@@ -73,6 +73,13 @@
 	pools  map[model.PoolName]pool
 	// stored are the histories that earlier processes have saved.
 	stored map[model.PoolName]History
+	// starts are the starts of endpoints that the list has shown, gaps the number of gaps in it.
+	starts map[model.EndpointName]endpointStarts
+	gaps   int
+	// startsExpiredAt is when old starts were last forgotten.
+	startsExpiredAt time.Time
+	// pending are the streams whose version is not known yet, the oldest first.
+	pending []pendingBegin
 }
 
 type unsentBegin struct {
@@ -82,7 +89,10 @@
 
 // New returns a State that knows nothing.
 func New() *State {
-	return &State{streams: make(map[StreamID]stream), pools: make(map[model.PoolName]pool), stored: make(map[model.PoolName]History)}
+	return &State{
+		streams: make(map[StreamID]stream), pools: make(map[model.PoolName]pool),
+		stored: make(map[model.PoolName]History), starts: make(map[model.EndpointName]endpointStarts),
+	}
 }
 
 // RecordBegin records a stream that began at this host, to be reported to others.
@@ -96,8 +106,13 @@
 	s.unsent = append(s.unsent, unsentBegin{Begin: b, at: now})
 }
 
-// RecordReport records a stream that began at another host.
-func (s *State) RecordReport(now time.Time, b Begin) { s.record(now, b) }
+// RecordReport records a stream that began at another host. A report without a version says
+// nothing: the host that sent it was not certain then.
+func (s *State) RecordReport(now time.Time, b Begin) {
+	if b.Origin.IsKnown() {
+		s.record(now, b)
+	}
+}
 
 // record records a stream. It returns false if it was known.
 func (s *State) record(now time.Time, b Begin) bool {
@@ -151,8 +166,13 @@
 	return out
 }
 
-// Expire forgets the streams that are too old to be resumed.
-func (s *State) Expire(now time.Time) {
+// Expire forgets the streams that are too old to be resumed, and the endpoints of which none
+// can be.
+func (s *State) Expire(now time.Time, isListed func(model.EndpointName) bool) {
+	if now.Sub(s.startsExpiredAt) > startsExpiryInterval {
+		s.startsExpiredAt = now
+		s.expireStarts(now, isListed)
+	}
 	for len(s.byAge) > 0 && now.Sub(s.streams[s.byAge[0]].at) > streamMemory {
 		s.forgetOldest()
 	}
--- a/internal/core/resume/resume_test.go
+++ b/internal/core/resume/resume_test.go
@@ -39,7 +39,7 @@
 	}
 	_, known := s.Origin(3)
 	must.False(t, known)
-	s.Expire(at(10*time.Minute + time.Second/2))
+	s.Expire(at(10*time.Minute+time.Second/2), func(model.EndpointName) bool { return true })
 	_, known = s.Origin(1)
 	must.False(t, known)
 	_, known = s.Origin(2)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -158,10 +158,11 @@
 	c.peers.forgetSilent(now)
 	c.paths.others.Expire(now)
 	c.updateReading(now)
-	c.balancer.RecordListRead(now.Add(-c.directory.Age(now)))
+	c.balancer.RecordListRead(c.listAsOf(now))
+	c.streams.Settle(now, c.listView(now))
 	c.updateLiveHosts(now)
 	c.refreshStaleList(now)
-	c.streams.Expire(now)
+	c.streams.Expire(now, c.isListed)
 	c.expireQuarantine(now)
 	c.fetchNewerConfig(now)
 	c.logReservations()
@@ -223,6 +224,9 @@
 func (c *control) applyEndpointChanges(now time.Time, changes []directory.Change, source string) {
 	for _, change := range changes {
 		c.balancer.Apply(change)
+		if !change.Removed {
+			c.streams.ObserveStart(now, change.Entry)
+		}
 		logEndpoint(c.gateway.opts.Log, change, c.directory.Age(now), source)
 	}
 	if len(changes) > 0 {
--- a/internal/gateway/crashfleet_test.go
+++ b/internal/gateway/crashfleet_test.go
@@ -68,13 +68,15 @@
 	downtime time.Duration
 	// onCrash is called when an endpoint crashes; nil for nothing.
 	onCrash func(name model.EndpointName)
+	// used is when each endpoint was first used since it is up.
+	used map[model.EndpointName]time.Time
 	// arrivals and crashes are the times of requests that crash endpoints which arrived,
 	// and of the crashes.
 	arrivals, crashes []time.Time
 }
 
 func newCrashingEndpoints() *crashingEndpoints {
-	return &crashingEndpoints{prefill: shortPrefill, events: 8, downtime: crashDowntime, downUntil: make(map[model.EndpointName]time.Time), crashed: make(map[model.EndpointName]chan struct{})}
+	return &crashingEndpoints{used: make(map[model.EndpointName]time.Time), prefill: shortPrefill, events: 8, downtime: crashDowntime, downUntil: make(map[model.EndpointName]time.Time), crashed: make(map[model.EndpointName]chan struct{})}
 }
 
 // arrive records a request and returns the channel that is closed when the endpoint
@@ -90,6 +92,7 @@
 	}
 	if e.crashed[name] == nil {
 		e.crashed[name] = make(chan struct{})
+		e.used[name] = time.Now()
 	}
 	return e.crashed[name], true
 }
@@ -116,6 +119,13 @@
 	errConnectionReset   = &port.EndpointError{Outcome: model.OutcomeUnknown, Cause: io.ErrUnexpectedEOF}
 )
 
+// firstUse returns when an endpoint was first used since it is up. Its connections are as old.
+func (e *crashingEndpoints) firstUse(name model.EndpointName) time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.used[name]
+}
+
 func (e *crashingEndpoints) isSound() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -152,7 +162,7 @@
 	if crashes && e.eventsFirst == 0 || hasSharedPart(a.Call.Prompt, e.breaks) {
 		return nil, errConnectionReset
 	}
-	out := &crashableStream{ctx: ctx, crashed: crashed, left: e.events, plain: a.Call.Prompt.Model == ""}
+	out := &crashableStream{ctx: ctx, connectedAt: e.firstUse(a.Endpoint), crashed: crashed, left: e.events, plain: a.Call.Prompt.Model == ""}
 	if crashes {
 		out.left, out.crash = e.eventsFirst, func() { e.crash(a.Endpoint) }
 	}
@@ -196,10 +206,11 @@
 // response.
 type crashableStream struct {
 	port.EndpointResponse
-	ctx     context.Context
-	crashed <-chan struct{}
-	left    int
-	plain   bool
+	connectedAt time.Time
+	ctx         context.Context
+	crashed     <-chan struct{}
+	left        int
+	plain       bool
 	// crash crashes the endpoint after the last event; nil for a sound request.
 	crash func()
 }
@@ -214,6 +225,7 @@
 func (s *crashableStream) Brittleness() (port.Brittleness, error) { return port.Brittleness{}, nil }
 func (s *crashableStream) IsEventStream() bool                    { return !s.plain }
 func (s *crashableStream) Body() ([]byte, error)                  { return nil, nil }
+func (s *crashableStream) ConnectedAt() time.Time                 { return s.connectedAt }
 func (s *crashableStream) EndsByClose() bool                      { return false }
 func (s *crashableStream) KeepBatch()                             {}
 func (s *crashableStream) Close()                                 {}
--- a/internal/gateway/digests.go
+++ b/internal/gateway/digests.go
@@ -225,6 +225,7 @@
 	d.AccountWork = c.accounts.direct(now)
 	d.Report = s.reports.record(now, d.Loads)
 	d.StreamBegins = c.streams.TakeUnsent(now, c.isListCurrent(now))
+	d.StreamSources = c.streams.TakeUnsentSources(now, c.isListCurrent(now))
 	d.Usage = c.usage.takeDirect(now)
 	d.CacheUpdates, s.nextDirectCacheUpdate = c.balancer.LocalCacheUpdatesSince(s.nextDirectCacheUpdate)
 	for address, p := range s.table.peers {
--- a/internal/gateway/listbarrier.go
+++ b/internal/gateway/listbarrier.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -34,15 +35,15 @@
 	done  chan<- struct{}
 }
 
-// wait returns a channel that is closed once a read that began after now is applied. It
+// wait returns a channel that is closed once a read that began after since is applied. It
 // returns nil if too many decisions wait.
-func (b *listBarrier) wait(now time.Time) <-chan struct{} {
+func (b *listBarrier) wait(now, since time.Time) <-chan struct{} {
 	if len(b.waiters) >= maxBarrierWaiters {
 		return nil
 	}
 	done := make(chan struct{})
-	b.waiters = append(b.waiters, barrierWaiter{since: now, done: done})
-	b.requestRead(now)
+	b.waiters = append(b.waiters, barrierWaiter{since: since, done: done})
+	b.requestDue(now)
 	return done
 }
 
@@ -60,13 +61,13 @@
 // tick forgets decisions that are waited for no more, and requests reads for the others.
 func (b *listBarrier) tick(now time.Time) {
 	b.removeWaiters(func(w barrierWaiter) bool { return now.Sub(w.since) > barrierTimeout })
-	if len(b.waiters) > 0 {
-		b.requestRead(now)
-	}
+	b.requestDue(now)
 }
 
-func (b *listBarrier) requestRead(now time.Time) {
-	if now.Sub(b.requestedAt) >= barrierReadInterval {
+// requestDue requests a read if one that begins now ends a wait.
+func (b *listBarrier) requestDue(now time.Time) {
+	isDue := func(w barrierWaiter) bool { return !now.Before(w.since) }
+	if now.Sub(b.requestedAt) >= barrierReadInterval && slices.ContainsFunc(b.waiters, isDue) {
 		b.requestedAt = now
 		b.request()
 	}
@@ -85,12 +86,12 @@
 }
 
 // awaitBarrier waits until done is closed. It returns false if that takes longer than
-// barrierTimeout or ctx ends before.
-func awaitBarrier(ctx context.Context, done <-chan struct{}) bool {
+// timeout or ctx ends before.
+func awaitBarrier(ctx context.Context, done <-chan struct{}, timeout time.Duration) bool {
 	if done == nil {
 		return false
 	}
-	timer := time.NewTimer(barrierTimeout)
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case <-done:
--- a/internal/gateway/listchanges_test.go
+++ b/internal/gateway/listchanges_test.go
@@ -15,6 +15,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
 	"github.com/wigeonsail/wigeonsail/internal/core/directory"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/resume"
 	"github.com/wigeonsail/wigeonsail/internal/core/routing"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
@@ -336,7 +337,7 @@
 func TestEmptyStreamHasFirstResponseTime(t *testing.T) {
 	c, _ := newTestControl(t)
 	x := &exchange{gateway: c.gateway, w: discardResponse{}, route: &routing.Route{}}
-	result := x.forwardStream(t.Context(), newReadAhead(t.Context(), nil, emptyStream{}, nil), "v1", x.startWatch(t.Context(), func(error) {}, balance.Decision{}))
+	result := x.forwardStream(t.Context(), newReadAhead(t.Context(), nil, emptyStream{}, nil), resume.Source{}, x.startWatch(t.Context(), func(error) {}, balance.Decision{}))
 	must.True(t, result.answered)
 	must.False(t, x.firstResponseAt.IsZero())
 }
--- a/internal/gateway/mailbox.go
+++ b/internal/gateway/mailbox.go
@@ -5,7 +5,6 @@
 
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
-	"github.com/wigeonsail/wigeonsail/internal/core/resume"
 	"github.com/wigeonsail/wigeonsail/internal/core/usage"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
@@ -45,7 +44,8 @@
 	}
 	newer.CacheUpdates = mergeCacheUpdates(older.CacheUpdates, newer.CacheUpdates)
 	newer.Demand = mergeDemand(older.Demand, newer.Demand)
-	newer.StreamBegins = mergeBegins(older.StreamBegins, newer.StreamBegins)
+	newer.StreamBegins = mergeNewest(older.StreamBegins, newer.StreamBegins)
+	newer.StreamSources = mergeNewest(older.StreamSources, newer.StreamSources)
 	newer.Usage = usage.MergeRecords(older.Usage, newer.Usage)
 	newer.Changes = mergeChanges(older.Changes, newer.Changes)
 	if len(newer.Hosts) == 0 {
@@ -89,9 +89,9 @@
 	return newer
 }
 
-// mergeBegins returns the begins of streams of both lists, at most the newest ones. It
+// mergeNewest returns the begins of streams of both lists, at most the newest ones. It
 // modifies neither slice, since several mailboxes share them.
-func mergeBegins(older, newer []resume.Begin) []resume.Begin {
+func mergeNewest[T any](older, newer []T) []T {
 	if len(older) == 0 {
 		return newer
 	}
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -42,8 +42,9 @@
 	buf []byte
 }
 
-func (s *longStream) EndsByClose() bool { return false }
-func (s *longStream) KeepBatch()        { s.buf = nil }
+func (s *longStream) ConnectedAt() time.Time { return time.Time{} }
+func (s *longStream) EndsByClose() bool      { return false }
+func (s *longStream) KeepBatch()             { s.buf = nil }
 
 func (s *longStream) Next() (port.EventBatch, error) {
 	if time.Since(s.readAt) > unreadTime {
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -11,6 +11,7 @@
 
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/resume"
 	"github.com/wigeonsail/wigeonsail/internal/loop"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
@@ -50,6 +51,8 @@
 type runMove struct {
 	exchange *exchange
 	source   balance.Decision
+	// stream is who writes the stream.
+	stream resume.Source
 	// req is what is to be placed elsewhere.
 	req balance.Request
 	// started is closed when the move begins, done when its result is known.
@@ -65,11 +68,13 @@
 	port.MovedRun
 	id       model.RequestID
 	decision balance.Decision
+	// software is the version that began the stream.
+	software model.SoftwareVersion
 }
 
 // watchMove prepares the stream of an attempt that has begun for a move. It returns nil if it
 // cannot be moved.
-func (x *exchange) watchMove(decision balance.Decision) *runMove {
+func (x *exchange) watchMove(decision balance.Decision, stream resume.Source) *runMove {
 	g := x.gateway
 	table := g.table.Load()
 	if g.opts.Mover == nil || table == nil || x.stays || decision.Indirect {
@@ -78,7 +83,7 @@
 	if p, known := table.Pool(x.req.Pool); !known || p.Engine == nil || !p.Engine.CanMove {
 		return nil
 	}
-	m := &runMove{exchange: x, source: decision, req: x.req, started: make(chan struct{}), done: make(chan struct{})}
+	m := &runMove{exchange: x, source: decision, stream: stream, req: x.req, started: make(chan struct{}), done: make(chan struct{})}
 	m.req.Avoid = append(append([]model.EndpointName(nil), x.req.Avoid...), decision.Endpoint)
 	m.req.Retry = false
 	instance := m.instance()
@@ -199,6 +204,13 @@
 func (m *runMove) run(ctx context.Context) {
 	defer close(m.done)
 	g := m.exchange.gateway
+	software, settled := g.awaitVersion(ctx, m.stream)
+	if !settled {
+		// Any target may run another version, so the run stays where it is.
+		m.log("version not certain", nil)
+		return
+	}
+	m.req.Software = software
 	m.req.ID = g.nextID(m.exchange.call.ID)
 	target, ok := queryLoop(ctx, g, func(now time.Time) balance.Decision { return g.control.placeRequest(now, m.req) })
 	if !ok || target.IsRefused() || target.Indirect {
@@ -221,7 +233,7 @@
 	if run.AtSource {
 		decision = m.source
 	}
-	m.moved = movedRun{MovedRun: run, id: m.req.ID, decision: decision}
+	m.moved = movedRun{MovedRun: run, id: m.req.ID, decision: decision, software: software}
 	m.log("stopped", nil)
 }
 
@@ -328,7 +340,11 @@
 	}
 	x.movedFrom = ""
 	x.movedRun = result.moved
-	return result.moved.Handle != ""
+	if result.moved.Handle == "" {
+		return false
+	}
+	x.req.Software = result.moved.software
+	return true
 }
 
 // placeMovedOrNext returns the placement of the run that was stopped to be moved, or places
--- a/internal/gateway/move_test.go
+++ b/internal/gateway/move_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -35,7 +36,11 @@
 	stops bool
 	// unframed streams have neither a length nor chunks.
 	unframed bool
-	asked    int
+	// target is the version of "new", v1 if empty. stoodStill reports that the host has just stood
+	// still when the stream begins.
+	target     string
+	stoodStill bool
+	asked      int
 	// sent are the attempts, in order.
 	sent []port.RoutedAttempt
 	// caller is who receives the stream.
@@ -101,10 +106,19 @@
 	g.workers.Go(func() { g.loop.Run(ctx, tickInterval, g.control.tick) })
 	defer g.workers.Wait()
 	defer stop()
+	g.workers.Go(func() {
+		for clock.Sleep(ctx, 50*time.Millisecond) {
+			g.loop.Post(loop.Func(func(now time.Time) {
+				g.control.directory.RecordStoreRead(now, now)
+				g.control.barrier.recordRead(now)
+			}))
+		}
+	})
 	list := func(entry directory.Entry) {
 		g.loop.Post(loop.Func(func(now time.Time) {
+			g.control.directory.RecordStoreRead(now, now)
 			if change, changed := g.control.directory.Put(now, entry); changed {
-				g.control.balancer.Apply(change)
+				g.control.applyEndpointChanges(now, []directory.Change{change}, sourceStore)
 			}
 		}))
 	}
@@ -122,15 +136,19 @@
 	e.caller = caller
 	served := make(chan bool, 1)
 	clock.Sleep(ctx, 100*time.Millisecond)
+	if e.stoodStill {
+		g.loop.Post(loop.Func(func(now time.Time) { g.control.balancer.DoubtVersions(now) }))
+	}
 	go func() {
 		call := &port.RoutedCall{ID: "1", Host: "host", Path: "/", Method: http.MethodPost, Header: http.Header{}, Arrived: time.Now()}
 		served <- g.Route(ctx, call, &versionedWriter{caller: caller, request: "1"})
 	}()
 	clock.Sleep(ctx, 300*time.Millisecond)
 	e.versionedEndpoints.mu.Lock()
-	e.software["new"] = "v1"
+	target := cmp.Or(e.target, "v1")
+	e.software["new"] = target
 	e.versionedEndpoints.mu.Unlock()
-	list(directory.Entry{Name: "new", Pool: "p", Address: "new", Domain: "a", Software: "v1", Slots: 10, Started: 1})
+	list(directory.Entry{Name: "new", Pool: "p", Address: "new", Domain: "a", Software: model.SoftwareVersion(target), Slots: 10, Started: 1})
 	old.Draining, old.Sequence = true, 1
 	list(old)
 	caller.complete = <-served
@@ -223,6 +241,24 @@
 	close(m.done)
 }
 
+// A host that has just stood still is not certain of versions. It must not move a run to an
+// endpoint of another version than the one that began the stream.
+func TestARunIsMovedOnlyToTheVersionThatBeganIt(t *testing.T) {
+	for target, attempts := range map[string]int{"v1": 2, "v2": 1} {
+		synctest.Test(t, func(t *testing.T) {
+			e := &movableEndpoints{target: target, stoodStill: true}
+			e.move = func() (port.MovedRun, error) {
+				e.stop()
+				return port.MovedRun{Handle: "old/7"}, nil
+			}
+			caller := playMove(t, e, false)
+			must.True(t, caller.complete)
+			must.False(t, caller.isJoined())
+			must.SliceLen(t, attempts, e.sent)
+		})
+	}
+}
+
 // What a move has placed is released if the caller leaves before the run has stopped.
 func TestPlaceOfAMoveIsReleasedWhenTheCallerLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -321,6 +321,9 @@
 	for _, begin := range d.StreamBegins {
 		c.streams.RecordReport(now, begin)
 	}
+	for _, begun := range d.StreamSources {
+		c.streams.RecordSourceReport(now, c.listView(now), begun)
+	}
 	if d.Version > c.version() {
 		c.fetchNewerConfig(now)
 	}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -28,6 +28,8 @@
 	// findTimeout bounds the calls: the caller waits.
 	maxFindPeers = 8
 	findTimeout  = 100 * time.Millisecond
+	// findInterval is the time between two such questions while the version is not certain.
+	findInterval = 100 * time.Millisecond
 )
 
 // isResumed reports whether the request resumes a stream.
@@ -62,6 +64,9 @@
 type originResult struct {
 	origin resume.Origin
 	source string
+	// pending is who wrote a stream whose version is not known yet; nil if that is not known
+	// either.
+	pending *resume.Source
 	// listRead is closed once the history of the list may show the origin; nil if it
 	// does not.
 	listRead <-chan struct{}
@@ -76,7 +81,12 @@
 	if !ok || found.source != originUnknown {
 		return found.origin, found.source
 	}
-	if awaitBarrier(ctx, found.listRead) {
+	if found.pending != nil {
+		if software, settled := g.awaitVersion(ctx, *found.pending); settled {
+			return resume.Origin{Pool: found.pending.Pool, Software: software}, originRecorded
+		}
+	}
+	if awaitBarrier(ctx, found.listRead, barrierTimeout) {
 		proven, ok := queryLoop(ctx, g, func(now time.Time) originResult { return g.control.proveOrigin(now, x) })
 		if ok && proven.source != originUnknown {
 			return proven.origin, proven.source
@@ -85,7 +95,7 @@
 	if x.call.Resumes == "" {
 		return resume.Origin{}, originUnknown
 	}
-	if origin, known := g.findAtPeers(ctx, found.peers, id); known {
+	if origin, known := g.findSettledAtPeers(ctx, found.peers, id); known {
 		return origin, originPeer
 	}
 	return resume.Origin{}, originUnknown
@@ -98,8 +108,11 @@
 		return found
 	}
 	out := originResult{source: originUnknown, peers: c.peers.directAddresses(now)}
+	if source, pending := c.streams.Pending(resume.NewStreamID(x.call.Resumes)); pending && x.call.Resumes != "" {
+		out.pending = &source
+	}
 	if _, sole := c.soleOrigin(now, x.route); sole && !c.listReadFailing {
-		out.listRead = c.barrier.wait(now)
+		out.listRead = c.barrier.wait(now, now)
 	}
 	return out
 }
@@ -137,8 +150,24 @@
 	return resume.Origin{Pool: pool, Software: software}, sole
 }
 
-// findAtPeers asks other hosts where a stream began. It returns false if none of them
-// knows.
+// findSettledAtPeers asks other hosts where a stream began, and again while one of them knows
+// it without being certain of the version. It returns false if none is.
+func (g *Gateway) findSettledAtPeers(ctx context.Context, addresses []string, id resume.StreamID) (resume.Origin, bool) {
+	ctx, cancel := context.WithTimeout(ctx, versionWait)
+	defer cancel()
+	for {
+		origin, known := g.findAtPeers(ctx, addresses, id)
+		if !known || origin.IsKnown() {
+			return origin, known
+		}
+		if !clock.Sleep(ctx, findInterval) {
+			return resume.Origin{}, false
+		}
+	}
+}
+
+// findAtPeers asks other hosts where a stream began. The version of the result is empty if the
+// host that knows the stream is not certain of it. It returns false if none of them knows.
 func (g *Gateway) findAtPeers(ctx context.Context, addresses []string, id resume.StreamID) (resume.Origin, bool) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
@@ -171,8 +200,13 @@
 		origin resume.Origin
 		known  bool
 	}
-	found, ok := queryLoop(ctx, g, func(time.Time) result {
-		origin, known := g.control.streams.Origin(id)
+	found, ok := queryLoop(ctx, g, func(now time.Time) result {
+		c := g.control
+		if source, pending := c.streams.Pending(id); pending {
+			c.requestVersion(now, source)
+			return result{resume.Origin{Pool: source.Pool}, true}
+		}
+		origin, known := c.streams.Origin(id)
 		return result{origin, known}
 	})
 	if !ok {
@@ -181,26 +215,6 @@
 	return found.origin, found.known, nil
 }
 
-// recordBegin records where the stream of the response began, before its first event is
-// sent to the caller. The rest of the response must come from the same version.
-func (x *exchange) recordBegin(software model.SoftwareVersion) {
-	if x.began {
-		return
-	}
-	x.began, x.req.Software = true, software
-	origin := resume.Origin{Pool: x.req.Pool, Software: software}
-	requests := []model.RequestID{x.call.ID}
-	if x.isResumed() && x.call.Resumes != "" {
-		requests = append(requests, x.call.Resumes)
-	}
-	g := x.gateway
-	g.loop.Post(loop.Func(func(now time.Time) {
-		for _, request := range requests {
-			g.control.streams.RecordBegin(now, resume.Begin{Stream: resume.NewStreamID(request), Origin: origin})
-		}
-	}))
-}
-
 // routeKey identifies a route across configurations.
 func routeKey(r *routing.Route) string { return r.Host + r.PathPrefix }
 
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -12,6 +12,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/core/quarantine"
+	"github.com/wigeonsail/wigeonsail/internal/core/resume"
 	"github.com/wigeonsail/wigeonsail/internal/core/routing"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
@@ -61,9 +62,10 @@
 	unreachable  int
 	// reserved is the next attempt; nil unless the last one was given up.
 	reserved *reservation
-	// began reports whether the first event of the response was recorded; the rest must
-	// come from the version in req.
-	began bool
+	// began reports whether the first event of the response was recorded, and source is who
+	// wrote it; the rest must come from the same version. It is in req once it is certain.
+	began  bool
+	source resume.Source
 	// counted reports that the request was counted for its account.
 	counted bool
 	// headerSent reports whether the response's header was sent to the caller.
@@ -257,7 +259,7 @@
 			x.gateway.departure.observe(x)
 			return true
 		}
-		if !x.canRetry(ctx, result) || !x.repeatsNow(time.Now(), x.headerSent) {
+		if !x.canRetry(ctx, result) || !x.repeatsNow(time.Now(), x.headerSent) || !x.settleVersion(ctx) {
 			return x.fail(ctx, result)
 		}
 		waitConfirmed(ctx, confirmed)
@@ -301,10 +303,6 @@
 // allowsAttempt reports whether another attempt may follow the given numbers of attempts
 // that reached an endpoint and that may have run.
 func (x *exchange) allowsAttempt(delivered, possibleRuns int) bool {
-	if x.began && x.req.Software == "" {
-		// Another endpoint may run another version.
-		return false
-	}
 	return delivered < maxDelivered && possibleRuns < max(x.route.MaxAttempts, 1)
 }
 
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -9,6 +9,7 @@
 	"github.com/wigeonsail/wigeonsail/internal/core/attempt"
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/resume"
 )
 
 const (
@@ -67,7 +68,9 @@
 	// allowed reports whether an attempt may follow this one within its time limit, began
 	// whether the caller has received the beginning of the response.
 	allowed, began bool
-	failed         attempt.FailedAttempt
+	// source is who wrote the beginning.
+	source resume.Source
+	failed attempt.FailedAttempt
 }
 
 // startWatch returns a watch on an attempt and starts the timeout for its first
@@ -93,7 +96,7 @@
 func (w *stallWatch) describeNext() nextAttempt {
 	x := w.exchange
 	out := nextAttempt{
-		request: x.req, began: x.headerSent, failed: x.failedAttempt(model.OutcomeUnknown),
+		request: x.req, began: x.headerSent, source: x.source, failed: x.failedAttempt(model.OutcomeUnknown),
 		allowed: x.allowsAttempt(x.delivered+1, x.possibleRuns+1),
 	}
 	out.request.Avoid = append(slices.Clone(x.req.Avoid), w.endpoint)
@@ -217,6 +220,13 @@
 	if !next.allowed || !attempt.IsRetryAllowed(time.Now().Add(2*minRetryTime), next.failed) {
 		return nil, keptNoAttempt
 	}
+	if next.began && next.request.Software == "" {
+		software, settled := g.awaitVersion(w.ctx, next.source)
+		if !settled {
+			return nil, balance.ReasonSoftware
+		}
+		next.request.Software = software
+	}
 	next.request.ID = g.nextID(w.exchange.call.ID)
 	decision, ok := g.place(w.ctx, next.request, w.exchange.fingerprint, false)
 	if !ok {
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -11,6 +11,7 @@
 
 	"github.com/wigeonsail/wigeonsail/internal/core/balance"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/core/resume"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -50,7 +51,7 @@
 	case reply.IsEventStream():
 		events := newReadAhead(ctx, cancel, reply, holdOf(x.call))
 		defer events.stop()
-		return x.forwardStream(ctx, events, decision.Software, watch)
+		return x.forwardStream(ctx, events, x.streamSource(decision.Decision, reply), watch)
 	default:
 		return x.forwardBuffered(ctx, reply)
 	}
@@ -119,7 +120,7 @@
 // forwardStream forwards a stream's events as they arrive, until it ends or
 // breaks, and reports the first ones to the balancer. While it writes to the
 // caller, watch is paused.
-func (x *exchange) forwardStream(ctx context.Context, stream *readAhead, software model.SoftwareVersion, watch *stallWatch) attemptResult {
+func (x *exchange) forwardStream(ctx context.Context, stream *readAhead, source resume.Source, watch *stallWatch) attemptResult {
 	reply := stream.reply
 	events := 0
 	var move *runMove
@@ -153,10 +154,8 @@
 		if events == 0 {
 			x.gateway.recordFirstResponse(x.req.ID)
 			x.countBegin()
-		}
-		x.recordBegin(software)
-		if events == 0 {
-			move = x.watchMove(x.placed)
+			x.recordBegin(source)
+			move = x.watchMove(x.placed, source)
 		}
 		x.recordProgress(events, events+batch.Events)
 		events += batch.Events
--- a/internal/gateway/versionfleet_test.go
+++ b/internal/gateway/versionfleet_test.go
@@ -41,6 +41,35 @@
 	resumed int
 }
 
+// versionedConnection is a connection that is used as long as an endpoint runs.
+type versionedConnection struct {
+	software string
+	openedAt time.Time
+}
+
+// versionedClient is how one host reaches the endpoints.
+type versionedClient struct {
+	*versionedEndpoints
+	// connections are its open connections, by endpoint.
+	connections map[model.EndpointName]versionedConnection
+}
+
+func (c *versionedClient) Send(ctx context.Context, a port.RoutedAttempt) (port.EndpointResponse, error) {
+	reply, err := c.versionedEndpoints.Send(ctx, a)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		delete(c.connections, a.Endpoint)
+		return nil, err
+	}
+	stream := reply.(*versionedStream)
+	if open := c.connections[a.Endpoint]; open.software != stream.software {
+		c.connections[a.Endpoint] = versionedConnection{software: stream.software, openedAt: time.Now()}
+	}
+	stream.openedAt = c.connections[a.Endpoint].openedAt
+	return stream, nil
+}
+
 func (e *versionedEndpoints) Send(ctx context.Context, a port.RoutedAttempt) (port.EndpointResponse, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -82,8 +111,11 @@
 	crashableStream
 	next, breakAt int
 	software      string
+	openedAt      time.Time
 }
 
+func (s *versionedStream) ConnectedAt() time.Time { return s.openedAt }
+
 func (s *versionedStream) Next() (port.EventBatch, error) {
 	if s.next == s.breakAt {
 		return port.EventBatch{}, errConnectionReset
@@ -179,14 +211,22 @@
 	change func(*Options)
 }
 
-// softwareDecoder decodes entries that consist of a version.
+// softwareDecoder decodes entries that consist of a version and, after a space, the time of the
+// start in milliseconds.
 type softwareDecoder struct{ endpointDecoder }
 
 func (softwareDecoder) Endpoint(key string, value []byte) (directory.Entry, error) {
-	return directory.Entry{
+	software, started, found := strings.Cut(string(value), " ")
+	entry := directory.Entry{
 		Name: model.EndpointName(key), Pool: "p", Address: key, Domain: "north", Slots: 64, Started: 1, Sequence: 1,
-		Software: model.SoftwareVersion(value),
-	}, nil
+		Software: model.SoftwareVersion(software),
+	}
+	if !found {
+		return entry, nil
+	}
+	var err error
+	entry.Started, err = strconv.ParseInt(started, 10, 64)
+	return entry, err
 }
 
 // newVersionFleet starts gateways that know each other.
@@ -213,7 +253,8 @@
 	opts := Options{
 		Host: model.HostID(address), Domain: "north", PeerAddress: address, Seeds: []string{"h0"}, Seed: uint64(i),
 		Incarnation: model.Incarnation(time.Now().UnixNano()),
-		Lists:       f.list, Decoder: softwareDecoder{}, ListReadInterval: time.Second, Endpoints: f.endpoints, Peers: f.peers, Warm: true,
+		Lists:       f.list, Decoder: softwareDecoder{}, ListReadInterval: time.Second,
+		Endpoints: &versionedClient{versionedEndpoints: f.endpoints, connections: make(map[model.EndpointName]versionedConnection)}, Peers: f.peers, Warm: true,
 		MinDigestInterval: 40 * time.Millisecond, Budget: attempt.SharedBudgetOptions{Window: 10 * time.Second, Ratio: 0.2, Slack: 500},
 		Log: &log.Logger{Handler: discard.New()},
 	}
@@ -250,6 +291,21 @@
 	f.list.append(name, []byte(software))
 }
 
+// crash ends an endpoint without a word, restart starts it again under its name and at its
+// address with a version, and publishes that.
+func (f *versionFleet) crash(name string) {
+	f.endpoints.mu.Lock()
+	defer f.endpoints.mu.Unlock()
+	delete(f.endpoints.software, model.EndpointName(name))
+}
+
+func (f *versionFleet) restart(name, software string) {
+	f.add(name, software+" "+strconv.FormatInt(time.Now().UnixMilli(), 10))
+	f.endpoints.mu.Lock()
+	defer f.endpoints.mu.Unlock()
+	f.endpoints.software[model.EndpointName(name)] = software
+}
+
 func (f *versionFleet) remove(name string) {
 	f.endpoints.mu.Lock()
 	defer f.endpoints.mu.Unlock()
--- a/internal/port/gateway.go
+++ b/internal/port/gateway.go
@@ -163,6 +163,9 @@
 	// Brittleness returns whether the endpoint fails under rejections. It fails with a
 	// *MalformedLimitError if the value has no meaning.
 	Brittleness() (Brittleness, error)
+	// ConnectedAt is when the connection of the response was opened to the endpoint; zero if
+	// it is not known.
+	ConnectedAt() time.Time
 	// IsEventStream reports whether the response is a stream of events.
 	IsEventStream() bool
 	// EndsByClose reports whether the response has neither a length nor chunks: it ends
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -92,6 +92,8 @@
 	// StreamBegins are streams that have begun at the host since the last digest that lists
 	// some.
 	StreamBegins []resume.Begin
+	// StreamSources are the same for streams of whose version the host is not certain.
+	StreamSources []resume.SourcedStreams
 	// Clock is the sender's estimate of the true time; zero for none.
 	Clock time.Time
 	// Usage are the counts of begun requests that the sender knows, its own and those of
