Confirm the version of an endpoint before it continues a stream

Cause: as for the beginning of a stream, the version of the placement counted, though the list is older than the connection that the attempt opens.

Change: the first event of an attempt that continues a stream is forwarded once the version of its source is settled and the right one; otherwise the attempt has failed and the stream goes on elsewhere.

TestStreamDoesNotGoOnAtAnEndpointThatStartedAgainUnnoticed failed before: 2 joined.

--- a/internal/gateway/streamversion.go
+++ b/internal/gateway/streamversion.go
@@ -12,7 +12,8 @@
 )
 
 // The version at which a stream began is settled when it is needed: for another attempt, a
-// move, or a caller that resumes the stream. Until then only the connection is known.
+// move, or a caller that resumes the stream. Until then only the connection is known. A run
+// that continues a stream is confirmed in the same way before its first event is forwarded.
 
 // versionWait bounds the wait for the version of a stream.
 const versionWait = time.Second + barrierTimeout
@@ -62,6 +63,16 @@
 	return settled
 }
 
+// continues reports whether the source of an attempt may continue the stream: it has the
+// version that began it.
+func (x *exchange) continues(ctx context.Context, source resume.Source) bool {
+	if x.req.Software == "" {
+		return true
+	}
+	software, settled := x.gateway.awaitVersion(ctx, source)
+	return settled && software == x.req.Software
+}
+
 // versionResult is what is known of the version of a source.
 type versionResult struct {
 	software   model.SoftwareVersion
--- a/internal/gateway/streamversion_test.go
+++ b/internal/gateway/streamversion_test.go
@@ -71,6 +71,25 @@
 	}
 }
 
+// A stream is taken up at an endpoint that has started again with another version unnoticed.
+func TestStreamDoesNotGoOnAtAnEndpointThatStartedAgainUnnoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newVersionFleet(2)
+		defer f.close()
+		f.addVersions(2, "v1")
+		f.run()
+		f.breakFirst(10)
+		time.Sleep(5 * time.Second)
+		f.crash("e-v1-0")
+		time.Sleep(10 * time.Millisecond)
+		for range 10 {
+			f.call(0)
+		}
+		f.restart("e-v1-0", "v2")
+		must.Zero(t, f.results().joined)
+	})
+}
+
 // The report of a host that is not certain of a version, as older builds send it, says nothing.
 func TestReportsWithoutAVersionAreIgnored(t *testing.T) {
 	s := resume.New()
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -152,6 +152,9 @@
 		// like a silent endpoint.
 		watch.pause()
 		if events == 0 {
+			if !x.continues(ctx, source) {
+				return attemptResult{outcome: model.OutcomeRan, delivered: true, err: errOtherVersion}
+			}
 			x.gateway.recordFirstResponse(x.req.ID)
 			x.countBegin()
 			x.recordBegin(source)
@@ -174,6 +177,10 @@
 	}
 }
 
+// errOtherVersion is the error of an attempt to continue a stream at an endpoint that may not
+// have the version that began it.
+var errOtherVersion = errors.New("the endpoint may run another version than the one that began the stream")
+
 // forwardEvents writes events to the caller, preceded by the header of the
 // first reply, and updates the longest gap, the count of events and the ID of
 // the last event.
