Reject responses whose head breaks the grammar of the protocol

Cause: net/http reads more than the protocol allows, and nothing else looked at the head. A blank before the colon of Transfer-Encoding made chunks part of the body; a status below 100 ended the caller's connection without an answer.

Change: internal/httphead has one rule for heads, used wherever responses are read. What breaks it is an error with the outcome unknown, also if it looks like a refusal, counts against the endpoint, and its connection is closed.

--- a/internal/adapter/endpointhttp/echo.go
+++ b/internal/adapter/endpointhttp/echo.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"sync"
+
+	"github.com/wigeonsail/wigeonsail/internal/httphead"
 )
 
 // An endpoint may send a response twice, and the second copy may arrive when its
@@ -35,7 +37,7 @@
 		req = req.Clone(req.Context())
 		req.Close = true
 	}
-	res, err := t.base.RoundTrip(req)
+	res, err := httphead.Transport{Base: t.base}.RoundTrip(req)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/adapter/peergrpc/attempts.go
+++ b/internal/adapter/peergrpc/attempts.go
@@ -20,6 +20,7 @@
 
 	"github.com/wigeonsail/wigeonsail/api/peer"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/httphead"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -192,6 +193,10 @@
 		return &port.PeerAttemptError{Outcome: model.OutcomeUnknown, Cause: errNoHead}
 	}
 	r.header = headerFromWire(r.head.GetHeader())
+	// Hosts of an older build pass on what they have read.
+	if err := httphead.CheckFields(int(r.head.GetStatus()), r.header); err != nil {
+		return &port.PeerAttemptError{Outcome: model.OutcomeUnknown, Cause: err}
+	}
 	if age := r.head.GetConnectionAgeMs(); age > 0 {
 		r.connectedAt = time.Now().Add(-time.Duration(min(age, maxTimeLeft.Milliseconds())) * time.Millisecond)
 	}
--- a/internal/adapter/peergrpc/attempts_test.go
+++ b/internal/adapter/peergrpc/attempts_test.go
@@ -416,3 +416,16 @@
 	must.True(t, failure.Refused)
 	must.Eq(t, model.OutcomeNotRun, failure.Outcome)
 }
+
+// A host of an older build passes on a head that is none.
+func TestMalformedHeadThroughAnotherHostIsNoResponse(t *testing.T) {
+	for _, reply := range []*fakeReply{{status: 0}, {status: 200, header: http.Header{"A b": {"c"}}}} {
+		c, _, address := serveAttempts(t, &fakeAttempts{handle: answer(reply)})
+		sent := testAttempt(nil)
+		sent.Call.Memory = &fakeHold{}
+		_, err := c.SendAttempt(t.Context(), address, sent)
+		var failure *port.PeerAttemptError
+		must.True(t, errors.As(err, &failure), must.Sprint(err))
+		must.Eq(t, model.OutcomeUnknown, failure.Outcome)
+	}
+}
--- a/internal/adapter/weighthttp/weighthttp.go
+++ b/internal/adapter/weighthttp/weighthttp.go
@@ -11,6 +11,7 @@
 
 	"github.com/wigeonsail/wigeonsail/internal/adapter/weighthttp/wire"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
+	"github.com/wigeonsail/wigeonsail/internal/httphead"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -56,7 +57,7 @@
 		root:    strings.TrimRight(opts.URL, "/"),
 		host:    opts.Host,
 		timeout: opts.Timeout,
-		client:  &http.Client{Transport: transport},
+		client:  &http.Client{Transport: httphead.Transport{Base: transport}},
 	}
 }
 
