Let only events continue a stream that has begun

Reported by operators (ORDER, MIXED): the text of an error, or its whole head, in the middle of a stream, or a stream that ends as if it were complete.

Cause: each attempt asked its own answer what kind of response it is, also after the header of a stream was sent. A signed 200 or 202 that is no stream was written as a second response, a 204 with the type of a stream ended it. Ruled out: failures (4xx, 5xx, 3xx) end the response as broken off; the test holds that.

Change: once the header was sent, any success but a stream with status 200 is a broken attempt.

--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -48,6 +48,8 @@
 		return result
 	case !reply.HasSignature():
 		return attemptResult{outcome: model.OutcomeUnknown, delivered: true, failure: balance.FailureBroken, err: errUnsigned}
+	case x.headerSent && (!reply.IsEventStream() || reply.Status() != http.StatusOK):
+		return attemptResult{outcome: model.OutcomeRan, delivered: true, failure: balance.FailureBroken, err: errNoEvents}
 	case reply.IsEventStream():
 		events := newReadAhead(ctx, cancel, reply, holdOf(x.call))
 		defer events.stop()
@@ -79,6 +81,10 @@
 	}
 }
 
+// errNoEvents is the error of an attempt to continue a stream that is answered with something
+// else.
+var errNoEvents = errors.New("the endpoint continues the stream with a response that has no events")
+
 var errCallerGone = errors.New("the caller has closed the connection")
 
 // handleFailure keeps an endpoint's error response as the fallback for the
--- a/internal/gateway/versionfleet_test.go
+++ b/internal/gateway/versionfleet_test.go
@@ -146,6 +146,10 @@
 	complete        bool
 	// gone reports that the caller has closed its connection.
 	gone bool
+	// cut counts the responses that ended as if the stream was complete.
+	cut int
+	// bodies counts the whole responses that the caller has received after the first event.
+	bodies int
 }
 
 // versionedWriter receives the response to one request of a caller.
@@ -155,8 +159,16 @@
 	written bool
 }
 
-func (w *versionedWriter) Respond(int, http.Header, []byte) error { return nil }
-func (w *versionedWriter) Start(int, http.Header) error           { return nil }
+func (w *versionedWriter) Respond(int, http.Header, []byte) error {
+	w.caller.mu.Lock()
+	defer w.caller.mu.Unlock()
+	if w.written {
+		w.caller.bodies++
+	}
+	return nil
+}
+
+func (w *versionedWriter) Start(int, http.Header) error { return nil }
 
 func (w *versionedWriter) Write(data []byte) error {
 	w.caller.mu.Lock()
@@ -327,7 +339,11 @@
 	}
 	w := &versionedWriter{caller: c, request: id}
 	resumes := c.last != ""
-	complete := g.Route(ctx, call, w) && c.last == strconv.Itoa(versionedEvents)
+	answered := g.Route(ctx, call, w)
+	complete := answered && c.last == strconv.Itoa(versionedEvents)
+	if answered && w.written && !complete {
+		c.cut++
+	}
 	if resumes {
 		c.takeUps++
 		if w.written {
