--- a/internal/adapter/endpointhttp/echo.go
+++ b/internal/adapter/endpointhttp/echo.go
@@ -27,17 +27,27 @@
 // echoTransport is an http.RoundTripper that checks the request IDs of responses.
 type echoTransport struct {
 	base *http.Transport
+	// fresh opens a connection for each request.
+	fresh *http.Transport
 	// echoes contains the addresses whose last response had the request's ID.
 	echoes sync.Map
 }
 
+// firstAttempt is the number of the first attempt of a request.
+const firstAttempt = "1"
+
 // RoundTrip implements http.RoundTripper.
 func (t *echoTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	if _, echoes := t.echoes.Load(req.URL.Host); !echoes {
 		req = req.Clone(req.Context())
 		req.Close = true
 	}
-	res, err := httphead.Transport{Base: t.base}.RoundTrip(req)
+	base := t.base
+	if attempt := req.Header.Get(HeaderAttempt); attempt != "" && attempt != firstAttempt {
+		// A late copy of the response to an earlier attempt has the same ID.
+		base = t.fresh
+	}
+	res, err := httphead.Transport{Base: base}.RoundTrip(req)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/adapter/endpointhttp/echo_test.go
+++ b/internal/adapter/endpointhttp/echo_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -130,3 +131,56 @@
 		must.Eq(t, want, len(connections))
 	}
 }
+
+// The endpoint refuses a request, serves another one on the connection, and sends the refusal once
+// more when the next attempt of the first request has arrived. That attempt was not refused.
+func TestLateCopyOfARefusalIsNoResponseToTheNextAttempt(t *testing.T) {
+	var mu sync.Mutex
+	attempts := 0
+	refusal := "HTTP/1.1 503 Full\r\nX-Request-Id: a\r\nContent-Length: 0\r\n\r\n"
+	address := serveRaw(t, func(conn net.Conn) {
+		requests, refused := bufio.NewReader(conn), false
+		for {
+			req, err := http.ReadRequest(requests)
+			if err != nil {
+				return
+			}
+			id := req.Header.Get(endpointhttp.HeaderRequestID)
+			mu.Lock()
+			isFirst := id == "a" && attempts == 0
+			if id == "a" {
+				attempts++
+			}
+			mu.Unlock()
+			switch {
+			case isFirst:
+				refused = true
+				_, _ = io.WriteString(conn, refusal)
+			case id == "a" && refused:
+				_, _ = io.WriteString(conn, refusal)
+			default:
+				reply(conn, id, "x")
+			}
+			if req.Close {
+				return
+			}
+		}
+	})
+	client := &http.Client{Transport: endpointhttp.NewTransport()}
+	defer client.CloseIdleConnections()
+	for i, c := range []struct {
+		id, attempt string
+		status      int
+	}{{"first", "1", 200}, {"a", "1", 503}, {"b", "1", 200}, {"a", "2", 200}} {
+		req, err := http.NewRequest(http.MethodGet, "http://"+address+"/", nil)
+		must.NoError(t, err)
+		req.Header.Set(endpointhttp.HeaderRequestID, c.id)
+		req.Header.Set(endpointhttp.HeaderAttempt, c.attempt)
+		res, err := client.Do(req)
+		must.NoError(t, err)
+		_, err = io.Copy(io.Discard, res.Body)
+		must.NoError(t, err)
+		must.NoError(t, res.Body.Close())
+		must.Eq(t, c.status, res.StatusCode, must.Sprint("request ", i))
+	}
+}
--- a/internal/adapter/endpointhttp/transport.go
+++ b/internal/adapter/endpointhttp/transport.go
@@ -38,7 +38,7 @@
 // the environment.
 func NewTransport() http.RoundTripper {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &echoTransport{base: &http.Transport{
+	base := &http.Transport{
 		DialContext:            dialer.DialContext,
 		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
 		IdleConnTimeout:        idleTimeout,
@@ -46,7 +46,10 @@
 		ReadBufferSize:         connectionBufferBytes,
 		WriteBufferSize:        connectionBufferBytes,
 		DisableCompression:     true,
-	}}
+	}
+	fresh := base.Clone()
+	fresh.DisableKeepAlives = true
+	return &echoTransport{base: base, fresh: fresh}
 }
 
 // Trace records whether a request was assigned a connection, after which bytes of
