Soak: state a request limit until the last one of the endpoint ends

A fault of the soak: two limits of one endpoint overlapped, and the end of the first one cleared the header of the second, which was still checked.

--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -33,6 +34,8 @@
 type statedLimit struct {
 	endpoint *endpoint
 	span     span
+	// ended reports that the endpoint states it no longer.
+	ended bool
 }
 
 // longFaults injects the faults that last longer. It has random numbers of its own.
@@ -63,14 +66,25 @@
 	e := all[f.rng.IntN(len(all))]
 	length := minLimitTime + time.Duration(f.rng.Int64N(int64(maxLimitTime-minLimitTime)))
 	env.trace("%s states a limit for %s", e.Instance(), length.Round(time.Millisecond))
+	limit := f.begin(now, e, length)
+	f.injector.scheduleEnd(now, length, func() { f.end(time.Now(), limit) })
+}
+
+// begin makes an endpoint state a limit for some time.
+func (f *longFaults) begin(now time.Time, e *endpoint, length time.Duration) *statedLimit {
 	limit := &statedLimit{endpoint: e, span: span{from: now, until: now.Add(length)}}
 	f.limits = append(f.limits, limit)
 	e.SetLimit(strconv.FormatFloat(limitPerSecond, 'f', -1, 64))
-	f.injector.scheduleEnd(now, length, func() {
-		// All faults end early at the end of a run.
-		limit.span.until = time.Now()
-		e.SetLimit("")
-	})
+	return limit
+}
+
+// end ends a limit. All faults end early at the end of a run. The endpoint states a limit until the
+// last one that it has begun to state ends.
+func (f *longFaults) end(now time.Time, limit *statedLimit) {
+	limit.span.until, limit.ended = now, true
+	if !slices.ContainsFunc(f.limits, func(l *statedLimit) bool { return l.endpoint == limit.endpoint && !l.ended }) {
+		limit.endpoint.SetLimit("")
+	}
 }
 
 // checkLimits checks that endpoints did not get more requests than the limits that they
