Answer the requests that are being received when serve shuts down

'wigeonsail serve' closed a kept connection on which a request was being received: its caller got no answer and could not know whether the request had run.

Cause: http.Server calls a connection idle until it has read the whole header of the next request, and its Shutdown closes idle connections.

Change: that code is a package of its own, internal/callerconn, and serve uses it. While it shuts down, connections are closed as they become idle, and responses say so. The gateway's behaviour is as before.

--- a/internal/adapter/callerhttp/server.go
+++ b/internal/adapter/callerhttp/server.go
@@ -8,9 +8,12 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/api/callerapi"
+	"github.com/wigeonsail/wigeonsail/internal/callerconn"
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
@@ -32,7 +35,12 @@
 
 // Server is a host's HTTP server for callers.
 type Server struct {
-	http *http.Server
+	http  *http.Server
+	conns *callerconn.Connections
+	// leaving reports that Shutdown has begun, mu guards listener.
+	leaving  atomic.Bool
+	mu       sync.Mutex
+	listener net.Listener
 }
 
 // New returns a Server.
@@ -56,12 +64,25 @@
 		mux.Handle("GET /metrics", opts.Metrics)
 	}
 	mux.HandleFunc("/", writeNotFound)
-	return &Server{http: &http.Server{
-		Handler:           withRequestID(http.MaxBytesHandler(mux, opts.MaxBody)),
+	s := &Server{conns: callerconn.New()}
+	s.http = &http.Server{
+		Handler:           s.withClose(withRequestID(http.MaxBytesHandler(mux, opts.MaxBody))),
 		ReadHeaderTimeout: opts.HeaderTimeout,
 		IdleTimeout:       opts.IdleTimeout,
 		MaxHeaderBytes:    opts.MaxHeader,
-	}}, nil
+		ConnState:         s.conns.OnStateChange,
+	}
+	return s, nil
+}
+
+// withClose closes connections after their responses while the server shuts down.
+func (s *Server) withClose(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // Handler returns the handler of all requests.
@@ -69,16 +90,33 @@
 
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	err := s.http.Serve(ln)
-	if errors.Is(err, http.ErrServerClosed) {
+	s.mu.Lock()
+	s.listener = ln
+	s.mu.Unlock()
+	err := s.http.Serve(callerconn.Listener{Listener: ln})
+	if errors.Is(err, http.ErrServerClosed) || s.leaving.Load() && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
 }
 
-// Shutdown stops accepting connections and waits until all requests have ended or
-// ctx ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+// Shutdown stops accepting connections and waits until all requests have ended, also those that
+// are being received, or ctx ends. http.Server calls a connection idle until it has read the
+// whole header of a request, and its own Shutdown would close it.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.leaving.Store(true)
+	s.mu.Lock()
+	listener := s.listener
+	s.mu.Unlock()
+	if listener != nil {
+		// Serve returns its error.
+		_ = listener.Close()
+	}
+	if err := s.conns.CloseAll(ctx); err != nil {
+		return err
+	}
+	return s.http.Shutdown(ctx)
+}
 
 func writeHealthy(w http.ResponseWriter, _ *http.Request) {
 	w.Write([]byte("ok\n"))
--- a/platform/callers_test.go
+++ b/internal/callerconn/conn_test.go
@@ -1,4 +1,4 @@
-package platform
+package callerconn
 
 import (
 	"net"
@@ -11,13 +11,13 @@
 )
 
 // acceptPair returns both ends of a connection.
-func acceptPair(t *testing.T, listener net.Listener) (caller net.Conn, accepted *callerConn) {
+func acceptPair(t *testing.T, listener net.Listener) (caller net.Conn, accepted *Conn) {
 	t.Helper()
 	caller, err := net.Dial("tcp", listener.Addr().String())
 	must.NoError(t, err)
-	conn, err := callerListener{Listener: listener}.Accept()
+	conn, err := Listener{listener}.Accept()
 	must.NoError(t, err)
-	return caller, conn.(*callerConn)
+	return caller, conn.(*Conn)
 }
 
 func TestNothingIsReadFromConnectionsClosedAsIdle(t *testing.T) {
@@ -25,9 +25,9 @@
 	must.NoError(t, err)
 	defer listener.Close()
 	for range 5000 {
-		conns := newCallerConnections(nil)
+		conns := New()
 		caller, conn := acceptPair(t, listener)
-		conns.onStateChange(conn, http.StateIdle)
+		conns.OnStateChange(conn, http.StateIdle)
 		var read int
 		var ends sync.WaitGroup
 		ends.Go(func() { read, _ = conn.Read(make([]byte, 1)) })
--- a/platform/drain.go
+++ b/internal/callerconn/drain.go
@@ -1,8 +1,7 @@
-package platform
+package callerconn
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -27,24 +26,28 @@
 // closes the listener and the connections. New connections are served until all requests have
 // ended that are in progress now, and shortly after that. It returns the error of ctx if ctx ends
 // before that.
-func (in *Ingress) Drain(ctx context.Context) error {
-	if err := in.waitQuiet(ctx); err != nil {
+func (c *Connections) Drain(ctx context.Context, listener net.Listener) error {
+	if err := c.waitQuiet(ctx); err != nil {
 		return err
 	}
 	// Serve returns its error.
-	_ = in.opts.Listener.Close()
-	return poll(ctx, func(now time.Time) bool { return in.conns.closeIdle(now) })
+	_ = listener.Close()
+	return c.CloseAll(ctx)
 }
 
+// CloseAll closes the connections as they become idle, and waits until there are none. It returns
+// the error of ctx if ctx ends before that.
+func (c *Connections) CloseAll(ctx context.Context) error { return poll(ctx, c.closeIdle) }
+
 // waitQuiet waits until the requests that are in progress have ended, and then until there has
 // been no other one at quietChecks checks in a row, at settleChecks checks at most.
-func (in *Ingress) waitQuiet(ctx context.Context) error {
+func (c *Connections) waitQuiet(ctx context.Context) error {
 	start, quiet, settled := time.Now(), 0, 0
 	return poll(ctx, func(now time.Time) bool {
 		quiet, settled = quiet+1, settled+1
-		if in.conns.hasRequestFrom(start) {
+		if c.hasRequestFrom(start) {
 			quiet, settled = 0, 0
-		} else if in.conns.isBusy(now) {
+		} else if c.isBusy(now) {
 			quiet = 0
 		}
 		return quiet >= quietChecks || settled >= settleChecks
@@ -68,16 +71,16 @@
 }
 
 // isIdle reports whether a connection can be closed without losing a request.
-func (s callerState) isIdle(conn net.Conn, now time.Time) bool {
+func (s connState) isIdle(conn net.Conn, now time.Time) bool {
 	if s.state == http.StateActive || s.state == http.StateNew && now.Sub(s.since) < newConnTime {
 		return false
 	}
-	caller, ok := conn.(*callerConn)
-	return !ok || !caller.hasRequest()
+	caller, ok := conn.(followed)
+	return !ok || !caller.HasRequest()
 }
 
 // hasRequestFrom reports whether a request is in progress that arrived before a time.
-func (c *callerConnections) hasRequestFrom(before time.Time) bool {
+func (c *Connections) hasRequestFrom(before time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range c.states {
@@ -89,7 +92,7 @@
 }
 
 // isBusy reports whether a connection is not idle.
-func (c *callerConnections) isBusy(now time.Time) bool {
+func (c *Connections) isBusy(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// The buffers are looked at only if no request is in progress.
@@ -107,7 +110,7 @@
 }
 
 // closeIdle closes the idle connections. It reports whether none are left.
-func (c *callerConnections) closeIdle(now time.Time) bool {
+func (c *Connections) closeIdle(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, s := range c.states {
@@ -117,8 +120,3 @@
 	}
 	return len(c.states) == 0
 }
-
-// isClosed reports whether an error of the HTTP server means that it or its listener was closed.
-func isClosed(err error) bool {
-	return errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed)
-}
