Do not count lost paths as downtime of endpoints

Found in reading: while a host has no path to any endpoint, failed connections show nothing of the endpoints, and the doubt of their versions is dropped for that reason. The downtimes that settle versions were kept, so that streams which began within 3 s after the paths had come back could not be resumed.

Change: downtimes from failed connections are kept apart and dropped with the doubt. What crashes and other hosts report stays.

--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -90,8 +90,9 @@
 	checkOpen     bool
 	checkStarted  time.Time
 	inDomainRound bool
-	// downFirst and downLast are when the endpoint was first and last found to be down of late.
-	downFirst, downLast time.Time
+	// down is when the endpoint was found to be down, unreached when no connection could be
+	// opened to it.
+	down, unreached downtime
 	// softwareCertainFrom is the time as of which the list has to be known so that it is
 	// certain that the endpoint runs the version that is listed; zero if it always is.
 	softwareCertainFrom time.Time
@@ -166,7 +167,7 @@
 		e.recordConnectFailure(now)
 	case FailureReplaced:
 		failed = 1
-		e.recordDown(now, now)
+		e.down.add(downtime{first: now, last: now})
 		e.doubtSoftware(now)
 		e.pausedUntil, e.pausedForBreaks = now.Add(replacedPause), false
 	}
--- a/internal/core/balance/paths.go
+++ b/internal/core/balance/paths.go
@@ -130,7 +130,7 @@
 	for _, e := range b.endpoints {
 		e.unproven = true
 		b.watched.watch(e)
-		e.unreachedUntil = time.Time{}
+		e.unreachedUntil, e.unreached = time.Time{}, downtime{}
 		if e.failing {
 			e.failureRate, e.consecutiveFailures = 0, 0
 			if e.pausedForBreaks {
@@ -217,7 +217,7 @@
 			e.doubtSoftware(now)
 			if first := now.Add(-maxReportAge); !time.UnixMilli(e.Started).After(first) {
 				// A report on a younger start may be on the one before it.
-				e.recordDown(first, now)
+				e.down.add(downtime{first: first, last: now})
 			}
 		}
 	}
--- a/internal/core/balance/reachability.go
+++ b/internal/core/balance/reachability.go
@@ -279,7 +279,7 @@
 func (b *Balancer) recordConnectFailure(now time.Time, e *endpoint) {
 	e.recordConnectFailure(now)
 	if b.paths.lost {
-		e.unreachedUntil = time.Time{}
+		e.unreachedUntil, e.unreached = time.Time{}, downtime{}
 		return
 	}
 	b.recordPathFailure(now, e)
@@ -350,5 +350,5 @@
 	e.nextCheck = now.Add(pauseLength(e.consecutiveFailures))
 	e.consecutiveFailures++
 	e.unreachedUntil = now.Add(directory.RestartListTime)
-	e.recordDown(now, now)
+	e.unreached.add(downtime{first: now, last: now})
 }
--- a/internal/core/balance/software.go
+++ b/internal/core/balance/software.go
@@ -30,7 +30,7 @@
 // RecordCrash records when an endpoint has crashed, as found by this host or another one.
 func (b *Balancer) RecordCrash(at time.Time, instance model.Instance) {
 	if e := b.endpoints[instance.Name]; e != nil && e.Started == instance.Started {
-		e.recordDown(at, at)
+		e.down.add(downtime{first: at, last: at})
 		e.doubtSoftware(at)
 	}
 }
@@ -42,7 +42,9 @@
 	if e == nil || e.Started != instance.Started {
 		return time.Time{}, time.Time{}
 	}
-	return e.downFirst, e.downLast
+	down := e.down
+	down.add(e.unreached)
+	return down.first, down.last
 }
 
 // RecordListRead records a time as of which the list of endpoints is known.
@@ -52,13 +54,22 @@
 	}
 }
 
-// recordDown records that the endpoint was found to be down, at a time from first to last.
-func (e *endpoint) recordDown(first, last time.Time) {
-	if first.After(e.downLast.Add(directory.RestartListTime)) || first.Before(e.downFirst) {
-		e.downFirst = first
-	}
-	if last.After(e.downLast) {
-		e.downLast = last
+// downtime is when an endpoint was first and last found to be down of late; zero if it was not.
+type downtime struct{ first, last time.Time }
+
+// add adds another downtime. One that has ended long before the other is dropped.
+func (d *downtime) add(other downtime) {
+	switch {
+	case other.last.IsZero() || other.last.Add(directory.RestartListTime).Before(d.first):
+	case d.last.IsZero() || d.last.Add(directory.RestartListTime).Before(other.first):
+		*d = other
+	default:
+		if other.first.Before(d.first) {
+			d.first = other.first
+		}
+		if other.last.After(d.last) {
+			d.last = other.last
+		}
 	}
 }
 
