--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -34,6 +34,8 @@
 	platformRNG       *rand.Rand
 	nextPlatformFault time.Time
 	long              *longFaults
+	// exchanges are the hosts that are still to be replaced by another build.
+	exchanges []exchange
 
 	mu sync.Mutex
 	// scheduledEnds holds the ends of the active faults.
@@ -62,6 +64,7 @@
 		platformRNG: platformRNG, nextPlatformFault: now.Add(platformFaultPause),
 		excused: make(map[*hostProcess][]span),
 	}
+	f.exchanges = env.opts.exchanges()
 	f.long = &longFaults{injector: f, rng: longRNG, next: now.Add(longFaultPause)}
 	return f
 }
@@ -79,6 +82,7 @@
 	f.restartEnded(now)
 	f.tickPlatform(now)
 	f.long.tick(now)
+	f.exchangeDue(now)
 	if now.Before(f.nextStart) {
 		return
 	}
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -40,6 +40,9 @@
 	// restarting is true while a restart is in progress. Only the goroutine
 	// that injects faults uses it.
 	restarting bool
+	// old reports that the process is started with the older build. Only that goroutine uses it
+	// after the start of the run.
+	old bool
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -62,7 +65,7 @@
 		listen = append(listen, address)
 	}
 	h := &hostProcess{
-		environment: env, name: fmt.Sprintf("host-%d", index), callerAddress: listen[0], readinessAddress: listen[1], storeLink: store,
+		environment: env, name: fmt.Sprintf("host-%d", index), old: index < env.opts.oldHosts(), callerAddress: listen[0], readinessAddress: listen[1], storeLink: store,
 		settingsPath: filepath.Join(env.opts.Dir, fmt.Sprintf("host-%d.toml", index)),
 	}
 	seeds := ""
@@ -148,7 +151,7 @@
 	if err != nil {
 		return err
 	}
-	command := exec.Command(h.environment.opts.Binary, "gateway", "-c", h.settingsPath)
+	command := exec.Command(h.binary(), "gateway", "-c", h.settingsPath)
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		return err
--- a/test.sh
+++ b/test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Checks formatting, runs go vet and the linter, builds, and runs all tests with
-# the race detector, including the scenarios. Prints the output of go test. Exits
+# Checks formatting, runs go vet and the linter, compares the messages between hosts with
+# those of the last landing, builds, and runs all tests with the race detector, including the scenarios. Prints the output of go test. Exits
 # non-zero if anything fails; tests listed in KNOWN-RED.txt are printed and skipped.
 set -euo pipefail
 cd "$(dirname "$0")"
@@ -18,6 +18,9 @@
 echo "== lint"
 go tool -modfile=tools/lint/go.mod golangci-lint run ./...
 
+echo "== messages between hosts of two builds"
+api/peer/check.sh
+
 echo "== build"
 mkdir -p bin
 go build -o bin/wigeonsail ./cmd/wigeonsail
