Take a start that was missed in a gap of the list into account

Found by a model of starts, entries, connections and gaps: a host that was cut off missed a start of an endpoint, saw the next one, and took the streams of the missed one for those of the start before, though the next start was far too young for them.

Change: a start records until when others before it may have been missed. A stream from before that is not settled.

--- a/internal/core/resume/history.go
+++ b/internal/core/resume/history.go
@@ -54,7 +54,7 @@
 // Interrupt records that the list of endpoints was not up to date until now, so that other
 // versions may have served unnoticed.
 func (s *State) Interrupt(now time.Time) {
-	s.gaps++
+	s.gapAt = now
 	for name, p := range s.pools {
 		p.Since = now
 		s.pools[name] = p
--- a/internal/core/resume/main_test.go
+++ b/internal/core/resume/main_test.go
@@ -8,6 +8,6 @@
 )
 
 func TestMain(m *testing.M) {
-	seedtest.SetFlags("300", nil)
+	seedtest.SetFlags("2000", nil)
 	os.Exit(m.Run())
 }
--- a/internal/core/resume/resume.go
+++ b/internal/core/resume/resume.go
@@ -73,9 +73,10 @@
 	pools  map[model.PoolName]pool
 	// stored are the histories that earlier processes have saved.
 	stored map[model.PoolName]History
-	// starts are the starts of endpoints that the list has shown, gaps the number of gaps in it.
-	starts map[model.EndpointName]endpointStarts
-	gaps   int
+	// starts are the starts of endpoints that the list has shown, in order, gapAt is the end of
+	// its last gap.
+	starts map[model.EndpointName][]start
+	gapAt  time.Time
 	// startsExpiredAt is when old starts were last forgotten.
 	startsExpiredAt time.Time
 	// pending are the streams whose version is not known yet, the oldest first.
@@ -91,7 +92,7 @@
 func New() *State {
 	return &State{
 		streams: make(map[StreamID]stream), pools: make(map[model.PoolName]pool),
-		stored: make(map[model.PoolName]History), starts: make(map[model.EndpointName]endpointStarts),
+		stored: make(map[model.PoolName]History), starts: make(map[model.EndpointName][]start),
 	}
 }
 
--- a/internal/core/resume/starts.go
+++ b/internal/core/resume/starts.go
@@ -61,10 +61,9 @@
 	// started is its Unix time in milliseconds, by the clock of the endpoint.
 	started  int64
 	software model.SoftwareVersion
-	// seen is when the list first showed it. afterGap reports that others before it may have
-	// been missed.
-	seen     time.Time
-	afterGap bool
+	// seen is when the list first showed it. Others before it may have been missed until gap,
+	// which is zero if the list had none.
+	seen, gap time.Time
 }
 
 // ranAt reports whether the endpoint certainly had this start or a later one at a time.
@@ -77,23 +76,21 @@
 	return s.started == 0 || !time.UnixMilli(s.started).After(at.Add(maxClockSkew))
 }
 
-// endpointStarts are the starts of an endpoint that the list has shown, in order.
-type endpointStarts struct {
-	list []start
-	// gaps is the number of gaps of the list when the last one was observed.
-	gaps int
-}
-
 // ObserveStart records a listed entry.
 func (s *State) ObserveStart(now time.Time, e directory.Entry) {
 	known := s.starts[e.Name]
-	if last := len(known.list) - 1; last >= 0 && known.list[last].started == e.Started && known.list[last].software == e.Software {
-		return
+	found := start{started: e.Started, software: e.Software, seen: now}
+	if last := len(known) - 1; last >= 0 {
+		if known[last].started == e.Started && known[last].software == e.Software {
+			return
+		}
+		if s.gapAt.After(known[last].seen) {
+			found.gap = s.gapAt
+		}
 	}
-	known.list = append(known.list, start{started: e.Started, software: e.Software, seen: now, afterGap: known.gaps != s.gaps})
-	known.gaps = s.gaps
-	if len(known.list) > maxStarts {
-		known.list = slices.Delete(known.list, 0, 1)
+	known = append(known, found)
+	if len(known) > maxStarts {
+		known = slices.Delete(known, 0, 1)
 	}
 	s.starts[e.Name] = known
 }
@@ -102,7 +99,7 @@
 // stream to be resumed.
 func (s *State) expireStarts(now time.Time, isListed func(model.EndpointName) bool) {
 	for name, known := range s.starts {
-		if now.Sub(known.list[len(known.list)-1].seen) > streamMemory && !isListed(name) {
+		if now.Sub(known[len(known)-1].seen) > streamMemory && !isListed(name) {
 			delete(s.starts, name)
 		}
 	}
@@ -123,7 +120,7 @@
 	}
 	software := candidates[0].software
 	for _, c := range candidates[1:] {
-		if c.software != software || c.afterGap {
+		if c.software != software {
 			return "", Unprovable
 		}
 	}
@@ -156,9 +153,9 @@
 }
 
 // candidates returns the starts of which one is the source, as far as the list shows. It
-// returns false if an earlier one may be.
+// returns false if one that it has not shown may be.
 func (s *State) candidates(from Source) ([]start, bool) {
-	list := s.starts[from.Endpoint].list
+	list := s.starts[from.Endpoint]
 	first := -1
 	for i, c := range list {
 		if !c.seen.After(from.RunningAt) || c.ranAt(from.RunningAt) {
@@ -170,6 +167,9 @@
 	}
 	out := []start{list[first]}
 	for _, c := range list[first+1:] {
+		if from.RunningAt.Before(c.gap) {
+			return nil, false
+		}
 		if c.mayHaveRunAt(from.RunningAt) {
 			out = append(out, c)
 		}
--- a/internal/core/resume/starts_test.go
+++ b/internal/core/resume/starts_test.go
@@ -45,6 +45,8 @@
 		{"started again about then", []listed{{seen: 0, software: "v1"}, {seen: 11 * s, started: 10 * s, software: "v2"}}, 10 * s, 11 * s, "", resume.Unprovable},
 		{"same version about then", []listed{{seen: 0, software: "v1"}, {seen: 11 * s, started: 10 * s, software: "v1"}}, 10 * s, 11 * s, "v1", resume.Settled},
 		{"same version after a gap", []listed{{seen: 0, software: "v1"}, {seen: 11 * s, started: 10 * s, software: "v1", gap: true}}, 10 * s, 11 * s, "", resume.Unprovable},
+		{"started again long after a gap", []listed{{seen: 0, software: "v1"}, {seen: 30 * s, started: 30 * s, software: "v2", gap: true}}, 10 * s, 31 * s, "", resume.Unprovable},
+		{"began after the gap", []listed{{seen: 0, software: "v1"}, {seen: 30 * s, started: 30 * s, software: "v2", gap: true}}, 30 * s, 31 * s, "v2", resume.Settled},
 		{"many starts of one version", []listed{
 			{seen: 0, software: "v1"}, {seen: 8 * s, started: 8 * s, software: "v1"}, {seen: 12 * s, started: 12 * s, software: "v1"},
 		}, 10 * s, 13 * s, "v1", resume.Settled},
