Do not count stale reports of other hosts as downtime of a young start

A host reports an endpoint that it does not reach until it has checked it again, up to 2 s later, also after the endpoint has started anew. Such a report marked the new start as down, so that streams which began there could not be resumed for 3 s.

Change: reports count for starts that are older than that. TestReportsOnYoungStartsAreNoDowntime failed before for a start of 3 s.

--- a/internal/core/balance/downtime_test.go
+++ b/internal/core/balance/downtime_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/wigeonsail/wigeonsail/internal/core/directory"
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
 
 // Times at which an endpoint was found to be down belong together unless an endpoint that was down
@@ -27,3 +30,17 @@
 		must.Eq(t, c.want.last, got.last)
 	}
 }
+
+// Another host reports an endpoint until it has checked it again. A report on a young start may be on
+// the one before, and is no downtime of this one.
+func TestReportsOnYoungStartsAreNoDowntime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for age, want := range map[time.Duration]bool{3 * time.Second: false, 10 * time.Second: true} {
+		b := New(Options{})
+		entry := directory.Entry{Name: "e", Pool: "p", Started: now.Add(-age).UnixMilli()}
+		b.Apply(directory.Change{Entry: entry})
+		b.DoubtSoftware(now, []EndpointKey{KeyOf("e")})
+		_, last := b.Downtime(model.Instance{Name: "e", Started: entry.Started})
+		must.Eq(t, want, !last.IsZero())
+	}
+}
--- a/internal/core/balance/paths.go
+++ b/internal/core/balance/paths.go
@@ -205,9 +205,15 @@
 	return out
 }
 
-// maxReportAge is the age up to which the report of another host that does not reach an
-// endpoint may be, by the clock of the endpoint.
-const maxReportAge = 1500 * time.Millisecond
+const (
+	// maxReportAge is the greatest age of the report of another host that it does not reach an
+	// endpoint.
+	maxReportAge = time.Second
+	// minReportedAge is the least age of a start, by the clock of its endpoint, at which such
+	// reports are on this start. Hosts check an endpoint that they do not reach each maxPause,
+	// and until then report what they know of the start before.
+	minReportedAge = maxPause + maxReportAge + 500*time.Millisecond
+)
 
 // DoubtSoftware records that other hosts do not reach endpoints, so that these may start
 // again with another version.
@@ -215,9 +221,8 @@
 	for _, key := range endpoints {
 		if e := b.byKey[key]; e != nil {
 			e.doubtSoftware(now)
-			if first := now.Add(-maxReportAge); !time.UnixMilli(e.Started).After(first) {
-				// A report on a younger start may be on the one before it.
-				e.down.add(downtime{first: first, last: now})
+			if !time.UnixMilli(e.Started).After(now.Add(-minReportedAge)) {
+				e.down.add(downtime{first: now.Add(-maxReportAge), last: now})
 			}
 		}
 	}
