Let a downtime begin no earlier than the evidence for it

Cause: hosts add to the age of the crashes that they pass on, and the report of an unreached endpoint counted from 1 s before. So the start that had served a connection seemed to have been down before it was opened, and streams which broke off within half a second could not be settled. Evidence: the control state in a test, down from 150 ms before the connections were opened to 1.5 s after, for a crash 125 ms after.

Change: the time of a crash is taken as late as it can be, that of a report as of its arrival.

--- a/internal/core/balance/paths.go
+++ b/internal/core/balance/paths.go
@@ -207,7 +207,7 @@
 
 const (
 	// maxReportAge is the greatest age of the report of another host that it does not reach an
-	// endpoint.
+	// endpoint, and the greatest error of the age of a crash that it reports.
 	maxReportAge = time.Second
 	// minReportedAge is the least age of a start, by the clock of its endpoint, at which such
 	// reports are on this start. Hosts check an endpoint that they do not reach each maxPause,
@@ -222,7 +222,7 @@
 		if e := b.byKey[key]; e != nil {
 			e.doubtSoftware(now)
 			if !time.UnixMilli(e.Started).After(now.Add(-minReportedAge)) {
-				e.down.add(downtime{first: now.Add(-maxReportAge), last: now})
+				e.down.add(downtime{first: now, last: now})
 			}
 		}
 	}
--- a/internal/core/balance/software.go
+++ b/internal/core/balance/software.go
@@ -27,10 +27,15 @@
 	return e.Software
 }
 
-// RecordCrash records when an endpoint has crashed, as found by this host or another one.
-func (b *Balancer) RecordCrash(at time.Time, instance model.Instance) {
+// RecordCrash records when an endpoint has crashed, as found by this host or another one. The
+// time may be early by up to maxReportAge, as hosts add to the age of what they pass on.
+func (b *Balancer) RecordCrash(now, at time.Time, instance model.Instance) {
 	if e := b.endpoints[instance.Name]; e != nil && e.Started == instance.Started {
-		e.down.add(downtime{first: at, last: at})
+		first := at.Add(maxReportAge)
+		if first.After(now) {
+			first = now
+		}
+		e.down.add(downtime{first: first, last: first})
 		e.doubtSoftware(at)
 	}
 }
--- a/internal/core/balance/software_test.go
+++ b/internal/core/balance/software_test.go
@@ -23,7 +23,7 @@
 	}
 	b.RecordListRead(at(0))
 	must.True(t, isPlaced(0))
-	b.RecordCrash(at(time.Second), model.Instance{Name: "e", Started: 1})
+	b.RecordCrash(at(time.Second), at(time.Second), model.Instance{Name: "e", Started: 1})
 	must.False(t, isPlaced(2*time.Second))
 	must.False(t, isPlaced(time.Minute), must.Sprint("no newer list"))
 	b.RecordListRead(at(2 * time.Second))
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -269,7 +269,7 @@
 		c.gateway.opts.Log.WithField("endpoint", crash.Endpoint.Name).Info("endpoints: ended as announced, with a request in progress")
 		return
 	}
-	c.balancer.RecordCrash(crash.At, crash.Endpoint)
+	c.balancer.RecordCrash(now, crash.At, crash.Endpoint)
 	changes, added := c.quarantine.RecordCrash(now, crash)
 	if added {
 		logCrash(c.gateway.opts.Log, crash)
@@ -311,7 +311,7 @@
 func (c *control) receiveCrashes(now time.Time, d port.LoadDigest) {
 	report := reportFrom(now, d)
 	for _, crash := range report.Crashes {
-		c.balancer.RecordCrash(crash.At, crash.Endpoint)
+		c.balancer.RecordCrash(now, crash.At, crash.Endpoint)
 	}
 	changes, news := c.quarantine.Merge(now, report)
 	if news {
--- a/internal/gateway/streamversion_test.go
+++ b/internal/gateway/streamversion_test.go
@@ -97,6 +97,35 @@
 	})
 }
 
+// An endpoint crashes just after streams have begun there on new connections, which other hosts report.
+// It has had one start since the connections were opened, and its streams go on elsewhere.
+func TestStreamThatBeganJustBeforeACrashGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newVersionFleet(4)
+		defer f.close()
+		f.addVersions(2, "v1")
+		f.addVersions(1, "v2")
+		f.run()
+		f.endpoints.mu.Lock()
+		f.endpoints.breakAfter = func(a port.RoutedAttempt) int {
+			if a.LastEventID == "" && a.Endpoint == "e-v1-0" {
+				return 3
+			}
+			return 0
+		}
+		f.endpoints.mu.Unlock()
+		for range 60 {
+			f.call(len(f.callers) % 4)
+		}
+		time.Sleep(3*versionedGap - versionedGap/2)
+		f.crash("e-v1-0")
+		got := f.results()
+		must.Zero(t, got.joined)
+		must.Positive(t, f.endpoints.resumed)
+		must.Eq(t, len(f.callers), got.complete)
+	})
+}
+
 // The report of a host that is not certain of a version, as older builds send it, says nothing.
 func TestReportsWithoutAVersionAreIgnored(t *testing.T) {
 	s := resume.New()
