--- a/internal/gateway/streamversion.go
+++ b/internal/gateway/streamversion.go
@@ -102,7 +102,8 @@
 // requestVersion returns the version of a source, or requests the read of the list that may
 // show it.
 func (c *control) requestVersion(now time.Time, source resume.Source) versionResult {
-	software, settlement := c.streams.Version(c.listView(now), source)
+	list := c.listView(now)
+	software, settlement := c.streams.Version(list, source)
 	out := versionResult{software: software, settlement: settlement}
 	if settlement != resume.Unsettled {
 		return out
@@ -111,7 +112,7 @@
 		out.listRead = c.barrier.wait(now, source.RunningAt.Add(resume.StartReportTime))
 		return out
 	}
-	if sole, known := c.streams.SoleVersionWithoutStore(now, c.listView(now), source); known {
+	if sole, known := c.streams.SoleVersionWithoutStore(now, list, source); known {
 		out.software, out.settlement = sole, resume.Settled
 	}
 	return out
