Ticks of the control loop no longer crash the race detector

Cause: the runtime runs a channel timer that is polled when it is due on the polling thread, under the one race context of the synctest bubble. Control loops of several hosts tick at the same times and poll due ticks after an event, and two of them at once corrupt the detector.

Ruled out: a race of ours; a bubble of timers alone crashes the same ways, never with GOMAXPROCS=1.

--- a/internal/effects/fake_test.go
+++ b/internal/effects/fake_test.go
@@ -51,7 +51,7 @@
 	defer l.mu.Unlock()
 	delay := l.delay
 	l.mu.Unlock()
-	<-time.After(delay)
+	time.Sleep(delay)
 	l.mu.Lock()
 	if l.outage {
 		return 0, errOutage
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -67,15 +67,17 @@
 // It must be called only once.
 func (l *Loop) Run(ctx context.Context, every time.Duration, tick func(now time.Time)) {
 	defer close(l.stopped)
-	ticker := time.NewTicker(every)
-	defer ticker.Stop()
+	t := newTicker(every)
+	defer t.stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case ev := <-l.events:
 			ev.Apply(time.Now())
-		case now := <-ticker.C:
+		case <-t.ticks:
+			now := time.Now()
+			t.scheduleNext(now)
 			tick(now)
 		}
 	}
