Known failures of endpoints are no sign of lost paths

Cause: a host confirms a crash only if more other endpoints answer than have failed within half a second, else it may have lost its paths. Endpoints that were known to have crashed counted as failed, and so did those that were down for longer and were tried again. In the logs of three failed plays the crashes from 0.4 s on were confirmed 3 s later, while four endpoints answered.

Change: others that are known to have crashed, or failed first more than half a second before, do not count as failed.

--- a/internal/core/balance/answers.go
+++ b/internal/core/balance/answers.go
@@ -25,10 +25,15 @@
 
 // recordFailing records that a connection to the endpoint has failed.
 func (e *endpoint) recordFailing(now time.Time) {
+	if !e.failing {
+		e.failingSince = now
+	}
 	e.failing = true
-	e.failedAt = now
 }
 
+// hasCrashed reports whether the endpoint is known to have crashed and has not answered since.
+func (e *endpoint) hasCrashed() bool { return e.answeredFrom.Before(e.crashedAt) }
+
 // answersToConfirm is the number of other endpoints that must have answered before a failed
 // endpoint has failed on its own.
 const answersToConfirm = 2
@@ -41,7 +46,8 @@
 // refuses others must have failed itself. Then this host has not lost its paths to the
 // failure domain: answersToConfirm of the others there have answered what began later, all
 // of them if there are fewer, and they are more than have failed since commonFailureTime
-// before. If there are no others, those of all domains count.
+// before without being known to have crashed. If there are no others, those of all domains
+// count.
 func (b *Balancer) IsOwnFailure(name model.EndpointName, since time.Time) bool {
 	e := b.endpoints[name]
 	if e == nil {
@@ -55,8 +61,8 @@
 }
 
 // otherEndpoints counts endpoints: all that are not draining, the ones that were down
-// commonFailureTime before a time, those that have failed later, and those that have
-// answered since that time.
+// commonFailureTime before a time or have crashed, those that have failed later, and those
+// that have answered since that time.
 type otherEndpoints struct{ known, down, answered, failed int }
 
 // countOthers counts the endpoints other than e of a failure domain, or of all domains if it
@@ -69,7 +75,7 @@
 		}
 		out.known++
 		switch {
-		case other.failing && since.Sub(other.failedAt) > commonFailureTime:
+		case other.failing && (other.hasCrashed() || since.Sub(other.failingSince) > commonFailureTime):
 			out.down++
 		case other.failing:
 			out.failed++
--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -70,11 +70,13 @@
 	brittle         brittleness
 	room            brittleShare
 	speed           engineSpeed
-	// failing reports whether the last connection has failed, as it did at failedAt.
-	// answeredFrom is when the latest request or check that was answered began.
+	// failing reports whether the last connection has failed, as all have since failingSince.
+	// answeredFrom is when the latest request or check that was answered began, crashedAt when
+	// the endpoint has crashed last, as far as known and not later than it did.
 	failing      bool
-	failedAt     time.Time
+	failingSince time.Time
 	answeredFrom time.Time
+	crashedAt    time.Time
 	// unreachable reports whether the last connection could not be opened.
 	// nextCheck is when that is checked again.
 	unreachable bool
--- a/internal/core/balance/software.go
+++ b/internal/core/balance/software.go
@@ -31,6 +31,9 @@
 // time may be early by up to maxReportAge, as hosts add to the age of what they pass on.
 func (b *Balancer) RecordCrash(now, at time.Time, instance model.Instance) {
 	if e := b.endpoints[instance.Name]; e != nil && e.Started == instance.Started {
+		if at.After(e.crashedAt) {
+			e.crashedAt = at
+		}
 		first := at.Add(maxReportAge)
 		if first.After(now) {
 			first = now
