Hosts state their build, and operators see when builds differ

A build is the commit that a program was made from, or a hash of the program where the state of the repository is not built in, and a hash of the messages between hosts. It is in the start line, in the metrics, in GET /peers and 'hosts peers', and once a second in a digest to each peer. A host logs when the builds that it hears from differ, and when they agree again.

Not done: serve states its build with 'version' only.

--- a/cmd/wigeonsail/hosts_peers.go
+++ b/cmd/wigeonsail/hosts_peers.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/wigeonsail/wigeonsail/internal/core/model"
 	"github.com/wigeonsail/wigeonsail/internal/gateway"
 )
 
@@ -69,18 +70,26 @@
 
 // printPeers prints the view of a gateway as text.
 func printPeers(s gateway.PeerStatus) error {
-	fmt.Printf("%s in %s: relay %s, reads the lists %s, list of era %d read %.1f s ago, configuration %d, %d hosts in the fleet\n",
-		s.Host, s.Domain, yesNo(s.Relay), yesNo(s.Reading), s.Era, s.ListAge, s.Version, s.FleetHosts)
+	fmt.Printf("%s in %s: build %s, relay %s, reads the lists %s, list of era %d read %.1f s ago, configuration %d, %d hosts in the fleet\n",
+		s.Host, s.Domain, s.Build, yesNo(s.Relay), yesNo(s.Reading), s.Era, s.ListAge, s.Version, s.FleetHosts)
 	fmt.Printf("relays of the domain: %s; totals go to: %s\n", listText(s.LocalRelays), listText(s.Receivers))
-	rows := [][]string{{"DOMAIN", "HOST", "PEER ADDRESS", "LINKED", "LIVE", "HEARD", "AGE", "VERSION"}}
+	rows := [][]string{{"DOMAIN", "HOST", "PEER ADDRESS", "LINKED", "LIVE", "HEARD", "AGE", "VERSION", "BUILD"}}
 	for _, p := range s.Peers {
 		rows = append(rows, []string{
-			string(p.Domain), string(p.Host), p.Address, yesNo(p.Linked), yesNo(p.Live), p.Path, fmt.Sprintf("%.1f s", p.Age), fmt.Sprint(p.Version),
+			string(p.Domain), string(p.Host), p.Address, yesNo(p.Linked), yesNo(p.Live), p.Path, fmt.Sprintf("%.1f s", p.Age), fmt.Sprint(p.Version), buildText(p.Build),
 		})
 	}
 	return printTable(rows)
 }
 
+// buildText returns the build that a host has stated.
+func buildText(b *model.Build) string {
+	if b == nil {
+		return model.Build{}.String()
+	}
+	return b.String()
+}
+
 // listText returns the items separated by commas, or "none".
 func listText(items []string) string {
 	if len(items) == 0 {
--- a/internal/adapter/peergrpc/share.go
+++ b/internal/adapter/peergrpc/share.go
@@ -191,7 +191,7 @@
 	pathsToWire(d.Paths, out)
 	out.Brittle = convert(d.Brittle, brittleToWire)
 	out.QuarantinedParts, out.SuspectedRequests = suspectsToWire(d.Suspects)
-	out.SentMs, out.Echo = d.SentAt.Milliseconds(), echoToWire(d.Echo)
+	out.SentMs, out.Echo, out.Build = d.SentAt.Milliseconds(), echoToWire(d.Echo), buildToWire(d.Build)
 	out.StreamBegins = beginsToWire(d.StreamBegins)
 	out.StreamSources = convert(d.StreamSources, sourcedToWire)
 	out.ClearedParts, out.ClearedRequests = suspectsToWire(d.ClearedSuspects)
@@ -222,6 +222,7 @@
 		Subscribes:       d.GetSubscribes(),
 		SentAt:           time.Duration(d.GetSentMs()) * time.Millisecond,
 		Echo:             echoFromWire(d.GetEcho()),
+		Build:            model.Build{Commit: d.GetBuild().GetCommit(), Protocol: d.GetBuild().GetProtocol()},
 		ListKnownAge:     time.Duration(d.GetKnownReadAgeMs()) * time.Millisecond,
 		ConfigAge:        configAgeFromWire(d.ConfigAgeMs),
 		CacheUpdates:     convert(d.GetMarks(), cacheUpdateFromWire),
@@ -240,6 +241,14 @@
 	}
 }
 
+// buildToWire returns nil for the zero build.
+func buildToWire(b model.Build) *peer.Build {
+	if b == (model.Build{}) {
+		return nil
+	}
+	return &peer.Build{Commit: b.Commit, Protocol: b.Protocol}
+}
+
 // echoToWire returns nil for the zero echo.
 func echoToWire(e port.DigestEcho) *peer.DigestEcho {
 	if e == (port.DigestEcho{}) {
--- /dev/null
+++ b/internal/buildinfo/buildinfo_test.go
@@ -0,0 +1,27 @@
+package buildinfo
+
+import (
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestCommitOfABuild(t *testing.T) {
+	revision := debug.BuildSetting{Key: "vcs.revision", Value: "043161b8a7c6d5e4f3a2"}
+	must.Eq(t, "043161b8a7c6", commitOf([]debug.BuildSetting{revision}))
+	must.Eq(t, "043161b8a7c6+changes", commitOf([]debug.BuildSetting{revision, {Key: "vcs.modified", Value: "true"}}))
+	must.Eq(t, "", commitOf([]debug.BuildSetting{{Key: "vcs.modified", Value: "true"}}))
+}
+
+// Programs that were built without the state of the repository must still differ.
+func TestBuildWithoutACommitHasAnIdentifier(t *testing.T) {
+	if _, err := os.Stat(executable); err != nil {
+		t.Skip("no executable to read on this system")
+	}
+	must.True(t, strings.HasPrefix(buildID(executable), "build-"))
+	must.Eq(t, Unknown, buildID(filepath.Join(t.TempDir(), "missing")))
+}
--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -95,6 +95,23 @@
 	return Position{Era: Era(o >> eraShift), Offset: o & (1<<eraShift - 1)}
 }
 
+// Build identifies the program that a host runs. The zero value is that of a host that states
+// none.
+type Build struct {
+	// Commit is what the program was built from, or a hash of the program.
+	Commit string `json:"commit"`
+	// Protocol identifies the messages between hosts.
+	Protocol string `json:"protocol"`
+}
+
+// String returns the commit and the protocol, separated by a slash.
+func (b Build) String() string {
+	if b == (Build{}) {
+		return "not stated"
+	}
+	return b.Commit + "/" + b.Protocol
+}
+
 // Instance identifies one start of an endpoint. A restart under the same name has
 // another Started.
 type Instance struct {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -45,6 +45,8 @@
 	freshness freshness.State
 	// tickedAt is when the control loop last ticked or noticed a standstill.
 	tickedAt time.Time
+	// builds are the builds of the hosts that this host hears from, sorted.
+	builds []string
 	// suspended is the time in which the host was suspended, as far as the ages of what this
 	// host knows include it.
 	suspended time.Duration
--- a/internal/gateway/digests.go
+++ b/internal/gateway/digests.go
@@ -35,6 +35,9 @@
 	// direct peers. The more direct peers there are, the less often each
 	// receives a digest.
 	maxDirectDigestsPerSecond = 400
+	// statementInterval is the least time between two digests to a peer that echo one of its
+	// own and state the build of this host.
+	statementInterval = time.Second
 	// localRelayInterval and remoteRelayInterval are the times between two
 	// digests with domain totals from a relay, to the hosts of its failure
 	// domain and to other domains.
@@ -256,7 +259,7 @@
 		ListKnownAge: c.listAge(now), ConfigAge: c.gateway.configAge(now),
 		Limits: c.knownLimits(now), Brittle: c.knownBrittle(now), Unpacks: true,
 		EngineSpeeds: c.balancer.EngineSpeeds(now, c.peers.digests.isRelay, maxEngineSpeeds),
-		ReadsList:    c.gateway.reading.Load(), ListReadFailing: c.listReadFailing, SentAt: c.sinceStart(now),
+		ReadsList:    c.gateway.reading.Load(), ListReadFailing: c.listReadFailing, SentAt: c.sinceStart(now), Build: opts.Build,
 	}
 	c.reportPaths(&d)
 	c.reportCrashes(now, &d)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,8 @@
 	Host        model.HostID
 	Domain      model.DomainName
 	Incarnation model.Incarnation
+	// Build is the build of this host, which it states to others.
+	Build model.Build
 	// Seed seeds the random choices between the pools of a route and between
 	// endpoints.
 	Seed uint64
--- a/internal/gateway/mailbox.go
+++ b/internal/gateway/mailbox.go
@@ -22,7 +22,7 @@
 		return
 	}
 	d.Subscribes, d.PackLoads = p.subscribes, p.unpacks
-	d.Echo = p.clock.takeEcho(d.SentAt)
+	p.addStatement(&d)
 	select {
 	case queued := <-p.mailbox:
 		d = mergeDigests(queued, d)
@@ -31,6 +31,17 @@
 	p.mailbox <- d
 }
 
+// addStatement adds to a digest what a peer is told once per statementInterval: an echo of its
+// own digests and the build of this host.
+func (p *peer) addStatement(d *port.LoadDigest) {
+	if p.statedAt != 0 && d.SentAt-p.statedAt < statementInterval {
+		d.Build = model.Build{}
+		return
+	}
+	p.statedAt = d.SentAt
+	d.Echo = p.clock.echo()
+}
+
 // mergeDigests returns the newer digest with the content of the older one that
 // is sent only once.
 func mergeDigests(older, newer port.LoadDigest) port.LoadDigest {
@@ -52,6 +63,9 @@
 	if newer.Echo == (port.DigestEcho{}) {
 		newer.Echo = older.Echo
 	}
+	if newer.Build == (model.Build{}) {
+		newer.Build = older.Build
+	}
 	if len(newer.Hosts) == 0 {
 		newer.Hosts = older.Hosts
 	}
--- a/internal/gateway/peerclock.go
+++ b/internal/gateway/peerclock.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// echoInterval is the least time between two digests to a peer that echo one of its own.
-	echoInterval = time.Second
 	// clockDriftDivisor is the reciprocal of the greatest relative difference of the speeds
 	// of two hosts' clocks.
 	clockDriftDivisor = 2000
@@ -20,11 +18,10 @@
 // times are those since the start of a host, including those in which it was suspended.
 type peerClock struct {
 	// incarnation, sentAt and receivedAt are those of the peer's latest digest, the last one by
-	// the clock of this host. echoedAt is when this host last echoed one to the peer.
+	// the clock of this host.
 	incarnation model.Incarnation
 	sentAt      time.Duration
 	receivedAt  time.Duration
-	echoedAt    time.Duration
 	// ahead is the least time by which the clock of this host can be ahead of that of the
 	// peer, as found at foundAt, if known.
 	ahead   time.Duration
@@ -60,13 +57,11 @@
 	return now - p.minAhead(now) - sentAt, true
 }
 
-// takeEcho returns the echo for a digest to the peer that is sent now; zero if there is none or
-// the last one is too recent.
-func (p *peerClock) takeEcho(now time.Duration) port.DigestEcho {
-	if p.sentAt == 0 || p.echoedAt != 0 && now-p.echoedAt < echoInterval {
+// echo returns what this host echoes to the peer; zero if nothing was received.
+func (p *peerClock) echo() port.DigestEcho {
+	if p.sentAt == 0 {
 		return port.DigestEcho{}
 	}
-	p.echoedAt = now
 	return port.DigestEcho{Incarnation: p.incarnation, SentAt: p.sentAt, ReceivedAt: p.receivedAt}
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -100,6 +100,9 @@
 	// late and clock bound how late the host's digests are.
 	late  lateDigests
 	clock peerClock
+	build peerBuild
+	// statedAt is when this host last stated its build and an echo, as a time since its start.
+	statedAt time.Duration
 	// unpacks reports whether the host understands packed loads.
 	unpacks bool
 }
@@ -291,6 +294,7 @@
 	p.lastSeen, p.host, p.domain, p.linkMbps = now, d.Host, d.Domain, d.LinkSpeedMbps
 	p.readAge, p.reading, p.failing = d.ListReadAge, d.ReadsList, d.ListReadFailing
 	p.unpacks = d.Unpacks
+	p.build.learn(now, &d)
 	p.knownReadAge = min(d.ListKnownAge, d.ListReadAge)
 	if d.ListReadFailing {
 		c.directory.RecordReadFailure()
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -18,6 +18,7 @@
 type PeerStatus struct {
 	Host   model.HostID     `json:"host"`
 	Domain model.DomainName `json:"domain"`
+	Build  model.Build      `json:"build"`
 	// Relay reports whether the host is a relay of its failure domain.
 	Relay bool `json:"relay"`
 	// LocalRelays are the peer addresses of the other relays of its domain, and
@@ -122,6 +123,8 @@
 	Path    string        `json:"path"`
 	Age     float64       `json:"age_s"`
 	Version model.Version `json:"version"`
+	// Build is the build that it has stated to this host; missing for none.
+	Build *model.Build `json:"build,omitempty"`
 }
 
 // Paths on which a host hears of another one.
@@ -142,7 +145,7 @@
 	opts := &c.gateway.opts
 	digests := &c.peers.digests
 	out := PeerStatus{
-		Host: opts.Host, Domain: opts.Domain, Relay: digests.isRelay,
+		Host: opts.Host, Domain: opts.Domain, Build: opts.Build, Relay: digests.isRelay,
 		LocalRelays: slices.Clone(digests.localRelays), Receivers: slices.Clone(digests.remoteReceivers),
 		FleetHosts: c.balancer.CountHosts(now), Reading: c.gateway.reading.Load(),
 		ListAge: c.knownReadAge(now).Seconds(), Era: c.nextInList.Era, Offset: c.nextInList.Offset, Version: c.version(),
@@ -185,6 +188,9 @@
 		Host: p.host, Domain: p.domain, Address: address, Linked: p.isLinked(), Live: p.host != "" && t.isLive(now, p),
 		Path: pathNone, Version: p.version,
 	}
+	if build := p.build.build; build != (model.Build{}) {
+		v.Build = &build
+	}
 	switch {
 	case t.hearsFrom(now, p):
 		v.Path, v.Age = pathDirect, now.Sub(p.lastSeen).Seconds()
@@ -233,6 +239,7 @@
 		return
 	}
 	c.metricsAt = now
+	c.reviewBuilds(now)
 	links := 0
 	for _, p := range c.peers.peers {
 		if p.isLinked() {
--- a/internal/metrics/events.go
+++ b/internal/metrics/events.go
@@ -83,6 +83,18 @@
 	}
 }
 
+// SetBuild states the build of this host.
+func (m *Metrics) SetBuild(b model.Build) {
+	m.scope.Tagged(map[string]string{"commit": b.Commit, "protocol": b.Protocol}).Gauge("build_info").Update(1)
+}
+
+// SetBuilds sets the number of builds of the hosts that this host hears from, its own included,
+// and how many hosts run the build of this one.
+func (m *Metrics) SetBuilds(builds, same int) {
+	m.builds.Update(float64(builds))
+	m.sameBuild.Update(float64(same))
+}
+
 // SetListAge sets the age of the newest known read of the list of endpoints, and the
 // era of the platform's store.
 func (m *Metrics) SetListAge(age time.Duration, era uint64) {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -65,6 +65,7 @@
 	betweenTokens *vec[tally.Histogram]
 
 	knownHosts                            tally.Gauge
+	builds, sameBuild                     tally.Gauge
 	peerLinks                             tally.Gauge
 	relay                                 tally.Gauge
 	listAge                               tally.Gauge
@@ -150,6 +151,7 @@
 
 func (m *Metrics) addGauges() {
 	m.knownHosts = m.scope.Gauge("known_hosts")
+	m.builds, m.sameBuild = m.scope.Gauge("host_builds"), m.scope.Gauge("hosts_of_same_build")
 	m.peerLinks = m.scope.Gauge("peer_links")
 	m.relay = m.scope.Gauge("relay")
 	m.listAge = m.scope.Gauge("list_age_seconds")
--- a/internal/port/share.go
+++ b/internal/port/share.go
@@ -130,6 +130,8 @@
 	// SentAt is the time from the sender's start to when it made the digest; 0 if it does not
 	// state that.
 	SentAt time.Duration
+	// Build is the build of the sender. Most digests omit it.
+	Build model.Build
 	// Echo is the latest digest of the receiver that the sender has. Most digests omit it.
 	Echo DigestEcho
 	// ViaRelay reports that the receiver's failure domain gets the sender's load
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -10,7 +10,9 @@
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/wigeonsail/wigeonsail/api/peer"
 	"github.com/wigeonsail/wigeonsail/internal/adapter/peergrpc"
+	"github.com/wigeonsail/wigeonsail/internal/buildinfo"
 	"github.com/wigeonsail/wigeonsail/internal/clock"
 	"github.com/wigeonsail/wigeonsail/internal/core/attempt"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
@@ -38,6 +40,7 @@
 
 // Gateway is an entry host on the users' platform with its listeners.
 type Gateway struct {
+	build      model.Build
 	settings   *settings.Gateway
 	log        log.Interface
 	metrics    *metrics.Metrics
@@ -72,6 +75,7 @@
 		return nil, errors.Join(err, m.Close())
 	}
 	g := &Gateway{
+		build:      model.Build{Commit: buildinfo.Commit(), Protocol: peer.Version()},
 		listeners:  listeners,
 		settings:   s,
 		log:        logger,
@@ -84,10 +88,12 @@
 	if s.Duties.Address != "" {
 		g.duties = platform.NewDuties(s.Duties.Address)
 	}
+	m.SetBuild(g.build)
 	g.gateway = gateway.New(gateway.Options{
 		Host:              model.HostID(s.Host),
 		Domain:            model.DomainName(s.Domain),
 		Incarnation:       model.Incarnation(now.UnixNano()),
+		Build:             g.build,
 		Seed:              uint64(now.UnixNano()),
 		Endpoints:         g.replicas,
 		Mover:             g.mover,
@@ -197,6 +203,7 @@
 	g.log.WithFields(log.Fields{
 		"host": g.settings.Host, "domain": g.settings.Domain, "callers": g.settings.Listen.Callers,
 		"peers": g.settings.Listen.Peers, "seeds": g.settings.Peers.Seeds,
+		"commit": g.build.Commit, "protocol": g.build.Protocol,
 	}).Info("host: started")
 }
 
