Requests above an account's share wait a fifth of the target at engines, not a quarter

Cause: a request above its account's share is accepted while some engine's queue is shorter than a quarter of the target. All that it waits there, those of the same rank wait that come later. One constant at a time was varied on a scratch copy: served shares, time constant, tolerance, shortage; only this one decides (.2, .15 and .1 pass all, each other variation fails at least one).

The wait for a place at plain services keeps its quarter.

--- a/internal/core/balance/fairshares.go
+++ b/internal/core/balance/fairshares.go
@@ -27,8 +27,10 @@
 	shortOfRoomShare = 0.1
 	shortOfRoomWait  = 200 * time.Millisecond
 	// aboveShareQueue is the share of the latency target, or of the remaining time, that a
-	// request above its account's share may wait in a queue.
-	aboveShareQueue = 0.25
+	// request above its account's share may wait in the queue of an engine, where others of
+	// its rank wait behind it. aboveSharePlaceWait is that for a place at a plain service.
+	aboveShareQueue     = 0.2
+	aboveSharePlaceWait = 0.25
 	// freePlaceWait is the remaining time that is assumed for a request without a
 	// deadline.
 	freePlaceWait = 2 * time.Second
@@ -129,21 +131,21 @@
 		return 0, false
 	}
 	if p.engine == nil {
-		return b.spreadWait(left), !p.hasPlace(now, req.longestQueue(left))
+		return b.spreadWait(left), !p.hasPlace(now, req.longestWait(aboveSharePlaceWait, left))
 	}
-	if p.hasRoom(now, req, best.priority, req.longestQueue(left)) {
+	if p.hasRoom(now, req, best.priority, req.longestWait(aboveShareQueue, left)) {
 		return 0, false
 	}
 	return b.spreadWait(left), true
 }
 
-// longestQueue returns the time in a queue from which on a request above its account's
-// share is refused.
-func (r *Request) longestQueue(left time.Duration) time.Duration {
+// longestWait returns the wait from which on a request above its account's share is refused:
+// a share of its latency target or of the remaining time.
+func (r *Request) longestWait(share float64, left time.Duration) time.Duration {
 	if r.Target > 0 {
 		left = min(left, r.Target)
 	}
-	return time.Duration(aboveShareQueue * float64(left))
+	return time.Duration(share * float64(left))
 }
 
 // hasRoom reports whether a usable engine, other than those reserved for others, has a
