A host of serve ends in time while the log takes none of its records

Found by reading for other uses of timers' channels.

Cause: Guard.Close bounded the wait for all partitions by one time.After, which delivers once. During an outage of the log the first partition with queued records took the deadline, and the next one waited until the outage ended, so that the host outlived its grace time.

Change: the deadline is that of a context. Looked at elsewhere: the other single deadlines in loops return when they pass.

Test that failed before: TestCloseEndsDuringAnOutage.

--- a/internal/effects/guard.go
+++ b/internal/effects/guard.go
@@ -162,11 +162,12 @@
 // Close waits up to flushTimeout for queued records to be appended, and stops all
 // goroutines.
 func (g *Guard) Close() {
-	deadline := time.After(flushTimeout)
+	deadline, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
 	for _, a := range g.appenders {
 		select {
 		case <-a.drained():
-		case <-deadline:
+		case <-deadline.Done():
 		}
 	}
 	g.stop()
--- a/internal/effects/guard_test.go
+++ b/internal/effects/guard_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -165,3 +166,35 @@
 	notStarted := New(Options{Loop: loop.New(), Log: up})
 	must.False(t, notStarted.Ready())
 }
+
+// A host must end in time although the log takes none of the records of several partitions.
+func TestCloseEndsDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newFakeLog()
+		g := startGuard(t, l, "a", nil)
+		waitForReads()
+		var permits []Decision
+		for i := range 32 {
+			permits = append(permits, begin(t, g, confirmation(fmt.Sprint("k", i))))
+		}
+		l.update(func() { l.outage, l.delay = true, time.Second })
+		for _, d := range permits {
+			g.Finish(d.Permit, testResult)
+		}
+		waitForReads()
+		closed := make(chan struct{})
+		go func() {
+			g.Close()
+			close(closed)
+		}()
+		ended := false
+		select {
+		case <-closed:
+			ended = true
+		case <-time.After(2 * flushTimeout):
+			l.update(func() { l.outage, l.delay = false, 0 })
+			<-closed
+		}
+		must.True(t, ended)
+	})
+}
