--- a/internal/gateway/peerclock.go
+++ b/internal/gateway/peerclock.go
@@ -7,11 +7,9 @@
 	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
-const (
-	// clockDriftDivisor is the reciprocal of the greatest relative difference of the speeds
-	// of two hosts' clocks.
-	clockDriftDivisor = 2000
-)
+// clockDriftDivisor is the reciprocal of the greatest relative difference of the speeds of two
+// hosts' clocks.
+const clockDriftDivisor = 2000
 
 // peerClock bounds when the digests of a peer were sent, without clocks that agree: the peer
 // received a digest of this host, by its own clock, no earlier than this host had sent it. All
@@ -29,7 +27,7 @@
 	known   bool
 }
 
-// learn applies a digest of the peer that this host, which is in an incarnation, receives now.
+// learn applies a digest of the peer that arrives now. own is the incarnation of this host.
 func (p *peerClock) learn(now time.Duration, own model.Incarnation, d *port.LoadDigest) {
 	if d.Incarnation != p.incarnation {
 		*p = peerClock{incarnation: d.Incarnation}
