--- a/internal/server/gateway_fixture_test.go
+++ b/internal/server/gateway_fixture_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
@@ -39,7 +38,8 @@
 	storeURL string
 	// replicas are the started replicas by instance name.
 	replicas map[string]*replica.Server
-	// logHandler receives the log of hosts that start from now on.
+	// logHandler receives the log of hosts that start from now on. It is printed if the test
+	// fails, unless it is replaced.
 	logHandler log.Handler
 	// configure changes the settings of hosts that start from now on; nil for none.
 	configure func(s *settings.Gateway)
@@ -52,7 +52,7 @@
 }
 
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, store: logstore.New(), replicas: make(map[string]*replica.Server), logHandler: discard.New()}
+	f := &fleet{t: t, store: logstore.New(), replicas: make(map[string]*replica.Server), logHandler: newFailureLog(t)}
 	f.storeURL = serveStore(t, f.store)
 	return f
 }
