--- a/cmd/wigeonsail/soak.go
+++ b/cmd/wigeonsail/soak.go
@@ -24,6 +24,8 @@
 	Dir       string        `help:"Directory for settings and logs; a temporary one by default."`
 	OldBinary string        `help:"Program of an older build, with which some of the processes begin; they are replaced in turn." type:"existingfile"`
 	OldShare  float64       `default:"1" help:"Share of the processes that begin with the older build."`
+	Together  int           `name:"old-together" default:"1" help:"Number of processes that are replaced at a time."`
+	NoFaults  bool          `help:"Replace processes, but inject no other faults."`
 	RollBack  bool          `help:"Go back to the older build in the second half of a run."`
 	Quiet     bool          `help:"Do not print a line for each fault."`
 }
@@ -39,6 +41,9 @@
 	if c.OldShare <= 0 || c.OldShare > 1 {
 		return &usageError{cause: errors.New("soak: --old-share must be above 0 and at most 1")}
 	}
+	if c.Together < 1 {
+		return &usageError{cause: errors.New("soak: --old-together must be above 0")}
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	dir := c.Dir
@@ -75,6 +80,7 @@
 	opts := soak.DefaultOptions()
 	opts.Seed, opts.Duration, opts.Hosts, opts.Binary = seed, c.Duration, c.Hosts, binary
 	opts.OldBinary, opts.OldShare, opts.RollBack = c.OldBinary, c.OldShare, c.RollBack
+	opts.Together, opts.NoFaults = c.Together, c.NoFaults
 	opts.Dir = filepath.Join(dir, strconv.FormatUint(seed, 10))
 	if err := os.MkdirAll(opts.Dir, 0o700); err != nil {
 		return soak.Report{}, err
--- a/internal/soak/builds.go
+++ b/internal/soak/builds.go
@@ -29,16 +29,18 @@
 
 // exchanges returns the replacements of a run, in order.
 func (o Options) exchanges() []exchange {
-	count := o.oldHosts()
+	count, together := o.oldHosts(), max(o.Together, 1)
 	rounds := []bool{false}
 	if o.RollBack {
 		rounds = append(rounds, true)
 	}
+	steps := (count + together - 1) / together
+	gap := o.Duration / time.Duration(steps*len(rounds)+1)
 	var out []exchange
-	gap := o.Duration / time.Duration(count*len(rounds)+1)
-	for _, old := range rounds {
+	for round, old := range rounds {
 		for host := range count {
-			out = append(out, exchange{after: time.Duration(len(out)+1) * gap, host: host, old: old})
+			step := round*steps + host/together
+			out = append(out, exchange{after: time.Duration(step+1) * gap, host: host, old: old})
 		}
 	}
 	return out
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -80,9 +80,12 @@
 func (f *faultInjector) tick(now time.Time) {
 	f.endDue(now)
 	f.restartEnded(now)
+	f.exchangeDue(now)
+	if f.environment.opts.NoFaults {
+		return
+	}
 	f.tickPlatform(now)
 	f.long.tick(now)
-	f.exchangeDue(now)
 	if now.Before(f.nextStart) {
 		return
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -21,10 +21,14 @@
 	// Binary is the path of the program whose gateway command is run.
 	Binary string
 	// OldBinary is the path of the program of an older build, with which a share OldShare of the
-	// hosts begins; they are replaced in turn. With RollBack they go back to it after that.
+	// hosts begins; they are replaced in turn, Together at a time (0 for one). With RollBack
+	// they go back to it after that.
 	OldBinary string
 	OldShare  float64
+	Together  int
 	RollBack  bool
+	// NoFaults injects no faults other than these replacements.
+	NoFaults bool
 	// Dir is an empty directory for the hosts' settings and logs.
 	Dir string
 	// Trace receives a line for each fault and violation; nil for no trace.
