One wait for a channel, one incarnation of a peer, and states that were kept twice

From reading the whole change again; behavior stays as it is.

- waitConfirmed did what awaitBarrier does: one awaitClosed serves both.
- The clock and the build of a peer each kept its incarnation and compared it: the peer keeps it.
- Of an endpoint, failing follows from failingSince, and unreachedUntil from unreached.
- Streams between hosts are converted by convert, like all other lists.
- The age of a digest reads the time since the start once.

The tests' assertions are unchanged; one call in peerclock_test.go passes the incarnation.

--- a/internal/adapter/peergrpc/streams.go
+++ b/internal/adapter/peergrpc/streams.go
@@ -62,23 +62,19 @@
 }
 
 func sourcedToWire(b resume.SourcedStreams) *peer.StreamSource {
-	out := &peer.StreamSource{
+	return &peer.StreamSource{
 		Pool: string(b.Source.Pool), Endpoint: string(b.Source.Endpoint),
 		RunningAtMs: b.Source.RunningAt.UnixMilli(), BeganAtMs: b.Source.BeganAt.UnixMilli(),
+		Streams: convert(b.Streams, func(id resume.StreamID) uint64 { return uint64(id) }),
 	}
-	for _, id := range b.Streams {
-		out.Streams = append(out.Streams, uint64(id))
-	}
-	return out
 }
 
 func sourcedFromWire(s *peer.StreamSource) resume.SourcedStreams {
-	out := resume.SourcedStreams{Source: resume.Source{
-		Pool: model.PoolName(s.GetPool()), Endpoint: model.EndpointName(s.GetEndpoint()),
-		RunningAt: time.UnixMilli(s.GetRunningAtMs()), BeganAt: time.UnixMilli(s.GetBeganAtMs()),
-	}}
-	for _, id := range s.GetStreams() {
-		out.Streams = append(out.Streams, resume.StreamID(id))
+	return resume.SourcedStreams{
+		Streams: convert(s.GetStreams(), func(id uint64) resume.StreamID { return resume.StreamID(id) }),
+		Source: resume.Source{
+			Pool: model.PoolName(s.GetPool()), Endpoint: model.EndpointName(s.GetEndpoint()),
+			RunningAt: time.UnixMilli(s.GetRunningAtMs()), BeganAt: time.UnixMilli(s.GetBeganAtMs()),
+		},
 	}
-	return out
 }
--- a/internal/core/balance/answers.go
+++ b/internal/core/balance/answers.go
@@ -12,7 +12,7 @@
 // recordAnswer records that an endpoint has answered a request or a check which began at a
 // time.
 func (b *Balancer) recordAnswer(now time.Time, e *endpoint, began time.Time) {
-	e.failing = false
+	e.failingSince = time.Time{}
 	b.domain(e.Domain).lastAnswer = now
 	clear(b.paths.failed)
 	if !began.Before(b.paths.changedAt) {
@@ -25,12 +25,14 @@
 
 // recordFailing records that a connection to the endpoint has failed.
 func (e *endpoint) recordFailing(now time.Time) {
-	if !e.failing {
+	if !e.isFailing() {
 		e.failingSince = now
 	}
-	e.failing = true
 }
 
+// isFailing reports whether the last connection to the endpoint has failed.
+func (e *endpoint) isFailing() bool { return !e.failingSince.IsZero() }
+
 // hasCrashed reports whether the endpoint is known to have crashed and has not answered since.
 func (e *endpoint) hasCrashed() bool { return e.answeredFrom.Before(e.crashedAt) }
 
@@ -75,9 +77,9 @@
 		}
 		out.known++
 		switch {
-		case other.failing && (other.hasCrashed() || since.Sub(other.failingSince) > commonFailureTime):
+		case other.isFailing() && (other.hasCrashed() || since.Sub(other.failingSince) > commonFailureTime):
 			out.down++
-		case other.failing:
+		case other.isFailing():
 			out.failed++
 		case !other.answeredFrom.Before(since):
 			out.answered++
--- a/internal/core/balance/endpoint.go
+++ b/internal/core/balance/endpoint.go
@@ -70,10 +70,9 @@
 	brittle         brittleness
 	room            brittleShare
 	speed           engineSpeed
-	// failing reports whether the last connection has failed, as all have since failingSince.
-	// answeredFrom is when the latest request or check that was answered began, crashedAt when
+	// failingSince is the time since which all connections have failed; zero if the last one has
+	// not. answeredFrom is when the latest request or check that was answered began, crashedAt when
 	// the endpoint has crashed last, as far as known and not later than it did.
-	failing      bool
 	failingSince time.Time
 	answeredFrom time.Time
 	crashedAt    time.Time
@@ -98,8 +97,6 @@
 	// softwareCertainFrom is the time as of which the list has to be known so that it is
 	// certain that the endpoint runs the version that is listed; zero if it always is.
 	softwareCertainFrom time.Time
-	// unreachedUntil is until when that is not certain since no connection could be opened.
-	unreachedUntil time.Time
 	// reserved reports whether the endpoint is reserved for urgent requests.
 	reserved bool
 }
--- a/internal/core/balance/paths.go
+++ b/internal/core/balance/paths.go
@@ -130,8 +130,8 @@
 	for _, e := range b.endpoints {
 		e.unproven = true
 		b.watched.watch(e)
-		e.unreachedUntil, e.unreached = time.Time{}, downtime{}
-		if e.failing {
+		e.unreached = downtime{}
+		if e.isFailing() {
 			e.failureRate, e.consecutiveFailures = 0, 0
 			if e.pausedForBreaks {
 				e.pausedUntil = time.Time{}
--- a/internal/core/balance/reachability.go
+++ b/internal/core/balance/reachability.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/wigeonsail/wigeonsail/internal/core/directory"
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
 )
 
@@ -279,7 +278,7 @@
 func (b *Balancer) recordConnectFailure(now time.Time, e *endpoint) {
 	e.recordConnectFailure(now)
 	if b.paths.lost {
-		e.unreachedUntil, e.unreached = time.Time{}, downtime{}
+		e.unreached = downtime{}
 		return
 	}
 	b.recordPathFailure(now, e)
@@ -349,6 +348,5 @@
 	e.watched.watch(e)
 	e.nextCheck = now.Add(pauseLength(e.consecutiveFailures))
 	e.consecutiveFailures++
-	e.unreachedUntil = now.Add(directory.RestartListTime)
 	e.unreached.add(downtime{first: now, last: now})
 }
--- a/internal/core/balance/software.go
+++ b/internal/core/balance/software.go
@@ -21,7 +21,7 @@
 
 // certainSoftware returns the version that an endpoint runs; empty if it is not certain.
 func (b *Balancer) certainSoftware(e *endpoint) model.SoftwareVersion {
-	if b.listAsOf.Before(e.softwareCertainFrom) || b.listAsOf.Before(e.unreachedUntil) {
+	if b.listAsOf.Before(e.softwareCertainFrom) || e.unreached.mayHideStart(b.listAsOf) {
 		return ""
 	}
 	return e.Software
@@ -65,6 +65,12 @@
 // downtime is when an endpoint was first and last found to be down of late; zero if it was not.
 type downtime struct{ first, last time.Time }
 
+// mayHideStart reports whether the list of endpoints as of a time may not show yet that the
+// endpoint has started again.
+func (d downtime) mayHideStart(listAsOf time.Time) bool {
+	return !d.last.IsZero() && listAsOf.Before(d.last.Add(directory.RestartListTime))
+}
+
 // add adds another downtime. One that has ended long before the other is dropped.
 func (d *downtime) add(other downtime) {
 	switch {
--- a/internal/gateway/builds.go
+++ b/internal/gateway/builds.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/wigeonsail/wigeonsail/internal/core/model"
-	"github.com/wigeonsail/wigeonsail/internal/port"
 )
 
 // buildStatementTime is the time within which a host that states its build has done so.
@@ -14,20 +13,16 @@
 
 // peerBuild is what is known of the build of a peer.
 type peerBuild struct {
-	incarnation model.Incarnation
 	// build is zero as long as the peer has stated none. since is when its first digest of
 	// this incarnation was received.
 	build model.Build
 	since time.Time
 }
 
-// learn applies a digest of the peer.
-func (b *peerBuild) learn(now time.Time, d *port.LoadDigest) {
-	if b.since.IsZero() || d.Incarnation != b.incarnation {
-		*b = peerBuild{incarnation: d.Incarnation, since: now}
-	}
-	if d.Build != (model.Build{}) {
-		b.build = d.Build
+// learn applies the build in a digest of the peer; most have none.
+func (b *peerBuild) learn(stated model.Build) {
+	if stated != (model.Build{}) {
+		b.build = stated
 	}
 }
 
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -222,21 +222,6 @@
 	})
 }
 
-// waitConfirmed waits until it is recorded whether an endpoint has crashed, so that the
-// next attempt is placed with this knowledge.
-func waitConfirmed(ctx context.Context, confirmed <-chan struct{}) {
-	if confirmed == nil {
-		return
-	}
-	timer := time.NewTimer(maxConfirmWait)
-	defer timer.Stop()
-	select {
-	case <-confirmed:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // recordProgress records that an endpoint has begun to answer, once the number of its
 // events reaches minProgressEvents.
 func (x *exchange) recordProgress(before, after int) {
--- a/internal/gateway/latedigests.go
+++ b/internal/gateway/latedigests.go
@@ -23,9 +23,9 @@
 	if !p.lastSeen.IsZero() && !c.peers.hearsFrom(now, p) {
 		p.late = lateDigests{most: now.Sub(p.lastSeen), until: now.Add(heartbeatInterval)}
 	}
-	p.clock.learn(c.sinceStart(now), c.gateway.opts.Incarnation, d)
-	late := time.Duration(0)
-	if way, known := p.clock.maxWay(c.sinceStart(now), d.SentAt); known {
+	arrived, late := c.sinceStart(now), time.Duration(0)
+	p.clock.learn(arrived, c.gateway.opts.Incarnation, d)
+	if way, known := p.clock.maxWay(arrived, d.SentAt); known {
 		// Readers of the ages add readAgePerHop.
 		late = max(way-readAgePerHop, 0)
 	} else if now.Before(p.late.until) {
--- a/internal/gateway/listbarrier.go
+++ b/internal/gateway/listbarrier.go
@@ -85,9 +85,9 @@
 	b.waiters = kept
 }
 
-// awaitBarrier waits until done is closed. It returns false if that takes longer than
+// awaitClosed waits until done is closed. It returns false if that takes longer than
 // timeout or ctx ends before.
-func awaitBarrier(ctx context.Context, done <-chan struct{}, timeout time.Duration) bool {
+func awaitClosed(ctx context.Context, done <-chan struct{}, timeout time.Duration) bool {
 	if done == nil {
 		return false
 	}
--- a/internal/gateway/mailbox.go
+++ b/internal/gateway/mailbox.go
@@ -39,7 +39,7 @@
 		return
 	}
 	p.statedAt = d.SentAt
-	d.Echo = p.clock.echo()
+	d.Echo = p.clock.echo(p.incarnation)
 }
 
 // mergeDigests returns the newer digest with the content of the older one that
--- a/internal/gateway/peerclock.go
+++ b/internal/gateway/peerclock.go
@@ -11,15 +11,14 @@
 // hosts' clocks.
 const clockDriftDivisor = 2000
 
-// peerClock bounds when the digests of a peer were sent, without clocks that agree: the peer
+// peerClock bounds when the digests of an incarnation of a peer were sent, without clocks that agree: the peer
 // received a digest of this host, by its own clock, no earlier than this host had sent it. All
 // times are those since the start of a host, including those in which it was suspended.
 type peerClock struct {
-	// incarnation, sentAt and receivedAt are those of the peer's latest digest, the last one by
-	// the clock of this host.
-	incarnation model.Incarnation
-	sentAt      time.Duration
-	receivedAt  time.Duration
+	// sentAt and receivedAt are those of the peer's latest digest, the last one by the clock of
+	// this host.
+	sentAt     time.Duration
+	receivedAt time.Duration
 	// ahead is the least time by which the clock of this host can be ahead of that of the
 	// peer, as found at foundAt, if known.
 	ahead   time.Duration
@@ -29,9 +28,6 @@
 
 // learn applies a digest of the peer that arrives now. own is the incarnation of this host.
 func (p *peerClock) learn(now time.Duration, own model.Incarnation, d *port.LoadDigest) {
-	if d.Incarnation != p.incarnation {
-		*p = peerClock{incarnation: d.Incarnation}
-	}
 	p.sentAt, p.receivedAt = d.SentAt, now
 	if d.Echo.SentAt == 0 || d.Echo.Incarnation != own {
 		return
@@ -55,12 +51,13 @@
 	return now - p.minAhead(now) - sentAt, true
 }
 
-// echo returns what this host echoes to the peer; zero if nothing was received.
-func (p *peerClock) echo() port.DigestEcho {
+// echo returns what this host echoes to the peer, which is in an incarnation; zero if nothing was
+// received.
+func (p *peerClock) echo(incarnation model.Incarnation) port.DigestEcho {
 	if p.sentAt == 0 {
 		return port.DigestEcho{}
 	}
-	return port.DigestEcho{Incarnation: p.incarnation, SentAt: p.sentAt, ReceivedAt: p.receivedAt}
+	return port.DigestEcho{Incarnation: incarnation, SentAt: p.sentAt, ReceivedAt: p.receivedAt}
 }
 
 // sinceStart returns the time from the start of this host to now, including the time in which
--- a/internal/gateway/peerclock_test.go
+++ b/internal/gateway/peerclock_test.go
@@ -82,7 +82,7 @@
 			for from, to := range map[*clockedHost]*clockedHost{a: b, b: a} {
 				delay := time.Duration(rapid.Int64Range(0, 3000).Draw(t, "delay")) * time.Millisecond
 				d := port.LoadDigest{Incarnation: from.incarnation, SentAt: from.read(at)}
-				d.Echo = from.peer.echo()
+				d.Echo = from.peer.echo(to.incarnation)
 				onWay = append(onWay, sentDigest{to, d, at, at + delay})
 			}
 		}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -101,6 +101,8 @@
 	late  lateDigests
 	clock peerClock
 	build peerBuild
+	// incarnation is that of the host, as of its last digest.
+	incarnation model.Incarnation
 	// statedAt is when this host last stated its build and an echo, as a time since its start.
 	statedAt time.Duration
 	// unpacks reports whether the host understands packed loads.
@@ -290,11 +292,14 @@
 	if p.host != d.Host || p.domain != d.Domain {
 		c.peers.digests.membersChanged()
 	}
+	if p.lastSeen.IsZero() || d.Incarnation != p.incarnation {
+		p.incarnation, p.clock, p.build = d.Incarnation, peerClock{}, peerBuild{since: now}
+	}
 	c.ageDigest(now, p, &d)
 	p.lastSeen, p.host, p.domain, p.linkMbps = now, d.Host, d.Domain, d.LinkSpeedMbps
 	p.readAge, p.reading, p.failing = d.ListReadAge, d.ReadsList, d.ListReadFailing
 	p.unpacks = d.Unpacks
-	p.build.learn(now, &d)
+	p.build.learn(d.Build)
 	p.knownReadAge = min(d.ListKnownAge, d.ListReadAge)
 	if d.ListReadFailing {
 		c.directory.RecordReadFailure()
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -86,7 +86,7 @@
 			return resume.Origin{Pool: found.pending.Pool, Software: software}, originRecorded
 		}
 	}
-	if awaitBarrier(ctx, found.listRead, barrierTimeout) {
+	if awaitClosed(ctx, found.listRead, barrierTimeout) {
 		proven, ok := queryLoop(ctx, g, func(now time.Time) originResult { return g.control.proveOrigin(now, x) })
 		if ok && proven.source != originUnknown {
 			return proven.origin, proven.source
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -262,7 +262,8 @@
 		if !x.canRetry(ctx, result) || !x.repeatsNow(time.Now(), x.headerSent) || !x.settleVersion(ctx) {
 			return x.fail(ctx, result)
 		}
-		waitConfirmed(ctx, confirmed)
+		// The next attempt is placed with what is known then of a crash.
+		awaitClosed(ctx, confirmed, maxConfirmWait)
 		x.req.Avoid = append(x.req.Avoid, decision.Endpoint)
 		x.req.Retry = x.req.Retry || result.delivered
 		x.gateway.opts.Metrics.Retried(model.ClassName(x.route.Name), failureName(result.failure))
--- a/internal/gateway/streamversion.go
+++ b/internal/gateway/streamversion.go
@@ -91,7 +91,7 @@
 		switch {
 		case ok && found.settlement == resume.Settled:
 			return found.software, true
-		case !ok || found.settlement == resume.Unprovable || !awaitBarrier(ctx, found.listRead, versionWait):
+		case !ok || found.settlement == resume.Unprovable || !awaitClosed(ctx, found.listRead, versionWait):
 			g.opts.Log.WithFields(fields{"endpoint": source.Endpoint, "unprovable": found.settlement == resume.Unprovable}).
 				Info("streams: version of an endpoint is not certain")
 			return "", false
