--- a/review/standins3/blamed.go
+++ b/review/standins3/blamed.go
@@ -15,7 +15,7 @@
 	const (
 		every    = 1250 * time.Millisecond
 		counted  = 24
-		crashGap = 300 * time.Millisecond
+		crashGap = 450 * time.Millisecond
 		part     = "bad0bad0"
 	)
 	p, err := startPlatform(env.rec)
@@ -57,7 +57,7 @@
 		running.Go(func() {
 			c := &client{rec: env.rec, address: gateways[gateway%len(gateways)].callers}
 			defer c.close()
-			a := c.send(call{method: http.MethodPost, path: "/pufi791/2f", id: id, deadline: 12 * time.Second, prompt: prompt, body: "{}"})
+			a := c.send(call{method: http.MethodPost, path: "/pufi791/2f", id: id, deadline: 12 * time.Second, prompt: prompt})
 			if keep {
 				mu.Lock()
 				sound = append(sound, a)
@@ -81,7 +81,7 @@
 	}
 	// Three requests with the part, in the time between two sound ones.
 	sendSound()
-	time.Sleep(every / 2)
+	time.Sleep(every / 8)
 	for i := range 3 {
 		if i > 0 {
 			time.Sleep(crashGap)
--- a/review/standins3/client.go
+++ b/review/standins3/client.go
@@ -14,8 +14,8 @@
 
 // answer is what a client has received.
 type answer struct {
-	id     string
-	sentAt time.Time
+	id              string
+	sentAt, endedAt time.Time
 	// status is 0 if the channel was closed without an answer.
 	status int
 	signed bool
@@ -41,15 +41,16 @@
 
 // call is a request of a client.
 type call struct {
-	method, path, id, prompt, body string
-	deadline                       time.Duration
-	timeout                        time.Duration
+	method, path, id, prompt string
+	deadline                 time.Duration
+	timeout                  time.Duration
 }
 
 // send sends a request on the client's channel, and opens it if there is none.
-func (c *client) send(k call) answer {
-	a := answer{id: k.id, sentAt: time.Now(), kept: c.kept}
+func (c *client) send(k call) (a answer) {
+	a = answer{id: k.id, sentAt: time.Now(), kept: c.kept}
 	defer func() {
+		a.endedAt = time.Now()
 		c.rec.printf("client: %s answered: status %d, signed %t, whole %t, %d bytes, %v", k.id, a.status, a.signed, a.whole, len(a.body), a.err)
 	}()
 	if c.conn == nil {
@@ -60,6 +61,8 @@
 		}
 		c.conn, c.in, a.kept = conn, bufio.NewReader(conn), false
 	}
+	// No two requests are alike.
+	body := `{"text":"` + k.id + `"}`
 	var head strings.Builder
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Wigeonsail-Attempt-Id: %s\r\nX-Wigeonsail-Deadline-Ms: %d\r\nX-Wigeonsail-Key: %s\r\n",
 		k.method, k.path, routeHost, k.id, k.deadline.Milliseconds(), clientKey)
@@ -67,9 +70,12 @@
 		fmt.Fprintf(&head, "X-Wigeonsail-Model: m\r\nX-Wigeonsail-Token-Usage: 1460,80\r\nX-Wigeonsail-Prompt-Prefix: %s\r\n", k.prompt)
 	}
 	if k.method == http.MethodPost {
-		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(k.body))
+		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(body))
+	}
+	head.WriteString("\r\n")
+	if k.method == http.MethodPost {
+		head.WriteString(body)
 	}
-	head.WriteString("\r\n" + k.body)
 	c.rec.printf("client: sends %s %s %s to %s", k.id, k.method, k.path, c.address)
 	_ = c.conn.SetDeadline(time.Now().Add(k.deadline + 2*time.Second))
 	if _, err := io.WriteString(c.conn, head.String()); err != nil {
@@ -85,8 +91,8 @@
 	}
 	a.status = res.StatusCode
 	a.signed = res.Header.Get("X-Wigeonsail-Response-Signature") == signature(k.id) && res.Header.Get("X-Wigeonsail-Attempt-Id") == k.id
-	body, err := io.ReadAll(res.Body)
-	a.body, a.err, a.whole = string(body), err, err == nil
+	text, err := io.ReadAll(res.Body)
+	a.body, a.err, a.whole = string(text), err, err == nil
 	c.kept = true
 	if err != nil || res.Close {
 		c.close()
--- a/review/standins3/unframed.go
+++ b/review/standins3/unframed.go
@@ -57,7 +57,7 @@
 				c.send(call{method: http.MethodGet, path: "/cufi504/2f", id: fmt.Sprintf("read-%d-%d", g, i), deadline: 3 * time.Second})
 				a := c.send(call{
 					method: http.MethodPost, path: "/lohu930/2f", id: fmt.Sprintf("draft-%d-%d", g, i), deadline: 12 * time.Second,
-					prompt: fmt.Sprintf("5c1e07a2:800,91bd3f06:410,e44%d%d:250", g, i), body: "{}",
+					prompt: fmt.Sprintf("5c1e07a2:800,91bd3f06:410,e44%d%d:250", g, i),
 				})
 				mu.Lock()
 				answers = append(answers, a)
