Review, case 13: requests with a crashing part that come together are let through again

Cause: crashes less than 250 ms apart count as one moment, whatever their number, and a part is blamed from three moments on.

--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(*environment) (bool, error){
 	"unframed-ends": playUnframedEnds,
 	"blamed-part":   playBlamedPart,
+	"bursts":        playBursts,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
