Review, case 11: streams of two software versions are joined after a drill of the store

Cause: the history of a service's versions in the store doesn't name its era. After a restoration and a power loss of all hosts it hides the versions that came since the copy, and streams that they began go on at others.

--- a/review/standins3/client.go
+++ b/review/standins3/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -25,6 +26,8 @@
 	err   error
 	// kept reports that the channel had carried a request before.
 	kept bool
+	// retryAfter is how long the client is asked to wait.
+	retryAfter time.Duration
 }
 
 // isServed reports whether the client has received a whole success.
@@ -42,8 +45,9 @@
 // call is a request of a client.
 type call struct {
 	method, path, id, prompt string
-	deadline                 time.Duration
-	timeout                  time.Duration
+	// resumes and lastEvent are set to resume a stream.
+	resumes, lastEvent string
+	deadline           time.Duration
 }
 
 // send sends a request on the client's channel, and opens it if there is none.
@@ -69,6 +73,9 @@
 	if k.prompt != "" {
 		fmt.Fprintf(&head, "X-Wigeonsail-Model: m\r\nX-Wigeonsail-Token-Usage: 1460,80\r\nX-Wigeonsail-Prompt-Prefix: %s\r\n", k.prompt)
 	}
+	if k.resumes != "" {
+		fmt.Fprintf(&head, "Resumes: %s\r\nLast-Event-Id: %s\r\n", k.resumes, k.lastEvent)
+	}
 	if k.method == http.MethodPost {
 		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(body))
 	}
@@ -90,6 +97,9 @@
 		return a
 	}
 	a.status = res.StatusCode
+	if seconds, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64); err == nil {
+		a.retryAfter = time.Duration(seconds * float64(time.Second))
+	}
 	a.signed = res.Header.Get("X-Wigeonsail-Response-Signature") == signature(k.id) && res.Header.Get("X-Wigeonsail-Attempt-Id") == k.id
 	text, err := io.ReadAll(res.Body)
 	a.body, a.err, a.whole = string(text), err, err == nil
--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -28,9 +28,10 @@
 
 // cases are the cases by name. A case reports whether its rule was broken.
 var cases = map[string]func(*environment) (bool, error){
-	"unframed-ends": playUnframedEnds,
-	"blamed-part":   playBlamedPart,
-	"bursts":        playBursts,
+	"unframed-ends":   playUnframedEnds,
+	"blamed-part":     playBlamedPart,
+	"bursts":          playBursts,
+	"joined-versions": playJoinedVersions,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
