--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -28,10 +28,12 @@
 
 // cases are the cases by name. A case reports whether its rule was broken.
 var cases = map[string]func(*environment) (bool, error){
-	"unframed-ends":   playUnframedEnds,
-	"blamed-part":     playBlamedPart,
-	"bursts":          playBursts,
-	"joined-versions": playJoinedVersions,
+	"unframed-ends":     playUnframedEnds,
+	"blamed-part":       playBlamedPart,
+	"bursts":            playBursts,
+	"forgotten-crashes": playForgottenCrashes,
+	"joined-versions":   playJoinedVersions,
+	"lost-quarantine":   playLostQuarantine,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
