Review, case 12: streams of a replica that started again behind a cut are joined with others

Cause: 0.5 s after a connection was opened, the listed start counts as the one that serves it, though the list may show one that has ended for three report intervals. It takes the place of the case of the dropped quarantine, which stays in the report; the others are renumbered, the gravest first.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves
 # the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review3-standins blamed-part review/13/record.txt
+exec target/review3-standins unframed-ends review/13/record.txt
--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves
 # the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review3-standins bursts review/14/record.txt
+exec target/review3-standins blamed-part review/14/record.txt
--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -33,6 +33,7 @@
 	"bursts":            playBursts,
 	"forgotten-crashes": playForgottenCrashes,
 	"joined-versions":   playJoinedVersions,
+	"reborn-behind-cut": playRebornBehindCut,
 	"lost-quarantine":   playLostQuarantine,
 }
 
--- a/review/standins3/replica.go
+++ b/review/standins3/replica.go
@@ -59,6 +59,10 @@
 	lives    int
 	name     string
 	silent   atomic.Bool
+	// keepsID reports that the next lifetimes have the same id; nextVersion is the software version
+	// of the next one, if it is another.
+	keepsID     bool
+	nextVersion string
 }
 
 // run is a request that a replica has begun to run.
@@ -94,7 +98,13 @@
 	}
 	r.mu.Lock()
 	r.lives++
-	r.id, r.born, r.sequence = fmt.Sprintf("i-%s-%d", r.name, r.lives), time.Now().UnixMilli(), 0
+	if !r.keepsID || r.id == "" {
+		r.id = fmt.Sprintf("i-%s-%d", r.name, r.lives)
+	}
+	if r.nextVersion != "" {
+		r.version, r.nextVersion = r.nextVersion, ""
+	}
+	r.born, r.sequence = time.Now().UnixMilli(), 0
 	r.listener, r.up, r.running = listener, true, 0
 	r.mu.Unlock()
 	r.beat()
