--- a/review/standins3/versions.go
+++ b/review/standins3/versions.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"regexp"
 	"strings"
@@ -135,7 +136,7 @@
 		if a.isServed() {
 			break
 		}
-		time.Sleep(max(a.retryAfter, 100*time.Millisecond))
+		time.Sleep(max(a.retryAfter, 100*time.Millisecond+rand.N(300*time.Millisecond)))
 	}
 	return received.String()
 }
