--- a/review/standins3/replica.go
+++ b/review/standins3/replica.go
@@ -154,9 +154,10 @@
 	}
 	r.rec.printf("replica %s: crashes", r.id)
 	time.AfterFunc(r.downtime, func() {
-		if err := r.start(); err != nil {
+		for err := r.start(); err != nil; err = r.start() {
+			// A channel that was opened meanwhile may use the port.
 			r.rec.printf("replica %s: %v", r.name, err)
-			return
+			time.Sleep(100 * time.Millisecond)
 		}
 		r.rec.printf("replica %s: is back as %s", r.name, r.id)
 	})
